--- /dev/null
+++ b/packages/admission/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Fair queues, deadlines and adaptive concurrency.
+ */
+export {};
--- /dev/null
+++ b/packages/blocks/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Names of KV cache blocks and their publish and import protocol.
+ */
+export {};
--- /dev/null
+++ b/packages/claims/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * At-most-once claims over table rows.
+ */
+export {};
--- /dev/null
+++ b/packages/cli/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * The command line of peridotvalve.
+ */
+export {};
--- /dev/null
+++ b/packages/clock/src/manual_clock.ts
@@ -0,0 +1,67 @@
+/**
+ * A clock that moves only when a test advances it.
+ */
+import { setImmediate } from "node:timers/promises";
+import type { Milliseconds, Timestamp } from "@peridotvalve/types";
+import { Clock } from "./clock.ts";
+
+interface Sleeper {
+  readonly due: Milliseconds;
+  readonly wake: () => void;
+}
+
+export abstract class ManualClock extends Clock {
+  /** Moves time on and wakes each sleeper at its due time, in order. */
+  abstract advance(duration: Milliseconds): Promise<void>;
+}
+
+export function createManualClock(start: Timestamp = 0): ManualClock {
+  let elapsed: Milliseconds = 0;
+  const sleepers = new Set<Sleeper>();
+
+  function nextDue(limit: Milliseconds): Sleeper | undefined {
+    const due = [...sleepers].filter((sleeper) => sleeper.due <= limit);
+    return due.sort((left, right) => left.due - right.due)[0];
+  }
+
+  return new (class extends ManualClock {
+    override now(): Timestamp {
+      return start + elapsed;
+    }
+
+    override monotonic(): Milliseconds {
+      return elapsed;
+    }
+
+    override sleep(
+      duration: Milliseconds,
+      signal?: AbortSignal,
+    ): Promise<void> {
+      return new Promise((resolve) => {
+        if (signal?.aborted) return resolve();
+        const wake = () => {
+          sleepers.delete(sleeper);
+          signal?.removeEventListener("abort", wake);
+          resolve();
+        };
+        const sleeper = { due: elapsed + duration, wake };
+        sleepers.add(sleeper);
+        signal?.addEventListener("abort", wake);
+      });
+    }
+
+    override async advance(duration: Milliseconds): Promise<void> {
+      const target = elapsed + duration;
+      // Lets code that is about to sleep reach its sleep first.
+      await setImmediate();
+      for (;;) {
+        const sleeper = nextDue(target);
+        if (sleeper === undefined) break;
+        elapsed = Math.max(elapsed, sleeper.due);
+        sleeper.wake();
+        await setImmediate();
+      }
+      elapsed = target;
+    }
+  })();
+}
--- /dev/null
+++ b/packages/configuration/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Configuration head, compare-and-set apply and watch.
+ */
+export {};
--- /dev/null
+++ b/packages/daemon/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Listeners, request paths and graceful shutdown.
+ */
+export {};
--- /dev/null
+++ b/packages/errors/src/failure.ts
@@ -0,0 +1,69 @@
+/**
+ * The failure value and the catalogue of its codes. A code fixes the HTTP
+ * status and the API's error type; `ran` is decided where the failure arises.
+ */
+import type { Milliseconds } from "@peridotvalve/types";
+
+/**
+ * Whether the work ran. "no" is a promise: nothing has run and nothing will.
+ */
+export type Ran = "no" | "unknown" | "yes";
+
+interface CodeTraits {
+  readonly status: number;
+  readonly type: string;
+}
+
+const CODES = {
+  invalid_request: { status: 400, type: "invalid_request_error" },
+  idempotency_key_required: { status: 400, type: "invalid_request_error" },
+  invalid_api_key: { status: 401, type: "authentication_error" },
+  forbidden: { status: 403, type: "permission_error" },
+  model_not_found: { status: 404, type: "invalid_request_error" },
+  service_not_found: { status: 404, type: "invalid_request_error" },
+  not_found: { status: 404, type: "invalid_request_error" },
+  request_timeout: { status: 408, type: "invalid_request_error" },
+  order_in_progress: { status: 409, type: "conflict_error" },
+  outcome_unknown: { status: 409, type: "conflict_error" },
+  request_too_large: { status: 413, type: "invalid_request_error" },
+  idempotency_key_reused: { status: 422, type: "invalid_request_error" },
+  rate_limited: { status: 429, type: "rate_limit_error" },
+  overloaded: { status: 429, type: "rate_limit_error" },
+  cancelled: { status: 499, type: "cancelled_error" },
+  internal_error: { status: 500, type: "server_error" },
+  upstream_failed: { status: 502, type: "server_error" },
+  upstream_protocol: { status: 502, type: "server_error" },
+  upstream_unavailable: { status: 503, type: "server_error" },
+  platform_unavailable: { status: 503, type: "server_error" },
+  shutting_down: { status: 503, type: "server_error" },
+  not_configured: { status: 503, type: "server_error" },
+  upstream_timeout: { status: 504, type: "server_error" },
+  patience_exceeded: { status: 504, type: "server_error" },
+} as const satisfies Readonly<Record<string, CodeTraits>>;
+
+export type FailureCode = keyof typeof CODES;
+
+export interface Failure {
+  readonly code: FailureCode;
+  readonly ran: Ran;
+  readonly message: string;
+  /** Name of the offending parameter. */
+  readonly param?: string;
+  /** Earliest useful repeat, from now. */
+  readonly retryAfter?: Milliseconds;
+}
+
+/** Every code, in the order of its status. */
+export function listCodes(): readonly FailureCode[] {
+  return Object.keys(CODES) as FailureCode[];
+}
+
+/** The HTTP status of a failure's code. */
+export function statusOf(code: FailureCode): number {
+  return CODES[code].status;
+}
+
+/** The API's error type of a failure's code. */
+export function typeOf(code: FailureCode): string {
+  return CODES[code].type;
+}
--- /dev/null
+++ b/packages/errors/src/wire.test.ts
@@ -0,0 +1,32 @@
+import { expect } from "earl";
+import { test } from "node:test";
+import { listCodes } from "./failure.ts";
+import { toResponse } from "./wire.ts";
+
+test("every code has an HTTP error status and the API's error shape", () => {
+  for (const code of listCodes()) {
+    const failure = { code, ran: "no", message: "m" } as const;
+    const response = toResponse(failure, "r-1");
+    expect(response.status >= 400 && response.status < 600).toEqual(true);
+    expect(response.body.error.request_id).toEqual("r-1");
+    expect(response.body.error.code).toEqual(code);
+  }
+});
+
+test("a client library does not repeat work that may have run", () => {
+  for (const ran of ["unknown", "yes"] as const) {
+    const failure = { code: "upstream_failed", ran, message: "m" } as const;
+    const response = toResponse(failure, "r-2");
+    expect(response.headers["x-should-retry"]).toEqual("false");
+  }
+});
+
+test("the retry hint is rounded up to whole seconds", () => {
+  const failure = {
+    code: "overloaded",
+    ran: "no",
+    message: "m",
+    retryAfter: 1_001,
+  } as const;
+  expect(toResponse(failure, "r-3").headers["retry-after"]).toEqual("2");
+});
--- /dev/null
+++ b/packages/events/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Numbered events, hybrid logical clock, logger and time line.
+ */
+export {};
--- /dev/null
+++ b/packages/lease/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Leases with fencing numbers over a table row.
+ */
+export {};
--- /dev/null
+++ b/packages/load/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Load digests of peers and load reports of replicas.
+ */
+export {};
--- /dev/null
+++ b/packages/membership/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Heartbeats, incarnations and liveness of peers.
+ */
+export {};
--- /dev/null
+++ b/packages/metrics/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Counters, gauges and quantiles as Prometheus text.
+ */
+export {};
--- /dev/null
+++ b/packages/replay/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Trace replay, measurements and history checks.
+ */
+export {};
--- /dev/null
+++ b/packages/retries/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Attempt states, retry and hedge budgets.
+ */
+export {};
--- /dev/null
+++ b/packages/routing/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Candidate ranking and baseline policies.
+ */
+export {};
--- /dev/null
+++ b/packages/settings/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Process settings and the operators' folder: schema, merge and check.
+ */
+export {};
--- /dev/null
+++ b/packages/standins/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Stand-ins for engines, store VMs, the platform and plain services.
+ */
+export {};
