--- /dev/null
+++ b/packages/daemon/src/http/gateway.ts
@@ -0,0 +1,169 @@
+/**
+ * A listener: one moleculer-web gateway whose aliases lead to actions of the
+ * same broker. Actions write the response themselves, because streams and
+ * typed failures need control over headers and ends.
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Clock } from "@peridotvalve/clock";
+import { toResponse } from "@peridotvalve/errors";
+import type { Milliseconds } from "@peridotvalve/types";
+import type { Context, Service, ServiceBroker } from "moleculer";
+import WebGateway from "moleculer-web";
+import { createExchange, type Exchange } from "./exchange.ts";
+import { sendFailure } from "./respond.ts";
+
+/** Handles one exchange from its start to the end of its response. */
+export type Handler = (exchange: Exchange) => Promise<void>;
+
+export interface GatewayOptions {
+  /** Name of the listener and prefix of its actions. */
+  readonly name: string;
+  readonly address: string;
+  /** Route such as "POST /v1/chat/completions" to its handler. */
+  readonly handlers: Readonly<Record<string, Handler>>;
+  readonly headersTimeout: Milliseconds;
+  readonly clock: Clock;
+  /** Reports an error that a handler did not turn into an outcome. */
+  readonly onDefect: (error: unknown, exchange: Exchange) => void;
+}
+
+export interface Gateway {
+  /** The address it listens on, with the port that was picked. */
+  address(): string;
+  /** Stops accepting connections and resolves when the open ones ended. */
+  close(): Promise<void>;
+}
+
+interface ExchangeParams {
+  readonly $req: IncomingMessage;
+  readonly $res: ServerResponse;
+}
+
+// Idle callers' connections are kept for longer than usual balancers keep
+// theirs, so that the balancer is the side that closes.
+const KEEP_ALIVE_TIMEOUT: Milliseconds = 75_000;
+
+const KEEP_ALIVE_PROBE: Milliseconds = 15_000;
+
+export async function createGateway(
+  broker: ServiceBroker,
+  options: GatewayOptions,
+): Promise<Gateway> {
+  const entries = Object.entries(options.handlers);
+  createActions(broker, options);
+  const [ip, port] = splitAddress(options.address);
+  const service = broker.createService({
+    name: `${options.name}-gateway`,
+    mixins: [WebGateway as never],
+    settings: {
+      ip,
+      port,
+      logRequest: null,
+      logResponse: null,
+      log4XXResponses: false,
+      routes: [{
+        path: "/",
+        bodyParsers: false,
+        mergeParams: false,
+        passReqResToParams: true,
+        mappingPolicy: "restrict",
+        logging: false,
+        aliases: Object.fromEntries(
+          entries.map(([route], index) => [
+            route,
+            `${options.name}.${actionName(index)}`,
+          ]),
+        ),
+      }],
+    },
+  });
+  await broker.waitForServices(`${options.name}-gateway`);
+  const server = (service as Service & { readonly server: Server }).server;
+  configureServer(server, options.headersTimeout);
+  return {
+    address: () => formatAddress(server),
+    close: () => broker.destroyService(service),
+  };
+}
+
+function createActions(broker: ServiceBroker, options: GatewayOptions): void {
+  const actions = Object.values(options.handlers).map((handler, index) => [
+    actionName(index),
+    (context: Context<ExchangeParams>) =>
+      handleSafely(handler, context.params, options),
+  ]);
+  broker.createService({
+    name: options.name,
+    actions: Object.fromEntries(actions),
+  });
+}
+
+function actionName(index: number): string {
+  return `handle${index}`;
+}
+
+async function handleSafely(
+  handler: Handler,
+  params: ExchangeParams,
+  options: GatewayOptions,
+): Promise<void> {
+  const exchange = createExchange(params.$req, params.$res, options.clock);
+  try {
+    await handler(exchange);
+  } catch (error) {
+    options.onDefect(error, exchange);
+    // What ran is not known here, because the handler did not say.
+    sendFailure(exchange, {
+      code: "internal_error",
+      ran: "unknown",
+      message: "internal error",
+    });
+    if (!exchange.response.writableEnded) exchange.response.destroy();
+  }
+}
+
+function configureServer(server: Server, headersTimeout: Milliseconds): void {
+  server.headersTimeout = headersTimeout;
+  // Bodies have a deadline of their own, which answers with a typed failure.
+  server.requestTimeout = 0;
+  server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT;
+  server.on("connection", (socket: Socket) => {
+    socket.setKeepAlive(true, KEEP_ALIVE_PROBE);
+    socket.setNoDelay(true);
+  });
+  server.on("clientError", answerClientError);
+}
+
+/** Answers bytes that are not HTTP, or headers that never ended. */
+function answerClientError(error: Error, socket: Socket): void {
+  if (!socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const code = (error as NodeJS.ErrnoException).code;
+  const isTimeout = code === "ERR_HTTP_REQUEST_TIMEOUT";
+  const { status, body } = toResponse({
+    code: isTimeout ? "request_timeout" : "invalid_request",
+    ran: "no",
+    message: isTimeout
+      ? "the request headers did not arrive in time"
+      : "the request is not valid HTTP",
+  }, "");
+  const text = JSON.stringify(body);
+  socket.end(
+    `HTTP/1.1 ${status} Error\r\nconnection: close\r\n` +
+      `content-type: application/json\r\n` +
+      `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
+  );
+}
+
+function splitAddress(address: string): readonly [string, number] {
+  const separator = address.lastIndexOf(":");
+  return [address.slice(0, separator), Number(address.slice(separator + 1))];
+}
+
+function formatAddress(server: Server): string {
+  const { address, port } = server.address() as AddressInfo;
+  return `${address}:${port}`;
+}
--- /dev/null
+++ b/packages/daemon/src/http/respond.ts
@@ -0,0 +1,88 @@
+/**
+ * Writes responses. A failure after the headers were sent can only be told
+ * inside the stream.
+ */
+import { once } from "node:events";
+import type { ServerResponse } from "node:http";
+import { type Failure, toResponse } from "@peridotvalve/errors";
+import type { Exchange } from "./exchange.ts";
+
+export function sendJson(
+  exchange: Exchange,
+  status: number,
+  body: unknown,
+): void {
+  const text = JSON.stringify(body);
+  const response = exchange.response;
+  if (response.headersSent) return;
+  response.writeHead(status, {
+    "content-type": "application/json; charset=utf-8",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+export function sendText(
+  exchange: Exchange,
+  status: number,
+  text: string,
+): void {
+  exchange.response.writeHead(status, {
+    "content-type": "text/plain; version=0.0.4; charset=utf-8",
+    "content-length": Buffer.byteLength(text),
+  });
+  exchange.response.end(text);
+}
+
+export function sendFailure(exchange: Exchange, failure: Failure): void {
+  const { status, headers, body } = toResponse(failure, exchange.id);
+  for (const [name, value] of Object.entries(headers)) {
+    if (!exchange.response.headersSent) exchange.response.setHeader(name, value);
+  }
+  sendJson(exchange, status, body);
+}
+
+export function sendBytes(
+  exchange: Exchange,
+  answer: {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+  },
+): void {
+  exchange.response.writeHead(answer.status, {
+    ...answer.headers,
+    "content-length": answer.body.length,
+  });
+  exchange.response.end(answer.body);
+}
+
+/** Starts a stream of server-sent events. */
+export function openEventStream(exchange: Exchange): void {
+  exchange.response.writeHead(200, {
+    "content-type": "text/event-stream; charset=utf-8",
+    "cache-control": "no-cache",
+  });
+}
+
+/** Writes one server-sent event; waits while the caller reads slowly. */
+export async function writeEvent(
+  exchange: Exchange,
+  data: string,
+): Promise<void> {
+  const response = exchange.response;
+  if (response.destroyed) return;
+  const hasRoom = response.write(`data: ${data}\n\n`);
+  if (!hasRoom) await waitForDrain(response, exchange.signal);
+}
+
+async function waitForDrain(
+  response: ServerResponse,
+  signal: AbortSignal,
+): Promise<void> {
+  try {
+    await once(response, "drain", { signal });
+  } catch {
+    // The caller has gone; the exchange's signal tells the rest.
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/peers/rpc.ts
@@ -0,0 +1,109 @@
+/**
+ * Calls between daemons: JSON-RPC 2.0 over HTTP on the peer listener. Both
+ * ends hold the peer secret.
+ */
+import { timingSafeEqual } from "node:crypto";
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+import {
+  type JSONRPCErrorResponse,
+  type JSONRPCRequest,
+  JSONRPCServer,
+  type JSONRPCSuccessResponse,
+} from "json-rpc-2.0";
+import { Err, Ok, type Result } from "ts-results-es";
+import { Agent } from "undici";
+import { readBody } from "../http/body.ts";
+import { type Exchange, readHeader } from "../http/exchange.ts";
+import type { Handler } from "../http/gateway.ts";
+import { sendFailure, sendJson } from "../http/respond.ts";
+
+const REQUEST_BYTES = 64 * 1024;
+const REQUEST_TIMEOUT: Milliseconds = 5_000;
+
+/** The methods that a daemon answers, by name. */
+export type Methods = Readonly<
+  Record<string, (params: unknown) => unknown | Promise<unknown>>
+>;
+
+export function createRpcHandler(
+  methods: Methods,
+  options: { readonly secret: string; readonly clock: Clock },
+): Handler {
+  const server = new JSONRPCServer();
+  for (const [name, method] of Object.entries(methods)) {
+    server.addMethod(name, method);
+  }
+  return async (exchange) => {
+    if (!hasToken(exchange, options.secret)) {
+      return sendFailure(exchange, {
+        code: "invalid_api_key",
+        ran: "no",
+        message: "the peer secret is missing or wrong",
+      });
+    }
+    const limits = { bytes: REQUEST_BYTES, timeout: REQUEST_TIMEOUT };
+    const body = await readBody(exchange, limits, options.clock);
+    if (body.isErr()) return sendFailure(exchange, body.error);
+    const answer = await server.receiveJSON(body.value.toString("utf8"));
+    sendJson(exchange, 200, answer);
+  };
+}
+
+/** Compares a bearer token in constant time. */
+export function hasToken(exchange: Exchange, token: string): boolean {
+  const header = readHeader(exchange, "authorization") ?? "";
+  const expected = Buffer.from(`Bearer ${token}`);
+  const actual = Buffer.from(header);
+  return actual.length === expected.length && timingSafeEqual(actual, expected);
+}
+
+export interface RpcClient {
+  call(
+    address: string,
+    request: { readonly method: string; readonly params: unknown },
+    timeout: Milliseconds,
+  ): Promise<Result<unknown, string>>;
+  close(): Promise<void>;
+}
+
+export function createRpcClient(secret: string): RpcClient {
+  const agent = new Agent({ pipelining: 1, keepAliveTimeout: 4_000 });
+  let lastId = 0;
+  return {
+    async call(address, { method, params }, timeout) {
+      lastId += 1;
+      const request: JSONRPCRequest = {
+        jsonrpc: "2.0",
+        id: lastId,
+        method,
+        params,
+      };
+      try {
+        const answer = await agent.request({
+          origin: `http://${address}`,
+          path: "/rpc",
+          method: "POST",
+          headers: {
+            "content-type": "application/json",
+            "authorization": `Bearer ${secret}`,
+          },
+          body: JSON.stringify(request),
+          signal: AbortSignal.timeout(timeout),
+        });
+        return toResult(await answer.body.json());
+      } catch (error) {
+        return Err((error as Error).message);
+      }
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+function toResult(answer: unknown): Result<unknown, string> {
+  const response = answer as
+    & Partial<JSONRPCSuccessResponse>
+    & Partial<JSONRPCErrorResponse>;
+  if (response.error !== undefined) return Err(response.error.message);
+  return Ok(response.result);
+}
