Add thin routing and retry decisions

The daemon needs placement, budgets and decisions after failures to be usable before they are hardened.

--- /dev/null
+++ b/packages/retries/src/backoff.ts
@@ -0,0 +1,29 @@
+/**
+ * Backoff between attempts, with full jitter: the delay is uniform between 0
+ * and a bound that doubles, so that callers of a failed upstream spread out.
+ */
+import type { Milliseconds } from "@peridotvalve/types";
+
+export interface BackoffOptions {
+  /** Bound of the first delay. */
+  readonly base?: Milliseconds;
+  /** Largest bound. */
+  readonly limit?: Milliseconds;
+  /** Uniform in [0, 1). */
+  readonly random: () => number;
+}
+
+/** Shorter than a tenth of the target for the first token (0.3 s). */
+const DEFAULT_BASE: Milliseconds = 25;
+
+const DEFAULT_LIMIT: Milliseconds = 1_000;
+
+/** The delay before the retry with this number, counted from 0. */
+export function backoffDelay(
+  retry: number,
+  options: BackoffOptions,
+): Milliseconds {
+  const base = options.base ?? DEFAULT_BASE;
+  const limit = options.limit ?? DEFAULT_LIMIT;
+  return options.random() * Math.min(limit, base * 2 ** retry);
+}
--- /dev/null
+++ b/packages/routing/src/beliefs.ts
@@ -0,0 +1,269 @@
+/**
+ * Beliefs about which replica holds which block. They are hints from own
+ * dispatches and from late and gapped cache events: a wrong one costs a
+ * recomputation and nothing else.
+ *
+ * The table has a fixed size in typed arrays. Each block hash selects a set of
+ * eight entries; the oldest entry of the set is overwritten. An entry is tied
+ * to a holder, which is one incarnation of a replica with one weight version,
+ * so a restart or a weight swap invalidates all its entries at once.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
+
+/** What is believed of a prompt's prefix on one replica. */
+export interface PrefixBelief {
+  /** Count of leading blocks. */
+  readonly blocks: number;
+  /** Probability in 0..1 that the replica still holds them. */
+  readonly confidence: number;
+}
+
+/** One incarnation of a replica with one weight version. */
+export interface Holder {
+  readonly replica: string;
+  /** Absent while no report told it; a later one is then adopted. */
+  readonly incarnation?: string;
+  readonly weights: string;
+}
+
+export interface HolderEvents {
+  readonly events: readonly {
+    readonly kind: "stored" | "removed";
+    readonly block: string;
+  }[];
+  /** True when events before these were lost. */
+  readonly gap: boolean;
+}
+
+export abstract class Beliefs {
+  /** Replicas believed to hold a prefix of the blocks, by replica name. */
+  abstract find(
+    blocks: readonly string[],
+    weights: string,
+  ): ReadonlyMap<string, PrefixBelief>;
+
+  /** Notes that the holder was sent a prompt with these blocks. */
+  abstract recordDispatch(holder: Holder, blocks: readonly string[]): void;
+
+  /** Notes cache events of the holder. */
+  abstract recordEvents(holder: Holder, batch: HolderEvents): void;
+
+  /** Drops what was believed of a replica's other incarnations or weights. */
+  abstract noteHolder(holder: Holder): void;
+
+  /** Forgets a replica. */
+  abstract forget(replica: string): void;
+
+  /** Memory of the table, which does not change. */
+  abstract byteLength(): Bytes;
+}
+
+export interface BeliefOptions {
+  readonly clock: Clock;
+  /** Entries; rounded up to a multiple of the set size. */
+  readonly capacity: number;
+  /** Time in which confidence falls to a half. */
+  readonly halfLife?: Milliseconds;
+}
+
+/** Entries of one set. */
+const WAYS = 8;
+
+/**
+ * Conversations return after minutes to days and engines evict within tens of
+ * minutes under load.
+ */
+const DEFAULT_HALF_LIFE: Milliseconds = 15 * 60_000;
+
+/** A gap may have hidden the removal of any earlier block. */
+const GAP_FACTOR = 0.5;
+
+/** Below this an entry changes no decision. */
+const MINIMUM_CONFIDENCE = 0.02;
+
+/** An own dispatch can fail after it was noted; an event cannot. */
+const DISPATCH_CONFIDENCE = 0.9;
+
+const HEX_DIGITS = 8;
+const NO_HOLDER = 0;
+
+interface HolderState {
+  readonly id: number;
+  readonly replica: string;
+  readonly weights: string;
+  incarnation: string | undefined;
+  /** Times of gaps, newest last; older ones are dropped. */
+  readonly gaps: Milliseconds[];
+}
+
+/** Gaps beyond this many leave a confidence below the minimum. */
+const REMEMBERED_GAPS = 6;
+
+interface Fingerprint {
+  readonly set: number;
+  readonly tag: number;
+}
+
+export function createBeliefs(options: BeliefOptions): Beliefs {
+  const { clock } = options;
+  const halfLife = options.halfLife ?? DEFAULT_HALF_LIFE;
+  const sets = Math.max(1, Math.ceil(options.capacity / WAYS));
+  const tags = new Uint32Array(sets * WAYS);
+  const holders = new Uint32Array(sets * WAYS);
+  // Seconds since the table's start: exact to 0.1 s for ten days.
+  const times = new Float32Array(sets * WAYS);
+  const byDispatch = new Uint8Array(sets * WAYS);
+  const start = clock.monotonic();
+  const current = new Map<string, HolderState>();
+  const byId = new Map<number, HolderState>();
+  let lastId = NO_HOLDER;
+
+  function seconds(): number {
+    return (clock.monotonic() - start) / 1_000;
+  }
+
+  function locate(block: string): Fingerprint {
+    const high = Number.parseInt(block.slice(0, HEX_DIGITS), 16) || 0;
+    const low = block.slice(HEX_DIGITS, 2 * HEX_DIGITS);
+    return { set: high % sets, tag: Number.parseInt(low, 16) || 0 };
+  }
+
+  function adopt(holder: Holder): HolderState {
+    const known = current.get(holder.replica);
+    if (known !== undefined && isSame(known, holder)) {
+      known.incarnation ??= holder.incarnation;
+      return known;
+    }
+    if (known !== undefined) byId.delete(known.id);
+    lastId += 1;
+    const state = {
+      id: lastId,
+      replica: holder.replica,
+      weights: holder.weights,
+      incarnation: holder.incarnation,
+      gaps: [],
+    };
+    current.set(holder.replica, state);
+    byId.set(state.id, state);
+    return state;
+  }
+
+  function findSlot(at: Fingerprint, holder: number): number | undefined {
+    const first = at.set * WAYS;
+    for (let slot = first; slot < first + WAYS; slot += 1) {
+      if (tags[slot] === at.tag && holders[slot] === holder) return slot;
+    }
+    return undefined;
+  }
+
+  /** The slot of a stale entry, or the oldest one of the set. */
+  function findVictim(at: Fingerprint): number {
+    const first = at.set * WAYS;
+    let oldest = first;
+    for (let slot = first; slot < first + WAYS; slot += 1) {
+      if (!byId.has(holders[slot]!)) return slot;
+      if (times[slot]! < times[oldest]!) oldest = slot;
+    }
+    return oldest;
+  }
+
+  function store(
+    state: HolderState,
+    block: string,
+    fromDispatch: boolean,
+  ): void {
+    const at = locate(block);
+    const known = findSlot(at, state.id);
+    const slot = known ?? findVictim(at);
+    tags[slot] = at.tag;
+    holders[slot] = state.id;
+    times[slot] = seconds();
+    byDispatch[slot] = fromDispatch ? 1 : 0;
+  }
+
+  function remove(state: HolderState, block: string): void {
+    const slot = findSlot(locate(block), state.id);
+    if (slot !== undefined) holders[slot] = NO_HOLDER;
+  }
+
+  function confidenceOf(slot: number, state: HolderState): number {
+    const age = (seconds() - times[slot]!) * 1_000;
+    const faded = 2 ** (-Math.max(0, age) / halfLife);
+    const gaps = state.gaps.filter((at) => at >= times[slot]!).length;
+    const base = byDispatch[slot] === 1 ? DISPATCH_CONFIDENCE : 1;
+    return base * faded * GAP_FACTOR ** gaps;
+  }
+
+  /** Adds the holders of one block that no deeper block has named. */
+  function collect(
+    block: string,
+    depth: { readonly blocks: number; readonly weights: string },
+    found: Map<string, PrefixBelief>,
+  ): void {
+    const at = locate(block);
+    const first = at.set * WAYS;
+    for (let slot = first; slot < first + WAYS; slot += 1) {
+      if (tags[slot] !== at.tag) continue;
+      const state = byId.get(holders[slot]!);
+      if (state === undefined || state.weights !== depth.weights) continue;
+      if (found.has(state.replica)) continue;
+      const confidence = confidenceOf(slot, state);
+      if (confidence < MINIMUM_CONFIDENCE) continue;
+      found.set(state.replica, { blocks: depth.blocks, confidence });
+    }
+  }
+
+  return new (class extends Beliefs {
+    override find(
+      blocks: readonly string[],
+      weights: string,
+    ): ReadonlyMap<string, PrefixBelief> {
+      const found = new Map<string, PrefixBelief>();
+      for (let count = blocks.length; count > 0; count -= 1) {
+        collect(blocks[count - 1]!, { blocks: count, weights }, found);
+      }
+      return found;
+    }
+
+    override recordDispatch(holder: Holder, blocks: readonly string[]): void {
+      const state = adopt(holder);
+      for (const block of blocks) store(state, block, true);
+    }
+
+    override recordEvents(holder: Holder, batch: HolderEvents): void {
+      const state = adopt(holder);
+      if (batch.gap) {
+        state.gaps.push(seconds());
+        if (state.gaps.length > REMEMBERED_GAPS) state.gaps.shift();
+      }
+      for (const event of batch.events) {
+        if (event.kind === "stored") store(state, event.block, false);
+        else remove(state, event.block);
+      }
+    }
+
+    override noteHolder(holder: Holder): void {
+      adopt(holder);
+    }
+
+    override forget(replica: string): void {
+      const known = current.get(replica);
+      if (known === undefined) return;
+      byId.delete(known.id);
+      current.delete(replica);
+    }
+
+    override byteLength(): Bytes {
+      return tags.byteLength + holders.byteLength + times.byteLength +
+        byDispatch.byteLength;
+    }
+  })();
+}
+
+function isSame(known: HolderState, holder: Holder): boolean {
+  if (known.weights !== holder.weights) return false;
+  if (known.incarnation === undefined) return true;
+  return holder.incarnation === undefined ||
+    known.incarnation === holder.incarnation;
+}
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -1,4 +1,17 @@
 /**
- * Candidate ranking and baseline policies.
+ * Candidate ranking: rendezvous hashing, the placement policies, beliefs about
+ * cached prefixes, the budget of the region link and detection of slow
+ * replicas. Nothing here does input or output.
  */
-export {};
+export * from "./beliefs.ts";
+export * from "./candidate.ts";
+export * from "./link_budget.ts";
+export { countRequests, Placement, selectEligible } from "./placement.ts";
+export * from "./policies/estimate.ts";
+export * from "./policies/least_load.ts";
+export * from "./policies/random.ts";
+export * from "./policies/round_robin.ts";
+export * from "./policies/sticky.ts";
+export * from "./random_source.ts";
+export * from "./rendezvous.ts";
+export * from "./slowness.ts";
--- /dev/null
+++ b/packages/routing/src/policies/estimate.ts
@@ -0,0 +1,129 @@
+/**
+ * Placement by the estimated time to first token. Among the few best within a
+ * margin the choice is by weighted chance, because several daemons decide at
+ * once on the same old reports. Equal estimates are taken in the rendezvous
+ * order of the conversation, so that daemons agree on a replica.
+ */
+import type { Milliseconds } from "@peridotvalve/types";
+import type { Beliefs } from "../beliefs.ts";
+import type {
+  Candidate,
+  PlacementRequest,
+  RankedCandidate,
+} from "../candidate.ts";
+import { createEstimator } from "../estimator.ts";
+import type { LinkBudget } from "../link_budget.ts";
+import { Placement, selectEligible } from "../placement.ts";
+import type { RandomSource } from "../random_source.ts";
+import { rankByRendezvous } from "../rendezvous.ts";
+
+export interface EstimateOptions {
+  readonly beliefs: Beliefs;
+  readonly link: LinkBudget;
+  readonly random: RandomSource;
+  /** Where this daemon runs. */
+  readonly origin: Origin;
+  /** One-way latency between availability zones of a region. */
+  readonly zoneLatency: Milliseconds;
+  /** One-way latency between regions. */
+  readonly regionLatency: Milliseconds;
+  /** Width of the band of near-best candidates, as a part of the best. */
+  readonly margin?: number;
+  /** Candidates that take part in the weighted chance. */
+  readonly choices?: number;
+}
+
+export interface Origin {
+  readonly availabilityZone: string;
+  readonly region: string;
+}
+
+/** Errors of an estimate are of this order; a band any wider costs latency. */
+const DEFAULT_MARGIN = 0.1;
+
+/** Smallest band: below it differences are noise of the network. */
+const MINIMUM_BAND: Milliseconds = 5;
+
+const DEFAULT_CHOICES = 3;
+
+/** Estimates within this difference count as equal. */
+const TIE: Milliseconds = 1;
+
+export function createEstimatePlacement(options: EstimateOptions): Placement {
+  const estimator = createEstimator(options);
+  const margin = options.margin ?? DEFAULT_MARGIN;
+  const choices = options.choices ?? DEFAULT_CHOICES;
+
+  return new (class extends Placement {
+    override choose(
+      request: PlacementRequest,
+      candidates: readonly Candidate[],
+    ): readonly RankedCandidate[] {
+      const eligible = selectEligible(request, candidates);
+      const inOrder = rankByRendezvous(request.conversation, eligible);
+      const ranked = estimator.estimateAll(request, inOrder);
+      const sorted = sortByEstimate(ranked);
+      const near = listNearBest(sorted, { margin, choices });
+      return moveToFront(sorted, drawByWeight(near, options.random));
+    }
+  })();
+}
+
+/** The sort is stable, so equal estimates keep their rendezvous order. */
+function sortByEstimate(
+  ranked: readonly RankedCandidate[],
+): readonly RankedCandidate[] {
+  const step = (entry: RankedCandidate) => Math.round(entry.estimate / TIE);
+  return [...ranked].sort((left, right) => step(left) - step(right));
+}
+
+interface Weighted {
+  readonly index: number;
+  readonly weight: number;
+}
+
+/**
+ * The candidates among which chance decides. Of equal estimates only the first
+ * in rendezvous order takes part.
+ */
+function listNearBest(
+  sorted: readonly RankedCandidate[],
+  options: { readonly margin: number; readonly choices: number },
+): readonly Weighted[] {
+  const best = sorted[0];
+  if (best === undefined) return [];
+  const band = Math.max(MINIMUM_BAND, best.estimate * options.margin);
+  const near: Weighted[] = [];
+  let previous = Number.NEGATIVE_INFINITY;
+  for (const [index, entry] of sorted.entries()) {
+    const excess = entry.estimate - best.estimate;
+    if (excess > band || near.length === options.choices) break;
+    if (entry.estimate - previous <= TIE) continue;
+    previous = entry.estimate;
+    near.push({ index, weight: Math.exp(-2 * Math.max(0, excess) / band) });
+  }
+  return near;
+}
+
+function drawByWeight(
+  entries: readonly Weighted[],
+  random: RandomSource,
+): number {
+  if (entries.length <= 1) return entries[0]?.index ?? 0;
+  const total = entries.reduce((sum, entry) => sum + entry.weight, 0);
+  let rest = random() * total;
+  for (const entry of entries) {
+    rest -= entry.weight;
+    if (rest < 0) return entry.index;
+  }
+  return entries[0]!.index;
+}
+
+function moveToFront(
+  sorted: readonly RankedCandidate[],
+  index: number,
+): readonly RankedCandidate[] {
+  const chosen = sorted[index];
+  if (chosen === undefined || index === 0) return sorted;
+  return [chosen, ...sorted.filter((entry) => entry !== chosen)];
+}
--- /dev/null
+++ b/packages/routing/src/policies/least_load.ts
@@ -0,0 +1,27 @@
+/**
+ * Baseline: fewest running and waiting requests by the newest report only. It
+ * ignores dispatches that no report shows yet, as a simple balancer does.
+ */
+import {
+  Placement,
+  rankWithoutEstimate,
+  selectEligible,
+} from "../placement.ts";
+import type { Candidate } from "../candidate.ts";
+
+export function createLeastLoadPlacement(): Placement {
+  return new (class extends Placement {
+    override choose(...[request, candidates]: Parameters<Placement["choose"]>) {
+      return [...selectEligible(request, candidates)]
+        .sort((left, right) => loadOf(left) - loadOf(right))
+        .map((candidate) =>
+          rankWithoutEstimate(candidate, `load ${loadOf(candidate)}`)
+        );
+    }
+  })();
+}
+
+function loadOf(candidate: Candidate): number {
+  const reported = candidate.reported;
+  return reported === undefined ? 0 : reported.running + reported.waiting;
+}
--- /dev/null
+++ b/packages/routing/src/policies/round_robin.ts
@@ -0,0 +1,22 @@
+/**
+ * Baseline: each decision starts at the next candidate.
+ */
+import {
+  Placement,
+  rankWithoutEstimate,
+  selectEligible,
+} from "../placement.ts";
+
+export function createRoundRobinPlacement(): Placement {
+  let turn = 0;
+  return new (class extends Placement {
+    override choose(...[request, candidates]: Parameters<Placement["choose"]>) {
+      const eligible = selectEligible(request, candidates);
+      if (eligible.length === 0) return [];
+      const start = turn % eligible.length;
+      turn += 1;
+      return [...eligible.slice(start), ...eligible.slice(0, start)]
+        .map((candidate) => rankWithoutEstimate(candidate, "turn"));
+    }
+  })();
+}
--- /dev/null
+++ b/packages/routing/src/policies/sticky.ts
@@ -0,0 +1,19 @@
+/**
+ * Baseline: the rendezvous order of the conversation, without load.
+ */
+import {
+  Placement,
+  rankWithoutEstimate,
+  selectEligible,
+} from "../placement.ts";
+import { rankByRendezvous } from "../rendezvous.ts";
+
+export function createStickyPlacement(): Placement {
+  return new (class extends Placement {
+    override choose(...[request, candidates]: Parameters<Placement["choose"]>) {
+      const eligible = selectEligible(request, candidates);
+      return rankByRendezvous(request.conversation, eligible)
+        .map((candidate) => rankWithoutEstimate(candidate, "sticky"));
+    }
+  })();
+}
--- /dev/null
+++ b/packages/routing/src/rendezvous.ts
@@ -0,0 +1,132 @@
+/**
+ * Weighted rendezvous hashing. Every process that knows the same members ranks
+ * them in the same order for a key. When a member joins or leaves, only keys
+ * whose first member it is or was change their first member.
+ */
+import { createHash } from "node:crypto";
+
+export interface RendezvousMember {
+  /** Unique name; the only input of the member's hash. */
+  readonly name: string;
+  /** Relative part of the keys that the member gets; above 0. */
+  readonly weight: number;
+}
+
+/** The two 32-bit halves of a hash. */
+interface HashHalves {
+  readonly high: number;
+  readonly low: number;
+}
+
+interface Scored<Member> {
+  readonly member: Member;
+  readonly score: number;
+}
+
+const TWO_POWER_32 = 2 ** 32;
+const TWO_POWER_53 = 2 ** 53;
+
+/** Bits of the high half that fit beside the low half in a double. */
+const HIGH_MASK = 0x1fffff;
+
+// SHA-256 costs about a microsecond, so a member object is hashed once.
+const memberHashes = new WeakMap<RendezvousMember, HashHalves>();
+
+/** The members in descending preference for the key. */
+export function rankByRendezvous<Member extends RendezvousMember>(
+  key: string,
+  members: readonly Member[],
+): readonly Member[] {
+  const keyHash = hashText(key);
+  return members
+    .map((member) => ({ member, score: scoreOf(keyHash, member) }))
+    .sort(compareScored)
+    .map((scored) => scored.member);
+}
+
+/** The key's first member, found without sorting. */
+export function findRendezvousHome<Member extends RendezvousMember>(
+  key: string,
+  members: readonly Member[],
+): Member | undefined {
+  const keyHash = hashText(key);
+  let best: Scored<Member> | undefined;
+  for (const member of members) {
+    const scored = { member, score: scoreOf(keyHash, member) };
+    if (best === undefined || compareScored(scored, best) < 0) best = scored;
+  }
+  return best?.member;
+}
+
+/**
+ * The ranking with members at their load bound moved behind the others. A
+ * member's bound is `factor` times its weighted part of the load, counting the
+ * new item, so at least one member is below its bound while `factor` >= 1.
+ */
+export function rankWithBoundedLoad<Member extends RendezvousMember>(
+  key: string,
+  members: readonly Member[],
+  options: {
+    readonly loadOf: (member: Member) => number;
+    readonly factor: number;
+  },
+): readonly Member[] {
+  const ranked = rankByRendezvous(key, members);
+  const load = sum(members.map(options.loadOf)) + 1;
+  const weight = sum(members.map((member) => member.weight));
+  const isBelow = (member: Member) => {
+    const part = load * member.weight / weight;
+    return options.loadOf(member) < Math.ceil(options.factor * part);
+  };
+  return [
+    ...ranked.filter(isBelow),
+    ...ranked.filter((member) => !isBelow(member)),
+  ];
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
+
+function compareScored(
+  left: Scored<RendezvousMember>,
+  right: Scored<RendezvousMember>,
+): number {
+  if (left.score !== right.score) return right.score - left.score;
+  return left.member.name < right.member.name ? -1 : 1;
+}
+
+/** The score -weight / ln(u) makes the first place proportional to weight. */
+function scoreOf(key: HashHalves, member: RendezvousMember): number {
+  const uniform = mixToUniform(key, hashMember(member));
+  return -member.weight / Math.log(uniform);
+}
+
+function hashMember(member: RendezvousMember): HashHalves {
+  const known = memberHashes.get(member);
+  if (known !== undefined) return known;
+  const hash = hashText(member.name);
+  memberHashes.set(member, hash);
+  return hash;
+}
+
+function hashText(text: string): HashHalves {
+  const digest = createHash("sha256").update(text).digest();
+  return { high: digest.readUInt32LE(0), low: digest.readUInt32LE(4) };
+}
+
+function mixToUniform(key: HashHalves, member: HashHalves): number {
+  const low = mix32((key.low ^ member.low) >>> 0);
+  const high = mix32((key.high ^ member.high ^ low) >>> 0);
+  const last = mix32((low ^ Math.imul(high, 0x9e3779b1)) >>> 0);
+  const bits = (high & HIGH_MASK) * TWO_POWER_32 + last;
+  return (bits + 0.5) / TWO_POWER_53;
+}
+
+/** The finalizer of MurmurHash3: every input bit affects every output bit. */
+function mix32(value: number): number {
+  let mixed = value;
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b);
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
+  return (mixed ^ (mixed >>> 16)) >>> 0;
+}
--- /dev/null
+++ b/packages/routing/src/slowness.ts
@@ -0,0 +1,241 @@
+/**
+ * Detection of slow replicas from the gaps in this daemon's own streams, before
+ * a lagging load report can show them. A replica is compared with the other
+ * replicas of its group, so that a burst that slows all of them accuses none.
+ * All statistics are medians, because single long gaps are ordinary.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+import type { ReplicaHealth } from "./candidate.ts";
+
+export interface GapSample {
+  readonly kind: "first token" | "between tokens";
+  /** Observed gap; for a stream that still waits, the wait so far. */
+  readonly gap: Milliseconds;
+  /** Gap that the placement estimate or the group's ordinary rate expects. */
+  readonly expected: Milliseconds;
+}
+
+export abstract class SlownessDetector {
+  /** Adds a gap of an own stream. */
+  abstract record(replica: string, sample: GapSample): void;
+
+  /** Notes that a request goes to a slow replica to try it. */
+  abstract recordProbe(replica: string): void;
+
+  /** Forgets a replica that left or restarted. */
+  abstract forget(replica: string): void;
+
+  abstract healthOf(replica: string): ReplicaHealth;
+
+  /** True when a slow replica may get one request to show its speed. */
+  abstract isProbeDue(replica: string): boolean;
+}
+
+export interface SlownessOptions {
+  readonly clock: Clock;
+  /** Factor over the group's median at which a replica counts as slow. */
+  readonly slowFactor?: number;
+  /** Time after which a slow replica may be probed. */
+  readonly probeAfter?: Milliseconds;
+}
+
+/** Ordinary replicas differ by some tens of percent; stalls by several times. */
+const DEFAULT_SLOW_FACTOR = 3;
+
+/** Part of the slow factor at which a replica is suspect. */
+const SUSPECT_PART = 0.6;
+
+const DEFAULT_PROBE_AFTER: Milliseconds = 5_000;
+
+/** Samples of each replica that count, newest first. */
+const WINDOW = 15;
+
+/** Samples older than this say nothing of the present. */
+const SAMPLE_LIFE: Milliseconds = 10_000;
+
+/** Fewer samples accuse no replica. */
+const MINIMUM_SAMPLES = 5;
+
+/** Replicas with samples that a comparison needs, apart from the judged one. */
+const MINIMUM_PEERS = 2;
+
+/** Robust z-score that a slow replica exceeds besides the factor. */
+const MINIMUM_DEVIATIONS = 4;
+
+/** Makes the median absolute deviation comparable to a standard deviation. */
+const DEVIATION_SCALE = 1.4826;
+
+/** Smallest spread in relative gaps; protects groups that are all alike. */
+const MINIMUM_SPREAD = 0.1;
+
+/** Expected gaps below this are noise of the scheduler. */
+const MINIMUM_EXPECTED: Milliseconds = 5;
+
+/** Age up to which the group's median serves for the rough comparison. */
+const CENTER_LIFE: Milliseconds = 200;
+
+/** Good samples after a probe that clear a replica. */
+const RECOVERY_SAMPLES = 3;
+
+interface TimedRatio {
+  readonly ratio: number;
+  readonly at: Milliseconds;
+}
+
+interface ReplicaState {
+  samples: readonly TimedRatio[];
+  health: ReplicaHealth;
+  judgedAt: Milliseconds;
+  slowSince: Milliseconds | undefined;
+  probedAt: Milliseconds | undefined;
+}
+
+interface Center {
+  readonly median: number;
+  readonly at: Milliseconds;
+}
+
+export function createSlownessDetector(
+  options: SlownessOptions,
+): SlownessDetector {
+  const { clock } = options;
+  const slowFactor = options.slowFactor ?? DEFAULT_SLOW_FACTOR;
+  const probeAfter = options.probeAfter ?? DEFAULT_PROBE_AFTER;
+  const replicas = new Map<string, ReplicaState>();
+  let center: Center | undefined;
+
+  function stateOf(replica: string): ReplicaState {
+    const known = replicas.get(replica);
+    if (known !== undefined) return known;
+    const state: ReplicaState = {
+      samples: [],
+      health: "healthy",
+      judgedAt: 0,
+      slowSince: undefined,
+      probedAt: undefined,
+    };
+    replicas.set(replica, state);
+    return state;
+  }
+
+  function freshRatios(state: ReplicaState): readonly number[] {
+    const oldest = clock.monotonic() - SAMPLE_LIFE;
+    return state.samples
+      .filter((sample) => sample.at >= oldest)
+      .map((sample) => sample.ratio);
+  }
+
+  /** Medians of the replicas that are not slow and have enough samples. */
+  function listMedians(except?: string): readonly number[] {
+    const medians: number[] = [];
+    for (const [name, state] of replicas) {
+      if (name === except || state.slowSince !== undefined) continue;
+      const ratios = freshRatios(state);
+      if (ratios.length >= MINIMUM_SAMPLES) medians.push(medianOf(ratios));
+    }
+    return medians;
+  }
+
+  /** The group's median, at most `CENTER_LIFE` old. */
+  function roughCenter(): number {
+    const now = clock.monotonic();
+    if (center === undefined || now - center.at > CENTER_LIFE) {
+      const medians = listMedians();
+      const median = medians.length === 0 ? 0 : medianOf(medians);
+      center = { median, at: now };
+    }
+    return center.median;
+  }
+
+  function judge(replica: string, ratios: readonly number[]): ReplicaHealth {
+    const peers = listMedians(replica);
+    if (peers.length < MINIMUM_PEERS) return "healthy";
+    const own = medianOf(ratios);
+    const middle = medianOf(peers);
+    const distances = peers.map((value) => Math.abs(value - middle));
+    const spread = Math.max(
+      MINIMUM_SPREAD * middle,
+      DEVIATION_SCALE * medianOf(distances),
+    );
+    if (own - middle < MINIMUM_DEVIATIONS * spread) return "healthy";
+    if (own >= slowFactor * middle) return "slow";
+    return own >= suspectBound(middle) ? "suspect" : "healthy";
+  }
+
+  function suspectBound(middle: number): number {
+    return middle * slowFactor * SUSPECT_PART;
+  }
+
+  /** Clears a slow replica after good samples, or keeps it away for longer. */
+  function reviewSlow(replica: string, state: ReplicaState): void {
+    const ratios = freshRatios(state);
+    if (ratios.length < RECOVERY_SAMPLES) return;
+    const health = judge(replica, ratios);
+    if (health === "healthy") {
+      state.slowSince = undefined;
+      state.probedAt = undefined;
+    } else {
+      state.samples = [];
+      state.slowSince = clock.monotonic();
+    }
+    state.health = health === "healthy" ? "healthy" : "slow";
+  }
+
+  function review(replica: string, state: ReplicaState): void {
+    const ratios = freshRatios(state);
+    state.judgedAt = clock.monotonic();
+    state.health = ratios.length < MINIMUM_SAMPLES
+      ? "healthy"
+      : judge(replica, ratios);
+    if (state.health !== "slow") return;
+    state.slowSince = clock.monotonic();
+    state.samples = [];
+  }
+
+  return new (class extends SlownessDetector {
+    override record(replica: string, sample: GapSample): void {
+      const state = stateOf(replica);
+      const expected = Math.max(MINIMUM_EXPECTED, sample.expected);
+      const ratio = sample.gap / expected;
+      const timed = { ratio, at: clock.monotonic() };
+      state.samples = [timed, ...state.samples].slice(0, WINDOW);
+      if (state.slowSince !== undefined) return reviewSlow(replica, state);
+      // A median rises above the bound only when a sample above it arrives,
+      // so the costly comparison is left out for ordinary samples.
+      const isOrdinary = ratio < suspectBound(roughCenter());
+      if (isOrdinary && state.health === "healthy") return;
+      review(replica, state);
+    }
+
+    override recordProbe(replica: string): void {
+      stateOf(replica).probedAt = clock.monotonic();
+    }
+
+    override forget(replica: string): void {
+      replicas.delete(replica);
+    }
+
+    override healthOf(replica: string): ReplicaHealth {
+      const state = replicas.get(replica);
+      if (state === undefined) return "healthy";
+      if (state.health !== "suspect") return state.health;
+      const isStale = clock.monotonic() - state.judgedAt > SAMPLE_LIFE;
+      return isStale ? "healthy" : "suspect";
+    }
+
+    override isProbeDue(replica: string): boolean {
+      const state = replicas.get(replica);
+      if (state?.slowSince === undefined) return false;
+      const last = Math.max(state.slowSince, state.probedAt ?? 0);
+      return clock.monotonic() - last >= probeAfter;
+    }
+  })();
+}
+
+function medianOf(values: readonly number[]): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = Math.floor(sorted.length / 2);
+  const upper = sorted[middle]!;
+  return sorted.length % 2 === 1 ? upper : (sorted[middle - 1]! + upper) / 2;
+}
