--- /dev/null
+++ b/packages/admission/src/admission.ts
@@ -0,0 +1,276 @@
+/**
+ * Admission of requests to one model group or service. Decisions are made at
+ * the moment of a grant, in one synchronous step: the queue, the limits and the
+ * monotonic clock are read and the permit is given without a pause between.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Failure } from "@peridotvalve/errors";
+import type { Milliseconds } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { ConcurrencyLimit } from "./concurrency_limit.ts";
+import type { CustomerLimits } from "./customer_limits.ts";
+import { createLanes, type LaneItem } from "./lanes.ts";
+import { priorityOf } from "./priority.ts";
+import * as refusals from "./refusals.ts";
+import type {
+  AdmissionRequest,
+  AdmissionStatus,
+  Observation,
+  Permit,
+  Revalidation,
+} from "./request.ts";
+
+export abstract class Admission {
+  /**
+   * Waits for a permit. A refusal has `ran: "no"`, and after it no permit for
+   * the request exists or will. A permit granted while the signal aborts must
+   * still be finished.
+   */
+  abstract admit(
+    request: AdmissionRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, Failure>>;
+
+  /** Refuses queued work for which the function returns a failure. */
+  abstract revalidate(check: Revalidation): void;
+
+  /** Grants what changed limits allow, such as after a configuration change. */
+  abstract refresh(): void;
+
+  /** Refuses new requests from now on; queued work goes on. */
+  abstract drain(): void;
+
+  abstract status(): AdmissionStatus;
+}
+
+export interface AdmissionOptions {
+  readonly clock: Clock;
+  readonly limit: ConcurrencyLimit;
+  readonly customers: CustomerLimits;
+  /** Requests that may wait. */
+  readonly queueLength: () => number;
+  /** Replicas that are ready. */
+  readonly replicas: () => number;
+  /** Service time from which work counts as long. */
+  readonly longTime?: Milliseconds;
+  /** Long requests that may run at once for each replica. */
+  readonly longPerReplica?: number;
+}
+
+/** Several times an ordinary answer of some seconds. */
+const DEFAULT_LONG_TIME: Milliseconds = 10_000;
+
+/** One long request leaves the other slots of a replica to short work. */
+const DEFAULT_LONG_PER_REPLICA = 1;
+
+interface Waiter extends LaneItem {
+  readonly request: AdmissionRequest;
+  readonly arrivedAt: Milliseconds;
+  /** Monotonic time after which a start comes too late. */
+  readonly latestStart: Milliseconds;
+  readonly settle: (result: Result<Permit, Failure>) => void;
+  /** Ends the task that waits for `latestStart`. */
+  readonly timer: AbortController;
+}
+
+export function createAdmission(options: AdmissionOptions): Admission {
+  const { clock, limit, customers } = options;
+  const longTime = options.longTime ?? DEFAULT_LONG_TIME;
+  const longPerReplica = options.longPerReplica ?? DEFAULT_LONG_PER_REPLICA;
+  const lanes = createLanes<Waiter>({
+    shareOf: (customer) => customers.shareOf(customer),
+  });
+  let running = 0;
+  let runningLong = 0;
+  let runningTime: Milliseconds = 0;
+  let draining = false;
+
+  function mayRunLong(): boolean {
+    const bound = Math.max(1, longPerReplica * options.replicas());
+    // One place is left to short work wherever there are two.
+    const places = Math.max(1, limit.current() - 1);
+    return runningLong < Math.min(bound, places);
+  }
+
+  function describe(request: AdmissionRequest): LaneItem {
+    const { customer, workClass, serviceTime } = request;
+    const isLong = serviceTime >= longTime;
+    return { customer, workClass, serviceTime, isLong };
+  }
+
+  /** Time until a request that arrives now would start. */
+  function expectWait(item: LaneItem): Milliseconds {
+    const places = limit.current();
+    const isFree = running < places && lanes.size() === 0;
+    if (isFree && (!item.isLong || mayRunLong())) return 0;
+    const before = lanes.workBefore(item);
+    const ahead = before.inLane / placesFor(item) + before.above / places;
+    const atOnce = customers.concurrencyOf(item.customer);
+    const byCustomer = lanes.timeOf(item) / Math.max(1, atOnce);
+    // One of the running requests ends after about this long.
+    const first = running === 0 ? 0 : runningTime / running / (running + 1);
+    return Math.max(ahead, byCustomer) + first;
+  }
+
+  function placesFor(item: LaneItem): number {
+    const places = limit.current();
+    if (!item.isLong) return places;
+    return Math.min(places, Math.max(1, longPerReplica * options.replicas()));
+  }
+
+  function findRefusal(
+    request: AdmissionRequest,
+    item: LaneItem,
+  ): Failure | undefined {
+    if (draining) return refusals.shuttingDown();
+    if (customers.concurrencyOf(request.customer) === 0) {
+      return refusals.barred();
+    }
+    const wait = expectWait(item);
+    const room = request.patience - (request.timeToAnswer ?? 0);
+    if (wait > room || room < 0) return refusals.tooLate(wait, room);
+    if (lanes.size() >= options.queueLength() && wait > 0) {
+      return refusals.queueFull(wait);
+    }
+    const pause = customers.takeRate(request.customer);
+    return pause > 0 ? refusals.rateLimited(pause) : undefined;
+  }
+
+  function enqueue(
+    request: AdmissionRequest,
+    settle: (result: Result<Permit, Failure>) => void,
+  ): Waiter {
+    const arrivedAt = clock.monotonic();
+    const room = request.patience - (request.timeToAnswer ?? 0);
+    const waiter = {
+      ...describe(request),
+      request,
+      arrivedAt,
+      latestStart: arrivedAt + room,
+      settle,
+      timer: new AbortController(),
+    };
+    lanes.push(waiter);
+    return waiter;
+  }
+
+  /** Withdraws a waiter and then refuses it, unless it was settled before. */
+  function withdraw(waiter: Waiter, failure: Failure): void {
+    if (!lanes.remove(waiter)) return;
+    refuse(waiter, failure);
+  }
+
+  /** Refuses a waiter that is no longer in the queue. */
+  function refuse(waiter: Waiter, failure: Failure): void {
+    waiter.timer.abort();
+    waiter.settle(Err(failure));
+  }
+
+  function grant(waiter: Waiter): void {
+    waiter.timer.abort();
+    running += 1;
+    runningTime += waiter.serviceTime;
+    if (waiter.isLong) runningLong += 1;
+    customers.start(waiter.customer);
+    waiter.settle(Ok(createPermit(waiter)));
+  }
+
+  function createPermit(waiter: Waiter): Permit {
+    let finished = false;
+    const finish = (observation?: Observation) => {
+      if (finished) return;
+      finished = true;
+      if (observation !== undefined) limit.record(observation, running);
+      running -= 1;
+      runningTime -= waiter.serviceTime;
+      if (waiter.isLong) runningLong -= 1;
+      customers.finish(waiter.customer);
+      grantAll();
+    };
+    const { request, isLong } = waiter;
+    const queued = clock.monotonic() - waiter.arrivedAt;
+    return { request, queued, priority: priorityOf(request, isLong), finish };
+  }
+
+  /** Grants permits while places are free; work that is too late is refused. */
+  function grantAll(): void {
+    while (running < limit.current()) {
+      const waiter = lanes.take({
+        mayRun: (customer) => customers.mayRun(customer),
+        mayRunLong: mayRunLong(),
+      });
+      if (waiter === undefined) return;
+      // A paused process reaches this line before its overdue timers fire.
+      if (clock.monotonic() > waiter.latestStart) {
+        refuse(waiter, refusals.expired());
+        continue;
+      }
+      grant(waiter);
+    }
+  }
+
+  async function watchDeadline(waiter: Waiter): Promise<void> {
+    const rest = waiter.latestStart - clock.monotonic();
+    await clock.sleep(Math.max(0, rest), waiter.timer.signal);
+    if (waiter.timer.signal.aborted) return;
+    withdraw(waiter, refusals.expired());
+  }
+
+  // Another route's work may have held the customer's last place.
+  customers.subscribe(grantAll);
+
+  function wait(
+    request: AdmissionRequest,
+    signal: AbortSignal,
+  ): Promise<Result<Permit, Failure>> {
+    return new Promise((resolve) => {
+      const cancel = () => withdraw(waiter, refusals.cancelled());
+      const waiter = enqueue(request, (result) => {
+        signal.removeEventListener("abort", cancel);
+        resolve(result);
+      });
+      signal.addEventListener("abort", cancel, { once: true });
+      grantAll();
+      if (!waiter.timer.signal.aborted) void watchDeadline(waiter);
+    });
+  }
+
+  return new (class extends Admission {
+    override async admit(
+      request: AdmissionRequest,
+      signal: AbortSignal,
+    ): Promise<Result<Permit, Failure>> {
+      if (signal.aborted) return Err(refusals.cancelled());
+      const refusal = findRefusal(request, describe(request));
+      if (refusal !== undefined) return Err(refusal);
+      return await wait(request, signal);
+    }
+
+    override revalidate(check: Revalidation): void {
+      for (const waiter of [...lanes.items()]) {
+        const failure = check(waiter.request);
+        if (failure !== undefined) withdraw(waiter, failure);
+      }
+      grantAll();
+    }
+
+    override refresh(): void {
+      grantAll();
+    }
+
+    override drain(): void {
+      draining = true;
+    }
+
+    override status(): AdmissionStatus {
+      return {
+        limit: limit.current(),
+        running,
+        runningLong,
+        queued: lanes.size(),
+        queuedTime: lanes.totalTime(),
+        draining,
+      };
+    }
+  })();
+}
--- /dev/null
+++ b/packages/admission/src/concurrency_limit.ts
@@ -0,0 +1,105 @@
+/**
+ * The number of requests that may run at once, adapted by additive increase
+ * and multiplicative decrease (AIMD) on the observed slowdown, which is the
+ * latency over the latency expected without a queue.
+ *
+ * AIMD is used rather than a gradient on the measured minimum, for two reasons.
+ * Many daemons share the replicas, and AIMD controllers that do not talk to
+ * each other converge to equal parts. A gradient's baseline drifts upwards when
+ * an overload lasts, and the limit with it; the expected latency does not.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+import type { Observation } from "./request.ts";
+
+export abstract class ConcurrencyLimit {
+  /** Requests that may run at once; a whole number of at least 1. */
+  abstract current(): number;
+
+  /** Adds an observation, made while this many requests ran. */
+  abstract record(observation: Observation, running: number): void;
+}
+
+export interface ConcurrencyLimitOptions {
+  readonly clock: Clock;
+  readonly initial: number;
+  readonly minimum?: number;
+  readonly maximum: number;
+  /** Slowdown above which an observation counts as late. */
+  readonly lateFactor?: number;
+  /** Latency up to which an observation is never late. */
+  readonly target?: Milliseconds;
+}
+
+/** A replica at the edge of saturation doubles the latency. */
+const DEFAULT_LATE_FACTOR = 2;
+
+/** Target for the first token. */
+const DEFAULT_TARGET: Milliseconds = 300;
+
+/** The target is a 95th percentile; some late observations are ordinary. */
+const LATE_PART = 0.1;
+
+/** Observations in a window; fewer than this cannot show a part of a tenth. */
+const WINDOW_COUNT = 20;
+
+/** Longest window with at least `MINIMUM_COUNT` observations. */
+const WINDOW_TIME: Milliseconds = 1_000;
+const MINIMUM_COUNT = 3;
+
+const DECREASE = 0.85;
+
+/** Part of the limit that must have been in use for the limit to rise. */
+const USED_PART = 0.8;
+
+export function createConcurrencyLimit(
+  options: ConcurrencyLimitOptions,
+): ConcurrencyLimit {
+  const { clock, maximum } = options;
+  const minimum = Math.min(maximum, Math.max(1, options.minimum ?? 1));
+  const lateFactor = options.lateFactor ?? DEFAULT_LATE_FACTOR;
+  const target = options.target ?? DEFAULT_TARGET;
+  let limit = clamp(options.initial);
+  let count = 0;
+  let late = 0;
+  let peak = 0;
+  let startedAt = clock.monotonic();
+
+  function clamp(value: number): number {
+    return Math.min(maximum, Math.max(minimum, value));
+  }
+
+  function isLate(observation: Observation): boolean {
+    if (observation.overloaded) return true;
+    const bound = Math.max(target, lateFactor * observation.expected);
+    return observation.latency > bound;
+  }
+
+  function isWindowFull(): boolean {
+    if (count >= WINDOW_COUNT) return true;
+    const elapsed = clock.monotonic() - startedAt;
+    return elapsed >= WINDOW_TIME && count >= MINIMUM_COUNT;
+  }
+
+  function closeWindow(): void {
+    if (late > count * LATE_PART) limit = clamp(limit * DECREASE);
+    else if (peak >= limit * USED_PART) limit = clamp(limit + 1);
+    count = 0;
+    late = 0;
+    peak = 0;
+    startedAt = clock.monotonic();
+  }
+
+  return new (class extends ConcurrencyLimit {
+    override current(): number {
+      return Math.max(1, Math.floor(limit));
+    }
+
+    override record(observation: Observation, running: number): void {
+      count += 1;
+      if (isLate(observation)) late += 1;
+      peak = Math.max(peak, running);
+      if (isWindowFull()) closeWindow();
+    }
+  })();
+}
--- /dev/null
+++ b/packages/admission/src/customer_limits.ts
@@ -0,0 +1,159 @@
+/**
+ * The limits of customers as this daemon's part of the whole, divided among the
+ * live daemons. One object serves all model groups and services of a daemon.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+
+export interface CustomerTerms {
+  /** Weight in fair queuing; above 0. */
+  readonly share: number;
+  /** Requests at once over all daemons. */
+  readonly concurrency: number;
+  /** Requests per second over all daemons. */
+  readonly requestsPerSecond: number;
+}
+
+export abstract class CustomerLimits {
+  abstract shareOf(customer: string): number;
+
+  /** True when one more request of the customer may run. */
+  abstract mayRun(customer: string): boolean;
+
+  /** Requests of the customer that may run at once on this daemon. */
+  abstract concurrencyOf(customer: string): number;
+
+  /** Counts a request that starts. */
+  abstract start(customer: string): void;
+
+  /** Counts a request that ended. */
+  abstract finish(customer: string): void;
+
+  /**
+   * Takes one request of the customer's rate. Returns 0, or without taking
+   * anything the time until one is free.
+   */
+  abstract takeRate(customer: string): Milliseconds;
+
+  /** Calls the function after each end of a request that was at the limit. */
+  abstract subscribe(wake: () => void): void;
+}
+
+export interface CustomerLimitOptions {
+  readonly clock: Clock;
+  readonly liveDaemons: () => number;
+  /** The terms in force; undefined for an unknown customer. */
+  readonly termsOf: (customer: string) => CustomerTerms | undefined;
+}
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Requests of this much time may arrive at once; demand comes in bursts. */
+const BURST_SECONDS = 1;
+
+/** A bucket idle for this long is full again unless its rate is under 1/min. */
+const FORGET_AFTER: Milliseconds = 60_000;
+
+/** Buckets beyond which idle ones are looked for. */
+const SWEEP_SIZE = 512;
+
+const UNKNOWN_TERMS: CustomerTerms = {
+  share: 1,
+  concurrency: 0,
+  requestsPerSecond: 0,
+};
+
+interface Bucket {
+  tokens: number;
+  filledAt: Milliseconds;
+}
+
+/**
+ * Each daemon grants at least one request at once and saves up at least one, or
+ * a customer with a limit below the count of daemons could never run where the
+ * load balancer sends it. The whole then exceeds such a limit by up to the
+ * count of daemons.
+ */
+export function createCustomerLimits(
+  options: CustomerLimitOptions,
+): CustomerLimits {
+  const { clock } = options;
+  const running = new Map<string, number>();
+  const buckets = new Map<string, Bucket>();
+  const wakers: (() => void)[] = [];
+
+  function termsOf(customer: string): CustomerTerms {
+    return options.termsOf(customer) ?? UNKNOWN_TERMS;
+  }
+
+  function partOf(whole: number): number {
+    return whole / Math.max(1, options.liveDaemons());
+  }
+
+  function fill(customer: string, rate: number): Bucket {
+    const now = clock.monotonic();
+    const burst = Math.max(1, rate * BURST_SECONDS);
+    const known = buckets.get(customer);
+    if (known === undefined) {
+      sweep(now);
+      const bucket = { tokens: burst, filledAt: now };
+      buckets.set(customer, bucket);
+      return bucket;
+    }
+    const elapsed = (now - known.filledAt) / MILLISECONDS_PER_SECOND;
+    known.tokens = Math.min(burst, known.tokens + elapsed * rate);
+    known.filledAt = now;
+    return known;
+  }
+
+  function sweep(now: Milliseconds): void {
+    if (buckets.size < SWEEP_SIZE) return;
+    for (const [customer, bucket] of buckets) {
+      if (now - bucket.filledAt > FORGET_AFTER) buckets.delete(customer);
+    }
+  }
+
+  return new (class extends CustomerLimits {
+    override shareOf(customer: string): number {
+      return termsOf(customer).share;
+    }
+
+    override concurrencyOf(customer: string): number {
+      const { concurrency } = termsOf(customer);
+      if (concurrency <= 0) return 0;
+      return Math.max(1, Math.floor(partOf(concurrency)));
+    }
+
+    override mayRun(customer: string): boolean {
+      return (running.get(customer) ?? 0) < this.concurrencyOf(customer);
+    }
+
+    override start(customer: string): void {
+      running.set(customer, (running.get(customer) ?? 0) + 1);
+    }
+
+    override finish(customer: string): void {
+      const wasAtLimit = !this.mayRun(customer);
+      const rest = (running.get(customer) ?? 0) - 1;
+      if (rest < 0) throw new Error("more requests finished than started");
+      if (rest === 0) running.delete(customer);
+      else running.set(customer, rest);
+      if (wasAtLimit) { for (const wake of wakers) wake(); }
+    }
+
+    override subscribe(wake: () => void): void {
+      wakers.push(wake);
+    }
+
+    override takeRate(customer: string): Milliseconds {
+      const rate = partOf(termsOf(customer).requestsPerSecond);
+      if (rate <= 0) return Number.POSITIVE_INFINITY;
+      const bucket = fill(customer, rate);
+      if (bucket.tokens >= 1) {
+        bucket.tokens -= 1;
+        return 0;
+      }
+      return (1 - bucket.tokens) / rate * MILLISECONDS_PER_SECOND;
+    }
+  })();
+}
--- /dev/null
+++ b/packages/admission/src/refusals.ts
@@ -0,0 +1,52 @@
+/**
+ * The refusals of admission. Nothing has been sent when one is given, so all
+ * of them say `ran: "no"`.
+ */
+import type { Failure } from "@peridotvalve/errors";
+import { type Milliseconds, SECOND } from "@peridotvalve/types";
+
+/** Bounds of a retry hint: no busy loop, and no guess far ahead. */
+const MINIMUM_HINT: Milliseconds = 100;
+const MAXIMUM_HINT: Milliseconds = 30 * SECOND;
+
+function hint(time: Milliseconds): Milliseconds {
+  return Math.ceil(Math.min(MAXIMUM_HINT, Math.max(MINIMUM_HINT, time)));
+}
+
+export function shuttingDown(): Failure {
+  const message = "this daemon is shutting down; repeat the request";
+  return { code: "shutting_down", ran: "no", message, retryAfter: 0 };
+}
+
+export function barred(): Failure {
+  const message = "the customer may run no requests";
+  return { code: "forbidden", ran: "no", message };
+}
+
+export function rateLimited(pause: Milliseconds): Failure {
+  const message = "the customer's request rate is used up";
+  return { code: "rate_limited", ran: "no", message, retryAfter: hint(pause) };
+}
+
+/** The queue is too long for the rest of the caller's patience. */
+export function tooLate(wait: Milliseconds, room: Milliseconds): Failure {
+  const message = "the request would not start within the caller's patience";
+  const retryAfter = hint(wait - Math.max(0, room));
+  return { code: "overloaded", ran: "no", message, retryAfter };
+}
+
+/** The hint is the time in which about half the queue is served. */
+export function queueFull(wait: Milliseconds): Failure {
+  const message = "the queue is full";
+  return { code: "overloaded", ran: "no", message, retryAfter: hint(wait / 2) };
+}
+
+export function expired(): Failure {
+  const message = "the request did not start within the caller's patience";
+  return { code: "patience_exceeded", ran: "no", message };
+}
+
+export function cancelled(): Failure {
+  const message = "the caller cancelled the request while it was queued";
+  return { code: "cancelled", ran: "no", message };
+}
