Read and check the operators' folder and process settings

Daemons and the command line need one checked, frozen configuration. The package settings merges the *.yaml files of a folder in the order of their names, checks the result against a zod schema and between its parts, and reports every problem with file, line and key.

--- /dev/null
+++ b/packages/settings/src/folder.ts
@@ -0,0 +1,73 @@
+/**
+ * Reading of the operators' folder.
+ */
+import { readdir, readFile } from "node:fs/promises";
+import { join } from "node:path";
+import type { Configuration } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import { checkConfiguration } from "./check.ts";
+import type { Problem } from "./problem.ts";
+import { emptyTree, mergeTrees, parseSource, toValue } from "./source_tree.ts";
+
+const EXTENSION = ".yaml";
+
+/** The text of one file of an operators' folder. */
+export interface SourceFile {
+  readonly name: string;
+  readonly text: string;
+}
+
+/**
+ * Reads the `*.yaml` files of a folder, merges them in the order of their
+ * names and checks the result.
+ */
+export async function readFolder(
+  folder: string,
+): Promise<Result<Configuration, readonly Problem[]>> {
+  const files = await readFiles(folder);
+  if (files.isErr()) return Err([files.error]);
+  return mergeFiles(folder, files.value);
+}
+
+/** Merges files in the given order and checks the result. */
+export function mergeFiles(
+  folder: string,
+  files: readonly SourceFile[],
+): Result<Configuration, readonly Problem[]> {
+  const sources = files.map(({ name, text }) => parseSource(name, text));
+  const problems = sources.flatMap((source) => source.problems);
+  if (problems.length > 0) return Err(problems);
+  const merged = sources.map(({ tree }) => tree).reduce(
+    mergeTrees,
+    emptyTree(folder),
+  );
+  // A key that is missing at the root is no file's fault.
+  const tree = { ...merged, place: { file: folder } };
+  return checkConfiguration(toValue(tree), tree);
+}
+
+async function readFiles(
+  folder: string,
+): Promise<Result<readonly SourceFile[], Problem>> {
+  let current = folder;
+  try {
+    const entries = await readdir(folder);
+    const names = entries.filter((entry) => entry.endsWith(EXTENSION)).sort();
+    if (names.length === 0) {
+      return Err(fileProblem(folder, "has no *.yaml file"));
+    }
+    const files: SourceFile[] = [];
+    for (const name of names) {
+      current = join(folder, name);
+      files.push({ name: current, text: await readFile(current, "utf8") });
+    }
+    return Ok(files);
+  } catch (error) {
+    return Err(fileProblem(current, (error as Error).message));
+  }
+}
+
+/** The problem of a file or folder that cannot be read. */
+export function fileProblem(file: string, message: string): Problem {
+  return { kind: "file", file, key: "", message };
+}
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -1,4 +1,14 @@
 /**
  * Process settings and the operators' folder: schema, merge and check.
  */
-export {};
+export { readConfiguration, toCanonicalText } from "./canonical.ts";
+export { diffConfigurations, type Difference } from "./difference.ts";
+export { readFolder } from "./folder.ts";
+export { formatProblem, type Problem, type ProblemKind } from "./problem.ts";
+export {
+  type Listeners,
+  type LogLevel,
+  type ProcessSettings,
+  readProcessSettings,
+  type Shutdown,
+} from "./process_settings.ts";
--- /dev/null
+++ b/packages/settings/src/primitives.ts
@@ -0,0 +1,41 @@
+/**
+ * Schemas of the values that several settings share.
+ */
+import { isIPv4, isIPv6 } from "node:net";
+import { z } from "zod";
+
+const HIGHEST_PORT = 65_535;
+const ADDRESS = /^(?:\[([^\]]+)\]|([^:[\]]+)):([0-9]{1,5})$/;
+const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]*$/;
+
+// Names become part of paths, rows of the platform and metric labels.
+const NAME_LENGTH = 128;
+
+/** True for "127.0.0.1:8080" and "[::1]:8080" with a port above 0. */
+export function isAddress(text: string): boolean {
+  const match = ADDRESS.exec(text);
+  if (match === null) return false;
+  const [, six, four, port] = match;
+  const host = six === undefined ? isIPv4(four ?? "") : isIPv6(six);
+  return host && Number(port) > 0 && Number(port) <= HIGHEST_PORT;
+}
+
+export const address = z.string().refine(isAddress, {
+  error: 'must be an IP number and a port, such as "127.0.0.1:8080"',
+});
+
+export const name = z.string().max(NAME_LENGTH).regex(NAME, {
+  error:
+    "must start with a letter or digit and contain only letters, digits, " +
+    '".", "_" and "-"',
+});
+
+export const positive = z.number().positive();
+export const whole = z.int().min(1);
+export const fraction = z.number().min(0).max(1);
+export const milliseconds = z.int().min(1);
+
+/** A map from names to values; its key type appears on the reference page. */
+export function named<Value extends z.ZodType>(value: Value) {
+  return z.record(name, value);
+}
--- /dev/null
+++ b/packages/settings/src/process_schema.ts
@@ -0,0 +1,56 @@
+/**
+ * The schema of the settings of one process.
+ */
+import { z } from "zod";
+import { address, milliseconds, name } from "./primitives.ts";
+
+// Shorter secrets can be guessed from recorded datagrams.
+const SECRET_LENGTH = 16;
+
+const secret = z.union([
+  z.strictObject({ value: z.string() }),
+  z.strictObject({ file: z.string().min(1) }),
+], { error: 'must be a map with either "value" or "file"' });
+
+/** A secret after its file was read. */
+export const secretText = z.string().min(SECRET_LENGTH, {
+  error: `must have at least ${SECRET_LENGTH} characters`,
+});
+
+const listeners = z.strictObject({
+  callers: address.describe("Listener for callers (HTTP)."),
+  peers: address
+    .describe("Listener for peers: HTTP over TCP, and UDP at the same port."),
+  operators: address.describe("Listener for operators (HTTP)."),
+});
+
+const shutdown = z.strictObject({
+  balancerDelay: z.int().min(0).default(5_000).describe(
+    "Time between failing readiness and closing the listeners, in which the " +
+      "balancer stops sending, milliseconds.",
+  ),
+  limit: milliseconds.default(60_000).describe(
+    "Longest time for a graceful shutdown, milliseconds.",
+  ),
+});
+
+export const processSchema = z.strictObject({
+  name: name.describe("Name of the process; unique in the fleet."),
+  availabilityZone: name.describe("Availability zone of the process."),
+  region: name.describe("Region of the process."),
+  listeners: listeners.describe("Addresses that the process listens on."),
+  platform: address.describe("Address of the platform's store."),
+  seeds: z.array(address).default([])
+    .describe("Peer listeners of other daemons, for the first contact."),
+  peerSecret: secret
+    .describe("Key for datagrams and calls between daemons: value or file."),
+  operatorToken: secret
+    .describe("Bearer token of the operators' listener: value or file."),
+  bootstrapFolder: z.exactOptional(z.string().min(1)).describe(
+    "Operators' folder that is used until the platform's head was read, and " +
+      "while the duty `configuration` is off. Relative to the settings file.",
+  ),
+  logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"])
+    .default("info").describe("Lowest level of log lines."),
+  shutdown: shutdown.prefault({}).describe("Times of a graceful shutdown."),
+});
--- /dev/null
+++ b/packages/settings/src/process_settings.ts
@@ -0,0 +1,137 @@
+/**
+ * Reading of the settings of one process.
+ */
+import { readFile } from "node:fs/promises";
+import { dirname, resolve } from "node:path";
+import type { Milliseconds } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { z } from "zod";
+import { fileProblem } from "./folder.ts";
+import { freeze } from "./freeze.ts";
+import type { Problem } from "./problem.ts";
+import { processSchema, secretText } from "./process_schema.ts";
+import { toProblems } from "./schema_problems.ts";
+import {
+  findPlace,
+  parseSource,
+  type SourceTree,
+  toValue,
+} from "./source_tree.ts";
+
+export type LogLevel =
+  | "trace"
+  | "debug"
+  | "info"
+  | "warn"
+  | "error"
+  | "fatal";
+
+/** The settings of one process, with secrets read and paths resolved. */
+export interface ProcessSettings {
+  readonly name: string;
+  readonly availabilityZone: string;
+  readonly region: string;
+  readonly listeners: Listeners;
+  /** Address of the platform's store. */
+  readonly platform: string;
+  /** Addresses of peers' listeners. */
+  readonly seeds: readonly string[];
+  readonly peerSecret: string;
+  readonly operatorToken: string;
+  /** Absolute path. */
+  readonly bootstrapFolder?: string;
+  readonly logLevel: LogLevel;
+  readonly shutdown: Shutdown;
+}
+
+export interface Listeners {
+  readonly callers: string;
+  /** HTTP over TCP, and datagrams over UDP at the same port. */
+  readonly peers: string;
+  readonly operators: string;
+}
+
+export interface Shutdown {
+  readonly balancerDelay: Milliseconds;
+  readonly limit: Milliseconds;
+}
+
+/** Reads and checks a settings file and the files of its secrets. */
+export async function readProcessSettings(
+  file: string,
+): Promise<Result<ProcessSettings, readonly Problem[]>> {
+  const text = await readText(file);
+  if (text.isErr()) return Err([text.error]);
+  const { tree, problems } = parseSource(file, text.value);
+  if (problems.length > 0) return Err(problems);
+  const parsed = processSchema.safeParse(toValue(tree), { reportInput: true });
+  if (!parsed.success) {
+    return Err(toProblems(processSchema, { error: parsed.error, tree }));
+  }
+  return await resolveSettings(file, { settings: parsed.data, tree });
+}
+
+interface Unresolved {
+  readonly settings: z.infer<typeof processSchema>;
+  readonly tree: SourceTree;
+}
+
+async function resolveSettings(
+  file: string,
+  { settings, tree }: Unresolved,
+): Promise<Result<ProcessSettings, readonly Problem[]>> {
+  const base = dirname(file);
+  const peer = await readSecret(base, settings.peerSecret);
+  const operator = await readSecret(base, settings.operatorToken);
+  if (peer.isErr() || operator.isErr()) {
+    const failed = { peerSecret: peer, operatorToken: operator };
+    return Err(
+      Object.entries(failed).flatMap(([key, result]) => {
+        if (result.isOk()) return [];
+        const place = findPlace(tree, [key]);
+        return [{
+          kind: "value" as const,
+          ...place,
+          key,
+          message: result.error,
+        }];
+      }),
+    );
+  }
+  const { bootstrapFolder, ...rest } = settings;
+  return Ok(freeze({
+    ...rest,
+    peerSecret: peer.value,
+    operatorToken: operator.value,
+    ...(bootstrapFolder === undefined
+      ? {}
+      : { bootstrapFolder: resolve(base, bootstrapFolder) }),
+  }));
+}
+
+type Secret = z.infer<typeof processSchema>["peerSecret"];
+
+async function readSecret(
+  base: string,
+  secret: Secret,
+): Promise<Result<string, string>> {
+  if ("value" in secret) return checkSecret(secret.value);
+  const text = await readText(resolve(base, secret.file));
+  if (text.isErr()) return Err(text.error.message);
+  // Editors end a file with a newline, which is not part of the secret.
+  return checkSecret(text.value.trimEnd());
+}
+
+function checkSecret(text: string): Result<string, string> {
+  const parsed = secretText.safeParse(text);
+  if (parsed.success) return Ok(text);
+  return Err(parsed.error.issues.map((issue) => issue.message).join("; "));
+}
+
+async function readText(file: string): Promise<Result<string, Problem>> {
+  try {
+    return Ok(await readFile(file, "utf8"));
+  } catch (error) {
+    return Err(fileProblem(file, (error as Error).message));
+  }
+}
--- /dev/null
+++ b/packages/settings/src/source_tree.ts
@@ -0,0 +1,182 @@
+/**
+ * YAML documents as trees in which each value knows the file and line that set
+ * it, and the merge of such trees.
+ */
+import {
+  isAlias,
+  isMap,
+  isScalar,
+  isSeq,
+  LineCounter,
+  type Node,
+  parseDocument,
+  type YAMLMap,
+} from "yaml";
+import { formatPath, type Path, type Problem } from "./problem.ts";
+
+export interface Place {
+  readonly file: string;
+  readonly line?: number;
+}
+
+export type SourceTree =
+  | {
+    readonly kind: "map";
+    readonly place: Place;
+    readonly entries: ReadonlyMap<string, SourceTree>;
+  }
+  | {
+    readonly kind: "list";
+    readonly place: Place;
+    readonly items: readonly SourceTree[];
+  }
+  | { readonly kind: "scalar"; readonly place: Place; readonly value: unknown }
+  /** An explicit null. It removes the key when it is merged. */
+  | { readonly kind: "removed"; readonly place: Place };
+
+export interface ParsedSource {
+  readonly tree: SourceTree;
+  readonly problems: readonly Problem[];
+}
+
+// Assigning to "__proto__" would change an object's prototype.
+const FORBIDDEN_KEY = "__proto__";
+
+/** Parses one YAML file. The tree holds what could be read despite problems. */
+export function parseSource(file: string, text: string): ParsedSource {
+  const lines = new LineCounter();
+  const document = parseDocument(text, {
+    lineCounter: lines,
+    prettyErrors: false,
+  });
+  const problems: Problem[] = document.errors.map((error) => ({
+    kind: "syntax",
+    file,
+    line: lines.linePos(error.pos[0]).line,
+    key: "",
+    message: error.message,
+  }));
+  const builder = createBuilder({ file, lines, problems });
+  const tree = builder.build(document.contents, []);
+  if (document.contents !== null && tree.kind !== "map") {
+    builder.report(document.contents, [], "a file must hold a map of keys");
+  }
+  return { tree: tree.kind === "map" ? tree : emptyTree(file), problems };
+}
+
+/** A tree without keys; it gives every path the file as its place. */
+export function emptyTree(file: string): SourceTree {
+  return { kind: "map", place: { file }, entries: new Map() };
+}
+
+interface BuilderOptions {
+  readonly file: string;
+  readonly lines: LineCounter;
+  readonly problems: Problem[];
+}
+
+function createBuilder({ file, lines, problems }: BuilderOptions) {
+  function placeOf(node: Node | null): Place {
+    const offset = node?.range?.[0];
+    if (offset === undefined) return { file };
+    return { file, line: lines.linePos(offset).line };
+  }
+
+  function report(node: Node | null, path: Path, message: string): void {
+    const place = placeOf(node);
+    problems.push({ kind: "syntax", ...place, key: formatPath(path), message });
+  }
+
+  function build(node: Node | null, path: Path): SourceTree {
+    const place = placeOf(node);
+    if (isMap(node)) {
+      return { kind: "map", place, entries: entries(node, path) };
+    }
+    if (isSeq(node)) {
+      const items = node.items.map((item, index) =>
+        build(item as Node | null, [...path, index])
+      );
+      return { kind: "list", place, items };
+    }
+    if (isScalar(node) && node.value !== null) {
+      return { kind: "scalar", place, value: node.value };
+    }
+    // Aliases could expand a short text into a huge value.
+    if (isAlias(node)) report(node, path, "aliases are not supported");
+    else if (path.length > 0 && isEmpty(node)) {
+      report(node, path, "has no value; write null to remove the key");
+    }
+    return { kind: "removed", place };
+  }
+
+  function entries(map: YAMLMap, path: Path): ReadonlyMap<string, SourceTree> {
+    const result = new Map<string, SourceTree>();
+    for (const pair of map.items) {
+      const name = isScalar(pair.key) ? String(pair.key.value) : undefined;
+      if (name === undefined || name === FORBIDDEN_KEY) {
+        report(pair.key as Node | null, path, "this key is not allowed");
+        continue;
+      }
+      const child = build(pair.value as Node | null, [...path, name]);
+      // A value may start below its key; the key's line is easier to find.
+      const place = placeOf(pair.key as Node);
+      result.set(name, { ...child, place });
+    }
+    return result;
+  }
+
+  return { build, report };
+}
+
+// `key:` without a value is more often a forgotten indent than a removal.
+function isEmpty(node: Node | null): boolean {
+  const range = node?.range;
+  return range === undefined || range === null || range[0] === range[1];
+}
+
+/**
+ * Merges a later tree over an earlier one: maps key by key, anything else is
+ * replaced. Nulls stay in the result as "removed", for the place of later
+ * problems.
+ */
+export function mergeTrees(base: SourceTree, over: SourceTree): SourceTree {
+  if (base.kind !== "map" || over.kind !== "map") return over;
+  const entries = new Map(base.entries);
+  for (const [key, value] of over.entries) {
+    const earlier = entries.get(key);
+    const merged = earlier === undefined ? value : mergeTrees(earlier, value);
+    entries.set(key, merged);
+  }
+  return { kind: "map", place: over.place, entries };
+}
+
+/** The plain value of a tree without the removed keys. */
+export function toValue(tree: SourceTree): unknown {
+  if (tree.kind === "scalar") return tree.value;
+  if (tree.kind === "removed") return null;
+  if (tree.kind === "list") return tree.items.map(toValue);
+  const kept = [...tree.entries].filter(([, child]) =>
+    child.kind !== "removed"
+  );
+  return Object.fromEntries(kept.map(([key, child]) => [key, toValue(child)]));
+}
+
+/** The place of the value at a path, or of its nearest ancestor. */
+export function findPlace(tree: SourceTree, path: Path): Place {
+  let current = tree;
+  for (const key of path) {
+    const next = childOf(current, key);
+    if (next === undefined) break;
+    current = next;
+  }
+  return current.place;
+}
+
+function childOf(
+  tree: SourceTree,
+  key: string | number,
+): SourceTree | undefined {
+  if (tree.kind === "map") return tree.entries.get(String(key));
+  if (tree.kind === "list") return tree.items[Number(key)];
+  return undefined;
+}
