Add the command line

Operators need to check and apply configurations and to look at a daemon. The package cli has one file for each command, a client of the operators' listener in which every call has a deadline, and exit codes that separate a rejection, an unknown outcome and an unreachable daemon. A lost response of `config apply` is resolved by looking for the change id in the history. The packages daemon and events are loaded when a command needs them; until they have code these commands say so and exit with 2.

--- /dev/null
+++ b/packages/cli/src/application.ts
@@ -0,0 +1,78 @@
+/**
+ * The tree of commands and its run with given arguments.
+ */
+import { runSafely, subcommands } from "cmd-ts";
+import { createConfigApply } from "./commands/config_apply.ts";
+import { createConfigCheck } from "./commands/config_check.ts";
+import { createConfigDiff } from "./commands/config_diff.ts";
+import { createConfigHistory } from "./commands/config_history.ts";
+import { createConfigShow } from "./commands/config_show.ts";
+import { createEvents } from "./commands/events.ts";
+import { createOrdersShow } from "./commands/orders_show.ts";
+import { createReplay } from "./commands/replay.ts";
+import { createServe } from "./commands/serve.ts";
+import { createStatus } from "./commands/status.ts";
+import { createTimeline } from "./commands/timeline.ts";
+import type { Environment } from "./environment.ts";
+import { DONE, type ExitCode, WRONG_USAGE } from "./exit_codes.ts";
+import { version } from "./version.ts";
+
+/** Runs the command that the arguments name and returns its exit code. */
+export async function runCommandLine(
+  args: readonly string[],
+  environment: Environment,
+): Promise<ExitCode> {
+  const application = createApplication(environment);
+  const result = await runSafely(application, [...args]);
+  if (result._tag === "ok") return await exitCodeOf(result.value);
+  const { message, into } = result.error.config;
+  if (into === "stdout") {
+    environment.print(message);
+    return DONE;
+  }
+  environment.warn(message);
+  return WRONG_USAGE;
+}
+
+interface Run {
+  readonly value: ExitCode | Promise<ExitCode> | Run;
+}
+
+// Each level of subcommands wraps the result of the level below it.
+async function exitCodeOf(run: Run): Promise<ExitCode> {
+  const value = await run.value;
+  return typeof value === "number" ? value : await exitCodeOf(value);
+}
+
+function createApplication(environment: Environment) {
+  const config = subcommands({
+    name: "config",
+    description: "check, apply and compare configurations",
+    cmds: {
+      check: createConfigCheck(environment),
+      apply: createConfigApply(environment),
+      show: createConfigShow(environment),
+      history: createConfigHistory(environment),
+      diff: createConfigDiff(environment),
+    },
+  });
+  const orders = subcommands({
+    name: "orders",
+    description: "look up orders",
+    cmds: { show: createOrdersShow(environment) },
+  });
+  return subcommands({
+    name: "peridotvalve",
+    description: "serving system for prompts that return after long gaps",
+    version,
+    cmds: {
+      serve: createServe(environment),
+      config,
+      status: createStatus(environment),
+      timeline: createTimeline(environment),
+      orders,
+      replay: createReplay(environment),
+      events: createEvents(environment),
+    },
+  });
+}
--- /dev/null
+++ b/packages/cli/src/apply.ts
@@ -0,0 +1,165 @@
+/**
+ * Sending a configuration to a daemon, resolving a lost response, and waiting
+ * until the new version is in force.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Configuration, Milliseconds } from "@peridotvalve/types";
+import { applyAnswer, historyAnswer, lagAnswer } from "./answers.ts";
+import {
+  DONE,
+  type ExitCode,
+  LAGGING,
+  REJECTED,
+  UNKNOWN_OUTCOME,
+} from "./exit_codes.ts";
+import {
+  type ClientFailure,
+  exitCodeOf,
+  type OperatorsClient,
+} from "./operators_client.ts";
+
+const POLL_INTERVAL: Milliseconds = 250;
+
+// Other operators' changes may follow ours before the history is read.
+const HISTORY_LIMIT = 50;
+
+export interface ApplyRequest {
+  readonly content: Configuration;
+  /** Id of the change, by which a lost response is resolved. */
+  readonly change: string;
+  /** The change is rejected when another version is the newest. */
+  readonly expect?: number;
+  /** Limit of the wait until the version is in force. */
+  readonly wait: Milliseconds;
+}
+
+export interface ApplyReport {
+  readonly exitCode: ExitCode;
+  readonly outcome: "accepted" | "rejected" | "unknown" | "unreachable";
+  readonly change: string;
+  readonly version?: number;
+  readonly reason?: string;
+  /** Daemons that have not adopted the version; absent when not known. */
+  readonly lagging?: readonly string[];
+  readonly messages: readonly string[];
+}
+
+/** Applies a configuration and waits until it is in force. */
+export async function applyConfiguration(
+  client: OperatorsClient,
+  apply: ApplyRequest,
+): Promise<ApplyReport> {
+  const { change } = apply;
+  const { content, expect } = apply;
+  const answer = await client.post("/configuration", {
+    body: { content, change, ...(expect === undefined ? {} : { expect }) },
+    schema: applyAnswer,
+  });
+  if (answer.isErr()) {
+    return await onFailure(client, { apply, failure: answer.error });
+  }
+  const { value } = answer;
+  if (value.outcome === "accepted") {
+    return await awaitAdoption(client, { apply, version: value.version });
+  }
+  if (value.outcome === "unknown") {
+    const message =
+      "the daemon does not know whether the platform took the change";
+    return await resolve(client, { apply, message });
+  }
+  const { reason } = value;
+  const messages = [`rejected: ${reason}`];
+  return { exitCode: REJECTED, outcome: "rejected", change, reason, messages };
+}
+
+async function onFailure(
+  client: OperatorsClient,
+  { apply, failure }: {
+    readonly apply: ApplyRequest;
+    readonly failure: ClientFailure;
+  },
+): Promise<ApplyReport> {
+  const { message } = failure;
+  if (failure.kind === "lost") return await resolve(client, { apply, message });
+  const outcome = failure.kind === "unreachable" ? "unreachable" : "rejected";
+  const { change } = apply;
+  return {
+    exitCode: exitCodeOf(failure),
+    outcome,
+    change,
+    messages: [message],
+  };
+}
+
+/** Looks for the change in the history until the time to wait is over. */
+async function resolve(
+  client: OperatorsClient,
+  { apply, message }: {
+    readonly apply: ApplyRequest;
+    readonly message: string;
+  },
+): Promise<ApplyReport> {
+  const path = `/configuration/history?limit=${HISTORY_LIMIT}`;
+  for await (const _ of poll(apply.wait)) {
+    const history = await client.get(path, historyAnswer);
+    if (history.isErr()) continue;
+    const entry = history.value.entries.find((one) =>
+      one.change === apply.change
+    );
+    if (entry === undefined) continue;
+    return await awaitAdoption(client, { apply, version: entry.version });
+  }
+  return {
+    exitCode: UNKNOWN_OUTCOME,
+    outcome: "unknown",
+    change: apply.change,
+    messages: [
+      message,
+      `the outcome is unknown; look for change ${apply.change} in ` +
+      "`config history` before you apply again",
+    ],
+  };
+}
+
+async function awaitAdoption(
+  client: OperatorsClient,
+  { apply, version }: {
+    readonly apply: ApplyRequest;
+    readonly version: number;
+  },
+): Promise<ApplyReport> {
+  const accepted = {
+    outcome: "accepted",
+    change: apply.change,
+    version,
+  } as const;
+  let lagging: readonly string[] | undefined;
+  let failure: ClientFailure | undefined;
+  for await (const _ of poll(apply.wait)) {
+    const path = `/configuration/lag?version=${version}`;
+    const answer = await client.get(path, lagAnswer);
+    if (answer.isErr()) {
+      failure = answer.error;
+      continue;
+    }
+    lagging = answer.value.lagging;
+    if (lagging.length > 0) continue;
+    return { ...accepted, exitCode: DONE, lagging, messages: [] };
+  }
+  const waited = `after ${apply.wait} ms`;
+  const message = lagging === undefined
+    ? `cannot tell whether it is in force ${waited}: ${failure?.message}`
+    : `not in force ${waited} on: ${lagging.join(", ")}`;
+  const known = lagging === undefined ? {} : { lagging };
+  return { ...accepted, ...known, exitCode: LAGGING, messages: [message] };
+}
+
+/** Yields at once and then at intervals until the limit has passed. */
+async function* poll(limit: Milliseconds): AsyncGenerator<void> {
+  const end = performance.now() + limit;
+  for (;;) {
+    yield;
+    if (performance.now() + POLL_INTERVAL > end) return;
+    await sleep(POLL_INTERVAL);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/config_diff.ts
@@ -0,0 +1,115 @@
+/**
+ * `config diff`: lists the paths in which two configurations differ. Each side
+ * is an operators' folder or the number of a stored version.
+ */
+import {
+  diffConfigurations,
+  type Difference,
+  formatProblem,
+  readConfiguration,
+  readFolder,
+} from "@peridotvalve/settings";
+import type { Configuration } from "@peridotvalve/types";
+import { command, positional, string } from "cmd-ts";
+import { Err, Ok, type Result } from "ts-results-es";
+import { configurationAnswer } from "../answers.ts";
+import {
+  deadline,
+  json,
+  optionalOperators,
+  optionalToken,
+  withClient,
+} from "../arguments.ts";
+import type { Environment } from "../environment.ts";
+import { DONE, type ExitCode, REJECTED, WRONG_USAGE } from "../exit_codes.ts";
+import { exitCodeOf } from "../operators_client.ts";
+
+const VERSION = /^[0-9]+$/;
+
+export function createConfigDiff(environment: Environment) {
+  return command({
+    name: "diff",
+    description: "list the differences between folders or stored versions",
+    args: {
+      left: positional({ type: string, displayName: "folder or version" }),
+      right: positional({ type: string, displayName: "folder or version" }),
+      operators: optionalOperators,
+      token: optionalToken,
+      deadline,
+      json,
+    },
+    handler: (options) => diff(options, environment),
+  });
+}
+
+interface Options {
+  readonly left: string;
+  readonly right: string;
+  readonly operators: string | undefined;
+  readonly token: string | undefined;
+  readonly deadline: number;
+  readonly json: boolean;
+}
+
+interface ReadFailure {
+  readonly exitCode: ExitCode;
+  readonly messages: readonly string[];
+}
+
+async function diff(
+  options: Options,
+  environment: Environment,
+): Promise<ExitCode> {
+  const left = await read(options.left, options);
+  const right = await read(options.right, options);
+  for (const side of [left, right]) {
+    if (side.isOk()) continue;
+    side.error.messages.forEach(environment.warn);
+    return side.error.exitCode;
+  }
+  const differences = diffConfigurations(left.unwrap(), right.unwrap());
+  if (options.json) environment.print(JSON.stringify(differences));
+  else differences.map(describe).forEach(environment.print);
+  return DONE;
+}
+
+function describe({ kind, path, left, right }: Difference): string {
+  if (kind === "added") return `+ ${path}: ${JSON.stringify(right)}`;
+  if (kind === "removed") return `- ${path}: ${JSON.stringify(left)}`;
+  return `~ ${path}: ${JSON.stringify(left)} -> ${JSON.stringify(right)}`;
+}
+
+async function read(
+  source: string,
+  options: Options,
+): Promise<Result<Configuration, ReadFailure>> {
+  if (VERSION.test(source)) return await readVersion(source, options);
+  const folder = await readFolder(source);
+  return folder.mapErr((problems) => ({
+    exitCode: REJECTED,
+    messages: problems.map(formatProblem),
+  }));
+}
+
+async function readVersion(
+  version: string,
+  { operators, token, deadline }: Options,
+): Promise<Result<Configuration, ReadFailure>> {
+  if (operators === undefined || token === undefined) {
+    const message = "a version number needs --operators and --token-file";
+    return Err({ exitCode: WRONG_USAGE, messages: [message] });
+  }
+  const answer = await withClient(
+    { address: operators, token, deadline },
+    (client) =>
+      client.get(`/configuration?version=${version}`, configurationAnswer),
+  );
+  if (answer.isErr()) {
+    const { message } = answer.error;
+    return Err({ exitCode: exitCodeOf(answer.error), messages: [message] });
+  }
+  const content = readConfiguration(JSON.stringify(answer.value.content));
+  if (content.isOk()) return Ok(content.value);
+  const messages = content.error.map(formatProblem);
+  return Err({ exitCode: REJECTED, messages });
+}
--- /dev/null
+++ b/packages/cli/src/exit_codes.ts
@@ -0,0 +1,25 @@
+/**
+ * The exit codes of the command line, as docs/cli.md documents them.
+ */
+
+export type ExitCode = 0 | 1 | 2 | 3 | 4 | 5 | 6;
+
+export const DONE: ExitCode = 0;
+
+/** Rejected, not found, or with problems. */
+export const REJECTED: ExitCode = 1;
+
+/** Wrong arguments, or a command that this build does not have. */
+export const WRONG_USAGE: ExitCode = 2;
+
+/** The change may or may not have taken effect. */
+export const UNKNOWN_OUTCOME: ExitCode = 3;
+
+/** The daemon did not answer. */
+export const UNREACHABLE: ExitCode = 4;
+
+/** The change was accepted, but some daemons did not adopt it in time. */
+export const LAGGING: ExitCode = 5;
+
+/** The daemon refused the token or gave an answer that makes no sense. */
+export const UNEXPECTED_ANSWER: ExitCode = 6;
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,4 +1,6 @@
 /**
  * The command line of peridotvalve.
  */
-export {};
+export { runCommandLine } from "./application.ts";
+export type { Environment } from "./environment.ts";
+export * from "./exit_codes.ts";
--- /dev/null
+++ b/packages/cli/src/optional_modules.ts
@@ -0,0 +1,54 @@
+/**
+ * The packages that commands load when they run. A command that needs one of
+ * them says so when the build lacks it, and the other commands start faster.
+ */
+import type { ProcessSettings } from "@peridotvalve/settings";
+import type { Result } from "ts-results-es";
+
+export interface DaemonModule {
+  /** Resolves after the daemon has stopped; the error says why it could not run. */
+  readonly runDaemon: (
+    settings: ProcessSettings,
+  ) => Promise<Result<void, string>>;
+}
+
+/** Keeps the events of one request, customer or conversation. */
+export interface TimelineFilter {
+  readonly request?: string;
+  readonly customer?: string;
+  readonly conversation?: string;
+}
+
+export interface CatalogueEntry {
+  readonly number: number;
+  readonly name: string;
+  readonly level: string;
+  readonly description: string;
+}
+
+export interface EventsModule {
+  /**
+   * Merges event lines (one JSON value a line) of several processes into
+   * causally consistent order.
+   */
+  readonly mergeTimeline: (
+    sources: readonly (readonly string[])[],
+    filter: TimelineFilter,
+  ) => Iterable<string>;
+  readonly listEvents: () => readonly CatalogueEntry[];
+}
+
+/** Loads the package `daemon`. */
+export async function loadDaemon(): Promise<DaemonModule | undefined> {
+  const loaded: Partial<DaemonModule> = await import("@peridotvalve/daemon");
+  const { runDaemon } = loaded;
+  return runDaemon === undefined ? undefined : { runDaemon };
+}
+
+/** Loads the package `events`. */
+export async function loadEvents(): Promise<EventsModule | undefined> {
+  const loaded: Partial<EventsModule> = await import("@peridotvalve/events");
+  const { mergeTimeline, listEvents } = loaded;
+  if (mergeTimeline === undefined || listEvents === undefined) return undefined;
+  return { mergeTimeline, listEvents };
+}
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -4,6 +4,7 @@
 export { readConfiguration, toCanonicalText } from "./canonical.ts";
 export { diffConfigurations, type Difference } from "./difference.ts";
 export { readFolder } from "./folder.ts";
+export { isAddress } from "./primitives.ts";
 export { formatProblem, type Problem, type ProblemKind } from "./problem.ts";
 export {
   type Listeners,
