--- a/packages/settings/src/configuration_schema.ts
+++ b/packages/settings/src/configuration_schema.ts
@@ -9,8 +9,10 @@
   milliseconds,
   name,
   named,
+  percent,
   positive,
   whole,
+  wholeOrZero,
 } from "./primitives.ts";
 
 const KEY_HASH = /^[0-9a-f]{64}$/;
@@ -49,7 +51,7 @@
   replicas: named(replica).default({}).describe("Replicas by name."),
   parallelLoads: whole.default(2)
     .describe("Replicas that may load weights at once, at least 1."),
-  minimumReady: z.int().min(0).default(1).describe(
+  minimumReady: wholeOrZero.default(1).describe(
     "Replicas that must stay ready during a rollout; less than the number of replicas.",
   ),
   caches: z.array(name).default([])
@@ -72,7 +74,9 @@
     .describe(
       'Prefix of the path behind the service\'s name, such as "/orders".',
     ),
-  methods: z.array(z.string().regex(METHOD, { error: "must be upper case" }))
+  methods: z.array(
+    z.string().regex(METHOD, { error: "must be upper case" }),
+  )
     .min(1).describe("HTTP methods that the rule applies to, in upper case."),
   idempotent: z.boolean()
     .describe("True when a call may safely be sent more than once."),
@@ -159,9 +163,9 @@
     "least-load",
     "sticky",
   ]).default("estimate").describe("How a replica is chosen."),
-  retryPercent: z.number().min(0).max(100).default(10)
+  retryPercent: percent.default(10)
     .describe("Retries for each 100 first attempts."),
-  hedgePercent: z.number().min(0).max(100).default(5)
+  hedgePercent: percent.default(5)
     .describe("Hedges for each 100 first attempts."),
 });
 
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -13,3 +13,4 @@
   readProcessSettings,
   type Shutdown,
 } from "./process_settings.ts";
+export { createReferencePage } from "./reference_page.ts";
--- a/packages/settings/src/primitives.ts
+++ b/packages/settings/src/primitives.ts
@@ -22,18 +22,25 @@
 
 export const address = z.string().refine(isAddress, {
   error: 'must be an IP number and a port, such as "127.0.0.1:8080"',
-});
+}).meta({ title: "address" });
 
 export const name = z.string().max(NAME_LENGTH).regex(NAME, {
   error:
     "must start with a letter or digit and contain only letters, digits, " +
     '".", "_" and "-"',
-});
+}).meta({ title: "name" });
 
-export const positive = z.number().positive();
-export const whole = z.int().min(1);
-export const fraction = z.number().min(0).max(1);
-export const milliseconds = z.int().min(1);
+export const positive = z.number().positive()
+  .meta({ title: "number above 0" });
+export const whole = z.int().min(1).meta({ title: "whole number from 1" });
+export const wholeOrZero = z.int().min(0)
+  .meta({ title: "whole number from 0" });
+export const fraction = z.number().min(0).max(1)
+  .meta({ title: "number from 0 to 1" });
+export const percent = z.number().min(0).max(100)
+  .meta({ title: "number from 0 to 100" });
+export const milliseconds = z.int().min(1)
+  .meta({ title: "whole number from 1" });
 
 /** A map from names to values; its key type appears on the reference page. */
 export function named<Value extends z.ZodType>(value: Value) {
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -2,7 +2,7 @@
  * The schema of the settings of one process.
  */
 import { z } from "zod";
-import { address, milliseconds, name } from "./primitives.ts";
+import { address, milliseconds, name, wholeOrZero } from "./primitives.ts";
 
 // Shorter secrets can be guessed from recorded datagrams.
 const SECRET_LENGTH = 16;
@@ -10,7 +10,8 @@
 const secret = z.union([
   z.strictObject({ value: z.string() }),
   z.strictObject({ file: z.string().min(1) }),
-], { error: 'must be a map with either "value" or "file"' });
+], { error: 'must be a map with either "value" or "file"' })
+  .meta({ title: "map with `value` (text) or `file` (path)" });
 
 /** A secret after its file was read. */
 export const secretText = z.string().min(SECRET_LENGTH, {
@@ -25,7 +26,7 @@
 });
 
 const shutdown = z.strictObject({
-  balancerDelay: z.int().min(0).default(5_000).describe(
+  balancerDelay: wholeOrZero.default(5_000).describe(
     "Time between failing readiness and closing the listeners, in which the " +
       "balancer stops sending, milliseconds.",
   ),
--- a/packages/settings/src/schema_problems.ts
+++ b/packages/settings/src/schema_problems.ts
@@ -70,7 +70,9 @@
   if (known.length === 0) return undefined;
   const nearest = closest(word, known);
   const limit = Math.max(SMALLEST_DISTANCE, word.length * LENGTH_SHARE);
-  return distance(word, nearest) <= limit ? nearest : undefined;
+  const edits = distance(word, nearest);
+  // A word in which every letter differs is another word.
+  return edits <= limit && edits < word.length ? nearest : undefined;
 }
 
 function keysAt(schema: z.ZodType, path: Path): readonly string[] {
@@ -93,6 +95,8 @@
   readonly shape?: Readonly<Record<string, z.ZodType>>;
   readonly valueType?: z.ZodType;
   readonly element?: z.ZodType;
+  readonly defaultValue?: unknown;
+  readonly entries?: Readonly<Record<string, string>>;
 }
 
 /** The schema without the wrappers for absence and defaults. */
