Add events, hybrid clock, logger and timeline

The processes need one order of their events across wrong wall clocks, and operators need numbers to search for.

Tested: 11 tests of the package pass; the property of cause and effect is seen to fail when observe is left out.

--- /dev/null
+++ b/packages/events/src/events.test.ts
@@ -0,0 +1,128 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { execFileSync } from "node:child_process";
+import { mkdtempSync, readFileSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { AREAS, CATALOGUE } from "./catalogue.ts";
+import { renderEventsPage } from "./events_page.ts";
+import { createHybridClock, formatStamp, parseStamp } from "./hybrid_clock.ts";
+import { createEventLogger } from "./logger.ts";
+import { type EventRecord, parseRecord } from "./record.ts";
+import { createEventRing } from "./ring.ts";
+import { mergeTimeline, readEventFile } from "./timeline.ts";
+
+function createProcess(name: string, skew: number) {
+  const clock = createHybridClock(createManualClock(1_000_000 + skew));
+  const lines: string[] = [];
+  const ring = createEventRing(10);
+  const logger = createEventLogger({
+    process: { name, incarnation: `${name}-1` },
+    clock,
+    ring,
+    write: (line) => lines.push(line),
+  });
+  return { clock, lines, ring, logger };
+}
+
+async function collect(
+  events: AsyncIterable<EventRecord>,
+): Promise<readonly string[]> {
+  const names: string[] = [];
+  for await (const event of events) names.push(event.process.name);
+  return names;
+}
+
+test("numbers are unique and lie in a documented area", () => {
+  const numbers = Object.values(CATALOGUE).map((traits) => traits.number);
+  expect(new Set(numbers).size).toEqual(numbers.length);
+  for (const number of numbers) {
+    expect(AREAS[Math.floor(number / 1_000)] !== undefined).toEqual(true);
+  }
+});
+
+test("the committed page of events is current", () => {
+  const squeeze = (text: string) => text.replaceAll(/\s+/g, " ").trim();
+  const committed = readFileSync("docs/events.md", "utf8");
+  expect(squeeze(committed)).toEqual(squeeze(renderEventsPage()));
+});
+
+test("each event is one line with its identity, and % stays as it is", () => {
+  const { lines, logger } = createProcess("a", 0);
+  logger.log("peer_dead", { peer: "100%s", silence: 5 }, {
+    customer: "c\n1",
+  });
+  expect(lines.length).toEqual(1);
+  expect(lines[0]?.includes("\n")).toEqual(false);
+  const record = parseRecord(lines[0] ?? "").unwrap();
+  expect(record.number).toEqual(6003);
+  expect(record.process).toEqual({ name: "a", incarnation: "a-1" });
+  expect(record.fields).toEqual({ peer: "100%s", silence: 5 });
+  expect(record.customer).toEqual("c\n1");
+  expect(parseStamp(record.clock).isOk()).toEqual(true);
+});
+
+test("two loggers of one process keep their lines apart", () => {
+  const first = createProcess("a", 0);
+  const second = createProcess("b", 0);
+  first.logger.log("process_ready", {});
+  second.logger.log("process_ready", {});
+  expect([first.lines.length, second.lines.length]).toEqual([1, 1]);
+});
+
+test("events are written without the environment variable", () => {
+  const program = `
+    import("./packages/events/src/mod.ts").then((events) => {
+      const clock = events.createHybridClock({ now: () => 1 });
+      const process = { name: "p", incarnation: "i" };
+      events.createEventLogger({ process, clock }).log("process_ready", {});
+    });`;
+  const { ROARR_LOG: _, ...env } = process.env;
+  const output = execFileSync(
+    process.execPath,
+    ["--import=tsx", "-e", program],
+    { env, encoding: "utf8" },
+  );
+  expect(output.includes("process_ready")).toEqual(true);
+});
+
+test("the ring keeps the newest events and reports the gap", () => {
+  const { ring, logger } = createProcess("a", 0);
+  for (let count = 0; count < 25; count += 1) logger.log("process_ready", {});
+  const page = ring.read(3);
+  expect([page.first, page.next, page.events.length]).toEqual([15, 25, 10]);
+  expect(ring.read(page.next).events).toEqual([]);
+  expect(ring.read(99).events).toEqual([]);
+});
+
+test("the timeline puts a reply after its cause despite wrong clocks", async () => {
+  const ahead = createProcess("ahead", 120_000);
+  const behind = createProcess("behind", 0);
+  ahead.logger.log("process_ready", {});
+  behind.clock.observe(ahead.clock.latest());
+  behind.logger.log("process_ready", {});
+  ahead.clock.observe(behind.clock.latest());
+  ahead.logger.log("process_ready", {});
+  const sources = [behind.ring.read(0).events, ahead.ring.read(0).events];
+  expect(await collect(mergeTimeline(sources))).toEqual([
+    "ahead",
+    "behind",
+    "ahead",
+  ]);
+});
+
+test("the timeline filters, and a torn last line is passed over", async () => {
+  const { lines, logger } = createProcess("a", 0);
+  const other = createProcess("b", 5);
+  for (const request of ["r1", "r2"]) {
+    logger.log("process_ready", {}, { request });
+    other.logger.log("process_ready", {}, { request });
+  }
+  const file = join(mkdtempSync(join(tmpdir(), "events-")), "a.log");
+  writeFileSync(file, `${lines.join("\n")}\n${lines[0]?.slice(0, 40)}`);
+  const sources = [readEventFile(file), other.ring.read(0).events];
+  const merged = mergeTimeline(sources, { request: "r2" });
+  expect(await collect(merged)).toEqual(["a", "b"]);
+  expect(formatStamp(other.clock.latest()).length < 12).toEqual(true);
+});
--- /dev/null
+++ b/packages/events/src/hybrid_clock.test.ts
@@ -0,0 +1,85 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import {
+  compareStamps,
+  createHybridClock,
+  formatStamp,
+  parseStamp,
+  type Stamp,
+} from "./hybrid_clock.ts";
+
+const PROCESSES = 4;
+const step = fc.record({
+  from: fc.nat(PROCESSES - 1),
+  to: fc.nat(PROCESSES - 1),
+  // Wall clocks that differ and jump by up to five minutes.
+  skew: fc.integer({ min: -300_000, max: 300_000 }),
+});
+
+/** Sends messages between skewed clocks; true when each cause is smaller. */
+function respectsCause(
+  steps: readonly { from: number; to: number; skew: number }[],
+  observes: boolean,
+): boolean {
+  const skews = new Array<number>(PROCESSES).fill(0);
+  const base = createManualClock(1_700_000_000_000);
+  const clocks = skews.map((_, index) =>
+    createHybridClock({
+      now: () => base.now() + (skews[index] ?? 0),
+      monotonic: () => base.monotonic(),
+      sleep: () => Promise.resolve(),
+    })
+  );
+  const last: (Stamp | undefined)[] = skews.map(() => undefined);
+  return steps.every(({ from, to, skew }) => {
+    skews[from] = skew;
+    const sender = clocks[from];
+    const receiver = clocks[to];
+    if (sender === undefined || receiver === undefined) return false;
+    const sent = sender.tick();
+    if (observes) receiver.observe(sent);
+    const received = receiver.tick();
+    const previous = last[from];
+    last[from] = sent;
+    last[to] = received;
+    return compareStamps(sent, received) < 0 &&
+      (previous === undefined || compareStamps(previous, sent) < 0);
+  });
+}
+
+test("an effect never sorts before its cause over skewed wall clocks", () => {
+  fc.assert(
+    fc.property(fc.array(step), (steps) => respectsCause(steps, true)),
+  );
+  // Without observe the same check must find a counterexample.
+  const off = fc.check(
+    fc.property(fc.array(step), (steps) => respectsCause(steps, false)),
+  );
+  expect(off.failed).toEqual(true);
+});
+
+test("a broken wall clock does not push other clocks beyond the bound", () => {
+  const clock = createHybridClock(createManualClock(1_000_000), {
+    maxDrift: 60_000,
+  });
+  expect(clock.observe({ time: 1_060_000, counter: 0 }).isOk()).toEqual(true);
+  const far = clock.observe({ time: 1_060_001, counter: 0 });
+  expect(far.isErr() && far.error.ahead).toEqual(60_001);
+  expect(clock.tick()).toEqual({ time: 1_060_000, counter: 1 });
+});
+
+test("the compact form reads back, and other text is refused", () => {
+  const stamps = fc.record({
+    time: fc.integer({ min: 0, max: 10 ** 13 }),
+    counter: fc.nat(),
+  });
+  fc.assert(fc.property(stamps, (stamp) => {
+    const read = parseStamp(formatStamp(stamp)).unwrap();
+    expect(compareStamps(read, stamp)).toEqual(0);
+  }));
+  for (const text of ["", "a", "a.b.c", "-1.0", "1." + "z".repeat(99)]) {
+    expect(parseStamp(text).isErr()).toEqual(true);
+  }
+});
--- /dev/null
+++ b/packages/events/src/logger.ts
@@ -0,0 +1,70 @@
+/**
+ * Typed logger over `roarr`. Each event is one line of JSON.
+ */
+import "./enable_roarr.ts";
+import { ROARR, Roarr } from "roarr";
+import { CATALOGUE, type EventFields, type EventName } from "./catalogue.ts";
+import { formatStamp, type HybridClock } from "./hybrid_clock.ts";
+import type { EventRecord, EventSubject, ProcessIdentity } from "./record.ts";
+import type { EventRing } from "./ring.ts";
+
+const LEVELS = { debug: 20, info: 30, warn: 40, error: 50 } as const;
+
+export interface EventLoggerOptions {
+  readonly process: ProcessIdentity;
+  readonly clock: HybridClock;
+  /** Least level that is written; the ring gets every event. */
+  readonly level?: keyof typeof LEVELS;
+  readonly ring?: EventRing;
+  /** Writes one line without its newline; standard output by default. */
+  readonly write?: (line: string) => void;
+}
+
+export abstract class EventLogger {
+  abstract log<Name extends EventName>(
+    name: Name,
+    fields: EventFields<Name>,
+    subject?: EventSubject,
+  ): void;
+}
+
+function writeToStandardOutput(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+// `roarr` has one write function for the whole process. It is called within
+// the logging call, so the logger in use sets this target just before.
+let target: (line: string) => void = writeToStandardOutput;
+
+export function createEventLogger(options: EventLoggerOptions): EventLogger {
+  const { clock, ring, write = writeToStandardOutput } = options;
+  const least = LEVELS[options.level ?? "info"];
+  ROARR.write = (line) => target(line);
+
+  return new (class extends EventLogger {
+    override log<Name extends EventName>(
+      name: Name,
+      fields: EventFields<Name>,
+      subject: EventSubject = {},
+    ): void {
+      const traits = CATALOGUE[name];
+      const record: EventRecord = {
+        number: traits.number,
+        name,
+        level: traits.level,
+        clock: formatStamp(clock.tick()),
+        process: options.process,
+        ...subject,
+        fields: { ...fields } as EventRecord["fields"],
+      };
+      ring?.append(record);
+      const logLevel = LEVELS[traits.level];
+      if (logLevel < least) return;
+      target = write;
+      Roarr(
+        { ...record, process: { ...record.process }, logLevel },
+        traits.sentence,
+      );
+    }
+  })();
+}
--- a/packages/events/src/mod.ts
+++ b/packages/events/src/mod.ts
@@ -1,4 +1,9 @@
 /**
- * Numbered events, hybrid logical clock, logger and time line.
+ * Numbered events, hybrid logical clock, logger and timeline.
  */
-export {};
+export * from "./catalogue.ts";
+export * from "./hybrid_clock.ts";
+export * from "./logger.ts";
+export * from "./record.ts";
+export * from "./ring.ts";
+export * from "./timeline.ts";
--- /dev/null
+++ b/packages/events/src/timeline.ts
@@ -0,0 +1,85 @@
+/**
+ * Merges the events of several processes into one order that respects cause
+ * and effect. The order inside a source is kept; between sources the clock
+ * stamps decide, and the process name breaks ties so that the order is total.
+ */
+import { createReadStream } from "node:fs";
+import { createInterface } from "node:readline";
+import { compareStamps, parseStamp, type Stamp } from "./hybrid_clock.ts";
+import { type EventRecord, parseRecord } from "./record.ts";
+
+export type TimelineSource =
+  | Iterable<EventRecord>
+  | AsyncIterable<EventRecord>;
+
+/** Every given field must match. */
+export interface TimelineFilter {
+  readonly request?: string;
+  readonly customer?: string;
+  readonly conversation?: string;
+}
+
+interface Head {
+  readonly record: EventRecord;
+  readonly stamp: Stamp;
+  readonly rest: AsyncIterator<EventRecord>;
+}
+
+/** Yields the matching events of all sources in one order. */
+export async function* mergeTimeline(
+  sources: readonly TimelineSource[],
+  filter: TimelineFilter = {},
+): AsyncGenerator<EventRecord> {
+  const heads: Head[] = [];
+  for (const source of sources) {
+    const head = await readHead(readAll(source));
+    if (head !== undefined) heads.push(head);
+  }
+  while (heads.length > 0) {
+    heads.sort(compareHeads);
+    const head = heads.shift();
+    if (head === undefined) return;
+    if (matches(head.record, filter)) yield head.record;
+    const next = await readHead(head.rest);
+    if (next !== undefined) heads.push(next);
+  }
+}
+
+/** The events of a log file. Lines that hold no event are passed over. */
+export async function* readEventFile(
+  path: string,
+): AsyncGenerator<EventRecord> {
+  const lines = createInterface({ input: createReadStream(path, "utf8") });
+  for await (const line of lines) {
+    const record = parseRecord(line);
+    if (record.isOk()) yield record.value;
+  }
+}
+
+async function* readAll(source: TimelineSource): AsyncGenerator<EventRecord> {
+  yield* source;
+}
+
+async function readHead(
+  rest: AsyncIterator<EventRecord>,
+): Promise<Head | undefined> {
+  for (;;) {
+    const next = await rest.next();
+    if (next.done) return undefined;
+    const stamp = parseStamp(next.value.clock);
+    if (stamp.isOk()) return { record: next.value, stamp: stamp.value, rest };
+  }
+}
+
+function compareHeads(left: Head, right: Head): number {
+  const order = compareStamps(left.stamp, right.stamp);
+  if (order !== 0) return order;
+  return left.record.process.name < right.record.process.name ? -1 : 1;
+}
+
+function matches(record: EventRecord, filter: TimelineFilter): boolean {
+  const keys = ["request", "customer", "conversation"] as const;
+  return keys.every((key) =>
+    filter[key] === undefined || filter[key] === record[key]
+  );
+}
