--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -1,4 +1,5 @@
 /**
  * Counters, gauges and quantiles as Prometheus text.
  */
-export {};
+export * from "./histogram.ts";
+export * from "./registry.ts";
