--- /dev/null
+++ b/packages/platform/src/answers.ts
@@ -0,0 +1,39 @@
+/**
+ * Schemas of the platform's answers (docs/design.md, section 7.4).
+ */
+import { z } from "zod";
+import type { Json } from "./platform.ts";
+
+// Bodies come from JSON.parse, so every value in them is JSON already.
+const JSON_VALUE = z.custom<Json>((value) => value !== undefined);
+const VERSION = z.number().int().nonnegative();
+
+const ROW_CHECK = z.object({
+  table: z.string(),
+  key: z.string(),
+  version: VERSION,
+});
+
+export const COMMIT_ANSWER = z.object({ versions: z.array(ROW_CHECK) });
+
+export const CONFLICT_ANSWER = z.object({
+  conflicts: z.array(ROW_CHECK.extend({ value: JSON_VALUE })),
+});
+
+export const ROW_ANSWER = z.object({ value: JSON_VALUE, version: VERSION });
+
+export const PAGE_ANSWER = z.object({
+  rows: z.array(ROW_ANSWER.extend({ key: z.string() })),
+  more: z.boolean(),
+});
+
+export const VMS_ANSWER = z.object({
+  at: z.number(),
+  vms: z.array(z.object({
+    name: z.string(),
+    address: z.string(),
+    zone: z.string(),
+    state: z.enum(["live", "leaving"]),
+    incarnation: z.string(),
+  })),
+});
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,4 +1,4 @@
 /**
  * Stand-ins for engines, store VMs, the platform and plain services.
  */
-export {};
+export * from "./platform/mod.ts";
--- /dev/null
+++ b/packages/standins/src/platform/contract.test.ts
@@ -0,0 +1,187 @@
+/**
+ * What both implementations of `Platform` promise. The HTTP client runs
+ * against the stand-in.
+ */
+import {
+  createHttpPlatform,
+  createMemoryPlatform,
+  type ListedVm,
+  type Platform,
+} from "@peridotvalve/platform";
+import { expect } from "earl";
+import { test } from "node:test";
+import { startPlatformStandin } from "./server.ts";
+
+const TIMEOUT = 2_000;
+const VM: ListedVm = {
+  name: "e-1",
+  address: "127.0.0.1:1",
+  zone: "espoo",
+  state: "live",
+  incarnation: "a",
+};
+
+interface Faults {
+  readonly outage?: boolean;
+  readonly loseNextAnswers?: number;
+  readonly delay?: number;
+}
+
+interface Fixture {
+  readonly platform: Platform;
+  readonly setFaults: (faults: Faults) => Promise<void>;
+  readonly close: () => Promise<void>;
+}
+
+function openMemory(): Promise<Fixture> {
+  const platform = createMemoryPlatform();
+  platform.setVms([VM]);
+  return Promise.resolve({
+    platform,
+    setFaults: (faults) => Promise.resolve(platform.setFaults(faults)),
+    close: () => Promise.resolve(),
+  });
+}
+
+async function openHttp(): Promise<Fixture> {
+  const standin = await startPlatformStandin({ vms: [VM] });
+  const origin = `http://${standin.address}`;
+  const platform = createHttpPlatform({ address: origin });
+  return {
+    platform,
+    setFaults: async (faults) => {
+      const body = JSON.stringify(faults);
+      await fetch(`${origin}/control/faults`, { method: "POST", body });
+    },
+    close: async () => {
+      await platform.close();
+      await standin.close();
+    },
+  };
+}
+
+const IMPLEMENTATIONS = { memory: openMemory, http: openHttp };
+
+for (const [name, open] of Object.entries(IMPLEMENTATIONS)) {
+  const contract = (
+    title: string,
+    body: (fixture: Fixture) => Promise<void>,
+  ) => {
+    test(`${name}: ${title}`, async () => {
+      const fixture = await open();
+      try {
+        await body(fixture);
+      } finally {
+        await fixture.close();
+      }
+    });
+  };
+
+  contract("a failed check leaves all rows as they were", async (fixture) => {
+    const { platform } = fixture;
+    const first = { table: "t", key: "a/b ?", value: { n: 1 } };
+    const done = await platform.transact({
+      id: "1",
+      checks: [{ table: "t", key: "a/b ?", version: 0 }],
+      writes: [first, { table: "t", key: "b", value: "x" }],
+    }, TIMEOUT);
+    expect(done.kind).toEqual("done");
+    const conflict = await platform.transact({
+      id: "2",
+      checks: [
+        { table: "t", key: "a/b ?", version: 0 },
+        { table: "t", key: "c", version: 7 },
+      ],
+      writes: [{ table: "t", key: "b", value: null }],
+    }, TIMEOUT);
+    const row = (await platform.readRow(first, TIMEOUT)).unwrap();
+    expect(row?.value).toEqual({ n: 1 });
+    expect(conflict).toEqual({
+      kind: "not done",
+      reason: {
+        kind: "conflict",
+        rows: [row!, { table: "t", key: "c", version: 0 }],
+      },
+    });
+    const page = (await platform.readRows(
+      { table: "t", prefix: "", limit: 1 },
+      TIMEOUT,
+    )).unwrap();
+    expect(page).toEqual({ rows: [row!], more: true });
+    const next = (await platform.readRows(
+      { table: "t", prefix: "", after: "a/b ?", limit: 5 },
+      TIMEOUT,
+    )).unwrap();
+    expect(next.rows.map((each) => each.key)).toEqual(["b"]);
+    expect(next.more).toEqual(false);
+  });
+
+  contract("versions rise over deletion", async ({ platform }) => {
+    const key = { table: "t", key: "k" };
+    const write = async (value: string | null) => {
+      const writes = [{ ...key, value }];
+      await platform.transact({ id: "w", checks: [], writes }, TIMEOUT);
+      return (await platform.readRow(key, TIMEOUT)).unwrap()?.version;
+    };
+    const before = await write("1");
+    expect(await write(null)).toEqual(undefined);
+    const after = await write("2");
+    expect(after! > before!).toEqual(true);
+  });
+
+  contract("objects are immutable", async ({ platform }) => {
+    const object = { name: "c/1", content: '{"a":"ö"}' };
+    expect((await platform.putObject(object, TIMEOUT)).kind).toEqual("done");
+    expect((await platform.putObject(object, TIMEOUT)).kind).toEqual("done");
+    const other = await platform.putObject(
+      { ...object, content: "2" },
+      TIMEOUT,
+    );
+    expect(other.kind).toEqual("not done");
+    const content = await platform.readObject("c/1", TIMEOUT);
+    expect(content.unwrap()).toEqual(object.content);
+    const absent = await platform.readObject("c/2", TIMEOUT);
+    expect(absent.unwrap()).toEqual(undefined);
+  });
+
+  contract("the VM list is passed on", async ({ platform }) => {
+    expect((await platform.readVms(TIMEOUT)).unwrap().vms).toEqual([VM]);
+  });
+
+  contract("an outage refuses without effect", async (fixture) => {
+    const { platform } = fixture;
+    const writes = [{ table: "t", key: "k", value: 1 }];
+    await fixture.setFaults({ outage: true });
+    const refused = await platform.transact(
+      { id: "1", checks: [], writes },
+      TIMEOUT,
+    );
+    expect(refused.kind).toEqual("not done");
+    const key = { table: "t", key: "k" };
+    expect((await platform.readRow(key, TIMEOUT)).isErr()).toEqual(true);
+    await fixture.setFaults({ outage: false });
+    const row = await platform.readRow(key, TIMEOUT);
+    expect(row.unwrap()).toEqual(undefined);
+  });
+
+  contract("a lost answer is unknown and has its effect", async (fixture) => {
+    const { platform } = fixture;
+    const writes = [{ table: "t", key: "k", value: 1 }];
+    await fixture.setFaults({ loseNextAnswers: 1 });
+    const lost = await platform.transact(
+      { id: "1", checks: [], writes },
+      TIMEOUT,
+    );
+    expect(lost.kind).toEqual("unknown");
+    const row = await platform.readRow({ table: "t", key: "k" }, TIMEOUT);
+    expect(row.unwrap()?.value).toEqual(1);
+  });
+
+  contract("a command past its timeout is unknown", async (fixture) => {
+    const { platform } = fixture;
+    const writes = [{ table: "t", key: "k", value: 1 }];
+    await fixture.setFaults({ delay: 300 });
+    const late = await platform.transact({ id: "1", checks: [], writes }, 50);
+    expect(late.kind).toEqual("unknown");
+  });
+}
