--- /dev/null
+++ b/packages/admission/src/admission.test.ts
@@ -0,0 +1,291 @@
+import { Clock, createManualClock } from "@peridotvalve/clock";
+import type { Failure } from "@peridotvalve/errors";
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { createAdmission } from "./admission.ts";
+import { createConcurrencyLimit } from "./concurrency_limit.ts";
+import { createCustomerLimits } from "./customer_limits.ts";
+import type { AdmissionRequest, Permit } from "./request.ts";
+
+const FORBIDDEN: Failure = { code: "forbidden", ran: "no", message: "barred" };
+
+interface Setup {
+  readonly places?: number;
+  readonly queueLength?: number;
+  readonly requestsPerSecond?: number;
+  readonly concurrency?: number;
+  readonly longPerReplica?: number;
+}
+
+function setUp(clock: Clock, setup: Setup = {}) {
+  const places = setup.places ?? 2;
+  const customers = createCustomerLimits({
+    clock,
+    liveDaemons: () => 1,
+    termsOf: () => ({
+      share: 1,
+      concurrency: setup.concurrency ?? 1_000,
+      requestsPerSecond: setup.requestsPerSecond ?? 1_000_000,
+    }),
+  });
+  return createAdmission({
+    clock,
+    limit: createConcurrencyLimit({ clock, initial: places, maximum: places }),
+    customers,
+    queueLength: () => setup.queueLength ?? 100,
+    replicas: () => 1,
+    longPerReplica: setup.longPerReplica ?? 1,
+  });
+}
+
+function makeRequest(change: Partial<AdmissionRequest> = {}): AdmissionRequest {
+  return {
+    customer: "a",
+    workClass: "advice",
+    serviceTime: 100,
+    patience: 60_000,
+    ...change,
+  };
+}
+
+const never = () => new AbortController().signal;
+
+/** A clock that can move without waking sleepers, as after a long pause. */
+function createPausableClock() {
+  let elapsed = 0;
+  let sleepers: (() => void)[] = [];
+  const clock = new (class extends Clock {
+    override now = () => elapsed;
+    override monotonic = () => elapsed;
+    override sleep(_duration: number, signal?: AbortSignal): Promise<void> {
+      return new Promise((resolve) => {
+        sleepers.push(resolve);
+        signal?.addEventListener("abort", () => resolve());
+      });
+    }
+  })();
+  const pause = (duration: number) => void (elapsed += duration);
+  const wake = () => {
+    for (const sleeper of sleepers) sleeper();
+    sleepers = [];
+  };
+  return { clock, pause, wake };
+}
+
+async function runLateGrant(hidePause: boolean): Promise<string> {
+  const { clock, pause, wake } = createPausableClock();
+  const frozen = createManualClock();
+  const admission = setUp(hidePause ? frozen : clock, { places: 1 });
+  const first = (await admission.admit(makeRequest(), never())).unwrap();
+  const second = admission.admit(makeRequest({ patience: 1_000 }), never());
+  pause(5_000);
+  first.finish();
+  wake();
+  const result = await second;
+  return result.isOk() ? "late permit" : result.error.code;
+}
+
+test("a process that was paused grants no permit past the deadline", async () => {
+  expect(await runLateGrant(false)).toEqual("patience_exceeded");
+});
+
+test("the pause check fails when the pause is hidden from admission", async () => {
+  expect(await runLateGrant(true)).toEqual("late permit");
+});
+
+type Step =
+  | { readonly kind: "admit"; readonly request: AdmissionRequest }
+  | { readonly kind: "finish" | "abort"; readonly index: number }
+  | { readonly kind: "advance"; readonly time: number }
+  | { readonly kind: "bar"; readonly customer: string };
+
+const customer = fc.constantFrom("a", "b", "c");
+const steps: fc.Arbitrary<readonly Step[]> = fc.array(
+  fc.oneof(
+    fc.record({
+      kind: fc.constant("admit" as const),
+      request: fc.record({
+        customer,
+        workClass: fc.constantFrom("order" as const, "advice" as const),
+        serviceTime: fc.constantFrom(10, 500, 20_000),
+        patience: fc.integer({ min: 0, max: 60_000 }),
+      }),
+    }),
+    fc.record({
+      kind: fc.constantFrom("finish" as const, "abort" as const),
+      index: fc.nat(60),
+    }),
+    fc.record({
+      kind: fc.constant("advance" as const),
+      time: fc.nat(20_000),
+    }),
+    fc.record({ kind: fc.constant("bar" as const), customer }),
+  ),
+  { maxLength: 60 },
+);
+
+test("permits are neither lost nor doubled, and free places are used", async () => {
+  await fc.assert(
+    fc.asyncProperty(steps, fc.integer({ min: 2, max: 5 }), runSteps),
+    { numRuns: 150 },
+  );
+});
+
+async function runSteps(all: readonly Step[], places: number): Promise<void> {
+  const clock = createManualClock();
+  const admission = setUp(clock, { places, longPerReplica: 100 });
+  const controllers: AbortController[] = [];
+  const permits = new Set<Permit>();
+  let settled = 0;
+
+  async function admit(request: AdmissionRequest): Promise<void> {
+    const controller = new AbortController();
+    controllers.push(controller);
+    const result = await admission.admit(request, controller.signal);
+    settled += 1;
+    if (result.isErr()) return expect(result.error.ran).toEqual("no");
+    expect(result.value.queued <= request.patience).toEqual(true);
+    permits.add(result.value);
+  }
+
+  for (const step of all) {
+    if (step.kind === "admit") void admit(step.request);
+    if (step.kind === "abort") controllers[step.index]?.abort();
+    if (step.kind === "advance") await clock.advance(step.time);
+    if (step.kind === "bar") {
+      admission.revalidate((request) =>
+        request.customer === step.customer ? FORBIDDEN : undefined
+      );
+    }
+    await setImmediate();
+    if (step.kind === "finish") {
+      const permit = [...permits][step.index];
+      permit?.finish();
+      permit?.finish();
+      if (permit !== undefined) permits.delete(permit);
+      await setImmediate();
+    }
+    const status = admission.status();
+    expect(status.running).toEqual(permits.size);
+    expect(status.running <= places).toEqual(true);
+    // One place is kept free of long work.
+    const usable = status.runningLong < places - 1 ? places : places - 1;
+    if (status.running < usable) expect(status.queued).toEqual(0);
+  }
+  for (let round = 0; round <= all.length; round += 1) {
+    for (const permit of permits) permit.finish();
+    permits.clear();
+    await clock.advance(60_000);
+    await setImmediate();
+  }
+  expect(settled).toEqual(controllers.length);
+  expect(admission.status().running).toEqual(0);
+}
+
+/** Names in the order of their grants, one place, each finished at once. */
+async function listGrants(
+  requests: readonly (readonly [string, Partial<AdmissionRequest>])[],
+  setup: Setup = {},
+): Promise<readonly string[]> {
+  const admission = setUp(createManualClock(), { places: 1, ...setup });
+  const holder = (await admission.admit(makeRequest(), never())).unwrap();
+  const order: string[] = [];
+  const all = requests.map(async ([name, change]) => {
+    const request = makeRequest({ patience: 600_000, ...change });
+    const permit = (await admission.admit(request, never())).unwrap();
+    order.push(name);
+    permit.finish();
+  });
+  holder.finish();
+  await Promise.all(all);
+  return order;
+}
+
+test("orders go first and advice is passed over at most four times", async () => {
+  const orders = Array.from(
+    { length: 10 },
+    () => ["order", { workClass: "order" }] as const,
+  );
+  const order = await listGrants([["advice", {}], ...orders]);
+  expect(order.indexOf("advice")).toEqual(4);
+});
+
+test("long work is passed by at most 16 short grants", async () => {
+  const short = Array.from({ length: 30 }, () => ["short", {}] as const);
+  const order = await listGrants([["long", { serviceTime: 20_000 }], ...short]);
+  expect(order.indexOf("long")).toEqual(16);
+});
+
+test("long work leaves places to short work and has a lower priority", async () => {
+  const admission = setUp(createManualClock(), { places: 4 });
+  const long = makeRequest({ serviceTime: 20_000, patience: 600_000 });
+  const first = (await admission.admit(long, never())).unwrap();
+  void admission.admit(long, never());
+  const short = (await admission.admit(makeRequest(), never())).unwrap();
+  expect(admission.status().runningLong).toEqual(1);
+  expect(first.priority > short.priority).toEqual(true);
+});
+
+test("a request that cannot start in time is refused at once with a hint", async () => {
+  const admission = setUp(createManualClock(), { places: 1 });
+  for (let count = 0; count < 5; count += 1) {
+    void admission.admit(makeRequest({ serviceTime: 1_000 }), never());
+  }
+  const hasty = makeRequest({ customer: "a", patience: 500 });
+  const refusal = (await admission.admit(hasty, never())).unwrapErr();
+  expect(refusal.code).toEqual("overloaded");
+  expect((refusal.retryAfter ?? 0) >= 3_000).toEqual(true);
+});
+
+test("the queue is bounded and a draining daemon keeps its queued work", async () => {
+  const admission = setUp(createManualClock(), { places: 1, queueLength: 1 });
+  const running = (await admission.admit(makeRequest(), never())).unwrap();
+  const queued = admission.admit(makeRequest(), never());
+  const third = (await admission.admit(makeRequest(), never())).unwrapErr();
+  expect(third.code).toEqual("overloaded");
+  admission.drain();
+  const late = (await admission.admit(makeRequest(), never())).unwrapErr();
+  expect(late.code).toEqual("shutting_down");
+  running.finish();
+  expect((await queued).isOk()).toEqual(true);
+});
+
+test("a customer over its request rate is refused until the time of the hint", async () => {
+  const clock = createManualClock();
+  const admission = setUp(clock, { places: 9, requestsPerSecond: 2 });
+  for (let count = 0; count < 2; count += 1) {
+    await admission.admit(makeRequest(), never());
+  }
+  const refusal = (await admission.admit(makeRequest(), never())).unwrapErr();
+  expect(refusal.code).toEqual("rate_limited");
+  await clock.advance(refusal.retryAfter!);
+  expect((await admission.admit(makeRequest(), never())).isOk()).toEqual(true);
+});
+
+test("a place of the customer that another route frees wakes the queue", async () => {
+  const admission = setUp(createManualClock(), { places: 5, concurrency: 1 });
+  const first = (await admission.admit(makeRequest(), never())).unwrap();
+  const second = admission.admit(makeRequest(), never());
+  await setImmediate();
+  expect(admission.status().queued).toEqual(1);
+  first.finish();
+  expect((await second).isOk()).toEqual(true);
+});
+
+test("the limit falls when observations are late and rises only when used", () => {
+  const clock = createManualClock();
+  const limit = createConcurrencyLimit({ clock, initial: 20, maximum: 40 });
+  const record = (latency: number, running: number) => {
+    for (let count = 0; count < 20; count += 1) {
+      limit.record({ latency, expected: 100, overloaded: false }, running);
+    }
+  };
+  record(100, 3);
+  expect(limit.current()).toEqual(20);
+  record(100, 20);
+  expect(limit.current()).toEqual(21);
+  record(1_000, 21);
+  expect(limit.current()).toEqual(17);
+});
--- a/packages/admission/src/admission.ts
+++ b/packages/admission/src/admission.ts
@@ -231,7 +231,11 @@
       });
       signal.addEventListener("abort", cancel, { once: true });
       grantAll();
-      if (!waiter.timer.signal.aborted) void watchDeadline(waiter);
+      if (waiter.timer.signal.aborted) return;
+      if (lanes.size() > options.queueLength()) {
+        return withdraw(waiter, refusals.queueFull(expectWait(waiter)));
+      }
+      void watchDeadline(waiter);
     });
   }
 
