--- /dev/null
+++ b/packages/routing/src/beliefs.test.ts
@@ -0,0 +1,70 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { test } from "node:test";
+import { createBeliefs } from "./beliefs.ts";
+
+const BLOCKS = ["00000001000000a1", "00000002000000a2", "00000003000000a3"];
+const HOLDER = { replica: "r1", incarnation: "i1", weights: "w1" };
+
+function setUp(capacity = 1_000) {
+  const clock = createManualClock();
+  const beliefs = createBeliefs({ clock, capacity, halfLife: 60_000 });
+  return { clock, beliefs };
+}
+
+test("the deepest known block counts and a removed block does not", () => {
+  const { beliefs } = setUp();
+  beliefs.recordDispatch(HOLDER, BLOCKS.slice(0, 2));
+  expect(beliefs.find(BLOCKS, "w1").get("r1")?.blocks).toEqual(2);
+  const removed = { kind: "removed", block: BLOCKS[1]! } as const;
+  beliefs.recordEvents(HOLDER, { events: [removed], gap: false });
+  expect(beliefs.find(BLOCKS, "w1").get("r1")?.blocks).toEqual(1);
+});
+
+test("a new incarnation or other weights clear a replica", () => {
+  for (const change of [{ incarnation: "i2" }, { weights: "w2" }]) {
+    const { beliefs } = setUp();
+    beliefs.recordDispatch(HOLDER, BLOCKS);
+    beliefs.recordDispatch({ ...HOLDER, replica: "r2" }, BLOCKS);
+    expect(beliefs.find(BLOCKS, "w2").size).toEqual(0);
+    beliefs.noteHolder({ ...HOLDER, ...change });
+    expect([...beliefs.find(BLOCKS, "w1").keys()]).toEqual(["r2"]);
+  }
+});
+
+test("a report that first tells the incarnation keeps own dispatches", () => {
+  const { beliefs } = setUp();
+  beliefs.recordDispatch({ replica: "r1", weights: "w1" }, BLOCKS);
+  beliefs.noteHolder(HOLDER);
+  expect(beliefs.find(BLOCKS, "w1").size).toEqual(1);
+});
+
+test("confidence halves with the half-life and with a gap", async () => {
+  const { clock, beliefs } = setUp();
+  const confidence = () =>
+    beliefs.find(BLOCKS, "w1").get("r1")?.confidence ?? 0;
+  beliefs.recordDispatch(HOLDER, BLOCKS);
+  const fresh = confidence();
+  await clock.advance(60_000);
+  expect(Math.abs(confidence() / fresh - 0.5) < 0.01).toEqual(true);
+  beliefs.recordEvents(HOLDER, { events: [], gap: true });
+  expect(Math.abs(confidence() / fresh - 0.25) < 0.01).toEqual(true);
+  await clock.advance(600_000);
+  expect(beliefs.find(BLOCKS, "w1").size).toEqual(0);
+});
+
+test("the table keeps its size and its newest entries", async () => {
+  const { clock, beliefs } = setUp(64);
+  const before = beliefs.byteLength();
+  const hash = (index: number) =>
+    `${(index * 7_919).toString(16).padStart(8, "0")}${
+      index.toString(16).padStart(8, "0")
+    }`;
+  for (let index = 0; index < 500; index += 1) {
+    beliefs.recordDispatch(HOLDER, [hash(index)]);
+    await clock.advance(100);
+  }
+  expect(beliefs.byteLength()).toEqual(before);
+  expect(beliefs.find([hash(499)], "w1").size).toEqual(1);
+  expect(beliefs.find([hash(0)], "w1").size).toEqual(0);
+});
--- a/packages/routing/src/slowness.ts
+++ b/packages/routing/src/slowness.ts
@@ -49,7 +49,13 @@
 const DEFAULT_PROBE_AFTER: Milliseconds = 5_000;
 
 /** Samples of each replica that count, newest first. */
-const WINDOW = 15;
+const WINDOW = 11;
+
+/** Newest samples by which a burst of the whole group is seen early. */
+const RECENT = 5;
+
+/** Comparisons in a row that must find a replica slow. */
+const STRIKES = 3;
 
 /** Samples older than this say nothing of the present. */
 const SAMPLE_LIFE: Milliseconds = 10_000;
@@ -86,6 +92,7 @@
 interface ReplicaState {
   samples: readonly TimedRatio[];
   health: ReplicaHealth;
+  strikes: number;
   judgedAt: Milliseconds;
   slowSince: Milliseconds | undefined;
   probedAt: Milliseconds | undefined;
@@ -111,6 +118,7 @@
     const state: ReplicaState = {
       samples: [],
       health: "healthy",
+      strikes: 0,
       judgedAt: 0,
       slowSince: undefined,
       probedAt: undefined,
@@ -126,13 +134,20 @@
       .map((sample) => sample.ratio);
   }
 
-  /** Medians of the replicas that are not slow and have enough samples. */
+  /**
+   * Medians of the replicas that are not slow and have enough samples. The
+   * newest samples count if they are higher: when a burst slows the group, the
+   * first replica whose whole window shows it is then not compared with peers
+   * whose windows still show the time before.
+   */
   function listMedians(except?: string): readonly number[] {
     const medians: number[] = [];
     for (const [name, state] of replicas) {
       if (name === except || state.slowSince !== undefined) continue;
       const ratios = freshRatios(state);
-      if (ratios.length >= MINIMUM_SAMPLES) medians.push(medianOf(ratios));
+      if (ratios.length < MINIMUM_SAMPLES) continue;
+      const recent = medianOf(ratios.slice(0, RECENT));
+      medians.push(Math.max(recent, medianOf(ratios)));
     }
     return medians;
   }
@@ -185,10 +200,16 @@
   function review(replica: string, state: ReplicaState): void {
     const ratios = freshRatios(state);
     state.judgedAt = clock.monotonic();
-    state.health = ratios.length < MINIMUM_SAMPLES
+    const health = ratios.length < MINIMUM_SAMPLES
       ? "healthy"
       : judge(replica, ratios);
-    if (state.health !== "slow") return;
+    state.strikes = health === "slow" ? state.strikes + 1 : 0;
+    if (state.strikes < STRIKES) {
+      state.health = health === "healthy" ? "healthy" : "suspect";
+      return;
+    }
+    state.health = "slow";
+    state.strikes = 0;
     state.slowSince = clock.monotonic();
     state.samples = [];
   }
