Add membership of a zone's daemons by heartbeats

Daemons need to know which peers are live without a coordination service. Each sends signed heartbeats to all peers of its zone. Silence is measured on the time during which the process ran, so that a paused daemon does not take its peers for dead. A restarted daemon with its wall clock set back learns its former incarnation and raises its own.

--- a/packages/membership/src/mod.ts
+++ b/packages/membership/src/mod.ts
@@ -1,4 +1,15 @@
 /**
  * Heartbeats, incarnations and liveness of peers.
  */
-export {};
+export type { ListedPeer, Seed } from "./candidates.ts";
+export * from "./codec.ts";
+export * from "./datagram.ts";
+export { compareIncarnations } from "./incarnation.ts";
+export * from "./membership.ts";
+export * from "./memory_transport.ts";
+export * from "./options.ts";
+export { SEND_BUDGET } from "./pace.ts";
+export type { Peer, PeerChange, PeerState } from "./peer_table.ts";
+export * from "./rendezvous.ts";
+export { type Packet, Transport } from "./transport.ts";
+export * from "./udp_transport.ts";
--- /dev/null
+++ b/packages/membership/src/udp_transport.ts
@@ -0,0 +1,72 @@
+/**
+ * Datagrams over UDP. One socket sends and receives, so that the source of a
+ * datagram is the address at which its sender listens.
+ */
+import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
+import { once } from "node:events";
+import { isIPv6 } from "node:net";
+import { Err, Ok, type Result } from "ts-results-es";
+import { createInbox, type Packet, Transport } from "./transport.ts";
+
+export interface UdpOptions {
+  readonly host: string;
+  /** 0 takes a free port. */
+  readonly port: number;
+}
+
+/** Binds a socket; the error says why it could not. */
+export async function createUdpTransport(
+  options: UdpOptions,
+): Promise<Result<Transport, string>> {
+  const socket = createSocket(isIPv6(options.host) ? "udp6" : "udp4");
+  try {
+    socket.bind(options.port, options.host);
+    await once(socket, "listening");
+  } catch (error) {
+    return Err(String(error));
+  }
+  return Ok(createTransportOn(socket));
+}
+
+function createTransportOn(socket: Socket): Transport {
+  const inbox = createInbox();
+  const local = socket.address();
+  let closed = false;
+  socket.on("message", (bytes, remote) => {
+    inbox.put({ from: formatAddress(remote), bytes });
+  });
+  // A refused or unreachable datagram is a lost one.
+  socket.on("error", () => {});
+
+  return new (class extends Transport {
+    override address(): string {
+      return formatAddress(local);
+    }
+
+    override send(to: string, bytes: Uint8Array): void {
+      const split = to.lastIndexOf(":");
+      const host = to.slice(0, split).replace(/^\[(.*)\]$/, "$1");
+      const port = Number(to.slice(split + 1));
+      // The settings or the VM list can hold an unusable address.
+      const usable = Number.isInteger(port) && port > 0 && port < 65_536;
+      if (closed || !usable) return;
+      socket.send(bytes, port, host, () => {});
+    }
+
+    override receive(signal: AbortSignal): AsyncGenerator<Packet> {
+      return inbox.take(signal);
+    }
+
+    override async close(): Promise<void> {
+      if (closed) return;
+      closed = true;
+      await new Promise<void>((resolve) => socket.close(() => resolve()));
+    }
+  })();
+}
+
+function formatAddress(
+  { address, port }: Pick<RemoteInfo, "address" | "port">,
+): string {
+  return isIPv6(address) ? `[${address}]:${port}` : `${address}:${port}`;
+}
