Test the commands and tell unsent, lost and refused calls apart

The client now separates calls of which nothing was done, lost calls, refusals and unexpected answers, and reads the outcome of a change whatever its status is. A closed pipe and a fault in the program have defined ends.

--- a/packages/cli/src/answers.ts
+++ b/packages/cli/src/answers.ts
@@ -49,3 +49,8 @@
   next: z.int(),
   more: z.boolean(),
 });
+
+/** The API's error shape, as far as the command line reads it. */
+export const errorBody = z.object({
+  error: z.object({ message: z.string(), ran: z.string().optional() }),
+});
--- a/packages/cli/src/apply.ts
+++ b/packages/cli/src/apply.ts
@@ -35,7 +35,7 @@
 
 export interface ApplyReport {
   readonly exitCode: ExitCode;
-  readonly outcome: "accepted" | "rejected" | "unknown" | "unreachable";
+  readonly outcome: "accepted" | "rejected" | "unknown" | "unavailable";
   readonly change: string;
   readonly version?: number;
   readonly reason?: string;
@@ -49,8 +49,7 @@
   client: OperatorsClient,
   apply: ApplyRequest,
 ): Promise<ApplyReport> {
-  const { change } = apply;
-  const { content, expect } = apply;
+  const { change, content, expect } = apply;
   const answer = await client.post("/configuration", {
     body: { content, change, ...(expect === undefined ? {} : { expect }) },
     schema: applyAnswer,
@@ -79,9 +78,11 @@
     readonly failure: ClientFailure;
   },
 ): Promise<ApplyReport> {
-  const { message } = failure;
-  if (failure.kind === "lost") return await resolve(client, { apply, message });
-  const outcome = failure.kind === "unreachable" ? "unreachable" : "rejected";
+  const { kind, message } = failure;
+  if (kind === "lost" || kind === "unexpected") {
+    return await resolve(client, { apply, message });
+  }
+  const outcome = kind === "unavailable" ? "unavailable" : "rejected";
   const { change } = apply;
   return {
     exitCode: exitCodeOf(failure),
--- /dev/null
+++ b/packages/cli/src/command_run.ts
@@ -0,0 +1,66 @@
+/**
+ * Runs of the command line within the test process.
+ */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { runCommandLine } from "./application.ts";
+import type { Environment } from "./environment.ts";
+import {
+  createFakeListener,
+  FAKE_TOKEN,
+  type FakeCall,
+  type Script,
+} from "./fake_operators_listener.ts";
+
+export interface Run {
+  readonly code: number;
+  readonly output: readonly string[];
+  readonly errors: readonly string[];
+  /** The calls that the fake listener received. */
+  readonly calls: readonly FakeCall[];
+}
+
+export const EXAMPLE = fileURLToPath(
+  new URL("../../../examples/koiratakki/", import.meta.url),
+);
+
+/** Runs a command without a daemon. */
+export async function run(
+  args: readonly string[],
+  parts: Partial<Environment> = {},
+): Promise<Run> {
+  const output: string[] = [];
+  const errors: string[] = [];
+  const code = await runCommandLine(args, {
+    print: (line) => output.push(line),
+    warn: (line) => errors.push(line),
+    loadDaemon: () => Promise.resolve(undefined),
+    loadEvents: () => Promise.resolve(undefined),
+    ...parts,
+  });
+  return { code, output, errors, calls: [] };
+}
+
+export interface FakeRun extends Partial<Environment> {
+  readonly script: Script;
+  /** The option that takes the listener's address. */
+  readonly option?: string;
+}
+
+/** Runs a command against a fake listener. */
+export async function runAgainst(
+  args: readonly string[],
+  { script, option = "--operators", ...parts }: FakeRun,
+): Promise<Run> {
+  const listener = await createFakeListener(script);
+  const folder = await mkdtemp(join(tmpdir(), "peridotvalve-cli-"));
+  const token = join(folder, "token");
+  await writeFile(token, `${FAKE_TOKEN}\n`);
+  const target = [option, listener.address, "--token-file", token];
+  const result = await run([...args, ...target], parts);
+  await listener.close();
+  await rm(folder, { recursive: true });
+  return { ...result, calls: listener.calls };
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -3,6 +3,7 @@
  */
 import process from "node:process";
 import { runCommandLine } from "./application.ts";
+import { DONE, INTERNAL_ERROR } from "./exit_codes.ts";
 import { loadDaemon, loadEvents } from "./optional_modules.ts";
 
 async function main(): Promise<void> {
@@ -14,4 +15,13 @@
   });
 }
 
-void main();
+// A reader such as `head` may close the pipe before the end.
+process.stdout.on("error", (error: NodeJS.ErrnoException) => {
+  if (error.code !== "EPIPE") throw error;
+  process.exit(DONE);
+});
+
+main().catch((error: unknown) => {
+  console.error(error);
+  process.exitCode = INTERNAL_ERROR;
+});
--- a/packages/cli/src/operators_client.ts
+++ b/packages/cli/src/operators_client.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { Agent, request } from "undici";
 import type { z } from "zod";
+import { errorBody } from "./answers.ts";
 import {
   type ExitCode,
   REJECTED,
@@ -15,12 +16,18 @@
 
 export interface ClientFailure {
   /**
-   * - `unreachable`: no connection; nothing was sent.
+   * - `unavailable`: no connection, or the daemon says that nothing was done.
    * - `lost`: no complete response; the call may have had an effect.
    * - `not-found`: the daemon has no such thing.
-   * - `unexpected`: the daemon refused the token or answered nonsense.
+   * - `refused`: the daemon refused the token or the request.
+   * - `unexpected`: an answer of an unknown form; there may be an effect.
    */
-  readonly kind: "unreachable" | "lost" | "not-found" | "unexpected";
+  readonly kind:
+    | "unavailable"
+    | "lost"
+    | "not-found"
+    | "refused"
+    | "unexpected";
   readonly message: string;
 }
 
@@ -50,9 +57,16 @@
   readonly body?: string;
 }
 
-const HTTP_OK_END = 300;
+interface Response {
+  readonly status: number;
+  readonly text: string;
+}
+
+const FIRST_ERROR_STATUS = 300;
+const UNAUTHORIZED = 401;
+const FORBIDDEN = 403;
 const NOT_FOUND = 404;
-const UNAUTHORIZED: readonly number[] = [401, 403];
+const FIRST_SERVER_ERROR = 500;
 
 // Errors of the connect phase; nothing has been sent when they occur.
 const CONNECT_ERRORS: ReadonlySet<string> = new Set([
@@ -68,7 +82,7 @@
   const { address, token, deadline } = options;
   const agent = new Agent({ connect: { timeout: deadline } });
 
-  async function send(call: Call): Promise<Result<string, ClientFailure>> {
+  async function send(call: Call): Promise<Result<Response, ClientFailure>> {
     try {
       const response = await request(`http://${address}${call.path}`, {
         method: call.method,
@@ -81,8 +95,7 @@
         ...(call.body === undefined ? {} : { body: call.body }),
       });
       const text = await response.body.text();
-      const failure = failureOf(response.statusCode, { text, address });
-      return failure === undefined ? Ok(text) : Err(failure);
+      return Ok({ status: response.statusCode, text });
     } catch (error) {
       return Err(describeError(error, options));
     }
@@ -93,7 +106,14 @@
     schema: z.ZodType<Answer>,
   ): Promise<Result<Answer, ClientFailure>> {
     const sent = await send(call);
-    return sent.andThen((text) => decode(text, { schema, address }));
+    if (sent.isErr()) return sent;
+    const answer = decode(sent.value.text, schema);
+    const failed = sent.value.status >= FIRST_ERROR_STATUS;
+    // A rejected change may come with an error status and still has its answer.
+    if (answer !== undefined && (!failed || call.method === "POST")) {
+      return Ok(answer);
+    }
+    return Err(describeResponse(sent.value, address));
   }
 
   return {
@@ -105,48 +125,38 @@
   };
 }
 
-function failureOf(
-  status: number,
-  { text, address }: { readonly text: string; readonly address: string },
-): ClientFailure | undefined {
-  if (status < HTTP_OK_END) return undefined;
-  const detail = messageOf(text);
-  if (status === NOT_FOUND) return { kind: "not-found", message: detail };
-  const message = UNAUTHORIZED.includes(status)
-    ? `${address} refused the token: ${detail}`
-    : `${address} answered with status ${status}: ${detail}`;
-  // A gateway status or a server error does not tell what has happened.
-  const kind = status >= 500 ? "lost" : "unexpected";
-  return { kind, message };
+function decode<Answer>(
+  text: string,
+  schema: z.ZodType<Answer>,
+): Answer | undefined {
+  return schema.safeParse(parseJson(text)).data;
 }
 
-function messageOf(text: string): string {
+function parseJson(text: string): unknown {
   try {
-    const message = JSON.parse(text)?.error?.message;
-    if (typeof message === "string") return message;
+    return JSON.parse(text);
   } catch {
-    // The text itself is the best description of an answer that is no JSON.
+    return undefined;
   }
-  return text.trim() === "" ? "no message" : text.trim();
 }
 
-function decode<Answer>(
-  text: string,
-  { schema, address }: {
-    readonly schema: z.ZodType<Answer>;
-    readonly address: string;
-  },
-): Result<Answer, ClientFailure> {
-  const failure: ClientFailure = {
-    kind: "unexpected",
-    message: `${address} gave an answer of an unknown form`,
-  };
-  try {
-    const parsed = schema.safeParse(JSON.parse(text));
-    return parsed.success ? Ok(parsed.data) : Err(failure);
-  } catch {
-    return Err(failure);
+function describeResponse(
+  { status, text }: Response,
+  address: string,
+): ClientFailure {
+  if (status < FIRST_ERROR_STATUS) {
+    const message = `${address} gave an answer of an unknown form`;
+    return { kind: "unexpected", message };
   }
+  const error = errorBody.safeParse(parseJson(text)).data?.error;
+  const detail = error?.message ?? (text.trim() || "no message");
+  const message = status === UNAUTHORIZED || status === FORBIDDEN
+    ? `${address} refused the token: ${detail}`
+    : `${address} answered with status ${status}: ${detail}`;
+  if (status === NOT_FOUND) return { kind: "not-found", message };
+  if (status < FIRST_SERVER_ERROR) return { kind: "refused", message };
+  // A server error of a proxy does not tell what the daemon has done.
+  return { kind: error?.ran === "no" ? "unavailable" : "lost", message };
 }
 
 function describeError(error: unknown, options: ClientOptions): ClientFailure {
@@ -154,7 +164,7 @@
   const { name, code, message } = error as NodeJS.ErrnoException;
   if (code !== undefined && CONNECT_ERRORS.has(code)) {
     const text = `cannot connect to ${address}: ${message}`;
-    return { kind: "unreachable", message: text };
+    return { kind: "unavailable", message: text };
   }
   const text = name === "TimeoutError"
     ? `${address} did not answer within ${deadline} ms`
@@ -165,6 +175,7 @@
 /** The exit code of a query that failed. */
 export function exitCodeOf(failure: ClientFailure): ExitCode {
   if (failure.kind === "not-found") return REJECTED;
+  if (failure.kind === "refused") return UNEXPECTED_ANSWER;
   if (failure.kind === "unexpected") return UNEXPECTED_ANSWER;
   return UNREACHABLE;
 }
