Add configuration, lease and claims

Daemons need a configuration that never goes back, single owners for shared work and at-most-once execution. Each package settles a lost answer by reading back its own change, acquisition or attempt id. The lease's token is the row version of its acquisition, so it also rises over a deleted row.

--- a/packages/claims/src/mod.ts
+++ b/packages/claims/src/mod.ts
@@ -1,4 +1,9 @@
 /**
  * At-most-once claims over table rows.
  */
-export {};
+export * from "./call.ts";
+export * from "./claims.ts";
+export type { ClaimsOptions } from "./options.ts";
+export * from "./owned_claim.ts";
+export type { Outcome } from "./row.ts";
+export * from "./sweeper.ts";
--- /dev/null
+++ b/packages/claims/src/row.ts
@@ -0,0 +1,88 @@
+/**
+ * The claim row and the outcome stored in it.
+ */
+import type { Json, Row } from "@peridotvalve/platform";
+import type { Bytes, Timestamp } from "@peridotvalve/types";
+import { z } from "zod";
+
+/** What the service answered. */
+export interface Outcome {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** True when the body was too long to be stored; it is empty then. */
+  readonly bodyOmitted: boolean;
+}
+
+const OWNER = {
+  /** Incarnation of the process that made the claim. */
+  owner: z.string(),
+  /** Random id of the attempt; at most one attempt of a call is sent. */
+  attempt: z.string(),
+  fingerprint: z.string(),
+  /** Wall-clock time at the owner, for readers. */
+  claimedAt: z.number(),
+};
+
+const CLAIM_ROW = z.discriminatedUnion("state", [
+  z.object({ ...OWNER, state: z.literal("claimed") }),
+  z.object({ ...OWNER, state: z.literal("unknown"), settledAt: z.number() }),
+  z.object({
+    ...OWNER,
+    state: z.literal("finished"),
+    settledAt: z.number(),
+    outcome: z.object({
+      status: z.number().int(),
+      headers: z.record(z.string(), z.string()),
+      /** Base64. */
+      body: z.string(),
+      bodyOmitted: z.boolean(),
+    }),
+  }),
+]);
+
+export type ClaimRow = Readonly<z.infer<typeof CLAIM_ROW>>;
+export type ClaimedRow = ClaimRow & { readonly state: "claimed" };
+
+/** What a row says; undefined when there is none or it holds something else. */
+export function parseClaimRow(row: Row | undefined): ClaimRow | undefined {
+  return CLAIM_ROW.safeParse(row?.value).data;
+}
+
+export function claimValue(row: ClaimRow): Json {
+  return { ...row } as Json;
+}
+
+export function outcomeOf(
+  row: ClaimRow & { readonly state: "finished" },
+): Outcome {
+  const body = Buffer.from(row.outcome.body, "base64");
+  return { ...row.outcome, body };
+}
+
+export interface FinishOptions {
+  readonly settledAt: Timestamp;
+  readonly maxBodyBytes: Bytes;
+}
+
+export function finishRow(
+  claimed: ClaimedRow,
+  outcome: Outcome,
+  { settledAt, maxBodyBytes }: FinishOptions,
+): ClaimRow {
+  const bodyOmitted = outcome.bodyOmitted || outcome.body.length > maxBodyBytes;
+  const body = bodyOmitted ? "" : Buffer.from(outcome.body).toString("base64");
+  const { status, headers } = outcome;
+  return {
+    ...claimed,
+    state: "finished",
+    settledAt,
+    outcome: { status, headers: { ...headers }, body, bodyOmitted },
+  };
+}
+
+export function unknownRow(claimed: ClaimRow, settledAt: Timestamp): ClaimRow {
+  const { owner, attempt, fingerprint, claimedAt } = claimed;
+  const state = "unknown";
+  return { owner, attempt, fingerprint, claimedAt, state, settledAt };
+}
--- a/packages/configuration/src/mod.ts
+++ b/packages/configuration/src/mod.ts
@@ -1,4 +1,7 @@
 /**
  * Configuration head, compare-and-set apply and watch.
  */
-export {};
+export * from "./apply.ts";
+export * from "./history.ts";
+export * from "./watch.ts";
+export type { Change } from "./rows.ts";
--- /dev/null
+++ b/packages/configuration/src/watch.test.ts
@@ -0,0 +1,164 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { createMemoryPlatform, type Json } from "@peridotvalve/platform";
+import type { Configuration } from "@peridotvalve/types";
+import { expect } from "earl";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "ts-results-es";
+import { applyConfiguration } from "./apply.ts";
+import type { RawConfiguration } from "./history.ts";
+import { createConfigurationWatch } from "./watch.ts";
+
+function check(content: Json): Result<Configuration, string> {
+  if (content === "bad") return Err("content is bad");
+  return Ok({ content } as unknown as Configuration);
+}
+
+function setUp(peers: Readonly<Record<string, RawConfiguration>> = {}) {
+  const clock = createManualClock();
+  const platform = createMemoryPlatform({ clock });
+  const adopted: number[] = [];
+  const rejected: number[] = [];
+  let reader = false;
+  const watch = createConfigurationWatch({
+    platform,
+    clock,
+    isReader: () => reader,
+    peers: () => Object.keys(peers),
+    fetchFromPeer: (peer) => {
+      const held = peers[peer];
+      return Promise.resolve(held ? Ok(held) : Err("no such peer"));
+    },
+    bootstrap: () => Promise.resolve(Ok("bootstrap")),
+    check,
+    report: (note) => {
+      if (note.kind === "rejected") rejected.push(note.version);
+    },
+  });
+  watch.subscribe(({ version }) => adopted.push(version));
+  const apply = (change: string, content: Json) =>
+    applyConfiguration({ change, content, author: "a" }, { platform, clock });
+  const start = async () => {
+    const started = watch.start();
+    await clock.advance(4_000);
+    await started;
+  };
+  const becomeReader = () => {
+    reader = true;
+  };
+  const version = () => watch.current()?.version;
+  return {
+    clock,
+    platform,
+    watch,
+    adopted,
+    rejected,
+    apply,
+    start,
+    becomeReader,
+    version,
+  };
+}
+
+const raw = (version: number, content: Json = "x"): RawConfiguration => ({
+  version,
+  change: `c${version}`,
+  content,
+});
+
+test("a reader polls; others poll only without heartbeats", async () => {
+  const { clock, watch, apply, start, becomeReader, version } = setUp();
+  await apply("a", 1);
+  await start();
+  watch.announce(1, "p");
+  await apply("b", 2);
+  for (let second = 0; second < 6; second += 1) {
+    await clock.advance(1_000);
+    watch.announce(1, "p");
+  }
+  expect(version()).toEqual(1);
+  await clock.advance(4_000);
+  expect(version()).toEqual(2);
+  await apply("c", 3);
+  becomeReader();
+  watch.announce(2, "p");
+  await clock.advance(1_000);
+  expect(version()).toEqual(3);
+  watch.stop();
+});
+
+test("a higher announced version comes from the platform or peer", async () => {
+  const peers = { p: raw(5) };
+  const { clock, platform, watch, apply, start, adopted } = setUp(peers);
+  await apply("a", 1);
+  await start();
+  platform.setFaults({ outage: true });
+  watch.announce(5, "p");
+  await clock.advance(100);
+  expect(adopted).toEqual([1, 5]);
+  // Back in service, the platform's older head must not be taken.
+  platform.setFaults({ outage: false });
+  await apply("b", 2);
+  await clock.advance(10_000);
+  expect(adopted).toEqual([1, 5]);
+  expect(Object.isFrozen(watch.current()?.content)).toEqual(true);
+  watch.stop();
+});
+
+test("content that fails the check leaves the older in force", async () => {
+  const { clock, apply, start, becomeReader, watch, ...rest } = setUp();
+  await apply("a", 1);
+  await start();
+  becomeReader();
+  await apply("b", "bad");
+  await clock.advance(5_000);
+  expect([rest.version(), rest.rejected]).toEqual([1, [2]]);
+  await apply("c", 3);
+  await clock.advance(1_000);
+  expect(rest.version()).toEqual(3);
+  watch.stop();
+});
+
+test("a start whose head fails the check takes the one before", async () => {
+  const { apply, start, version, watch } = setUp();
+  await apply("a", 1);
+  await apply("b", 2);
+  await apply("c", "bad");
+  await start();
+  expect(version()).toEqual(2);
+  watch.stop();
+});
+
+test("a start in an outage takes the highest of the peers", async () => {
+  const peers = { p: raw(4), q: raw(7), r: raw(0) };
+  const { platform, start, version, watch } = setUp(peers);
+  platform.setFaults({ outage: true });
+  await start();
+  expect(version()).toEqual(7);
+  watch.stop();
+});
+
+test("a start in an outage waits for a peer before the bootstrap", async () => {
+  const peers: Record<string, RawConfiguration> = {};
+  const { clock, platform, watch, version, adopted } = setUp(peers);
+  platform.setFaults({ outage: true });
+  const started = watch.start();
+  await clock.advance(2_000);
+  expect(version()).toEqual(undefined);
+  peers["late"] = raw(3);
+  await clock.advance(2_000);
+  await started;
+  expect(adopted).toEqual([3]);
+  watch.stop();
+});
+
+test("the bootstrap folder serves until a version is found", async () => {
+  const { clock, platform, apply, start, watch, adopted } = setUp();
+  platform.setFaults({ outage: true });
+  await start();
+  expect(adopted).toEqual([0]);
+  platform.setFaults({ outage: false });
+  await apply("a", 1);
+  await clock.advance(5_000);
+  expect(adopted).toEqual([0, 1]);
+  watch.stop();
+});
--- /dev/null
+++ b/packages/lease/src/lease.test.ts
@@ -0,0 +1,154 @@
+import { createManualClock, type ManualClock } from "@peridotvalve/clock";
+import { createMemoryPlatform } from "@peridotvalve/platform";
+import { expect } from "earl";
+import { test } from "node:test";
+import { createLease, type Lease } from "./lease.ts";
+import { runUnderLease } from "./run.ts";
+
+const DURATION = 10_000;
+const MARGIN = 2_000;
+
+function setUp() {
+  const clock = createManualClock();
+  const platform = createMemoryPlatform({ clock });
+  const contender = (holder: string) =>
+    createLease({
+      platform,
+      clock,
+      name: "sweep",
+      holder,
+      duration: DURATION,
+      margin: MARGIN,
+    });
+  return { clock, platform, contender };
+}
+
+/** Lets a contender look at the row each second until it holds the lease. */
+async function takeOver(lease: Lease, clock: ManualClock): Promise<number> {
+  for (let seconds = 0; seconds < 60; seconds += 1) {
+    await lease.acquire();
+    if (lease.token() !== undefined) return seconds;
+    await clock.advance(1_000);
+  }
+  throw new Error("the lease was never taken over");
+}
+
+test("tokens rise with each acquisition and never repeat", async () => {
+  const { platform, clock, contender } = setUp();
+  const [a, b] = [contender("a"), contender("b")];
+  const tokens: number[] = [];
+  for (const lease of [a, b, a, b]) {
+    await takeOver(lease, clock);
+    await lease.renew();
+    tokens.push(lease.token()!);
+    await lease.release();
+  }
+  // A deleted row must not let the tokens start again.
+  const writes = [{ table: "leases", key: "sweep", value: null }];
+  await platform.transact({ id: "x", checks: [], writes }, 1_000);
+  await a.acquire();
+  tokens.push(a.token()!);
+  expect(tokens).toEqual([...new Set(tokens)].sort((l, r) => l - r));
+});
+
+test("a holder that is paused loses the lease before a takeover", async () => {
+  const { clock, contender } = setUp();
+  const [a, b] = [contender("a"), contender("b")];
+  await a.acquire();
+  const lost = a.lost()!;
+  await b.acquire();
+  await clock.advance(DURATION - MARGIN - 1);
+  expect(a.token()).not.toEqual(undefined);
+  await clock.advance(1);
+  expect([a.token(), lost.aborted]).toEqual([undefined, true]);
+  expect((await b.acquire()).kind).toEqual("held by other");
+  await clock.advance(MARGIN);
+  expect((await b.acquire()).kind).toEqual("held");
+  expect((await a.renew()).kind).toEqual("lost");
+});
+
+test("a renewal restarts a contender's observation", async () => {
+  const { clock, contender } = setUp();
+  const [a, b] = [contender("a"), contender("b")];
+  await a.acquire();
+  for (let second = 0; second < 30; second += 1) {
+    await clock.advance(1_000);
+    expect((await a.renew()).kind).toEqual("held");
+    expect((await b.acquire()).kind).toEqual("held by other");
+  }
+});
+
+test("lost answers of acquire and renew are read back", async () => {
+  const { clock, platform, contender } = setUp();
+  const a = contender("a");
+  platform.setFaults({ loseNextAnswers: 1 });
+  expect((await a.acquire()).kind).toEqual("held");
+  await clock.advance(5_000);
+  platform.setFaults({ loseNextAnswers: 1 });
+  expect((await a.renew()).kind).toEqual("held");
+  await clock.advance(5_000);
+  expect(a.token()).not.toEqual(undefined);
+});
+
+test("a renewal that takes effect late does not extend the hold", async () => {
+  const { clock, platform, contender } = setUp();
+  const [a, b] = [contender("a"), contender("b")];
+  await a.acquire();
+  let left = 1;
+  platform.setFaults({
+    lateBy: 1_000,
+    decide: () => left-- > 0 ? "late effect" : "none",
+  });
+  expect((await a.renew()).kind).toEqual("unavailable");
+  await clock.advance(1_000);
+  await b.acquire();
+  await clock.advance(DURATION - MARGIN - 1_500);
+  // Finds the row of the first renewal; it is older than this call.
+  expect((await a.renew()).kind).toEqual("unavailable");
+  await clock.advance(MARGIN);
+  expect(a.token()).toEqual(undefined);
+});
+
+test("in an outage the lease ends on time", async () => {
+  const { clock, platform, contender } = setUp();
+  const a = contender("a");
+  await a.acquire();
+  platform.setFaults({ outage: true });
+  await clock.advance(4_000);
+  expect((await a.renew()).kind).toEqual("unavailable");
+  expect(a.token()).not.toEqual(undefined);
+  await clock.advance(4_000);
+  expect(a.token()).toEqual(undefined);
+});
+
+test("work runs under at most one holder, and moves on", async () => {
+  const { clock, platform, contender } = setUp();
+  const stop = new AbortController();
+  const active = new Set<string>();
+  const log: string[] = [];
+  let overlaps = 0;
+  const run = (holder: string, signal: AbortSignal) =>
+    runUnderLease(async (tenure) => {
+      active.add(holder);
+      log.push(holder);
+      if (active.size > 1) overlaps += 1;
+      while (!tenure.signal.aborted) await clock.sleep(500, tenure.signal);
+      active.delete(holder);
+    }, { lease: contender(holder), clock, signal, interval: 1_000 });
+  const first = new AbortController();
+  const ended = run("a", AbortSignal.any([first.signal, stop.signal]));
+  await clock.advance(100);
+  const others = ["b", "c"].map((holder) => run(holder, stop.signal));
+  await clock.advance(30_000);
+  expect(log).toEqual(["a"]);
+  platform.setFaults({ outage: true });
+  first.abort();
+  await ended;
+  await clock.advance(30_000);
+  expect(active.size).toEqual(0);
+  platform.setFaults({ outage: false });
+  await clock.advance(30_000);
+  expect([log.length, overlaps, active.size]).toEqual([2, 0, 1]);
+  stop.abort();
+  await Promise.all(others);
+});
--- a/packages/lease/src/mod.ts
+++ b/packages/lease/src/mod.ts
@@ -1,4 +1,5 @@
 /**
- * Leases with fencing numbers over a table row.
+ * Leases with fencing tokens over a table row.
  */
-export {};
+export * from "./lease.ts";
+export * from "./run.ts";
