Assemble the daemon: chat, services, orders, operators and peers

Request handlers, the relay over attempts, claims before orders, the operators' listener and the shutdown are written against the other packages; nothing has run yet. Seeds of a process now name the availability zone of each address, because heartbeats go to the daemons of the own zone only. The configuration watch takes the silence of the peers from membership, whose heartbeats arrive also when no newer version is announced.

--- a/packages/configuration/src/watch.ts
+++ b/packages/configuration/src/watch.ts
@@ -33,6 +33,11 @@
   readonly bootstrap: () => Promise<Result<Json, string>>;
   readonly check: (content: Json) => Result<Configuration, string>;
   readonly report?: (note: WatchNote) => void;
+  /**
+   * Time since the last heartbeat of any peer. When absent, the time since the
+   * last call of `announce`.
+   */
+  readonly silence?: () => Milliseconds;
   readonly pollInterval?: Milliseconds;
   /** Without a heartbeat for this long, the daemon polls by itself. */
   readonly silenceLimit?: Milliseconds;
@@ -104,6 +109,8 @@
   const announced = new Map<string, number>();
 
   const held = () => current?.version ?? -1;
+  const silence = options.silence ??
+    (() => clock.monotonic() - lastHeartbeat);
 
   function adopt(raw: RawConfiguration, source: string): void {
     if (raw.version <= held() || stopped.signal.aborted) return;
@@ -165,8 +172,7 @@
     while (!stopped.signal.aborted) {
       await clock.sleep(pollInterval, stopped.signal);
       if (stopped.signal.aborted) return;
-      const silent = clock.monotonic() - lastHeartbeat >= silenceLimit;
-      if (options.isReader() || silent) await poll();
+      if (options.isReader() || silence() >= silenceLimit) await poll();
     }
   }
 
--- /dev/null
+++ b/packages/daemon/src/chat/handler.ts
@@ -0,0 +1,129 @@
+/**
+ * `POST /v1/chat/completions` and `GET /v1/models`.
+ */
+import type { Failure } from "@peridotvalve/errors";
+import type { ModelGroup } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import { authenticate, type Identity } from "../callers/authentication.ts";
+import { isDutyOn } from "../callers/duties.ts";
+import { passToLegacy } from "../callers/pass.ts";
+import { readBody } from "../http/body.ts";
+import { type Exchange, readPatience } from "../http/exchange.ts";
+import { sendFailure, sendJson } from "../http/respond.ts";
+import { readConfigured, type Runtime } from "../runtime.ts";
+import { admitChat } from "./admit.ts";
+import { relayChat } from "./relay.ts";
+import { type Chat, parseChat } from "./request.ts";
+import { writeCompletion } from "./write.ts";
+
+export async function handleChat(
+  runtime: Runtime,
+  exchange: Exchange,
+): Promise<void> {
+  const prepared = await prepare(runtime, exchange);
+  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
+  const { body, chat, identity, group } = prepared.value;
+  const { content } = prepared.value.configuration;
+  const question = {
+    duty: "chat",
+    route: chat.model,
+    customer: identity.name,
+  } as const;
+  if (!isDutyOn(content, question)) {
+    return await passToLegacy(runtime, exchange, body);
+  }
+  const patience = readPatience(exchange, content.limits.defaultPatience);
+  const work = {
+    request: exchange.id,
+    identity,
+    group,
+    chat,
+    conversation: chat.conversation ?? exchange.id,
+    deadline: exchange.arrived + patience,
+    signal: exchange.signal,
+    priority: 0,
+  };
+  const permit = await admitChat(runtime, work);
+  if (permit.isErr()) return refuse(runtime, exchange, permit.error);
+  const { priority } = permit.value;
+  const parts = relayChat(runtime, { ...work, priority });
+  const written = await writeCompletion(runtime, exchange, { work, parts });
+  permit.value.finish(written);
+}
+
+export async function handleModels(
+  runtime: Runtime,
+  exchange: Exchange,
+): Promise<void> {
+  const configured = readConfigured(runtime);
+  if (configured.isErr()) return sendFailure(exchange, configured.error);
+  const { content } = configured.value;
+  const identity = authenticate(exchange, content);
+  if (identity.isErr()) return sendFailure(exchange, identity.error);
+  const data = Object.keys(content.groups)
+    .filter((name) => mayUse(identity.value, name))
+    .map((id) => ({ id, object: "model", created: 0, owned_by: "operator" }));
+  sendJson(exchange, 200, { object: "list", data });
+}
+
+interface Prepared {
+  readonly configuration: NonNullable<
+    ReturnType<Runtime["configuration"]["current"]>
+  >;
+  readonly identity: Identity;
+  readonly body: Buffer;
+  readonly chat: Chat;
+  readonly group: ModelGroup;
+}
+
+async function prepare(
+  runtime: Runtime,
+  exchange: Exchange,
+): Promise<Result<Prepared, Failure>> {
+  const configured = readConfigured(runtime);
+  if (configured.isErr()) return configured;
+  const { limits } = configured.value.content;
+  const identity = authenticate(exchange, configured.value.content);
+  if (identity.isErr()) return identity;
+  const bounds = { bytes: limits.requestBytes, timeout: limits.bodyTimeout };
+  const body = await readBody(exchange, bounds, runtime.clock);
+  if (body.isErr()) return body;
+  const chat = parseChat(body.value, limits.maxTokens);
+  if (chat.isErr()) return chat;
+  // Read again: a change may have come into force while the body arrived.
+  const configuration = readConfigured(runtime).unwrapOr(configured.value);
+  const group = configuration.content.groups[chat.value.model];
+  if (group === undefined || !mayUse(identity.value, chat.value.model)) {
+    return Err(unknownModel(chat.value.model));
+  }
+  return Ok({
+    configuration,
+    identity: identity.value,
+    body: body.value,
+    chat: chat.value,
+    group,
+  });
+}
+
+function mayUse(identity: Identity, model: string): boolean {
+  return identity.customer.models?.includes(model) ?? true;
+}
+
+function unknownModel(model: string): Failure {
+  return {
+    code: "model_not_found",
+    ran: "no",
+    message: `the model ${JSON.stringify(model)} does not exist`,
+    param: "model",
+  };
+}
+
+function refuse(
+  runtime: Runtime,
+  exchange: Exchange,
+  failure: Failure,
+): void {
+  const { code, ran } = failure;
+  runtime.log("request_refused", { code, ran }, { request: exchange.id });
+  sendFailure(exchange, failure);
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,380 @@
+/**
+ * Assembles one daemon from its parts and runs it to its graceful shutdown.
+ */
+import { randomUUID } from "node:crypto";
+import { createAdmissions } from "./admissions.ts";
+import { createLegacy } from "./callers/legacy.ts";
+import { handleChat, handleModels } from "./chat/handler.ts";
+import { createClaims } from "@peridotvalve/claims";
+import { createSystemClock } from "@peridotvalve/clock";
+import type { ConfigurationWatch } from "@peridotvalve/configuration";
+import {
+  createEventLogger,
+  createEventRing,
+  createHybridClock,
+} from "@peridotvalve/events";
+import { createHttpPlatform } from "@peridotvalve/platform";
+import { createAttemptBudget } from "@peridotvalve/retries";
+import {
+  createBeliefs,
+  createLinkBudget,
+  createRandomSource,
+  createSlownessDetector,
+} from "@peridotvalve/routing";
+import type { ProcessSettings } from "@peridotvalve/settings";
+import type { Configuration, Milliseconds } from "@peridotvalve/types";
+import { Ok, type Result } from "ts-results-es";
+import { createBroker } from "./broker.ts";
+import {
+  checkContent,
+  createConfigurationSource,
+  readBootstrap,
+} from "./configuration_source.ts";
+import { createFleet } from "./fleet/fleet.ts";
+import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
+import { createMeters } from "./meters.ts";
+import {
+  answerNotFound,
+  createOperatorHandlers,
+} from "./operators/handlers.ts";
+import { createNeighbours, type Neighbours } from "./peers/neighbours.ts";
+import { createRpcHandler } from "./peers/rpc.ts";
+import { createPlacements } from "./placements.ts";
+import type { Runtime } from "./runtime.ts";
+import { createServiceDirectory } from "./services/directory.ts";
+import { handleService } from "./services/handler.ts";
+import { createDrain } from "./shutdown.ts";
+import type { DaemonStatus } from "./status.ts";
+
+const HEADERS_TIMEOUT: Milliseconds = 10_000;
+
+/** Interval at which the platform's lagging VM list is read. */
+const VM_LIST_INTERVAL: Milliseconds = 2_000;
+
+const PLATFORM_TIMEOUT: Milliseconds = 1_000;
+
+/** Blocks of 250,000 prompts at a few blocks each, at 16 bytes an entry. */
+const BELIEF_CAPACITY = 262_144;
+
+export interface Daemon {
+  readonly addresses: {
+    readonly callers: string;
+    readonly peers: string;
+    readonly operators: string;
+  };
+  /** Ends all work without cutting off a request, then stops. */
+  stop(reason: string): Promise<void>;
+}
+
+export interface DaemonOptions {
+  readonly version?: string;
+  /** Writes one line of the log; standard output by default. */
+  readonly write?: (line: string) => void;
+}
+
+export async function createDaemon(
+  settings: ProcessSettings,
+  options: DaemonOptions = {},
+): Promise<Result<Daemon, string>> {
+  const clock = createSystemClock();
+  const incarnation = `${settings.name}/${randomUUID()}`;
+  const hybridClock = createHybridClock(clock);
+  const ring = createEventRing();
+  const logger = createEventLogger({
+    process: { name: settings.name, incarnation },
+    clock: hybridClock,
+    level: toLevel(settings.logLevel),
+    ring,
+    ...(options.write === undefined ? {} : { write: options.write }),
+  });
+  const log = logger.log.bind(logger);
+  const platform = createHttpPlatform({
+    address: `http://${settings.platform}`,
+    clock,
+  });
+  const stopped = new AbortController();
+
+  // The parts below refer to each other; each is only used after all exist.
+  let configuration: ConfigurationWatch;
+  const content = (): Configuration | undefined =>
+    configuration.current()?.content;
+  const regionOf = (zone: string): string =>
+    Object.entries(content()?.regions ?? {})
+      .find(([, region]) => region.availabilityZones.includes(zone))?.[0] ?? "";
+
+  const created = await createNeighbours({
+    settings,
+    clock,
+    hybridClock,
+    log,
+    onAnnounce: ({ peer: _, address, version }) =>
+      configuration.announce(version, address),
+    onUpstreamLeaving: (leaving) => fleet.noteLeaving(leaving),
+  });
+  if (created.isErr()) return created;
+  const neighbours = created.value;
+  const { membership } = neighbours;
+
+  configuration = await createConfigurationSource(settings.bootstrapFolder, {
+    platform,
+    clock,
+    isReader: () => membership.isReader("configuration", READERS),
+    silence: () => membership.silence(),
+    peers: neighbours.addresses,
+    fetchFromPeer: neighbours.fetchConfiguration,
+    bootstrap: () => readBootstrap(settings.bootstrapFolder),
+    check: checkContent,
+    report(note) {
+      if (note.kind === "adopted") {
+        const change = configuration.current()?.change ?? "";
+        const { version, source } = note;
+        return log("configuration_adopted", { version, change, source });
+      }
+      if (note.kind === "rejected") {
+        const { version, reason } = note;
+        return log("configuration_rejected", { version, reason });
+      }
+      log("head_unreadable", { reason: note.reason });
+    },
+  });
+
+  const slowness = createSlownessDetector({ clock });
+  const fleet = createFleet({
+    clock,
+    slowness,
+    log,
+    regionOf,
+    onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
+  });
+  const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
+  const link = createLinkBudget({
+    clock,
+    bytesPerSecond: () => {
+      const settled = content()?.link;
+      return settled === undefined ? 0 : settled.bytesPerSecond * settled.share;
+    },
+    liveDaemons: neighbours.countLive,
+    shareOf: (customer) => content()?.customers[customer]?.share ?? 1,
+  });
+  const admissions = createAdmissions({
+    clock,
+    content,
+    liveDaemons: neighbours.countLive,
+    readyReplicas: (group) => fleet.readyCount(group),
+  });
+  const placements = createPlacements({
+    beliefs,
+    link,
+    random: createRandomSource(Date.now() | 0),
+    origin: settings,
+  });
+  const drain = createDrain(clock);
+  const meters = createMeters(clock);
+  const claims = createClaims({ platform, clock, owner: incarnation });
+  const runtime: Runtime = {
+    settings,
+    incarnation,
+    clock,
+    configuration,
+    fleet,
+    beliefs,
+    link,
+    services: createServiceDirectory(clock),
+    legacy: createLegacy(),
+    claims,
+    retryBudget: createAttemptBudget({ ratio: RETRY_RATIO }),
+    drain,
+    meters,
+    log,
+    admissionOf: admissions.of,
+    placementOf: placements.of,
+  };
+  configuration.subscribe(({ version, content: now }) => {
+    fleet.apply(now);
+    runtime.services.apply(now);
+    admissions.apply(now);
+    membership.setVersion(version);
+  });
+
+  const status = (): DaemonStatus => readStatus(runtime, neighbours);
+  const listeners = await openListeners(runtime, {
+    callers: {
+      "POST /v1/chat/completions": (exchange) => handleChat(runtime, exchange),
+      "GET /v1/models": (exchange) => handleModels(runtime, exchange),
+      "* /services/:path*": (exchange) => handleService(runtime, exchange),
+      "* /:path*": async (exchange) => answerNotFound(exchange),
+    },
+    peers: {
+      "POST /rpc": createRpcHandler({
+        "configuration.fetch": () => configuration.current() ?? null,
+        "daemon.status": status,
+        "events.read": (params) => ring.read(afterOf(params)),
+      }, { secret: settings.peerSecret, clock }),
+    },
+    operators: createOperatorHandlers({
+      runtime,
+      platform,
+      ring,
+      status,
+      readVersions: () =>
+        neighbours.readVersions({
+          name: settings.name,
+          address: settings.listeners.peers,
+          version: configuration.current()?.version,
+        }),
+    }),
+  });
+  log("process_started", { version: options.version ?? "unknown" });
+  neighbours.start();
+  void followVmList();
+  await configuration.start();
+  if (configuration.current() !== undefined) log("process_ready", {});
+
+  async function followVmList(): Promise<void> {
+    while (!stopped.signal.aborted) {
+      const list = await platform.readVms(PLATFORM_TIMEOUT);
+      if (list.isOk()) {
+        const { vms } = list.value;
+        neighbours.setListed(vms);
+        fleet.noteVms(vms);
+      }
+      await clock.sleep(VM_LIST_INTERVAL, stopped.signal);
+    }
+  }
+
+  async function stop(reason: string): Promise<void> {
+    const begun = clock.monotonic();
+    log("drain_started", { reason, inFlight: drain.pending() });
+    drain.start();
+    membership.setDraining(true);
+    // The balancer goes on sending until it has seen the readiness fall.
+    await clock.sleep(settings.shutdown.balancerDelay);
+    const closed = listeners.callers.close();
+    await drain.waitUntilIdle(settings.shutdown.limit);
+    await claims.idle();
+    stopped.abort();
+    configuration.stop();
+    await closed;
+    await Promise.all([listeners.peers.close(), listeners.operators.close()]);
+    await listeners.stopBroker();
+    await Promise.all([
+      neighbours.close(),
+      fleet.close(),
+      runtime.services.close(),
+      runtime.legacy.close(),
+      platform.close(),
+    ]);
+    log("drain_finished", { elapsed: clock.monotonic() - begun });
+    log("process_stopped", { reason });
+  }
+
+  return Ok({
+    addresses: {
+      callers: listeners.callers.address(),
+      peers: listeners.peers.address(),
+      operators: listeners.operators.address(),
+    },
+    stop,
+  });
+}
+
+/** Daemons of an availability zone that poll the configuration's head. */
+const READERS = 2;
+
+const RETRY_RATIO = 0.1;
+
+interface Listeners {
+  readonly callers: Gateway;
+  readonly peers: Gateway;
+  readonly operators: Gateway;
+  stopBroker(): Promise<void>;
+}
+
+type Handlers = Readonly<Record<string, Handler>>;
+
+async function openListeners(
+  runtime: Runtime,
+  handlers: {
+    readonly callers: Handlers;
+    readonly peers: Handlers;
+    readonly operators: Handlers;
+  },
+): Promise<Listeners> {
+  const { settings, clock, drain, log } = runtime;
+  const broker = createBroker(settings.name);
+  await broker.start();
+  const open = (name: keyof typeof handlers, own: Handlers) =>
+    createGateway(broker, {
+      name,
+      address: settings.listeners[name],
+      handlers: own,
+      headersTimeout: HEADERS_TIMEOUT,
+      clock,
+      onDefect: (error, exchange) =>
+        log("handler_failed", { reason: String(error) }, {
+          request: exchange.id,
+        }),
+    });
+  return {
+    callers: await open("callers", countAll(handlers.callers, drain)),
+    peers: await open("peers", handlers.peers),
+    operators: await open("operators", handlers.operators),
+    stopBroker: () => broker.stop(),
+  };
+}
+
+/** Counts each exchange as pending work, so that a shutdown waits for it. */
+function countAll(handlers: Handlers, drain: Runtime["drain"]): Handlers {
+  const counted = Object.entries(handlers).map(([route, handler]) => [
+    route,
+    async (exchange: Parameters<Handler>[0]) => {
+      const end = drain.begin();
+      exchange.response.once("close", end);
+      if (drain.isDraining()) {
+        exchange.response.setHeader("connection", "close");
+      }
+      await handler(exchange);
+    },
+  ]);
+  return Object.fromEntries(counted) as Handlers;
+}
+
+function readStatus(runtime: Runtime, neighbours: Neighbours): DaemonStatus {
+  const { membership } = neighbours;
+  const current = runtime.configuration.current();
+  const groups = Object.keys(current?.content.groups ?? {});
+  return {
+    name: runtime.settings.name,
+    incarnation: runtime.incarnation,
+    availabilityZone: runtime.settings.availabilityZone,
+    version: current?.version ?? null,
+    change: current?.change ?? null,
+    isDraining: runtime.drain.isDraining(),
+    pending: runtime.drain.pending(),
+    peers: membership.peers(),
+    zones: Object.fromEntries(membership.zones()),
+    replicas: groups.flatMap((group) =>
+      runtime.fleet.candidates(group).map((candidate) => ({
+        name: candidate.name,
+        group,
+        state: candidate.state,
+        weights: candidate.weights,
+        health: candidate.health,
+        running: candidate.reported?.running ?? 0,
+        waiting: candidate.reported?.waiting ?? 0,
+      }))
+    ),
+  };
+}
+
+function afterOf(params: unknown): number {
+  const after = (params as { readonly after?: unknown } | undefined)?.after;
+  return typeof after === "number" ? after : 0;
+}
+
+function toLevel(
+  level: ProcessSettings["logLevel"],
+): "debug" | "info" | "warn" | "error" {
+  if (level === "trace") return "debug";
+  return level === "fatal" ? "error" : level;
+}
--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -37,7 +37,9 @@
 export function sendFailure(exchange: Exchange, failure: Failure): void {
   const { status, headers, body } = toResponse(failure, exchange.id);
   for (const [name, value] of Object.entries(headers)) {
-    if (!exchange.response.headersSent) exchange.response.setHeader(name, value);
+    if (!exchange.response.headersSent) {
+      exchange.response.setHeader(name, value);
+    }
   }
   sendJson(exchange, status, body);
 }
--- /dev/null
+++ b/packages/daemon/src/meters.ts
@@ -0,0 +1,45 @@
+/**
+ * The metrics of a daemon.
+ */
+import {
+  type Counter,
+  createRegistry,
+  type HistogramMetric,
+  type Registry,
+} from "@peridotvalve/metrics";
+
+export interface Meters {
+  readonly registry: Registry;
+  /** Time to first token in ms, by model. */
+  readonly firstToken: HistogramMetric;
+  /** Tokens relayed, by model. */
+  readonly tokens: Counter;
+  /** Prompt tokens that a replica's cache held, by model. */
+  readonly cachedTokens: Counter;
+  /** Prompt tokens, by model. */
+  readonly promptTokens: Counter;
+  /** Outcomes of requests, by route, code and whether the work ran. */
+  readonly outcomes: Counter;
+}
+
+export function createMeters(): Meters {
+  const registry = createRegistry();
+  return {
+    registry,
+    firstToken: registry.histogram("peridotvalve_first_token_milliseconds", {
+      help: "Time to first token in milliseconds.",
+    }),
+    tokens: registry.counter("peridotvalve_tokens_total", {
+      help: "Tokens relayed to callers.",
+    }),
+    cachedTokens: registry.counter("peridotvalve_cached_tokens_total", {
+      help: "Prompt tokens found in a replica's prefix cache.",
+    }),
+    promptTokens: registry.counter("peridotvalve_prompt_tokens_total", {
+      help: "Prompt tokens of completions that ended whole.",
+    }),
+    outcomes: registry.counter("peridotvalve_requests_total", {
+      help: "Requests by route, outcome code and whether the work ran.",
+    }),
+  };
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,4 +1,5 @@
 /**
- * Listeners, request paths and graceful shutdown.
+ * The daemon: listeners, request paths and graceful shutdown.
  */
-export {};
+export * from "./daemon.ts";
+export * from "./run.ts";
--- /dev/null
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -0,0 +1,176 @@
+/**
+ * What a daemon does with and for its peers: heartbeats, the configuration for
+ * one that is behind, and status calls.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { RawConfiguration } from "@peridotvalve/configuration";
+import type { EventLogger, HybridClock } from "@peridotvalve/events";
+import {
+  createMembership,
+  createUdpTransport,
+  type Membership,
+  type NewerVersion,
+  type PeerChange,
+} from "@peridotvalve/membership";
+import type { ListedVm } from "@peridotvalve/platform";
+import type { ProcessSettings } from "@peridotvalve/settings";
+import type { Milliseconds } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import { z } from "zod";
+import type { DaemonVersion } from "../operators/handlers.ts";
+import { createRpcClient } from "./rpc.ts";
+
+const CALL_TIMEOUT: Milliseconds = 1_500;
+
+/** Aggregates older than this say nothing of a zone's daemons. */
+const ZONE_MEMORY: Milliseconds = 10_000;
+
+const RAW_CONFIGURATION = z.object({
+  version: z.number().int().nonnegative(),
+  change: z.string(),
+  content: z.unknown(),
+});
+
+const STATUS = z.object({ name: z.string(), version: z.number().nullable() });
+
+const AGGREGATE = z.object({ daemons: z.number().int().nonnegative() });
+
+export interface Neighbours {
+  readonly membership: Membership;
+  /** Daemons of all availability zones that are heard, with this one. */
+  countLive(): number;
+  fetchConfiguration(peer: string): Promise<Result<RawConfiguration, string>>;
+  /** Addresses of the peers known from settings, heartbeats and VM list. */
+  addresses(): readonly string[];
+  setListed(vms: readonly ListedVm[]): void;
+  readVersions(own: DaemonVersion): Promise<readonly DaemonVersion[]>;
+  start(): void;
+  close(): Promise<void>;
+}
+
+export interface NeighbourOptions {
+  readonly settings: ProcessSettings;
+  readonly clock: Clock;
+  readonly hybridClock: HybridClock;
+  readonly log: EventLogger["log"];
+  readonly onAnnounce: (newer: NewerVersion) => void;
+  readonly onUpstreamLeaving: (incarnation: string) => void;
+}
+
+export async function createNeighbours(
+  options: NeighbourOptions,
+): Promise<Result<Neighbours, string>> {
+  const { settings, clock } = options;
+  const [host, port] = splitAddress(settings.listeners.peers);
+  const transport = await createUdpTransport({ host, port });
+  if (transport.isErr()) return transport;
+  const stopped = new AbortController();
+  const rpc = createRpcClient(settings.peerSecret);
+  const zoneSizes = new Map<string, number>();
+  let listed: readonly ListedVm[] = [];
+
+  const membership = createMembership({
+    name: settings.name,
+    zone: settings.availabilityZone,
+    secret: settings.peerSecret,
+    clock,
+    hybridClock: options.hybridClock,
+    transport: transport.value,
+    seeds: settings.seeds.map((seed) => ({
+      address: seed.address,
+      zone: seed.availabilityZone,
+    })),
+    createAggregate: () => ({ daemons: membership.live().length }),
+    onAggregate(aggregate) {
+      const content = AGGREGATE.safeParse(aggregate.content);
+      if (content.success) zoneSizes.set(aggregate.zone, content.data.daemons);
+    },
+    onAnnounce: options.onAnnounce,
+    onUpstreamLeaving: options.onUpstreamLeaving,
+    onChange: (change) => logChange(options.log, change),
+    onReject: (reason, from) =>
+      options.log("datagram_rejected", { reason, from }),
+    onDrift: (peer, ahead) => options.log("clock_drift", { peer, ahead }),
+    onPause: (pause) => options.log("process_paused", { pause }),
+    onRaise: (incarnation) =>
+      options.log("incarnation_raised", { incarnation }),
+  });
+
+  function addresses(): readonly string[] {
+    const all = [
+      ...settings.seeds.map((seed) => seed.address),
+      ...membership.peers().map((peer) => peer.address),
+      ...listed.map((vm) => vm.address),
+    ];
+    return [...new Set(all)]
+      .filter((address) => address !== settings.listeners.peers);
+  }
+
+  async function readVersion(address: string): Promise<DaemonVersion> {
+    const request = { method: "daemon.status", params: {} };
+    const answer = await rpc.call(address, request, CALL_TIMEOUT);
+    const status = STATUS.safeParse(answer.unwrapOr(undefined)).data;
+    const name = status?.name ?? address;
+    return { name, address, version: status?.version ?? undefined };
+  }
+
+  return Ok({
+    membership,
+    countLive() {
+      const heard = [...membership.zones()]
+        .filter(([, silence]) => silence < ZONE_MEMORY)
+        .map(([zone]) => zoneSizes.get(zone) ?? 0);
+      const others = heard.reduce((sum, size) => sum + size, 0);
+      return Math.max(1, membership.live().length) + others;
+    },
+    async fetchConfiguration(peer) {
+      const request = { method: "configuration.fetch", params: {} };
+      const answer = await rpc.call(peer, request, CALL_TIMEOUT);
+      if (answer.isErr()) return answer;
+      const raw = RAW_CONFIGURATION.safeParse(answer.value);
+      if (!raw.success) return Err(`${peer} sent no configuration`);
+      return Ok(raw.data as RawConfiguration);
+    },
+    addresses,
+    setListed(vms) {
+      listed = vms;
+      membership.setListed(vms);
+    },
+    async readVersions(own) {
+      return [own, ...await Promise.all(addresses().map(readVersion))];
+    },
+    start() {
+      void membership.run(stopped.signal);
+    },
+    async close() {
+      stopped.abort();
+      await rpc.close();
+    },
+  });
+}
+
+function logChange(log: EventLogger["log"], change: PeerChange): void {
+  const { name, incarnation, silence } = change.peer;
+  switch (change.kind) {
+    case "live":
+      return log("peer_live", { peer: name, peerIncarnation: incarnation });
+    case "restarted":
+      return log("peer_restarted", {
+        peer: name,
+        peerIncarnation: incarnation,
+      });
+    case "suspect":
+      return log("peer_suspect", { peer: name, silence });
+    case "dead":
+      return log("peer_dead", { peer: name, silence });
+    case "leaving":
+      return log("peer_leaving", { peer: name });
+    case "forgotten":
+      return log("peer_forgotten", { peer: name });
+  }
+}
+
+function splitAddress(address: string): readonly [string, number] {
+  const separator = address.lastIndexOf(":");
+  return [address.slice(0, separator), Number(address.slice(separator + 1))];
+}
--- /dev/null
+++ b/packages/daemon/src/placements.ts
@@ -0,0 +1,49 @@
+/**
+ * One placement for each policy that a configuration can select.
+ */
+import {
+  type Beliefs,
+  createEstimatePlacement,
+  createLeastLoadPlacement,
+  createRandomPlacement,
+  createRoundRobinPlacement,
+  createStickyPlacement,
+  type LinkBudget,
+  type Placement,
+  type RandomSource,
+} from "@peridotvalve/routing";
+import type { Milliseconds, Policy } from "@peridotvalve/types";
+
+// Distances of docs/design.md, section 3.
+const ZONE_LATENCY: Milliseconds = 1.5;
+const REGION_LATENCY: Milliseconds = 9.5;
+
+export interface Placements {
+  of(policy: Policy["placement"]): Placement;
+}
+
+export interface PlacementParts {
+  readonly beliefs: Beliefs;
+  readonly link: LinkBudget;
+  readonly random: RandomSource;
+  readonly origin: {
+    readonly availabilityZone: string;
+    readonly region: string;
+  };
+}
+
+export function createPlacements(parts: PlacementParts): Placements {
+  const { random } = parts;
+  const placements = {
+    "estimate": createEstimatePlacement({
+      ...parts,
+      zoneLatency: ZONE_LATENCY,
+      regionLatency: REGION_LATENCY,
+    }),
+    "random": createRandomPlacement(random),
+    "round-robin": createRoundRobinPlacement(),
+    "least-load": createLeastLoadPlacement(),
+    "sticky": createStickyPlacement(),
+  } as const;
+  return { of: (policy) => placements[policy] };
+}
--- /dev/null
+++ b/packages/daemon/src/runtime.ts
@@ -0,0 +1,54 @@
+/**
+ * The parts of one daemon that request handlers use.
+ */
+import type { Admission } from "@peridotvalve/admission";
+import type { Claims } from "@peridotvalve/claims";
+import type { Clock } from "@peridotvalve/clock";
+import type { ConfigurationWatch } from "@peridotvalve/configuration";
+import type { Failure } from "@peridotvalve/errors";
+import type { EventLogger } from "@peridotvalve/events";
+import type { Beliefs, LinkBudget, Placement } from "@peridotvalve/routing";
+import type { AttemptBudget } from "@peridotvalve/retries";
+import type { ProcessSettings } from "@peridotvalve/settings";
+import type { Policy, VersionedConfiguration } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Legacy } from "./callers/legacy.ts";
+import type { Fleet } from "./fleet/fleet.ts";
+import type { Meters } from "./meters.ts";
+import type { ServiceDirectory } from "./services/directory.ts";
+import type { Drain } from "./shutdown.ts";
+
+export interface Runtime {
+  readonly settings: ProcessSettings;
+  /** Name and start of this process; owner of claims. */
+  readonly incarnation: string;
+  readonly clock: Clock;
+  readonly configuration: ConfigurationWatch;
+  readonly fleet: Fleet;
+  readonly beliefs: Beliefs;
+  readonly link: LinkBudget;
+  readonly services: ServiceDirectory;
+  readonly legacy: Legacy;
+  readonly claims: Claims;
+  readonly retryBudget: AttemptBudget;
+  readonly drain: Drain;
+  readonly meters: Meters;
+  readonly log: EventLogger["log"];
+  /** The admission of a model group or service. */
+  admissionOf(route: string): Admission;
+  placementOf(policy: Policy["placement"]): Placement;
+}
+
+/** The configuration in force, or the refusal of a daemon that has none. */
+export function readConfigured(
+  runtime: Runtime,
+): Result<VersionedConfiguration, Failure> {
+  const configuration = runtime.configuration.current();
+  if (configuration !== undefined) return Ok(configuration);
+  return Err({
+    code: "not_configured",
+    ran: "no",
+    message: "this daemon has no configuration yet",
+    retryAfter: 1_000,
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/services/directory.ts
@@ -0,0 +1,65 @@
+/**
+ * Clients of the plain services in the configuration in force.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Configuration, Milliseconds } from "@peridotvalve/types";
+import {
+  createHttpPlainService,
+  type HttpPlainService,
+} from "@peridotvalve/upstreams";
+
+// An address that failed is tried last for this long.
+const AVOID_TIME: Milliseconds = 3_000;
+
+export interface ServiceDirectory {
+  /** Follows a configuration. */
+  apply(configuration: Configuration): void;
+  /** The clients of a service in the order in which to try them. */
+  list(service: string): readonly HttpPlainService[];
+  /** Notes that an address could not be reached or stayed silent. */
+  noteFailure(address: string): void;
+  close(): Promise<void>;
+}
+
+export function createServiceDirectory(clock: Clock): ServiceDirectory {
+  const clients = new Map<string, HttpPlainService>();
+  const failedAt = new Map<string, Milliseconds>();
+  let services: Configuration["services"] = {};
+  let turn = 0;
+
+  function clientOf(address: string): HttpPlainService {
+    const known = clients.get(address);
+    if (known !== undefined) return known;
+    const client = createHttpPlainService({ address, clock });
+    clients.set(address, client);
+    return client;
+  }
+
+  function isAvoided(address: string): boolean {
+    const at = failedAt.get(address);
+    return at !== undefined && clock.monotonic() - at < AVOID_TIME;
+  }
+
+  return {
+    apply(configuration) {
+      services = configuration.services;
+    },
+    list(service) {
+      const addresses = services[service]?.addresses ?? [];
+      if (addresses.length === 0) return [];
+      turn = (turn + 1) % addresses.length;
+      const turned = [...addresses.slice(turn), ...addresses.slice(0, turn)];
+      const ordered = [
+        ...turned.filter((address) => !isAvoided(address)),
+        ...turned.filter(isAvoided),
+      ];
+      return ordered.map(clientOf);
+    },
+    noteFailure(address) {
+      failedAt.set(address, clock.monotonic());
+    },
+    async close() {
+      await Promise.all([...clients.values()].map((client) => client.close()));
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/services/handler.ts
@@ -0,0 +1,209 @@
+/**
+ * `/services/{service}/{path}` with any method.
+ */
+import type { Permit } from "@peridotvalve/admission";
+import type { Failure } from "@peridotvalve/errors";
+import type { Service } from "@peridotvalve/types";
+import type { ServiceAnswer, ServiceCall } from "@peridotvalve/upstreams";
+import { Err, Ok, type Result } from "ts-results-es";
+import { authenticate, type Identity } from "../callers/authentication.ts";
+import { isDutyOn } from "../callers/duties.ts";
+import { passToLegacy } from "../callers/pass.ts";
+import { readBody } from "../http/body.ts";
+import { type Exchange, readHeader, readPatience } from "../http/exchange.ts";
+import { isEndToEnd, listEndToEnd } from "../http/headers.ts";
+import { sendBytes, sendFailure } from "../http/respond.ts";
+import { readConfigured, type Runtime } from "../runtime.ts";
+import { callRepeatable, type ServiceWork } from "./call.ts";
+import { runOrder } from "./order.ts";
+import { isIdempotent, parseTarget, type Target } from "./rules.ts";
+
+const IDEMPOTENCY_HEADER = "idempotency-key";
+const LONGEST_KEY = 256;
+const CUSTOMER_HEADER = "x-peridotvalve-customer";
+const REQUEST_HEADER = "x-request-id";
+
+// The API key is between the caller and this system. A service learns the
+// customer from a header that callers cannot set.
+const NOT_FORWARDED: ReadonlySet<string> = new Set([
+  "authorization",
+  CUSTOMER_HEADER,
+  REQUEST_HEADER,
+]);
+
+export async function handleService(
+  runtime: Runtime,
+  exchange: Exchange,
+): Promise<void> {
+  const prepared = await prepare(runtime, exchange);
+  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
+  const { target, identity, service, body, isRepeatable } = prepared.value;
+  const question = {
+    duty: isRepeatable ? "services" : "orders",
+    route: target.service,
+    customer: identity.name,
+  } as const;
+  if (!isDutyOn(prepared.value.content, question)) {
+    return await passToLegacy(runtime, exchange, body);
+  }
+  const { limits } = prepared.value.content;
+  const patience = readPatience(exchange, limits.defaultPatience);
+  const work = {
+    request: exchange.id,
+    customer: identity.name,
+    service: target.service,
+    call: toCall(exchange, { target, customer: identity.name, body }),
+    timeout: service.timeout,
+    deadline: exchange.arrived + patience,
+    signal: exchange.signal,
+  };
+  const answer = isRepeatable
+    ? await admitted(runtime, work, () => callRepeatable(runtime, work))
+    : await order(runtime, exchange, work);
+  if (answer.isErr()) return refuse(runtime, exchange, answer.error);
+  sendBytes(exchange, toResponse(answer.value));
+  const elapsed = runtime.clock.monotonic() - exchange.arrived;
+  const { status } = answer.value;
+  runtime.log("request_finished", { status, elapsed, tokens: 0 }, {
+    request: exchange.id,
+    customer: identity.name,
+  });
+}
+
+interface Prepared {
+  readonly content: NonNullable<
+    ReturnType<Runtime["configuration"]["current"]>
+  >["content"];
+  readonly target: Target;
+  readonly identity: Identity;
+  readonly service: Service;
+  readonly body: Buffer;
+  readonly isRepeatable: boolean;
+}
+
+async function prepare(
+  runtime: Runtime,
+  exchange: Exchange,
+): Promise<Result<Prepared, Failure>> {
+  const configured = readConfigured(runtime);
+  if (configured.isErr()) return configured;
+  const { content } = configured.value;
+  const identity = authenticate(exchange, content);
+  if (identity.isErr()) return identity;
+  const target = parseTarget(exchange.request.url ?? "");
+  const service = target && content.services[target.service];
+  if (
+    target === undefined || service === undefined ||
+    !(identity.value.customer.services?.includes(target.service) ?? true)
+  ) {
+    return Err({
+      code: "service_not_found",
+      ran: "no",
+      message: "the service does not exist",
+    });
+  }
+  const { requestBytes, bodyTimeout } = content.limits;
+  const limits = { bytes: requestBytes, timeout: bodyTimeout };
+  const body = await readBody(exchange, limits, runtime.clock);
+  if (body.isErr()) return body;
+  const method = exchange.request.method ?? "GET";
+  return Ok({
+    content,
+    target,
+    identity: identity.value,
+    service,
+    body: body.value,
+    isRepeatable: isIdempotent(service, { method, path: target.path }),
+  });
+}
+
+async function order(
+  runtime: Runtime,
+  exchange: Exchange,
+  work: ServiceWork,
+): Promise<Result<ServiceAnswer, Failure>> {
+  const idempotencyKey = readHeader(exchange, IDEMPOTENCY_HEADER);
+  if (!idempotencyKey || idempotencyKey.length > LONGEST_KEY) {
+    return Err({
+      code: "idempotency_key_required",
+      ran: "no",
+      message: "this call needs an Idempotency-Key header of at most " +
+        `${LONGEST_KEY} characters`,
+      param: IDEMPOTENCY_HEADER,
+    });
+  }
+  return await admitted(
+    runtime,
+    work,
+    () => runOrder(runtime, { ...work, idempotencyKey }),
+    "order",
+  );
+}
+
+/** Runs the work under a permit of the service's admission. */
+async function admitted(
+  runtime: Runtime,
+  work: ServiceWork,
+  run: () => Promise<Result<ServiceAnswer, Failure>>,
+  workClass: "order" | "advice" = "advice",
+): Promise<Result<ServiceAnswer, Failure>> {
+  const permit: Result<Permit, Failure> = await runtime
+    .admissionOf(work.service)
+    .admit({
+      customer: work.customer,
+      workClass,
+      serviceTime: ASSUMED_SERVICE_MILLISECONDS,
+      patience: work.deadline - runtime.clock.monotonic(),
+    }, work.signal);
+  if (permit.isErr()) return permit;
+  const begun = runtime.clock.monotonic();
+  const answer = await run();
+  permit.value.finish({
+    latency: runtime.clock.monotonic() - begun,
+    expected: ASSUMED_SERVICE_MILLISECONDS,
+    overloaded: answer.isErr() && answer.error.code === "upstream_timeout",
+  });
+  return answer;
+}
+
+// Plain services answer look-ups and bookings within tens of milliseconds.
+const ASSUMED_SERVICE_MILLISECONDS = 50;
+
+function toCall(
+  exchange: Exchange,
+  parts: {
+    readonly target: Target;
+    readonly customer: string;
+    readonly body: Buffer;
+  },
+): ServiceCall {
+  const headers: Record<string, string> = {};
+  for (const [name, value] of listEndToEnd(exchange.request.rawHeaders)) {
+    const lower = name.toLowerCase();
+    if (!NOT_FORWARDED.has(lower)) headers[lower] = value;
+  }
+  headers[CUSTOMER_HEADER] = parts.customer;
+  headers[REQUEST_HEADER] = exchange.id;
+  return {
+    method: exchange.request.method ?? "GET",
+    path: parts.target.path,
+    headers,
+    body: parts.body,
+  };
+}
+
+function toResponse(answer: ServiceAnswer): ServiceAnswer {
+  const headers = Object.entries(answer.headers)
+    .filter(([name]) => isEndToEnd(name) && name !== REQUEST_HEADER);
+  return { ...answer, headers: Object.fromEntries(headers) };
+}
+
+function refuse(
+  runtime: Runtime,
+  exchange: Exchange,
+  failure: Failure,
+): void {
+  const { code, ran } = failure;
+  runtime.log("request_refused", { code, ran }, { request: exchange.id });
+  sendFailure(exchange, failure);
+}
--- /dev/null
+++ b/packages/daemon/src/services/order.ts
@@ -0,0 +1,171 @@
+/**
+ * A call that must run at most once. The claim is taken before the first byte
+ * is sent and settled afterwards; the call goes on when the caller goes.
+ */
+import {
+  type ClaimAnswer,
+  fingerprintOf,
+  type Outcome,
+  type OwnedClaim,
+} from "@peridotvalve/claims";
+import type { Failure } from "@peridotvalve/errors";
+import type { ServiceAnswer, ServiceFailure } from "@peridotvalve/upstreams";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Runtime } from "../runtime.ts";
+import type { ServiceWork } from "./call.ts";
+
+export interface Order extends ServiceWork {
+  readonly idempotencyKey: string;
+}
+
+const IN_PROGRESS_RETRY_MILLISECONDS = 1_000;
+const PLATFORM_RETRY_MILLISECONDS = 2_000;
+const STORE_WAIT_MILLISECONDS = 300;
+
+export async function runOrder(
+  runtime: Runtime,
+  order: Order,
+): Promise<Result<ServiceAnswer, Failure>> {
+  const { method, path, body } = order.call;
+  const call = {
+    customer: order.customer,
+    idempotencyKey: order.idempotencyKey,
+    fingerprint: fingerprintOf({
+      method,
+      path: `/${order.service}${path}`,
+      body,
+    }),
+  };
+  const patience = order.deadline - runtime.clock.monotonic();
+  const answer = await runtime.claims.claimOrWait(call, {
+    patience,
+    signal: order.signal,
+  });
+  log(runtime, order, answer);
+  if (answer.kind === "owned") return await send(runtime, order, answer.claim);
+  return withoutSending(answer);
+}
+
+function withoutSending(
+  answer: Exclude<ClaimAnswer, { readonly kind: "owned" }>,
+): Result<ServiceAnswer, Failure> {
+  switch (answer.kind) {
+    case "finished":
+      if (answer.outcome.bodyOmitted) return Err(bodyNotKept());
+      return Ok({
+        status: answer.outcome.status,
+        headers: { ...answer.outcome.headers, "idempotent-replayed": "true" },
+        body: Buffer.from(answer.outcome.body),
+      });
+    case "in progress":
+      return Err({
+        code: "order_in_progress",
+        ran: "unknown",
+        message: "another request with this idempotency key is in progress",
+        retryAfter: IN_PROGRESS_RETRY_MILLISECONDS,
+      });
+    case "unknown outcome":
+      return Err(outcomeUnknown("an earlier request with this key was lost"));
+    case "different call":
+      return Err({
+        code: "idempotency_key_reused",
+        ran: "no",
+        message: "the idempotency key was used for a different call",
+      });
+    case "not claimed":
+      return Err({
+        code: "platform_unavailable",
+        ran: "no",
+        message: `the order could not be claimed: ${answer.reason}`,
+        retryAfter: PLATFORM_RETRY_MILLISECONDS,
+      });
+  }
+}
+
+async function send(
+  runtime: Runtime,
+  order: Order,
+  claim: OwnedClaim,
+): Promise<Result<ServiceAnswer, Failure>> {
+  let failure: ServiceFailure | undefined;
+  for (const client of runtime.services.list(order.service)) {
+    if (!claim.startSending()) break;
+    const answer = await client.call(order.call, {
+      timeout: order.timeout,
+      // The caller's going does not stop an order that may have run.
+      signal: new AbortController().signal,
+    });
+    if (answer.isOk()) {
+      await settle(runtime, claim.complete(toOutcome(answer.value)));
+      return answer;
+    }
+    failure = answer.error;
+    runtime.services.noteFailure(client.address);
+    if (failure.sent === "sent") {
+      await settle(runtime, claim.markUnknown());
+      return Err(outcomeUnknown(describe(failure)));
+    }
+    claim.noteUnsent();
+  }
+  await settle(runtime, claim.release());
+  return Err({
+    code: "upstream_unavailable",
+    ran: "no",
+    message: failure === undefined
+      ? "the order was not sent in time"
+      : `the service could not be reached: ${describe(failure)}`,
+    retryAfter: PLATFORM_RETRY_MILLISECONDS,
+  });
+}
+
+/**
+ * Waits a short time for the row, so that a repeat finds the outcome. The
+ * claim goes on storing in the background when the platform is slow or down.
+ */
+async function settle(
+  runtime: Runtime,
+  stored: Promise<unknown>,
+): Promise<void> {
+  const end = runtime.drain.begin();
+  const background = stored.finally(end);
+  const expiry = new AbortController();
+  await Promise.race([
+    background,
+    runtime.clock.sleep(STORE_WAIT_MILLISECONDS, expiry.signal),
+  ]);
+  expiry.abort();
+}
+
+function toOutcome(answer: ServiceAnswer): Outcome {
+  return { ...answer, bodyOmitted: false };
+}
+
+function describe(failure: ServiceFailure): string {
+  return `${failure.reason}: ${failure.message}`;
+}
+
+function bodyNotKept(): Failure {
+  return {
+    code: "order_finished",
+    ran: "yes",
+    message: "the order ran; its answer was too long to be kept",
+  };
+}
+
+function outcomeUnknown(cause: string): Failure {
+  return {
+    code: "outcome_unknown",
+    ran: "unknown",
+    message: `it is not known whether the order ran (${cause})`,
+  };
+}
+
+function log(runtime: Runtime, order: Order, answer: ClaimAnswer): void {
+  const subject = { request: order.request, customer: order.customer };
+  if (answer.kind === "owned") {
+    const attempt = answer.claim.attempt;
+    runtime.log("claim_inserted", { attempt }, subject);
+    return;
+  }
+  runtime.log("claim_refused", { answer: answer.kind }, subject);
+}
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -24,6 +24,7 @@
   not_found: { status: 404, type: "invalid_request_error" },
   request_timeout: { status: 408, type: "invalid_request_error" },
   order_in_progress: { status: 409, type: "conflict_error" },
+  order_finished: { status: 409, type: "conflict_error" },
   outcome_unknown: { status: 409, type: "conflict_error" },
   request_too_large: { status: 413, type: "invalid_request_error" },
   idempotency_key_reused: { status: 422, type: "invalid_request_error" },
--- a/packages/settings/src/mod.ts
+++ b/packages/settings/src/mod.ts
@@ -11,6 +11,7 @@
   type LogLevel,
   type ProcessSettings,
   readProcessSettings,
+  type Seed,
   type Shutdown,
 } from "./process_settings.ts";
 export { createReferencePage } from "./reference_page.ts";
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -35,13 +35,18 @@
   ),
 });
 
+const seed = z.strictObject({
+  address: address.describe("Peer listener of the other daemon."),
+  availabilityZone: name.describe("Availability zone of the other daemon."),
+});
+
 export const processSchema = z.strictObject({
   name: name.describe("Name of the process; unique in the fleet."),
   availabilityZone: name.describe("Availability zone of the process."),
   region: name.describe("Region of the process."),
   listeners: listeners.describe("Addresses that the process listens on."),
   platform: address.describe("Address of the platform's store."),
-  seeds: z.array(address).default([])
+  seeds: z.array(seed).default([])
     .describe("Peer listeners of other daemons, for the first contact."),
   peerSecret: secret
     .describe("Key for datagrams and calls between daemons: value or file."),
--- a/packages/settings/src/process_settings.ts
+++ b/packages/settings/src/process_settings.ts
@@ -34,8 +34,8 @@
   readonly listeners: Listeners;
   /** Address of the platform's store. */
   readonly platform: string;
-  /** Addresses of peers' listeners. */
-  readonly seeds: readonly string[];
+  /** Peers' listeners, for the first contact. */
+  readonly seeds: readonly Seed[];
   readonly peerSecret: string;
   readonly operatorToken: string;
   /** Absolute path. */
@@ -44,6 +44,11 @@
   readonly shutdown: Shutdown;
 }
 
+export interface Seed {
+  readonly address: string;
+  readonly availabilityZone: string;
+}
+
 export interface Listeners {
   readonly callers: string;
   /** HTTP over TCP, and datagrams over UDP at the same port. */
