--- /dev/null
+++ b/packages/lease/src/interleavings.test.ts
@@ -0,0 +1,116 @@
+/**
+ * Property test of the lease over contenders on a network that delays and
+ * loses, with processes that pause. With one mechanism off it must fail.
+ */
+import { createManualClock } from "@peridotvalve/clock";
+import { createMemoryPlatform } from "@peridotvalve/platform";
+import { expect } from "earl";
+import fc from "fast-check";
+import { test } from "node:test";
+import { createLease, type Lease } from "./lease.ts";
+
+const DURATION = 6_000;
+const MARGIN = 1_000;
+const TIMEOUT = 500;
+const STEP = 250;
+const STEPS = 160;
+
+type Mutant = "none" | "early takeover" | "late end";
+
+interface Scenario {
+  /** For each contender, the pauses before its coming calls, taken in turn. */
+  readonly pauses: readonly (readonly number[])[];
+  readonly delays: readonly number[];
+  /** Share of holds that end in a release, in percent. */
+  readonly releases: number;
+}
+
+const PAUSE = fc.oneof(
+  { weight: 5, arbitrary: fc.integer({ min: 100, max: 1_500 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 3_000, max: 2 * DURATION }) },
+);
+const DELAY = fc.oneof(
+  { weight: 3, arbitrary: fc.integer({ min: 0, max: 100 }) },
+  { weight: 1, arbitrary: fc.integer({ min: TIMEOUT, max: 5_000 }) },
+);
+const SCENARIO = fc.record<Scenario>({
+  pauses: fc.array(fc.array(PAUSE, { minLength: 1, maxLength: 8 }), {
+    minLength: 2,
+    maxLength: 3,
+  }),
+  delays: fc.array(DELAY, { minLength: 1, maxLength: 16 }),
+  releases: fc.integer({ min: 0, max: 20 }),
+});
+
+interface Verdict {
+  readonly overlaps: number;
+  /** Tokens in the order in which the holders first showed them. */
+  readonly tokens: readonly number[];
+}
+
+async function play(scenario: Scenario, mutant: Mutant): Promise<Verdict> {
+  const clock = createManualClock();
+  const platform = createMemoryPlatform({ clock });
+  let turn = 0;
+  platform.setFaults({
+    travel: () => scenario.delays[turn++ % scenario.delays.length] ?? 0,
+  });
+  const leases = scenario.pauses.map((_, index) =>
+    createLease({
+      platform,
+      clock,
+      name: "l",
+      holder: String(index),
+      duration: mutant === "early takeover" && index === 0
+        ? DURATION / 2
+        : DURATION,
+      margin: mutant === "late end" ? -2 * MARGIN : MARGIN,
+      timeout: TIMEOUT,
+    })
+  );
+
+  async function contend(lease: Lease, pauses: readonly number[]) {
+    for (let call = 0;; call += 1) {
+      await clock.sleep(pauses[call % pauses.length] ?? 0);
+      if (lease.token() === undefined) await lease.acquire();
+      else if ((call * 37) % 100 < scenario.releases) await lease.release();
+      else await lease.renew();
+    }
+  }
+
+  for (const [index, lease] of leases.entries()) {
+    contend(lease, scenario.pauses[index]!);
+  }
+  let overlaps = 0;
+  const tokens: number[] = [];
+  for (let step = 0; step < STEPS; step += 1) {
+    await clock.advance(STEP);
+    const shown = leases.flatMap((lease) => lease.token() ?? []);
+    if (shown.length > 1) overlaps += 1;
+    tokens.push(...shown.filter((token) => !tokens.includes(token)));
+  }
+  return { overlaps, tokens };
+}
+
+const singleHolder = (mutant: Mutant) =>
+  fc.asyncProperty(SCENARIO, async (scenario) => {
+    const { overlaps, tokens } = await play(scenario, mutant);
+    const isRising = tokens.every((token, at) => token > (tokens[at - 1] ?? 0));
+    return overlaps === 0 && isRising;
+  });
+
+const RUNS = { numRuns: 150, seed: 7 };
+
+test("at most one holder at a time, and tokens rise", async () => {
+  await fc.assert(singleHolder("none"), RUNS);
+});
+
+for (const mutant of ["early takeover", "late end"] as const) {
+  test(`the check of the single holder fails with: ${mutant}`, async () => {
+    const details = await fc.check(singleHolder(mutant), {
+      ...RUNS,
+      endOnFailure: true,
+    });
+    expect(details.failed).toEqual(true);
+  });
+}
--- a/packages/platform/src/exchange.ts
+++ b/packages/platform/src/exchange.ts
@@ -42,6 +42,10 @@
 // Idle connections are closed before common load balancers drop their state.
 const KEEP_ALIVE: Milliseconds = 4_000;
 
+// A lost packet of the handshake is sent again after 1 s, so that two can be
+// lost before a connection attempt is given up and its place becomes free.
+const CONNECT_TIMEOUT: Milliseconds = 4_000;
+
 export function createExchanger(options: ExchangerOptions): Exchanger {
   let pool = openPool(options);
 
@@ -77,6 +81,7 @@
     connections,
     pipelining: 1,
     keepAliveTimeout: KEEP_ALIVE,
+    connect: { timeout: CONNECT_TIMEOUT },
     // Each exchange has its own deadline, which covers these phases.
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/platform/src/memory_platform.ts
+++ b/packages/platform/src/memory_platform.ts
@@ -35,8 +35,10 @@
 export interface MemoryFaults {
   /** Refuses every command and query. */
   readonly outage: boolean;
-  /** Time before a call takes effect. A longer delay than timeout is unknown. */
+  /** Time before a call takes effect; past its timeout it settles as unknown. */
   readonly delay: Milliseconds;
+  /** Time that the next message, a request or an answer, is under way. */
+  readonly travel?: () => Milliseconds;
   /** Count of coming commands whose answer is lost after the effect. */
   readonly loseNextAnswers: number;
   /** Count of coming commands that are lost before the effect. */
@@ -63,6 +65,8 @@
   lateBy: 100,
 };
 
+const LATE = Symbol("late");
+
 export function createMemoryPlatform(
   { clock = createSystemClock() }: MemoryPlatformOptions = {},
 ): MemoryPlatform {
@@ -94,34 +98,46 @@
     },
   ): Promise<Settlement<Value, Reason>> {
     const fault = nextFault(name);
-    const { delay, lateBy } = faults;
+    const { lateBy } = faults;
     if (fault === "refuse") return refuse("503: outage");
     if (fault === "lose request") return unknown("request lost");
     if (fault === "late effect") {
       clock.sleep(lateBy).then(apply);
       return unknown("connection broken");
     }
-    if (delay > timeout) {
-      clock.sleep(delay).then(apply);
-      await clock.sleep(timeout);
-      return unknown(`no answer within ${timeout} ms`);
-    }
-    if (delay > 0) await clock.sleep(delay);
-    const settlement = apply();
+    const settlement = await carry(timeout, apply);
+    if (settlement === LATE) return unknown(`no answer within ${timeout} ms`);
     return fault === "lose answer" ? unknown("answer lost") : settlement;
   }
 
+  /** Carries a call over the network; its effect may come after the answer. */
+  async function carry<Value>(
+    timeout: Milliseconds,
+    apply: () => Value,
+  ): Promise<Value | typeof LATE> {
+    const { delay, travel = () => 0 } = faults;
+    const request = delay + travel();
+    const answer = travel();
+    if (request + answer === 0) return apply();
+    if (request + answer < timeout) {
+      await clock.sleep(request);
+      const value = apply();
+      if (answer > 0) await clock.sleep(answer);
+      return value;
+    }
+    clock.sleep(request).then(apply);
+    await clock.sleep(timeout);
+    return LATE;
+  }
+
   async function query<Value>(
     timeout: Milliseconds,
     read: () => Value,
   ): Promise<Result<Value, Unavailable>> {
     if (faults.outage) return unavailable("503: outage");
-    if (faults.delay > timeout) {
-      await clock.sleep(timeout);
-      return unavailable(`no answer within ${timeout} ms`);
-    }
-    if (faults.delay > 0) await clock.sleep(faults.delay);
-    return Ok(read());
+    const value = await carry(timeout, read);
+    if (value === LATE) return unavailable(`no answer within ${timeout} ms`);
+    return Ok(value as Value);
   }
 
   return new (class extends MemoryPlatform {
