Add the upstream clients, block names and stand-ins

The daemon needs clients that tell "not sent" from "sent" and streams that carry only the events of their own attempt. The stand-ins of engine, store VM, weight store, plain service and legacy system run in a process or in a test.

--- a/packages/blocks/src/mod.ts
+++ b/packages/blocks/src/mod.ts
@@ -1,4 +1,5 @@
 /**
  * Names of KV cache blocks and their publish and import protocol.
  */
-export {};
+export * from "./names.ts";
+export * from "./tokenizer.ts";
--- /dev/null
+++ b/packages/standins/src/engine/batch.ts
@@ -0,0 +1,234 @@
+/**
+ * Continuous batching: steps with a token budget, in which running sequences
+ * decode one token each and the rest of the budget goes to prefill.
+ */
+import { listBlocks } from "@peridotvalve/blocks";
+import type { BlockName, Generation } from "@peridotvalve/types";
+import type { BlockCache, CachedBlock } from "./block_cache.ts";
+import {
+  type Answer,
+  blockContent,
+  createAnswer,
+  tokenizer,
+} from "./content.ts";
+import type { EngineFaults, EngineOptions } from "./options.ts";
+
+export type Finish = "stop" | "length" | "cancelled";
+
+/** Receives what happens to a sequence. */
+export interface Sink {
+  /** False when the weights have changed and the sequence must not run. */
+  admit(): boolean;
+  start(cachedTokens: number, queuedMilliseconds: number): void;
+  token(offset: number, text: string): void;
+  end(count: number, finish: Finish): void;
+}
+
+interface Sequence {
+  readonly generation: Generation;
+  readonly sink: Sink;
+  cancelled: boolean;
+}
+
+export interface Batch {
+  /** Queues a sequence; false when the queue is full. */
+  add(generation: Generation, sink: Sink): boolean;
+  cancel(attempt: string, customer: string): boolean;
+  readonly running: () => number;
+  readonly waiting: () => number;
+  readonly queuedTokens: () => number;
+}
+
+interface Waiting extends Sequence {
+  readonly tokens: number;
+  readonly queuedAt: number;
+}
+
+interface Running extends Sequence {
+  readonly names: readonly BlockName[];
+  readonly rest: string;
+  readonly held: CachedBlock[];
+  prefillLeft: number;
+  answer: Answer | undefined;
+  offset: number;
+}
+
+interface Context {
+  readonly options: EngineOptions;
+  readonly faults: () => EngineFaults;
+  readonly cache: BlockCache;
+  readonly wait: (milliseconds: number) => Promise<void>;
+}
+
+const STALL_POLL = 10;
+
+export function createBatch(context: Context): Batch {
+  const { options, cache, faults, wait } = context;
+  let waiting: Waiting[] = [];
+  let running: Running[] = [];
+  let active = false;
+
+  function admitWaiting(): void {
+    waiting = waiting.filter((sequence) => {
+      const { resume } = sequence.generation;
+      return !endIfCancelled(sequence, resume?.offset ?? 0);
+    });
+    waiting.sort((left, right) =>
+      left.generation.priority - right.generation.priority
+    );
+    while (running.length < options.maxRunning) {
+      const next = waiting.shift();
+      if (next === undefined) return;
+      if (next.sink.admit()) running.push(startSequence(next));
+    }
+  }
+
+  function endIfCancelled(sequence: Sequence, count: number): boolean {
+    if (!sequence.cancelled) return false;
+    sequence.sink.end(count, "cancelled");
+    return true;
+  }
+
+  function startSequence(next: Waiting): Running {
+    const { generation, queuedAt } = next;
+    const { customer, weights, prompt, resume } = generation;
+    const { tokensPerBlock, speed } = options;
+    const scheme = { customer, weights, tokensPerBlock, tokenizer };
+    const { names, rest } = listBlocks(prompt, scheme);
+    const held: CachedBlock[] = [];
+    for (const name of names) {
+      const entry = cache.find(name);
+      if (entry === undefined) break;
+      entry.pins += 1;
+      held.push(entry);
+    }
+    const cached = held.length * tokensPerBlock;
+    const sequence: Running = {
+      generation,
+      sink: next.sink,
+      cancelled: next.cancelled,
+      names,
+      rest,
+      held,
+      prefillLeft: next.tokens - cached,
+      answer: undefined,
+      offset: resume?.offset ?? 0,
+    };
+    next.sink.start(cached, (performance.now() - queuedAt) * speed);
+    return sequence;
+  }
+
+  /** Computes the missing blocks and the answer. */
+  function finishPrefill(sequence: Running): void {
+    const { names, held, generation, rest } = sequence;
+    for (const name of names.slice(held.length)) {
+      const content = blockContent(name, options.blockBytes);
+      const entry = cache.insert(name, content) ??
+        { name, bytes: content, pins: 0 };
+      entry.pins += 1;
+      held.push(entry);
+    }
+    const contents = held.map((entry) => entry.bytes);
+    const answer = createAnswer(generation, { contents, rest });
+    sequence.answer = checkResume(generation, answer);
+  }
+
+  /** An answer that is continued after a wrong text goes on differently. */
+  function checkResume(generation: Generation, answer: Answer): Answer {
+    const { resume } = generation;
+    if (resume === undefined) return answer;
+    const length = Math.min(resume.offset, answer.count);
+    const tokens = Array.from({ length }, (_, i) => answer.token(i));
+    if (tokens.join("") === resume.text) return answer;
+    const contents = [Buffer.from(resume.text)];
+    return createAnswer(generation, { contents, rest: "" });
+  }
+
+  function release(sequence: Running): void {
+    for (const entry of sequence.held) entry.pins -= 1;
+  }
+
+  /** One step's tokens; returns its duration. */
+  function planStep(): { duration: number; decoding: readonly Running[] } {
+    const decoding = running.filter((sequence) => sequence.answer);
+    let budget = Math.max(0, options.stepTokens - decoding.length);
+    let prefilled = 0;
+    for (const sequence of running) {
+      if (sequence.answer !== undefined) continue;
+      const part = Math.min(budget, sequence.prefillLeft);
+      sequence.prefillLeft -= part;
+      budget -= part;
+      prefilled += part;
+    }
+    const duration = options.stepDuration +
+      options.stepDurationPerSequence * decoding.length +
+      prefilled / options.prefillTokensPerSecond * 1_000;
+    return { duration, decoding };
+  }
+
+  function decode(sequence: Running): boolean {
+    const { answer, sink } = sequence;
+    if (answer === undefined) return false;
+    if (sequence.offset < answer.count) {
+      sink.token(sequence.offset, answer.token(sequence.offset));
+      sequence.offset += 1;
+    }
+    if (sequence.offset < answer.count) return false;
+    sink.end(sequence.offset, answer.finish);
+    return true;
+  }
+
+  async function step(): Promise<void> {
+    const { duration, decoding } = planStep();
+    await wait(duration * faults().slowFactor);
+    while (faults().stallStreams) await wait(STALL_POLL);
+    const ended = new Set<Running>();
+    for (const sequence of running) {
+      if (endIfCancelled(sequence, sequence.offset)) ended.add(sequence);
+      else if (decoding.includes(sequence)) {
+        if (decode(sequence)) ended.add(sequence);
+      } else if (sequence.prefillLeft === 0) finishPrefill(sequence);
+    }
+    for (const sequence of ended) release(sequence);
+    running = running.filter((sequence) => !ended.has(sequence));
+  }
+
+  async function run(): Promise<void> {
+    if (active) return;
+    active = true;
+    // Requests that arrive together are admitted by priority.
+    await wait(1);
+    for (;;) {
+      admitWaiting();
+      if (running.length === 0) break;
+      await step();
+    }
+    active = false;
+  }
+
+  return {
+    add(generation, sink) {
+      if (waiting.length >= options.maxWaiting) return false;
+      const text = generation.prompt + (generation.resume?.text ?? "");
+      const tokens = tokenizer.countTokens(text);
+      const queuedAt = performance.now();
+      waiting.push({ generation, sink, tokens, queuedAt, cancelled: false });
+      void run();
+      return true;
+    },
+    cancel(attempt, customer) {
+      const all: Sequence[] = [...waiting, ...running];
+      const found = all.find(({ generation }) =>
+        generation.attempt === attempt && generation.customer === customer
+      );
+      if (found === undefined) return false;
+      found.cancelled = true;
+      return true;
+    },
+    running: () => running.length,
+    waiting: () => waiting.length,
+    queuedTokens: () =>
+      waiting.reduce((sum, sequence) => sum + sequence.tokens, 0) +
+      running.reduce((sum, sequence) => sum + sequence.prefillLeft, 0),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/block_cache.ts
@@ -0,0 +1,113 @@
+/**
+ * The KV memory of an engine: a fixed number of slots with LRU eviction. An
+ * evicted slot is reused at once.
+ */
+import type { BlockName } from "@peridotvalve/types";
+
+export interface CachedBlock {
+  readonly name: BlockName;
+  readonly bytes: Buffer;
+  /** A block with pins is not evicted. */
+  pins: number;
+}
+
+export interface CacheEvent {
+  readonly sequence: number;
+  readonly kind: "stored" | "removed";
+  readonly block: string;
+  readonly at: number;
+}
+
+export interface BlockCache {
+  /** Marks the block as used and returns it. */
+  find(name: BlockName): CachedBlock | undefined;
+  /** A copy into a free slot; undefined when all blocks are pinned. */
+  insert(name: BlockName, content: Buffer): CachedBlock | undefined;
+  clear(): void;
+  readonly used: () => number;
+  /** Events that are at least so old, after a sequence number. */
+  listEvents(after: number, age: number): readonly CacheEvent[];
+  /** The lowest sequence number that is still held. */
+  readonly firstEvent: () => number;
+  dropEvents(count: number): void;
+}
+
+const MAX_EVENTS = 4_096;
+
+export function createBlockCache(
+  limits: { readonly blocks: number; readonly blockBytes: number },
+): BlockCache {
+  // Maps keep insertion order: the first entry is the least recently used.
+  const entries = new Map<string, CachedBlock>();
+  const slots: Buffer[] = [];
+  let events: CacheEvent[] = [];
+  let sequence = 0;
+
+  function record(kind: CacheEvent["kind"], block: string): void {
+    sequence += 1;
+    events.push({ sequence, kind, block, at: performance.now() });
+    if (events.length > MAX_EVENTS) events = events.slice(-MAX_EVENTS / 2);
+  }
+
+  function evict(): void {
+    for (const [key, entry] of entries) {
+      if (entry.pins > 0) continue;
+      entries.delete(key);
+      slots.push(entry.bytes);
+      record("removed", entry.name.block);
+      return;
+    }
+  }
+
+  function takeSlot(): Buffer | undefined {
+    if (entries.size >= limits.blocks) evict();
+    if (entries.size >= limits.blocks) return undefined;
+    return slots.pop() ?? Buffer.alloc(limits.blockBytes);
+  }
+
+  return {
+    find(name) {
+      const key = keyOf(name);
+      const entry = entries.get(key);
+      if (entry === undefined) return undefined;
+      entries.delete(key);
+      entries.set(key, entry);
+      return entry;
+    },
+    insert(name, content) {
+      const key = keyOf(name);
+      const old = entries.get(key);
+      if (old !== undefined) return old;
+      const bytes = takeSlot();
+      if (bytes === undefined) return undefined;
+      content.copy(bytes);
+      const entry: CachedBlock = { name, bytes, pins: 0 };
+      entries.set(key, entry);
+      record("stored", name.block);
+      return entry;
+    },
+    clear() {
+      for (const [key, entry] of entries) {
+        // Sequences that still run keep the memory of their own blocks.
+        if (entry.pins === 0) slots.push(entry.bytes);
+        entries.delete(key);
+        record("removed", entry.name.block);
+      }
+    },
+    used: () => entries.size,
+    listEvents(after, age) {
+      const limit = performance.now() - age;
+      return events.filter((event) =>
+        event.sequence > after && event.at <= limit
+      );
+    },
+    firstEvent: () => events[0]?.sequence ?? sequence + 1,
+    dropEvents(count) {
+      events = events.slice(count);
+    },
+  };
+}
+
+function keyOf(name: BlockName): string {
+  return JSON.stringify([name.customer, name.weights, name.block]);
+}
--- /dev/null
+++ b/packages/standins/src/engine/load_reports.ts
@@ -0,0 +1,38 @@
+/**
+ * Load reports that are as old as the engine's lag.
+ */
+import type { LoadReport } from "@peridotvalve/types";
+
+export interface LoadReports {
+  /** The newest report that is at least as old as the lag. */
+  read(): LoadReport;
+  stop(): void;
+}
+
+const SAMPLES_PER_LAG = 10;
+
+export function createLoadReports(
+  lag: number,
+  sample: () => LoadReport,
+): LoadReports {
+  let reports: LoadReport[] = [sample()];
+
+  function record(): void {
+    reports.push(sample());
+    const limit = Date.now() - lag;
+    // The first report is the newest one of at least the lag's age.
+    while ((reports[1]?.at ?? Infinity) <= limit) reports = reports.slice(1);
+  }
+
+  const interval = Math.max(5, lag / SAMPLES_PER_LAG);
+  const timer = setInterval(record, interval);
+  timer.unref();
+  return {
+    read() {
+      if (lag === 0) return sample();
+      record();
+      return reports[0] ?? sample();
+    },
+    stop: () => clearInterval(timer),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/mod.ts
@@ -0,0 +1,173 @@
+/**
+ * A model engine (docs/design.md, 7.2).
+ */
+import { randomUUID } from "node:crypto";
+import type { Generation } from "@peridotvalve/types";
+import { z } from "zod";
+import {
+  type Route,
+  sendJson,
+  sendRefusal,
+  type Standin,
+  type StandinRequest,
+  startServer,
+} from "../server.ts";
+import { createBatch } from "./batch.ts";
+import { createBlockCache } from "./block_cache.ts";
+import { createLoadReports } from "./load_reports.ts";
+import {
+  engineFaults,
+  engineOptions,
+  type EngineStandinOptions,
+} from "./options.ts";
+import { createStream } from "./stream.ts";
+import { exportBlock, importBlock } from "./transfer.ts";
+import { createWeights } from "./weights.ts";
+
+export { expectedAnswer } from "./content.ts";
+export type { EngineStandinOptions } from "./options.ts";
+
+const generationSchema = z.object({
+  attempt: z.string(),
+  request: z.string(),
+  customer: z.string(),
+  weights: z.string(),
+  prompt: z.string(),
+  maxTokens: z.number().int().nonnegative(),
+  priority: z.number(),
+  resume: z.object({ offset: z.number().int(), text: z.string() }).optional(),
+});
+const cancelSchema = z.object({ attempt: z.string(), customer: z.string() });
+const weightsSchema = z.object({ version: z.string(), fence: z.number() });
+const exportSchema = z.object({
+  customer: z.string(),
+  weights: z.string(),
+  block: z.string(),
+  store: z.string(),
+});
+const importSchema = exportSchema.extend({
+  generation: z.string(),
+  checksum: z.string(),
+});
+
+export async function startEngineStandin(
+  input: EngineStandinOptions = {},
+): Promise<Standin> {
+  const options = engineOptions.parse(input);
+  const incarnation = randomUUID();
+  const cache = createBlockCache(options);
+  let leaving = false;
+
+  async function generate(request: StandinRequest): Promise<void> {
+    const generation = await request.readJson(generationSchema) as Generation;
+    const { response } = request;
+    if (leaving) return sendRefusal(response, 503, { code: "leaving" });
+    const version = weights.version();
+    if (generation.weights !== version) {
+      const error = { code: "weights_mismatch", weights: version };
+      return sendRefusal(response, 409, error);
+    }
+    const stream = createStream(generation, {
+      response,
+      weights: weights.version,
+      faults: server.faults,
+    });
+    if (!batch.add(generation, stream)) {
+      return sendRefusal(response, 503, { code: "busy" });
+    }
+    const { attempt, customer } = generation;
+    response.on("close", () => batch.cancel(attempt, customer));
+  }
+
+  async function cancel(request: StandinRequest): Promise<void> {
+    const { attempt, customer } = await request.readJson(cancelSchema);
+    const cancelled = batch.cancel(attempt, customer);
+    sendJson(request.response, 200, { cancelled });
+  }
+
+  function readEvents(request: StandinRequest): void {
+    const { dropCacheEvents } = server.faults();
+    if (dropCacheEvents > dropped) {
+      cache.dropEvents(dropCacheEvents - dropped);
+      dropped = dropCacheEvents;
+    }
+    const after = Number(request.query.get("after") ?? 0);
+    const age = options.eventLag / options.speed;
+    const events = cache.listEvents(after, age)
+      .map(({ sequence, kind, block }) => ({ sequence, kind, block }));
+    const first = cache.firstEvent();
+    sendJson(request.response, 200, { incarnation, first, events });
+  }
+
+  async function orderExport(request: StandinRequest): Promise<void> {
+    const { store, ...name } = await request.readJson(exportSchema);
+    const outcome = await exportBlock(context, { name, store });
+    sendJson(request.response, outcome.status, outcome.body);
+  }
+
+  async function orderImport(request: StandinRequest): Promise<void> {
+    const { store, generation, checksum, ...name } = await request.readJson(
+      importSchema,
+    );
+    const order = { name, store, generation, checksum };
+    const outcome = await importBlock(context, order);
+    sendJson(request.response, outcome.status, outcome.body);
+  }
+
+  async function orderWeights(request: StandinRequest): Promise<void> {
+    const { version, fence } = await request.readJson(weightsSchema);
+    if (weights.order(version, fence)) {
+      sendJson(request.response, 202, { version });
+    } else {
+      sendRefusal(request.response, 409, { code: "stale_fence" });
+    }
+  }
+
+  async function drain(request: StandinRequest): Promise<void> {
+    const schema = z.object({ leaving: z.boolean() });
+    leaving = (await request.readJson(schema)).leaving;
+    sendJson(request.response, 200, { leaving });
+  }
+
+  const routes: Readonly<Record<string, Route>> = {
+    "POST /generate": generate,
+    "POST /cancel": cancel,
+    "GET /load": (request) => sendJson(request.response, 200, reports.read()),
+    "GET /cache-events": readEvents,
+    "POST /blocks/export": orderExport,
+    "POST /blocks/import": orderImport,
+    "POST /weights": orderWeights,
+    "GET /health": (request) =>
+      sendJson(request.response, 200, { incarnation }),
+    "POST /control/drain": drain,
+  };
+
+  let dropped = 0;
+  const server = await startServer({
+    options,
+    faultSchema: engineFaults,
+    route: (method, path) => routes[`${method} ${path}`],
+  });
+  const { wait, faults } = server;
+  const weights = createWeights(options, { wait, onChange: cache.clear });
+  const batch = createBatch({ options, faults, cache, wait });
+  const context = { cache, options, faults, weights: weights.version };
+  const reports = createLoadReports(options.reportLag / options.speed, () => ({
+    incarnation,
+    weights: weights.version(),
+    state: leaving ? "leaving" : weights.loading() ? "loading" : "ready",
+    running: batch.running(),
+    waiting: batch.waiting(),
+    queuedTokens: batch.queuedTokens(),
+    usedBlocks: cache.used(),
+    freeBlocks: options.blocks - cache.used(),
+    at: Date.now(),
+  }));
+  return {
+    address: server.address,
+    close() {
+      reports.stop();
+      return server.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/engine/transfer.ts
@@ -0,0 +1,192 @@
+/**
+ * Export of blocks to and import from a store VM over HTTP.
+ */
+import { createHash } from "node:crypto";
+import { request as httpRequest } from "node:http";
+import type { BlockName } from "@peridotvalve/types";
+import { z } from "zod";
+import type { BlockCache, CachedBlock } from "./block_cache.ts";
+import type { EngineFaults, EngineOptions } from "./options.ts";
+
+export type Outcome = {
+  readonly status: number;
+  readonly body: Readonly<Record<string, unknown>>;
+};
+
+export interface TransferContext {
+  readonly cache: BlockCache;
+  readonly options: EngineOptions;
+  readonly faults: () => EngineFaults;
+  readonly weights: () => string;
+}
+
+export interface Import {
+  readonly name: BlockName;
+  readonly store: string;
+  readonly generation: string;
+  readonly checksum: string;
+}
+
+interface StoreAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: Buffer;
+}
+
+const CHUNK_BYTES = 4 * 1024;
+const STORE_TIMEOUT = 10_000;
+
+const storedSchema = z.object({
+  generation: z.string(),
+  length: z.number(),
+  checksum: z.string(),
+  incarnation: z.string(),
+});
+
+export async function exportBlock(
+  context: TransferContext,
+  order: { readonly name: BlockName; readonly store: string },
+): Promise<Outcome> {
+  const { cache, faults } = context;
+  const entry = cache.find(order.name);
+  if (entry === undefined) return refuse(404, "not_cached");
+  const checksum = createHash("sha256").update(entry.bytes).digest("hex");
+  const pinned = faults().unpinExports ? 0 : 1;
+  entry.pins += pinned;
+  try {
+    const answer = await callStore(order.store, {
+      method: "PUT",
+      path: pathOf(order.name),
+      headers: {
+        "x-checksum": checksum,
+        "content-length": `${entry.bytes.length}`,
+      },
+      chunks: readSlot(entry, faults),
+    });
+    if (answer.status === 201) {
+      const stored = storedSchema.parse(JSON.parse(answer.body.toString()));
+      return { status: 200, body: stored };
+    }
+    if (!faults().reportFalseExport) {
+      return refuse(502, `store_status_${answer.status}`);
+    }
+  } catch (error) {
+    if (!faults().reportFalseExport) return refuse(502, `store: ${error}`);
+  } finally {
+    entry.pins -= pinned;
+  }
+  const { length } = entry.bytes;
+  const body = { generation: "1", length, checksum, incarnation: "unknown" };
+  return { status: 200, body };
+}
+
+/** The slot's bytes at the time when each part is sent. */
+async function* readSlot(
+  entry: CachedBlock,
+  faults: () => EngineFaults,
+): AsyncGenerator<Buffer, void, void> {
+  const { length } = entry.bytes;
+  for (let start = 0; start < length; start += CHUNK_BYTES) {
+    if (start * 2 >= length && faults().dieDuringExport) {
+      throw new Error("the engine died");
+    }
+    const end = Math.min(length, start + CHUNK_BYTES);
+    yield Buffer.from(entry.bytes.subarray(start, end));
+  }
+}
+
+export async function importBlock(
+  context: TransferContext,
+  order: Import,
+): Promise<Outcome> {
+  const { cache, faults, options } = context;
+  const { name } = order;
+  if (cache.find(name) !== undefined) return { status: 200, body: {} };
+  let answer: StoreAnswer;
+  try {
+    answer = await callStore(order.store, {
+      method: "GET",
+      path: pathOf(name),
+      headers: { "if-match": order.generation },
+    });
+  } catch (error) {
+    return refuse(502, `store: ${error}`);
+  }
+  if (answer.status === 404) return refuse(404, "not_found");
+  if (answer.status === 412) return refuse(412, "generation_changed");
+  if (answer.status !== 200) return refuse(502, "store");
+  if (!faults().skipImportCheck) {
+    const checksum = createHash("sha256").update(answer.body).digest("hex");
+    const whole = answer.body.length === options.blockBytes;
+    if (!whole || checksum !== order.checksum) {
+      return refuse(422, "checksum_mismatch");
+    }
+    const { "x-generation": generation } = answer.headers;
+    if (generation !== order.generation) {
+      return refuse(412, "generation_changed");
+    }
+  }
+  // The weights may have been swapped during the copy.
+  if (context.weights() !== name.weights) {
+    return refuse(409, "weights_mismatch");
+  }
+  if (cache.insert(name, answer.body) === undefined) return refuse(503, "busy");
+  return { status: 200, body: {} };
+}
+
+function refuse(status: number, code: string): Outcome {
+  return { status, body: { error: { code } } };
+}
+
+function pathOf(name: BlockName): string {
+  const parts = [name.customer, name.weights, name.block];
+  return `/blocks/${parts.map(encodeURIComponent).join("/")}`;
+}
+
+function callStore(
+  store: string,
+  call: {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly chunks?: AsyncIterable<Buffer>;
+  },
+): Promise<StoreAnswer> {
+  const { method, path, headers, chunks } = call;
+  const [host = "", port = ""] = store.replace(/^http:\/\//, "").split(":");
+  return new Promise((resolve, reject) => {
+    const outgoing = httpRequest({
+      host,
+      port: Number(port),
+      method,
+      path,
+      headers,
+      agent: false,
+      timeout: STORE_TIMEOUT,
+    }, async (incoming) => {
+      try {
+        const parts: Buffer[] = [];
+        for await (const part of incoming) parts.push(part);
+        const status = incoming.statusCode ?? 0;
+        const body = Buffer.concat(parts);
+        resolve({ status, headers: incoming.headers, body });
+      } catch (error) {
+        reject(error);
+      }
+    });
+    outgoing.on("timeout", () => outgoing.destroy(new Error("timeout")));
+    outgoing.on("error", reject);
+    sendChunks(outgoing, chunks).catch((error) => outgoing.destroy(error));
+  });
+}
+
+async function sendChunks(
+  outgoing: ReturnType<typeof httpRequest>,
+  chunks: AsyncIterable<Buffer> | undefined,
+): Promise<void> {
+  for await (const chunk of chunks ?? []) {
+    if (outgoing.destroyed) return;
+    await new Promise((resolve) => outgoing.write(chunk, resolve));
+  }
+  outgoing.end();
+}
--- /dev/null
+++ b/packages/standins/src/engine/weights.ts
@@ -0,0 +1,64 @@
+/**
+ * The weight version of an engine, its loads and its fencing check.
+ */
+import type { EngineOptions } from "./options.ts";
+
+export interface WeightsState {
+  readonly version: () => string;
+  readonly loading: () => boolean;
+  /** False when the fencing token is older than one that was seen. */
+  order(version: string, fence: number): boolean;
+}
+
+export function createWeights(options: EngineOptions, context: {
+  readonly wait: (milliseconds: number) => Promise<void>;
+  /** Called when the version has changed. */
+  readonly onChange: () => void;
+}): WeightsState {
+  let version = options.weights;
+  let wanted = version;
+  let highestFence = 0;
+  let loads = 0;
+
+  async function download(name: string): Promise<void> {
+    const { weightStore } = options;
+    if (weightStore === undefined) {
+      return await context.wait(options.loadDuration);
+    }
+    const url = `http://${weightStore}/weights/${encodeURIComponent(name)}`;
+    const response = await fetch(url);
+    if (!response.ok) throw new Error(`weight store: ${response.status}`);
+    await response.arrayBuffer();
+  }
+
+  async function load(name: string): Promise<void> {
+    loads += 1;
+    try {
+      await download(name);
+      // A later order replaces one that is still loading.
+      if (wanted === name && version !== name) {
+        version = name;
+        context.onChange();
+      }
+    } catch {
+      // The engine keeps its weights; a new order starts another load.
+      if (wanted === name) wanted = version;
+    } finally {
+      loads -= 1;
+    }
+  }
+
+  return {
+    version: () => version,
+    loading: () => loads > 0,
+    order(name, fence) {
+      if (options.checksFencing && fence < highestFence) return false;
+      highestFence = Math.max(highestFence, fence);
+      if (wanted !== name) {
+        wanted = name;
+        void load(name);
+      }
+      return true;
+    },
+  };
+}
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -1,4 +1,9 @@
 /**
  * Stand-ins for engines, store VMs, the platform and plain services.
  */
-export {};
+export * from "./engine/mod.ts";
+export * from "./legacy/mod.ts";
+export type { Standin } from "./server.ts";
+export * from "./service/mod.ts";
+export * from "./store_vm/mod.ts";
+export * from "./weight_store/mod.ts";
--- /dev/null
+++ b/packages/standins/src/server.ts
@@ -0,0 +1,242 @@
+/**
+ * The HTTP server below each stand-in: routes, faults that all stand-ins share,
+ * and the freezing of open connections.
+ */
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import { xorshift128plus } from "pure-rand/generator/xorshift128plus";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { z } from "zod";
+
+/** A running stand-in. */
+export interface Standin {
+  /** `127.0.0.1:PORT`. */
+  readonly address: string;
+  close(): Promise<void>;
+}
+
+/** Options of every stand-in. */
+export const serverOptions = z.object({
+  port: z.coerce.number().int().default(0),
+  seed: z.coerce.number().int().default(1),
+  /** Divides all durations of the stand-in. */
+  speed: z.coerce.number().positive().default(1),
+});
+
+/** Faults of every stand-in, set by `POST /control/faults`. */
+export const commonFaults = z.object({
+  /** Milliseconds before a request is handled. */
+  delay: z.number().nonnegative().default(0),
+  /** Share of requests that get a 500 before any effect, in 0..1. */
+  errorRate: z.number().min(0).max(1).default(0),
+  /** Resets connections as soon as a request arrives. */
+  outage: z.boolean().default(false),
+  /** Handles requests and then resets the connection. */
+  loseAnswers: z.boolean().default(false),
+  /** Accepts requests and does nothing. */
+  silent: z.boolean().default(false),
+  /** All connections that are open now go silent for good. */
+  freezeConnections: z.boolean().default(false),
+});
+
+export type CommonFaults = z.output<typeof commonFaults>;
+
+export interface StandinRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly query: URLSearchParams;
+  readonly headers: IncomingMessage["headers"];
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Reads the whole body. */
+  readBody(): Promise<Buffer>;
+  readJson<Value>(schema: z.ZodType<Value>): Promise<Value>;
+}
+
+export type Route = (request: StandinRequest) => Promise<void> | void;
+
+export interface StandinServer<Faults> extends Standin {
+  readonly faults: () => Faults;
+  /** True with the given probability, from the seeded generator. */
+  readonly chance: (probability: number) => boolean;
+  /** Waits for a duration of the stand-in's own time. */
+  readonly wait: (milliseconds: number) => Promise<void>;
+}
+
+interface ServerSetup<Schema extends z.ZodType<CommonFaults>> {
+  readonly options: z.output<typeof serverOptions>;
+  readonly faultSchema: Schema;
+  /** Finds the route of a request; the control paths are handled before. */
+  readonly route: (method: string, path: string) => Route | undefined;
+}
+
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+export async function startServer<Schema extends z.ZodType<CommonFaults>>(
+  setup: ServerSetup<Schema>,
+): Promise<StandinServer<z.output<Schema>>> {
+  const { options, faultSchema } = setup;
+  const random = xorshift128plus(options.seed);
+  const sockets = new Set<Socket>();
+  const frozen = new WeakSet<Socket>();
+  let closed = false;
+  let faults = faultSchema.parse({}) as z.output<Schema>;
+
+  const chance = (probability: number) =>
+    probability > 0 && uniformInt(random, 0, 999_999) < probability * 1e6;
+
+  /** Never resolves after the end of the stand-in, so that its loops end. */
+  async function wait(milliseconds: number): Promise<void> {
+    await sleep(milliseconds / options.speed, undefined, { ref: false });
+    if (closed) await new Promise(() => {});
+  }
+
+  function freezeSockets(keep: Socket): void {
+    for (const socket of sockets) {
+      if (socket === keep) continue;
+      frozen.add(socket);
+      // The peer must see neither data nor the end of the connection.
+      socket.write = () => true;
+      socket.end = () => socket;
+      socket.destroySoon = () => {};
+    }
+  }
+
+  async function changeFaults(request: StandinRequest): Promise<void> {
+    const change = await request.readJson(z.record(z.string(), z.unknown()));
+    const merged = faultSchema.parse({ ...faults, ...change });
+    if (merged.freezeConnections) freezeSockets(request.incoming.socket);
+    faults = { ...merged, freezeConnections: false } as z.output<Schema>;
+    sendJson(request.response, 200, faults);
+  }
+
+  async function handle(request: StandinRequest): Promise<void> {
+    const { method, path, response, incoming } = request;
+    if (path === "/control/faults") {
+      if (method === "POST") return await changeFaults(request);
+      return sendJson(response, 200, faults);
+    }
+    const route = setup.route(method, path);
+    if (route === undefined) {
+      await request.readBody();
+      return sendRefusal(response, 404, { code: "not_found" });
+    }
+    if (path.startsWith("/control/")) return await route(request);
+    if (frozen.has(incoming.socket) || faults.silent) return;
+    if (faults.outage) return void incoming.socket.resetAndDestroy();
+    if (faults.delay > 0) await wait(faults.delay);
+    if (frozen.has(incoming.socket)) return;
+    if (chance(faults.errorRate)) {
+      return sendRefusal(response, 500, { code: "injected" });
+    }
+    if (faults.loseAnswers) {
+      response.write = () => true;
+      response.end = () => {
+        incoming.socket.resetAndDestroy();
+        return response;
+      };
+    }
+    await route(request);
+  }
+
+  const server = createServer((incoming, response) => {
+    const request = createRequest(incoming, response);
+    handle(request).catch((error) => {
+      if (response.headersSent || error instanceof AbortedBody) {
+        incoming.socket.destroy();
+      } else {
+        sendRefusal(response, 400, { code: "invalid", message: `${error}` });
+      }
+    });
+  });
+  // A frozen connection must not be closed by the server's own timeouts.
+  server.keepAliveTimeout = 0;
+  server.requestTimeout = 0;
+  server.headersTimeout = 0;
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => sockets.delete(socket));
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    address: `127.0.0.1:${port}`,
+    faults: () => faults,
+    chance,
+    wait,
+    close: () =>
+      new Promise((resolve) => {
+        closed = true;
+        server.close(() => resolve());
+        for (const socket of sockets) socket.destroy();
+      }),
+  };
+}
+
+/** The client left before its body was complete. */
+class AbortedBody extends Error {}
+
+function createRequest(
+  incoming: IncomingMessage,
+  response: ServerResponse,
+): StandinRequest {
+  const url = new URL(incoming.url ?? "/", "http://standin");
+
+  async function readBody(): Promise<Buffer> {
+    const parts: Buffer[] = [];
+    let length = 0;
+    try {
+      for await (const part of incoming) {
+        length += part.length;
+        if (length > MAX_BODY_BYTES) throw new AbortedBody("body too large");
+        parts.push(part);
+      }
+    } catch (error) {
+      throw new AbortedBody(String(error));
+    }
+    return Buffer.concat(parts);
+  }
+
+  return {
+    method: incoming.method ?? "GET",
+    path: url.pathname,
+    query: url.searchParams,
+    headers: incoming.headers,
+    incoming,
+    response,
+    readBody,
+    readJson: async (schema) =>
+      schema.parse(JSON.parse((await readBody()).toString("utf8"))),
+  };
+}
+
+export function sendJson(
+  response: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  const content = Buffer.from(JSON.stringify(body));
+  response.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": content.length,
+  });
+  response.end(content);
+}
+
+export function sendRefusal(
+  response: ServerResponse,
+  status: number,
+  error: { readonly code: string; readonly [field: string]: unknown },
+): void {
+  sendJson(response, status, { error });
+}
--- /dev/null
+++ b/packages/standins/src/store_vm/block_table.ts
@@ -0,0 +1,123 @@
+/**
+ * The blocks of a store VM in its memory and disk tiers. The memory of a freed
+ * block is reused by the next block of the same length, so that a reader that
+ * does not check its copy gets torn bytes.
+ */
+import { randomUUID } from "node:crypto";
+
+export interface TableEntry {
+  readonly generation: string;
+  readonly checksum: string;
+  readonly bytes: Buffer;
+  tier: "memory" | "disk";
+}
+
+export interface TableStats {
+  readonly incarnation: string;
+  readonly memoryBytes: number;
+  readonly memoryLimit: number;
+  readonly diskBytes: number;
+  readonly diskLimit: number;
+  readonly blocks: number;
+}
+
+export interface BlockTable {
+  readonly incarnation: () => string;
+  /** Marks the block as used and returns it. */
+  find(key: string): TableEntry | undefined;
+  /** Takes memory for a new block; undefined when both tiers are full. */
+  reserve(length: number): Buffer | undefined;
+  /** Gives reserved memory back. */
+  release(bytes: Buffer): void;
+  /** Makes a complete block readable under a new generation. */
+  commit(key: string, block: { bytes: Buffer; checksum: string }): TableEntry;
+  remove(key: string): void;
+  /** Forgets everything, as after a restart. */
+  clear(): void;
+  stats(): TableStats;
+}
+
+export function createBlockTable(
+  limits: { readonly memoryLimit: number; readonly diskLimit: number },
+): BlockTable {
+  const { memoryLimit, diskLimit } = limits;
+  // Maps keep insertion order: the first entry is the least recently used.
+  const entries = new Map<string, TableEntry>();
+  const free = new Map<number, Buffer[]>();
+  let incarnation = randomUUID() as string;
+  let generations = 0;
+  let reserved = 0;
+
+  function sumTier(tier: TableEntry["tier"]): number {
+    const held = [...entries.values()].filter((entry) => entry.tier === tier);
+    return held.reduce((sum, entry) => sum + entry.bytes.length, 0);
+  }
+
+  function recycle(bytes: Buffer): void {
+    const list = free.get(bytes.length) ?? [];
+    list.push(bytes);
+    free.set(bytes.length, list);
+  }
+
+  /** Moves the least recently used blocks to disk until the length fits. */
+  function makeRoom(length: number): boolean {
+    for (const entry of entries.values()) {
+      if (sumTier("memory") + reserved + length <= memoryLimit) return true;
+      if (entry.tier === "disk") continue;
+      if (sumTier("disk") + entry.bytes.length > diskLimit) return false;
+      entry.tier = "disk";
+    }
+    return sumTier("memory") + reserved + length <= memoryLimit;
+  }
+
+  return {
+    incarnation: () => incarnation,
+    find(key) {
+      const entry = entries.get(key);
+      if (entry === undefined) return undefined;
+      entries.delete(key);
+      entries.set(key, entry);
+      return entry;
+    },
+    reserve(length) {
+      if (!makeRoom(length)) return undefined;
+      reserved += length;
+      return free.get(length)?.pop() ?? Buffer.alloc(length);
+    },
+    release(bytes) {
+      reserved -= bytes.length;
+      recycle(bytes);
+    },
+    commit(key, block) {
+      reserved -= block.bytes.length;
+      const old = entries.get(key);
+      if (old !== undefined) recycle(old.bytes);
+      generations += 1;
+      const generation = `${incarnation}-${generations}`;
+      const entry: TableEntry = { ...block, generation, tier: "memory" };
+      entries.delete(key);
+      entries.set(key, entry);
+      return entry;
+    },
+    remove(key) {
+      const entry = entries.get(key);
+      if (entry === undefined) return;
+      entries.delete(key);
+      recycle(entry.bytes);
+    },
+    clear() {
+      for (const entry of entries.values()) recycle(entry.bytes);
+      entries.clear();
+      incarnation = randomUUID();
+      generations = 0;
+    },
+    stats: () => ({
+      incarnation,
+      memoryBytes: sumTier("memory"),
+      memoryLimit,
+      diskBytes: sumTier("disk"),
+      diskLimit,
+      blocks: entries.size,
+    }),
+  };
+}
--- /dev/null
+++ b/packages/standins/src/store_vm/mod.ts
@@ -0,0 +1,171 @@
+/**
+ * A store VM (docs/design.md, 7.3).
+ */
+import { createHash } from "node:crypto";
+import { z } from "zod";
+import { createLink, type Link } from "../link.ts";
+import {
+  commonFaults,
+  sendJson,
+  sendRefusal,
+  serverOptions,
+  type Standin,
+  type StandinRequest,
+  startServer,
+} from "../server.ts";
+import { createBlockTable, type TableEntry } from "./block_table.ts";
+
+export const storeVmOptions = serverOptions.extend({
+  memoryLimit: z.coerce.number().int().positive().default(64 * 1024 * 1024),
+  diskLimit: z.coerce.number().int().nonnegative().default(256 * 1024 * 1024),
+  linkBytesPerSecond: z.coerce.number().positive().default(250e6),
+  diskBytesPerSecond: z.coerce.number().positive().default(100e6),
+});
+
+export type StoreVmStandinOptions = z.input<typeof storeVmOptions>;
+
+const storeVmFaults = commonFaults.extend({
+  /** Multiplies the time of transfers on the link and the disk. */
+  slowFactor: z.number().positive().default(1),
+  /** Refuses all writes with 507. */
+  fullDisk: z.boolean().default(false),
+  /** Refuses a write with 507 once it has received so many bytes. */
+  fullAfterBytes: z.number().int().nonnegative().optional(),
+});
+
+const CHUNK_BYTES = 4 * 1024;
+
+export async function startStoreVmStandin(
+  input: StoreVmStandinOptions = {},
+): Promise<Standin> {
+  const options = storeVmOptions.parse(input);
+  const table = createBlockTable(options);
+
+  /** Receives a body into memory; returns a refusal when it can't be kept. */
+  async function receive(
+    request: StandinRequest,
+    bytes: Buffer,
+  ): Promise<string | undefined> {
+    let length = 0;
+    for await (const part of request.incoming) {
+      const { slowFactor, fullAfterBytes } = server.faults();
+      await link.transfer(part.length, slowFactor);
+      if (length + part.length > bytes.length) return "length_mismatch";
+      length += part.copy(bytes, length);
+      if (length > (fullAfterBytes ?? Infinity)) return "full";
+    }
+    if (length !== bytes.length) return "length_mismatch";
+    const checksum = createHash("sha256").update(bytes).digest("hex");
+    if (checksum !== request.headers["x-checksum"]) return "checksum_mismatch";
+    return undefined;
+  }
+
+  async function put(request: StandinRequest): Promise<void> {
+    const { response, path, headers } = request;
+    const length = Number(headers["content-length"]);
+    if (!Number.isSafeInteger(length) || length < 1) {
+      return sendRefusal(response, 411, { code: "length_required" });
+    }
+    const incarnation = table.incarnation();
+    const full = server.faults().fullDisk;
+    const bytes = full ? undefined : table.reserve(length);
+    if (bytes === undefined) {
+      response.shouldKeepAlive = false;
+      return sendRefusal(response, 507, { code: "full" });
+    }
+    const refusal = await receive(request, bytes).catch(() => "aborted");
+    if (refusal !== undefined || incarnation !== table.incarnation()) {
+      table.release(bytes);
+      response.shouldKeepAlive = false;
+      const code = refusal ?? "restarted";
+      return sendRefusal(response, code === "full" ? 507 : 422, { code });
+    }
+    const checksum = String(headers["x-checksum"]);
+    const { generation } = table.commit(path, { bytes, checksum });
+    sendJson(response, 201, { generation, length, checksum, incarnation });
+  }
+
+  async function get(request: StandinRequest): Promise<void> {
+    const entry = findMatching(request);
+    if (entry === undefined) return;
+    const { response } = request;
+    response.writeHead(200, describeEntry(entry));
+    const { bytes, tier } = entry;
+    for (let start = 0; start < bytes.length; start += CHUNK_BYTES) {
+      const end = Math.min(bytes.length, start + CHUNK_BYTES);
+      const { slowFactor } = server.faults();
+      if (tier === "disk") await disk.transfer(end - start, slowFactor);
+      await link.transfer(end - start, slowFactor);
+      if (response.destroyed) return;
+      // The bytes that the memory holds now, whichever block they are of.
+      response.write(Buffer.from(bytes.subarray(start, end)));
+    }
+    response.end();
+  }
+
+  function head(request: StandinRequest): void {
+    const entry = findMatching(request);
+    if (entry === undefined) return;
+    request.response.writeHead(200, describeEntry(entry)).end();
+  }
+
+  function remove(request: StandinRequest): void {
+    const entry = findMatching(request);
+    if (entry === undefined) return;
+    table.remove(request.path);
+    request.response.writeHead(204).end();
+  }
+
+  function findMatching(request: StandinRequest): TableEntry | undefined {
+    const entry = table.find(request.path);
+    const expected = request.headers["if-match"];
+    if (entry === undefined) {
+      sendRefusal(request.response, 404, { code: "not_found" });
+    } else if (expected !== undefined && expected !== entry.generation) {
+      sendRefusal(request.response, 412, { code: "generation_changed" });
+    } else {
+      return entry;
+    }
+    return undefined;
+  }
+
+  function describeEntry(entry: TableEntry) {
+    return {
+      "content-type": "application/octet-stream",
+      "content-length": entry.bytes.length,
+      "x-checksum": entry.checksum,
+      "x-generation": entry.generation,
+      "x-incarnation": table.incarnation(),
+    };
+  }
+
+  function readStats(request: StandinRequest): void {
+    sendJson(request.response, 200, table.stats());
+  }
+
+  function restart(request: StandinRequest): void {
+    table.clear();
+    sendJson(request.response, 200, table.stats());
+  }
+
+  const methods = new Map(Object.entries({
+    PUT: put,
+    GET: get,
+    HEAD: head,
+    DELETE: remove,
+  }));
+
+  const server = await startServer({
+    options,
+    faultSchema: storeVmFaults,
+    route(method, path) {
+      if (path.startsWith("/blocks/")) return methods.get(method);
+      if (method === "GET" && path === "/stats") return readStats;
+      if (method === "POST" && path === "/control/restart") return restart;
+      return undefined;
+    },
+  });
+  const link: Link = createLink(options.linkBytesPerSecond, server.wait);
+  const disk: Link = createLink(options.diskBytesPerSecond, server.wait);
+  return server;
+}
--- a/packages/upstreams/src/mod.ts
+++ b/packages/upstreams/src/mod.ts
@@ -5,3 +5,6 @@
 export * from "./engine.ts";
 export * from "./plain_service.ts";
 export * from "./store_vm.ts";
+export * from "./http_engine.ts";
+export * from "./http_plain_service.ts";
+export * from "./http_store_vm.ts";
