--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -2,3 +2,9 @@
  * Stand-ins for engines, store VMs, the platform and plain services.
  */
 export * from "./platform/mod.ts";
+export * from "./engine/mod.ts";
+export * from "./legacy/mod.ts";
+export type { Standin } from "./server.ts";
+export * from "./service/mod.ts";
+export * from "./store_vm/mod.ts";
+export * from "./weight_store/mod.ts";
