--- a/packages/cli/src/apply.test.ts
+++ b/packages/cli/src/apply.test.ts
@@ -3,7 +3,9 @@
 import { test } from "node:test";
 import { EXAMPLE, run, runAgainst } from "./command_run.ts";
 import {
+  type Answer,
   BROKEN,
+  createFakeListener,
   type FakeCall,
   ok,
   SILENT,
