--- /dev/null
+++ b/scripts/build.ts
@@ -0,0 +1,73 @@
+/**
+ * Builds the single binary dist/peridotvalve: one CommonJS bundle in a copy of
+ * the Node.js that runs this script.
+ */
+import { execFileSync } from "node:child_process";
+import {
+  chmodSync,
+  copyFileSync,
+  mkdirSync,
+  readFileSync,
+  statSync,
+  writeFileSync,
+} from "node:fs";
+import { build } from "esbuild";
+import { inject } from "postject";
+
+const ENTRY = "packages/cli/src/main.ts";
+const BUNDLE = "dist/peridotvalve.cjs";
+const SEA_SETTINGS = "dist/sea.json";
+const BLOB = "dist/peridotvalve.blob";
+const BINARY = "dist/peridotvalve";
+
+const EXECUTABLE = 0o755;
+const BYTES_PER_MEGABYTE = 1_000_000;
+
+// Node.js looks for the blob under these names.
+const RESOURCE = "NODE_SEA_BLOB";
+const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+// Optional serializers and transporters of moleculer that stay unused.
+const EXTERNAL = ["avsc", "kafka-node", "protobufjs/minimal", "thrift"];
+
+function readVersion(): string {
+  const text = readFileSync("packages/cli/package.json", "utf8");
+  return JSON.parse(text).version;
+}
+
+async function bundle(): Promise<void> {
+  await build({
+    entryPoints: [ENTRY],
+    outfile: BUNDLE,
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    target: "node20",
+    external: EXTERNAL,
+    define: { PERIDOTVALVE_VERSION: JSON.stringify(readVersion()) },
+    logLevel: "warning",
+  });
+}
+
+function writeBlob(): void {
+  const settings = {
+    main: BUNDLE,
+    output: BLOB,
+    disableExperimentalSEAWarning: true,
+  };
+  writeFileSync(SEA_SETTINGS, JSON.stringify(settings));
+  execFileSync(process.execPath, ["--experimental-sea-config", SEA_SETTINGS]);
+}
+
+async function writeBinary(): Promise<void> {
+  copyFileSync(process.execPath, BINARY);
+  chmodSync(BINARY, EXECUTABLE);
+  await inject(BINARY, RESOURCE, readFileSync(BLOB), { sentinelFuse: FUSE });
+}
+
+mkdirSync("dist", { recursive: true });
+await bundle();
+writeBlob();
+await writeBinary();
+const megabytes = Math.round(statSync(BINARY).size / BYTES_PER_MEGABYTE);
+console.log(`${BINARY}: version ${readVersion()}, ${megabytes} MB`);
--- /dev/null
+++ b/scripts/postject.d.ts
@@ -0,0 +1,8 @@
+declare module "postject" {
+  export function inject(
+    file: string,
+    resource: string,
+    content: Uint8Array,
+    options: { readonly sentinelFuse: string },
+  ): Promise<void>;
+}
