Wire the daemon to the merged packages

A claim can be taken back to unsent when no connection was made, so that the next address of a service may be tried or the claim released. The timeline command reads the events package.

--- a/packages/claims/src/mod.ts
+++ b/packages/claims/src/mod.ts
@@ -5,5 +5,5 @@
 export * from "./claims.ts";
 export type { ClaimsOptions } from "./options.ts";
 export * from "./owned_claim.ts";
-export type { Outcome } from "./row.ts";
+export { type ClaimRow, type Outcome, parseClaimRow } from "./row.ts";
 export * from "./sweeper.ts";
--- a/packages/claims/src/owned_claim.ts
+++ b/packages/claims/src/owned_claim.ts
@@ -42,6 +42,12 @@
    * true. It does so at most once; afterwards `release` is refused.
    */
   abstract startSending(): boolean;
+  /**
+   * Notes that surely no byte of the call left this process since
+   * `startSending`, for example because no connection was made. The call may
+   * then be started again within the send deadline, or released.
+   */
+  abstract noteUnsent(): void;
   /** Stores the outcome; repeats through outages until the store limit. */
   abstract complete(outcome: Outcome): Promise<Storage>;
   /** Stores that nobody knows whether the call ran. */
@@ -142,6 +148,10 @@
       return true;
     }
 
+    override noteUnsent(): void {
+      if (state === "sending") state = "unsent";
+    }
+
     override complete(outcome: Outcome): Promise<Storage> {
       const { maxBodyBytes } = context;
       const settledAt = clock.now();
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -102,7 +102,7 @@
   const failures = reads.flatMap((read) => read.isErr() ? [read.error] : []);
   const sources = reads.flatMap((read) => read.isOk() ? [read.value] : []);
   const filter = filterOf(options);
-  for (const line of events.mergeTimeline(sources, filter)) {
+  for await (const line of events.mergeTimeline(sources, filter)) {
     environment.print(line);
   }
   // In an outage the events of the processes that answer are still of use.
--- a/packages/cli/src/optional_modules.ts
+++ b/packages/cli/src/optional_modules.ts
@@ -34,7 +34,7 @@
   readonly mergeTimeline: (
     sources: readonly (readonly string[])[],
     filter: TimelineFilter,
-  ) => Iterable<string>;
+  ) => AsyncIterable<string> | Iterable<string>;
   readonly listEvents: () => readonly CatalogueEntry[];
 }
 
@@ -47,8 +47,28 @@
 
 /** Loads the package `events`. */
 export async function loadEvents(): Promise<EventsModule | undefined> {
-  const loaded: Partial<EventsModule> = await import("@peridotvalve/events");
-  const { mergeTimeline, listEvents } = loaded;
-  if (mergeTimeline === undefined || listEvents === undefined) return undefined;
-  return { mergeTimeline, listEvents };
+  const events = await import("@peridotvalve/events");
+  return {
+    mergeTimeline: (sources, filter) => mergeLines(events, sources, filter),
+    listEvents: () =>
+      Object.entries(events.CATALOGUE).map(([name, traits]) => ({
+        number: traits.number,
+        name,
+        level: traits.level,
+        description: traits.sentence,
+      })),
+  };
+}
+
+async function* mergeLines(
+  events: typeof import("@peridotvalve/events"),
+  sources: readonly (readonly string[])[],
+  filter: TimelineFilter,
+): AsyncGenerator<string> {
+  const records = sources.map((lines) =>
+    lines.flatMap((line) => events.parseRecord(line).unwrapOr([]))
+  );
+  for await (const record of events.mergeTimeline(records, filter)) {
+    yield JSON.stringify(record);
+  }
 }
--- a/packages/daemon/src/chat/handler.ts
+++ b/packages/daemon/src/chat/handler.ts
@@ -51,10 +51,7 @@
   permit.value.finish(written);
 }
 
-export async function handleModels(
-  runtime: Runtime,
-  exchange: Exchange,
-): Promise<void> {
+export function handleModels(runtime: Runtime, exchange: Exchange): void {
   const configured = readConfigured(runtime);
   if (configured.isErr()) return sendFailure(exchange, configured.error);
   const { content } = configured.value;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -95,7 +95,6 @@
   const stopped = new AbortController();
 
   // The parts below refer to each other; each is only used after all exist.
-  let configuration: ConfigurationWatch;
   const content = (): Configuration | undefined =>
     configuration.current()?.content;
   const regionOf = (zone: string): string =>
@@ -115,28 +114,31 @@
   const neighbours = created.value;
   const { membership } = neighbours;
 
-  configuration = await createConfigurationSource(settings.bootstrapFolder, {
-    platform,
-    clock,
-    isReader: () => membership.isReader("configuration", READERS),
-    silence: () => membership.silence(),
-    peers: neighbours.addresses,
-    fetchFromPeer: neighbours.fetchConfiguration,
-    bootstrap: () => readBootstrap(settings.bootstrapFolder),
-    check: checkContent,
-    report(note) {
-      if (note.kind === "adopted") {
-        const change = configuration.current()?.change ?? "";
-        const { version, source } = note;
-        return log("configuration_adopted", { version, change, source });
-      }
-      if (note.kind === "rejected") {
-        const { version, reason } = note;
-        return log("configuration_rejected", { version, reason });
-      }
-      log("head_unreadable", { reason: note.reason });
+  const configuration: ConfigurationWatch = await createConfigurationSource(
+    settings.bootstrapFolder,
+    {
+      platform,
+      clock,
+      isReader: () => membership.isReader("configuration", READERS),
+      silence: () => membership.silence(),
+      peers: neighbours.addresses,
+      fetchFromPeer: neighbours.fetchConfiguration,
+      bootstrap: () => readBootstrap(settings.bootstrapFolder),
+      check: checkContent,
+      report(note) {
+        if (note.kind === "adopted") {
+          const change = configuration.current()?.change ?? "";
+          const { version, source } = note;
+          return log("configuration_adopted", { version, change, source });
+        }
+        if (note.kind === "rejected") {
+          const { version, reason } = note;
+          return log("configuration_rejected", { version, reason });
+        }
+        log("head_unreadable", { reason: note.reason });
+      },
     },
-  });
+  );
 
   const slowness = createSlownessDetector({ clock });
   const fleet = createFleet({
@@ -202,7 +204,7 @@
       "POST /v1/chat/completions": (exchange) => handleChat(runtime, exchange),
       "GET /v1/models": (exchange) => handleModels(runtime, exchange),
       "* /services/:path*": (exchange) => handleService(runtime, exchange),
-      "* /:path*": async (exchange) => answerNotFound(exchange),
+      "* /:path*": answerNotFound,
     },
     peers: {
       "POST /rpc": createRpcHandler({
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
+import type { ListedVm } from "@peridotvalve/platform";
 import type { Candidate, SlownessDetector } from "@peridotvalve/routing";
 import type {
   Configuration,
@@ -49,6 +50,10 @@
     observed: ObservedEvent,
   ): void;
   noteFailure(replica: Replica, failure: AttemptFailure): void;
+  /** Takes news from a peer that an incarnation is leaving. */
+  noteLeaving(incarnation: string): void;
+  /** Takes the platform's lagging VM list. */
+  noteVms(vms: readonly ListedVm[]): void;
   expectedFirstToken(work: ChatWork): Milliseconds;
   close(): Promise<void>;
 }
@@ -238,6 +243,26 @@
         if (member !== undefined) member.missed = MISSED_REPORTS;
       }
     },
+    noteLeaving(incarnation) {
+      for (const { replica } of members.values()) {
+        if (replica.report()?.incarnation !== incarnation) continue;
+        if (replica.isLeaving()) continue;
+        replica.markLeaving(incarnation);
+        options.log("upstream_leaving", { source: "peer" }, {
+          upstream: replica.name,
+        });
+      }
+    },
+    noteVms(vms) {
+      for (const { replica } of members.values()) {
+        const listed = vms.find((vm) =>
+          vm.address === replica.settings.address
+        );
+        if (listed?.state !== "leaving" || replica.isLeaving()) continue;
+        replica.markLeaving(listed.incarnation);
+        if (replica.isLeaving()) announceLeaving(replica, "VM list");
+      }
+    },
     expectedFirstToken(work) {
       const rates = Object.values(work.group.replicas)
         .map((replica) => replica.prefillTokensPerSecond);
--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -14,7 +14,7 @@
 import { sendFailure } from "./respond.ts";
 
 /** Handles one exchange from its start to the end of its response. */
-export type Handler = (exchange: Exchange) => Promise<void>;
+export type Handler = (exchange: Exchange) => void | Promise<void>;
 
 export interface GatewayOptions {
   /** Name of the listener and prefix of its actions. */
--- a/packages/daemon/src/meters.ts
+++ b/packages/daemon/src/meters.ts
@@ -1,6 +1,7 @@
 /**
  * The metrics of a daemon.
  */
+import type { Clock } from "@peridotvalve/clock";
 import {
   type Counter,
   createRegistry,
@@ -22,24 +23,29 @@
   readonly outcomes: Counter;
 }
 
-export function createMeters(): Meters {
-  const registry = createRegistry();
+export function createMeters(clock: Clock): Meters {
+  const registry = createRegistry(clock);
   return {
     registry,
     firstToken: registry.histogram("peridotvalve_first_token_milliseconds", {
       help: "Time to first token in milliseconds.",
+      labels: ["model"],
     }),
     tokens: registry.counter("peridotvalve_tokens_total", {
       help: "Tokens relayed to callers.",
+      labels: ["model"],
     }),
     cachedTokens: registry.counter("peridotvalve_cached_tokens_total", {
       help: "Prompt tokens found in a replica's prefix cache.",
+      labels: ["model"],
     }),
     promptTokens: registry.counter("peridotvalve_prompt_tokens_total", {
       help: "Prompt tokens of completions that ended whole.",
+      labels: ["model"],
     }),
     outcomes: registry.counter("peridotvalve_requests_total", {
       help: "Requests by route, outcome code and whether the work ran.",
+      labels: ["route", "code", "ran"],
     }),
   };
 }
--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -2,7 +2,7 @@
  * The operators' listener: liveness, readiness, metrics, status, events,
  * orders and the configuration.
  */
-import { claimKey, parseOutcome } from "@peridotvalve/claims";
+import { claimKey, parseClaimRow } from "@peridotvalve/claims";
 import {
   applyConfiguration,
   readHead,
@@ -45,9 +45,9 @@
 export function createOperatorHandlers(
   parts: OperatorParts,
 ): Readonly<Record<string, Handler>> {
-  const guarded = (handler: Handler): Handler => async (exchange) => {
+  const guarded = (handler: Handler): Handler => (exchange) => {
     if (hasToken(exchange, parts.runtime.settings.operatorToken)) {
-      return await handler(exchange);
+      return handler(exchange);
     }
     sendFailure(exchange, {
       code: "invalid_api_key",
@@ -56,20 +56,15 @@
     });
   };
   return {
-    "GET /healthz": (exchange) =>
-      Promise.resolve(sendText(exchange, 200, "alive\n")),
-    "GET /readyz": (exchange) => Promise.resolve(answerReady(parts, exchange)),
+    "GET /healthz": (exchange) => sendText(exchange, 200, "alive\n"),
+    "GET /readyz": (exchange) => answerReady(parts, exchange),
     "GET /metrics": guarded((exchange) =>
-      Promise.resolve(
-        sendText(exchange, 200, parts.runtime.meters.registry.render()),
-      )
+      sendText(exchange, 200, parts.runtime.meters.registry.render())
     ),
     "GET /status": guarded((exchange) =>
-      Promise.resolve(sendJson(exchange, 200, parts.status()))
-    ),
-    "GET /events": guarded((exchange) =>
-      Promise.resolve(answerEvents(parts, exchange))
+      sendJson(exchange, 200, parts.status())
     ),
+    "GET /events": guarded((exchange) => answerEvents(parts, exchange)),
     "GET /orders": guarded((exchange) => answerOrder(parts, exchange)),
     "GET /configuration": guarded((exchange) =>
       answerConfiguration(parts, exchange)
@@ -79,7 +74,7 @@
     ),
     "GET /configuration/lag": guarded((exchange) => answerLag(parts, exchange)),
     "POST /configuration": guarded((exchange) => answerApply(parts, exchange)),
-    "* /:path*": (exchange) => Promise.resolve(answerNotFound(exchange)),
+    "* /:path*": answerNotFound,
   };
 }
 
@@ -120,7 +115,7 @@
   });
   const row = await platform.readRow(key, PLATFORM_TIMEOUT);
   if (row.isErr()) return refuseUnavailable(exchange, row.error.reason);
-  const order = parseOutcome(row.value);
+  const order = parseClaimRow(row.value);
   if (order === undefined) return answerNotFound(exchange);
   sendJson(exchange, 200, order);
 }
--- a/packages/daemon/src/peers/rpc.ts
+++ b/packages/daemon/src/peers/rpc.ts
@@ -6,10 +6,9 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
 import {
-  type JSONRPCErrorResponse,
   type JSONRPCRequest,
+  type JSONRPCResponse,
   JSONRPCServer,
-  type JSONRPCSuccessResponse,
 } from "json-rpc-2.0";
 import { Err, Ok, type Result } from "ts-results-es";
 import { Agent } from "undici";
@@ -101,9 +100,7 @@
 }
 
 function toResult(answer: unknown): Result<unknown, string> {
-  const response = answer as
-    & Partial<JSONRPCSuccessResponse>
-    & Partial<JSONRPCErrorResponse>;
-  if (response.error !== undefined) return Err(response.error.message);
+  const response = answer as JSONRPCResponse;
+  if (response.error != null) return Err(response.error.message);
   return Ok(response.result);
 }
--- a/packages/daemon/src/services/order.ts
+++ b/packages/daemon/src/services/order.ts
@@ -163,9 +163,11 @@
 function log(runtime: Runtime, order: Order, answer: ClaimAnswer): void {
   const subject = { request: order.request, customer: order.customer };
   if (answer.kind === "owned") {
-    const attempt = answer.claim.attempt;
-    runtime.log("claim_inserted", { attempt }, subject);
-    return;
+    return runtime.log(
+      "claim_inserted",
+      { claim: order.idempotencyKey },
+      subject,
+    );
   }
-  runtime.log("claim_refused", { answer: answer.kind }, subject);
+  runtime.log("order_refused", { reason: answer.kind }, subject);
 }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -66,6 +66,10 @@
     fields: { reason: S },
     sentence: "An invariant does not hold and the process stops.",
   }),
+  handler_failed: event(1009, "error", {
+    fields: { reason: S },
+    sentence: "A request handler failed; the request got an error.",
+  }),
   memory_limit_near: event(1008, "warn", {
     fields: { bytes: N, limit: N },
     sentence: "The process uses most of its memory limit.",
@@ -190,6 +194,10 @@
     fields: { claim: S },
     sentence: "A repeated order got the stored outcome.",
   }),
+  order_refused: event(4009, "info", {
+    fields: { reason: S },
+    sentence: "An order was not sent because of the state of its claim.",
+  }),
   claim_unresolved: event(4008, "warn", {
     fields: { claim: S, reason: S },
     sentence:
--- a/packages/events/src/record.ts
+++ b/packages/events/src/record.ts
@@ -26,10 +26,14 @@
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
-/** Reads a line of the log. A torn last line of a killed process is an error. */
+/**
+ * Reads a line of the log, or an event as the operators' listener gives it. A
+ * torn last line of a killed process is an error.
+ */
 export function parseRecord(line: string): Result<EventRecord, string> {
   const parsed = Result.wrap(() => JSON.parse(line) as unknown);
   if (parsed.isErr()) return Err("not JSON");
+  if (isRecord(parsed.value)) return Ok(parsed.value);
   const context = (parsed.value as { context?: unknown } | null)?.context;
   return isRecord(context) ? Ok(context) : Err("not an event");
 }
