Serve the whole path as separate processes

The first runs showed two faults. Every request got a 500, because moleculer-web passes request and response only for aliases that ask for it themselves, not for their route. A stopped daemon did not exit, because its UDP socket stayed open. Both are fixed and covered: whole_path.test.ts uses the real openai client and checks the exit codes.

--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -66,13 +66,15 @@
         path: "/",
         bodyParsers: false,
         mergeParams: false,
-        passReqResToParams: true,
         mappingPolicy: "restrict",
         logging: false,
         aliases: Object.fromEntries(
           entries.map(([route], index) => [
             route,
-            `${options.name}.${actionName(index)}`,
+            {
+              action: `${options.name}.${actionName(index)}`,
+              passReqResToParams: true,
+            },
           ]),
         ),
       }],
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -144,6 +144,7 @@
     },
     async close() {
       stopped.abort();
+      await transport.value.close();
       await rpc.close();
     },
   });
--- /dev/null
+++ b/packages/daemon/src/whole_path.test.ts
@@ -0,0 +1,120 @@
+import {
+  type Deployment,
+  shortenShutdown,
+  startDeployment,
+} from "@peridotvalve/testbed";
+import { expect } from "earl";
+import { after, before, test } from "node:test";
+import OpenAI, { APIError } from "openai";
+
+const CUSTOMER_KEY = "espoo-kennel-club";
+
+let deployment: Deployment;
+
+function clientOf(daemon: string, key: string): OpenAI {
+  return new OpenAI({
+    apiKey: key,
+    baseURL: `http://${deployment.addressOf(daemon)}/v1`,
+    maxRetries: 0,
+  });
+}
+
+function firstKey(): string {
+  return deployment.keys[CUSTOMER_KEY] ??
+    Object.values(deployment.keys)[0] ?? "";
+}
+
+function book(daemon: string, idempotencyKey: string, body: unknown) {
+  const address = deployment.addressOf(daemon);
+  return fetch(`http://${address}/services/bookings/orders`, {
+    method: "POST",
+    headers: {
+      "authorization": `Bearer ${firstKey()}`,
+      "idempotency-key": idempotencyKey,
+    },
+    body: JSON.stringify(body),
+  });
+}
+
+/** Runs of an order over all processes of the service. */
+async function countRuns(idempotencyKey: string): Promise<number> {
+  const names = [...deployment.processes.keys()]
+    .filter((name) => name.startsWith("bookings-"));
+  let runs = 0;
+  for (const name of names) {
+    const address = deployment.addressOf(name);
+    const answer = await fetch(`http://${address}/control/calls`);
+    const text = await answer.text();
+    runs += text.split(`"${idempotencyKey}"`).length - 1;
+  }
+  return runs;
+}
+
+before(async () => {
+  deployment = await startDeployment({
+    example: "examples/koiratakki",
+    daemons: ["espoo-1", "vantaa-1"],
+    edit: shortenShutdown,
+  });
+});
+
+after(async () => {
+  const codes = await deployment.stop();
+  // Guards against a shutdown that never ends or ends with an error.
+  expect([...codes.values()]).toEqual([0, 0]);
+});
+
+test("an unchanged openai client gets a stream, a whole answer and models", async () => {
+  const client = clientOf("espoo-1", firstKey());
+  const models = await client.models.list();
+  expect(models.data.map((model) => model.id)).toInclude("sizing-llm");
+  const request = {
+    model: "sizing-llm",
+    prompt_cache_key: "spaniel-7",
+    messages: [{ role: "user" as const, content: "Chest 62 cm [[tokens=9]]" }],
+  };
+  const whole = await client.chat.completions.create(request);
+  const stream = await client.chat.completions.create({
+    ...request,
+    stream: true,
+  });
+  let text = "";
+  for await (const chunk of stream) {
+    text += chunk.choices[0]?.delta.content ?? "";
+  }
+  expect(whole.usage?.completion_tokens).toEqual(9);
+  expect(text).toEqual(whole.choices[0]?.message.content ?? "");
+});
+
+test("errors reach the openai client with their code and whether work ran", async () => {
+  const client = clientOf("espoo-1", "pk-unknown");
+  const error = await client.models.list().then(() => undefined, (e) => e);
+  expect(error).toBeA(APIError);
+  expect((error as APIError).status).toEqual(401);
+  expect((error as APIError).code).toEqual("invalid_api_key");
+  const body = (error as APIError).error as { readonly ran?: string };
+  expect(body.ran).toEqual("no");
+});
+
+test("an order that is repeated through another daemon runs once", async () => {
+  const first = await book("espoo-1", "order-1", { coat: "rain" });
+  const repeat = await book("vantaa-1", "order-1", { coat: "rain" });
+  const other = await book("vantaa-1", "order-1", { coat: "winter" });
+  expect(first.status).toEqual(201);
+  expect(repeat.status).toEqual(201);
+  expect(await repeat.text()).toEqual(await first.text());
+  expect(other.status).toEqual(422);
+  expect(await countRuns("order-1")).toEqual(1);
+});
+
+test("an order without an idempotency key is refused and not run", async () => {
+  const address = deployment.addressOf("espoo-1");
+  const answer = await fetch(`http://${address}/services/bookings/orders`, {
+    method: "POST",
+    headers: { "authorization": `Bearer ${firstKey()}` },
+    body: "{}",
+  });
+  const body = await answer.json() as { error: { code: string; ran: string } };
+  expect(body.error.code).toEqual("idempotency_key_required");
+  expect(body.error.ran).toEqual("no");
+});
--- /dev/null
+++ b/packages/testbed/src/deployment.ts
@@ -0,0 +1,219 @@
+/**
+ * A deployment: one platform, one engine for each replica, one store VM for
+ * each VM of the cache groups, one process for each address of a service, the
+ * legacy system, and the daemons.
+ */
+import { mkdirSync, mkdtempSync, readdirSync, readFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { basename, join } from "node:path";
+import { readFolder, readProcessSettings } from "@peridotvalve/settings";
+import type { ProcessSettings } from "@peridotvalve/settings";
+import type { Configuration } from "@peridotvalve/types";
+import { copyExample, type Edit } from "./example.ts";
+import {
+  type Process,
+  productCommand,
+  standinCommand,
+  startProcess,
+} from "./processes.ts";
+
+export interface DeploymentOptions {
+  /** Folder of the example, such as "examples/koiratakki". */
+  readonly example: string;
+  /** Names of the daemons to start; all when absent. */
+  readonly daemons?: readonly string[];
+  /** Model groups whose engines are started; all when absent. */
+  readonly groups?: readonly string[];
+  /** The product's binary; its sources are run when absent. */
+  readonly binary?: string;
+  readonly seed?: number;
+  /** Changes YAML files of the copy before they are used. */
+  readonly edit?: Edit;
+  /** More words for the command line of each engine. */
+  readonly engineWords?: readonly string[];
+}
+
+export interface Deployment {
+  readonly folder: string;
+  readonly configuration: Configuration;
+  readonly settings: ReadonlyMap<string, ProcessSettings>;
+  readonly keys: Readonly<Record<string, string>>;
+  readonly operatorToken: string;
+  readonly tokenFile: string;
+  /** All processes by name: daemons, replicas, VMs, services, "platform". */
+  readonly processes: ReadonlyMap<string, Process>;
+  /** Starts a process again that has ended. */
+  restart(name: string): Promise<Process>;
+  /** Starts a daemon of the example that was left out at the start. */
+  startDaemon(name: string): Promise<Process>;
+  /** Log file of a process. */
+  logOf(name: string): string;
+  addressOf(name: string): string;
+  /** Sets faults of a stand-in. */
+  setFaults(name: string, faults: unknown): Promise<void>;
+  /** Stops the daemons gracefully, then the stand-ins. Exit codes by name. */
+  stop(): Promise<ReadonlyMap<string, number | null>>;
+}
+
+interface Standin {
+  readonly name: string;
+  readonly address: string;
+  readonly words: readonly string[];
+}
+
+export async function startDeployment(
+  options: DeploymentOptions,
+): Promise<Deployment> {
+  const root = mkdtempSync(join(tmpdir(), "peridotvalve-"));
+  const logs = join(root, "logs");
+  mkdirSync(logs);
+  const { example, edit } = options;
+  const copy = await copyExample(example, join(root, basename(example)), edit);
+  const configuration = (await readFolder(join(copy.folder, "operators")))
+    .unwrap();
+  const settings = await readAllSettings(copy.folder);
+  const standins = listStandins(configuration, {
+    platform: [...settings.values()][0]?.platform ?? "",
+    options,
+  });
+  const processes = new Map<string, Process>();
+  const logOf = (name: string) => join(logs, `${name}.log`);
+
+  async function startStandin(standin: Standin): Promise<Process> {
+    const port = standin.address.split(":")[1] ?? "0";
+    const started = startProcess({
+      name: standin.name,
+      words: standinCommand([...standin.words, "--port", port]),
+      logFile: logOf(standin.name),
+    });
+    processes.set(standin.name, started);
+    await started.waitForLine((line) => line.includes("listening"));
+    return started;
+  }
+
+  async function startDaemon(name: string): Promise<Process> {
+    const file = join(copy.folder, "settings", `${name}.yaml`);
+    const started = startProcess({
+      name,
+      words: productCommand(["serve", "--settings", file], options.binary),
+      logFile: logOf(name),
+    });
+    processes.set(name, started);
+    await started.waitForLine((line) => line.includes("process_ready"));
+    return started;
+  }
+
+  function addressOf(name: string): string {
+    const standin = standins.find((one) => one.name === name);
+    const address = standin?.address ?? settings.get(name)?.listeners.callers;
+    if (address === undefined) throw new Error(`no process ${name}`);
+    return address;
+  }
+
+  await Promise.all(standins.map(startStandin));
+  const names = options.daemons ?? [...settings.keys()];
+  await Promise.all(names.map(startDaemon));
+
+  return {
+    folder: copy.folder,
+    configuration,
+    settings,
+    keys: JSON.parse(
+      readFileSync(join(copy.folder, "keys.example.json"), "utf8"),
+    ) as Readonly<Record<string, string>>,
+    operatorToken: [...settings.values()][0]?.operatorToken ?? "",
+    tokenFile: join(copy.folder, "operator-token"),
+    processes,
+    logOf,
+    addressOf,
+    startDaemon,
+    restart(name) {
+      const standin = standins.find((one) => one.name === name);
+      return standin === undefined ? startDaemon(name) : startStandin(standin);
+    },
+    async setFaults(name, faults) {
+      await fetch(`http://${addressOf(name)}/control/faults`, {
+        method: "POST",
+        body: JSON.stringify(faults),
+      });
+    },
+    async stop() {
+      const codes = new Map<string, number | null>();
+      const daemons = [...processes].filter(([name]) => settings.has(name));
+      const others = [...processes].filter(([name]) => !settings.has(name));
+      const stopOne = async ([name, one]: readonly [string, Process]) => {
+        one.signal("SIGCONT");
+        codes.set(name, await one.stop());
+      };
+      await Promise.all(daemons.map(stopOne));
+      await Promise.all(others.map(([, one]) => one.kill()));
+      return codes;
+    },
+  };
+}
+
+async function readAllSettings(
+  folder: string,
+): Promise<ReadonlyMap<string, ProcessSettings>> {
+  const files = readdirSync(join(folder, "settings")).sort();
+  const settings = new Map<string, ProcessSettings>();
+  for (const file of files) {
+    const read = await readProcessSettings(join(folder, "settings", file));
+    const value = read.unwrap();
+    settings.set(value.name, value);
+  }
+  return settings;
+}
+
+function listStandins(
+  configuration: Configuration,
+  parts: { readonly platform: string; readonly options: DeploymentOptions },
+): readonly Standin[] {
+  const { options, platform } = parts;
+  const seed = ["--seed", String(options.seed ?? 1)];
+  const groups = Object.entries(configuration.groups)
+    .filter(([name]) => options.groups?.includes(name) ?? true);
+  const engines = groups.flatMap(([, group]) =>
+    Object.entries(group.replicas).map(([name, replica]) => ({
+      name,
+      address: replica.address,
+      words: [
+        "engine",
+        ...seed,
+        ...["--weights", group.weights],
+        ...["--tokensPerBlock", String(group.tokensPerBlock)],
+        ...["--checksFencing", String(group.checksFencing)],
+        ...["--prefillTokensPerSecond", String(replica.prefillTokensPerSecond)],
+        ...(options.engineWords ?? []),
+      ],
+    }))
+  );
+  const stores = Object.values(configuration.caches).flatMap((cache) =>
+    Object.entries(cache.vms).map(([name, vm]) => ({
+      name,
+      address: vm.address,
+      words: ["store-vm", ...seed],
+    }))
+  );
+  const services = Object.entries(configuration.services).flatMap((
+    [name, service],
+  ) =>
+    service.addresses.map((address, index) => ({
+      name: `${name}-${index + 1}`,
+      address,
+      words: ["service", ...seed],
+    }))
+  );
+  const legacy = configuration.legacy === undefined ? [] : [{
+    name: "legacy",
+    address: configuration.legacy.address,
+    words: ["legacy", ...seed],
+  }];
+  return [
+    { name: "platform", address: platform, words: ["platform", ...seed] },
+    ...engines,
+    ...stores,
+    ...services,
+    ...legacy,
+  ];
+}
--- /dev/null
+++ b/packages/testbed/src/example.ts
@@ -0,0 +1,89 @@
+/**
+ * Copies an example folder with free ports in place of its own, so that
+ * several deployments run side by side.
+ */
+import { createServer } from "node:net";
+import {
+  cpSync,
+  mkdirSync,
+  readdirSync,
+  readFileSync,
+  writeFileSync,
+} from "node:fs";
+import { join } from "node:path";
+
+const ADDRESS = /127\.0\.0\.1:(\d+)/g;
+
+// Below the usual range of ports for outgoing connections.
+const FIRST_PORT = 10_000;
+const PORT_RANGE = 18_000;
+const MAXIMUM_TRIES = 10_000;
+
+/** Changes the text of a settings file before it is used. */
+export type Edit = (text: string, file: string) => string;
+
+export interface ExampleCopy {
+  readonly folder: string;
+  /** The address that stands in place of one of the example's. */
+  readonly addressOf: (address: string) => string;
+}
+
+export async function copyExample(
+  example: string,
+  target: string,
+  edit: Edit = (text) => text,
+): Promise<ExampleCopy> {
+  mkdirSync(target, { recursive: true });
+  cpSync(example, target, { recursive: true });
+  const files = listYaml(target);
+  const ports = new Map<string, number>();
+  const texts = files.map((file) => readFileSync(file, "utf8"));
+  for (const text of texts) {
+    for (const [, port = ""] of text.matchAll(ADDRESS)) {
+      if (!ports.has(port)) ports.set(port, await findFreePort(ports));
+    }
+  }
+  const replace = (text: string) =>
+    text.replace(
+      ADDRESS,
+      (whole, port: string) =>
+        ports.has(port) ? `127.0.0.1:${ports.get(port)}` : whole,
+    );
+  for (const [index, file] of files.entries()) {
+    writeFileSync(file, edit(replace(texts[index] ?? ""), file));
+  }
+  return { folder: target, addressOf: replace };
+}
+
+function listYaml(folder: string): readonly string[] {
+  const entries = readdirSync(folder, { recursive: true }) as string[];
+  return entries
+    .filter((entry) => entry.endsWith(".yaml"))
+    .map((entry) => join(folder, entry));
+}
+
+async function findFreePort(
+  taken: ReadonlyMap<string, number>,
+): Promise<number> {
+  const used = new Set(taken.values());
+  for (let count = 0; count < MAXIMUM_TRIES; count += 1) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORT_RANGE);
+    if (!used.has(port) && await isFree(port)) return port;
+  }
+  throw new Error("no free port was found");
+}
+
+function isFree(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => {
+      server.close(() => resolve(true));
+    });
+  });
+}
+
+/** Replaces the balancer's delay, so that stopping a deployment is quick. */
+export function shortenShutdown(text: string): string {
+  return text.replace(/balancerDelay: \d+/, "balancerDelay: 200");
+}
--- /dev/null
+++ b/packages/testbed/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Deployments of daemons and stand-ins as processes on loopback.
+ */
+export * from "./deployment.ts";
+export * from "./example.ts";
+export * from "./processes.ts";
--- /dev/null
+++ b/packages/testbed/src/processes.ts
@@ -0,0 +1,126 @@
+/**
+ * Child processes of a deployment. Each is stopped by its process id only.
+ */
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const ROOT = fileURLToPath(new URL("../../..", import.meta.url));
+const STANDINS_MAIN = join(ROOT, "packages/standins/src/main.ts");
+const CLI_MAIN = join(ROOT, "packages/cli/src/main.ts");
+
+/** Time for which a stopped process may take to exit before it is killed. */
+const KILL_AFTER_MILLISECONDS = 70_000;
+
+export interface Process {
+  readonly name: string;
+  readonly pid: number;
+  /** Output lines so far. */
+  lines(): readonly string[];
+  /** Resolves with the first line that the check accepts. */
+  waitForLine(check: (line: string) => boolean): Promise<string>;
+  signal(name: NodeJS.Signals): void;
+  /** Sends SIGTERM and resolves with the exit code. */
+  stop(): Promise<number | null>;
+  /** Sends SIGKILL and resolves when the process is gone. */
+  kill(): Promise<void>;
+  isRunning(): boolean;
+}
+
+export interface Command {
+  readonly name: string;
+  readonly words: readonly string[];
+  readonly logFile: string;
+}
+
+/** The command of a stand-in. */
+export function standinCommand(words: readonly string[]): readonly string[] {
+  return [process.execPath, "--import", "tsx", STANDINS_MAIN, ...words];
+}
+
+/** The command of the product: the binary, or its sources through tsx. */
+export function productCommand(
+  words: readonly string[],
+  binary: string | undefined,
+): readonly string[] {
+  if (binary !== undefined) return [binary, ...words];
+  return [process.execPath, "--import", "tsx", CLI_MAIN, ...words];
+}
+
+export function startProcess(command: Command): Process {
+  const [program = "", ...words] = command.words;
+  const child = spawn(program, words, {
+    cwd: ROOT,
+    stdio: ["ignore", "pipe", "pipe"],
+  });
+  const log = createWriteStream(command.logFile, { flags: "a" });
+  const lines: string[] = [];
+  const waiting = new Set<(line: string) => void>();
+  let rest = "";
+  child.stderr.pipe(log, { end: false });
+  child.stdout.on("data", (chunk: Buffer) => {
+    log.write(chunk);
+    const parts = (rest + chunk.toString("utf8")).split("\n");
+    rest = parts.pop() ?? "";
+    for (const line of parts) {
+      lines.push(line);
+      for (const offer of waiting) offer(line);
+    }
+  });
+  const exited = once(child, "exit").then(() => {
+    log.end();
+  });
+
+  return {
+    name: command.name,
+    pid: child.pid ?? 0,
+    lines: () => lines,
+    waitForLine: (check) => waitForLine({ child, lines, waiting }, check),
+    signal: (name) => void child.kill(name),
+    async stop() {
+      if (!isRunning(child)) return child.exitCode;
+      child.kill("SIGTERM");
+      const timer = setTimeout(
+        () => child.kill("SIGKILL"),
+        KILL_AFTER_MILLISECONDS,
+      );
+      await exited;
+      clearTimeout(timer);
+      return child.exitCode;
+    },
+    async kill() {
+      if (isRunning(child)) child.kill("SIGKILL");
+      await exited;
+    },
+    isRunning: () => isRunning(child),
+  };
+}
+
+function isRunning(child: ChildProcess): boolean {
+  return child.exitCode === null && child.signalCode === null;
+}
+
+function waitForLine(
+  process: {
+    readonly child: ChildProcess;
+    readonly lines: readonly string[];
+    readonly waiting: Set<(line: string) => void>;
+  },
+  check: (line: string) => boolean,
+): Promise<string> {
+  const known = process.lines.find(check);
+  if (known !== undefined) return Promise.resolve(known);
+  return new Promise((resolve, reject) => {
+    const fail = () => reject(new Error("the process ended before the line"));
+    const offer = (line: string) => {
+      if (!check(line)) return;
+      process.waiting.delete(offer);
+      process.child.off("exit", fail);
+      resolve(line);
+    };
+    process.waiting.add(offer);
+    process.child.once("exit", fail);
+  });
+}
