--- a/packages/claims/src/claims.test.ts
+++ b/packages/claims/src/claims.test.ts
@@ -210,6 +210,27 @@
   expect(await readState()).toEqual(undefined);
 });
 
+test("the send deadline counts from before the insert", async () => {
+  const { clock, daemon, platform, settle } = setUp();
+  platform.setFaults({ delay: 900 });
+  const claim = owned(await settle(daemon("a").claim(CALL)));
+  await clock.advance(SEND_DEADLINE - 900);
+  expect(claim.mayStillSend()).toEqual(false);
+});
+
+test("an owner that wakes after another ran the call sends nothing", async () => {
+  const { daemon, sweepAfter, readState } = setUp();
+  const late = owned(await daemon("a").claim(CALL));
+  await sweepAfter(CLAIM_TIMEOUT);
+  await sweepAfter(RETENTION + CLAIM_TIMEOUT);
+  const next = owned(await daemon("b").claim(CALL));
+  expect(next.startSending()).toEqual(true);
+  await next.complete(OUTCOME);
+  expect(late.startSending()).toEqual(false);
+  await late.release();
+  expect(await readState()).toEqual("finished");
+});
+
 test("a claim that may have been sent is not released", async () => {
   const { daemon, readState } = setUp();
   const claim = owned(await daemon("a").claim(CALL));
--- a/packages/lease/src/interleavings.test.ts
+++ b/packages/lease/src/interleavings.test.ts
@@ -10,8 +10,10 @@
 import { createLease, type Lease } from "./lease.ts";
 
 const DURATION = 6_000;
-const MARGIN = 1_000;
-const TIMEOUT = 500;
+// Much shorter than the timeout, so that a hold whose end counts from the
+// answer instead of the request overlaps with the next one.
+const MARGIN = 100;
+const TIMEOUT = 2_000;
 const STEP = 250;
 const STEPS = 160;
 
@@ -31,6 +33,7 @@
 );
 const DELAY = fc.oneof(
   { weight: 3, arbitrary: fc.integer({ min: 0, max: 100 }) },
+  { weight: 1, arbitrary: fc.integer({ min: 100, max: TIMEOUT }) },
   { weight: 1, arbitrary: fc.integer({ min: TIMEOUT, max: 5_000 }) },
 );
 const SCENARIO = fc.record<Scenario>({
@@ -64,7 +67,7 @@
       duration: mutant === "early takeover" && index === 0
         ? DURATION / 2
         : DURATION,
-      margin: mutant === "late end" ? -2 * MARGIN : MARGIN,
+      margin: mutant === "late end" ? -DURATION / 3 : MARGIN,
       timeout: TIMEOUT,
     })
   );
--- a/packages/lease/src/lease.test.ts
+++ b/packages/lease/src/lease.test.ts
@@ -109,6 +109,20 @@
   expect(a.token()).toEqual(undefined);
 });
 
+test("a hold counts from before the acquiring write", async () => {
+  const { clock, platform, contender } = setUp();
+  const a = contender("a");
+  platform.setFaults({ delay: 900 });
+  const acquiring = a.acquire();
+  await clock.advance(2_000);
+  expect((await acquiring).kind).toEqual("held");
+  // The read took the first 900 ms, the write began after it.
+  await clock.advance(900 + DURATION - MARGIN - 2_000 - 1);
+  expect(a.token()).not.toEqual(undefined);
+  await clock.advance(1);
+  expect(a.token()).toEqual(undefined);
+});
+
 test("in an outage the lease ends on time", async () => {
   const { clock, platform, contender } = setUp();
   const a = contender("a");
