Add the load board with digests for peers

Load reports are late, so a daemon adds its own and its peers' dispatches that a report cannot show yet.

--- /dev/null
+++ b/packages/load/src/load_board.test.ts
@@ -0,0 +1,190 @@
+import { createManualClock } from "@peridotvalve/clock";
+import type { LoadReport } from "@peridotvalve/types";
+import { expect } from "earl";
+import { test } from "node:test";
+import { Err, Ok } from "ts-results-es";
+import type { LoadBoard } from "./board.ts";
+import { measureJson } from "./delta_table.ts";
+import { createLoadBoard } from "./load_board.ts";
+import { pollReports } from "./poller.ts";
+
+function createReport(overrides: Partial<LoadReport> = {}): LoadReport {
+  return {
+    ...{ incarnation: "abcdef", weights: "w1", state: "ready", at: 0 },
+    ...{ running: 0, waiting: 0, queuedTokens: 0 },
+    ...{ usedBlocks: 0, freeBlocks: 100 },
+    ...overrides,
+  };
+}
+
+/** Passes a digest as a heartbeat does. */
+function pass(from: LoadBoard, to: LoadBoard, limit = 400): void {
+  const digest = from.composeDigest(limit);
+  if (digest === undefined) return;
+  expect(measureJson(digest) <= limit).toEqual(true);
+  to.takeDigest("peer", JSON.parse(JSON.stringify(digest))).unwrap();
+}
+
+test("own dispatches count until a report shows them", async () => {
+  const clock = createManualClock(1_000_000);
+  const board = createLoadBoard(clock);
+  board.takeReport("r1", createReport({ running: 3, at: clock.now() - 200 }));
+  await clock.advance(100);
+  board.startDispatch("r1", { id: "a", tokens: 500 });
+  board.startDispatch("r1", { id: "b", tokens: 300 });
+  expect(board.estimate("r1").requests).toEqual(5);
+  expect(board.estimate("r1").queuedTokens).toEqual(800);
+  board.endDispatch("r1", "b");
+  expect(board.estimate("r1").requests).toEqual(4);
+  await clock.advance(1_000);
+  // Made before the dispatch, although it arrives after it.
+  const old = createReport({ running: 3, at: clock.now() - 1_050 });
+  board.takeReport("r1", old);
+  expect(board.estimate("r1").requests).toEqual(4);
+  board.takeReport("r1", createReport({ running: 4, at: clock.now() - 200 }));
+  expect(board.estimate("r1").requests).toEqual(4);
+});
+
+test("a replica's wall clock that is wrong by minutes changes nothing", async () => {
+  for (const skew of [-300_000, 300_000]) {
+    const clock = createManualClock(1_000_000);
+    const board = createLoadBoard(clock);
+    board.startDispatch("r1", { id: "a", tokens: 100 });
+    await clock.advance(2_000);
+    const at = clock.now() + skew - 200;
+    board.takeReport("r1", createReport({ running: 1, at }));
+    expect(board.estimate("r1").requests).toEqual(1);
+    board.startDispatch("r1", { id: "b", tokens: 100 });
+    expect(board.estimate("r1").requests).toEqual(2);
+    await clock.advance(2_000);
+    const next = createReport({ running: 2, at: at + 2_000 });
+    board.takeReport("r1", next);
+    expect(board.estimate("r1").requests).toEqual(2);
+  }
+});
+
+test("a peer's dispatches count until its death or a newer report", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  peer.startDispatch("r1", { id: "a", tokens: 500 });
+  pass(peer, board);
+  expect(board.estimate("r1").peers).toEqual({ count: 1, tokens: 500 });
+  board.dropPeer("peer");
+  expect(board.estimate("r1").peers.count).toEqual(0);
+  peer.startDispatch("r1", { id: "b", tokens: 500 });
+  pass(peer, board);
+  expect(board.estimate("r1").peers.count).toEqual(2);
+  await clock.advance(1_000);
+  board.takeReport("r1", createReport({ running: 2, at: clock.now() - 100 }));
+  expect(board.estimate("r1").requests).toEqual(2);
+  // The same count of newer dispatches must be told again.
+  peer.endDispatch("r1", "a");
+  await clock.advance(1_000);
+  peer.startDispatch("r1", { id: "c", tokens: 500 });
+  pass(peer, board);
+  expect(board.estimate("r1").peers.count).toEqual(2);
+});
+
+test("a report reaches the peers, and an older one never replaces it", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  for (let running = 1; running < 9; running += 1) {
+    peer.takeReport("r1", createReport({ running, at: clock.now() - 100 }));
+    pass(peer, board);
+    expect(board.estimate("r1").report?.running).toEqual(running);
+    expect(board.estimate("r1").age).toEqual(100);
+    await clock.advance(1_000);
+  }
+  peer.takeReport("r1", createReport({ running: 9, at: clock.now() - 900 }));
+  board.takeReport("r1", createReport({ running: 10, at: clock.now() - 100 }));
+  pass(peer, board);
+  expect(board.estimate("r1").report?.running).toEqual(10);
+});
+
+test("a replica's new incarnation replaces the old one for good", async () => {
+  const clock = createManualClock(1_000_000);
+  const board = createLoadBoard(clock);
+  board.takeReport("r1", createReport({ running: 9, at: clock.now() }));
+  await clock.advance(1_000);
+  const restarted = createReport({ incarnation: "second", at: clock.now() });
+  board.takeReport("r1", restarted);
+  expect(board.estimate("r1").requests).toEqual(0);
+  await clock.advance(1_000);
+  board.takeReport("r1", createReport({ running: 9, at: clock.now() }));
+  expect(board.estimate("r1").report?.incarnation).toEqual("second");
+});
+
+test("a short report of another incarnation is not taken over", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  board.takeReport("r1", createReport({ incarnation: "other" }));
+  peer.takeReport("r1", createReport());
+  peer.composeDigest(400);
+  await clock.advance(1_000);
+  peer.takeReport("r1", createReport({ running: 5 }));
+  pass(peer, board);
+  expect(board.estimate("r1").report?.incarnation).toEqual("other");
+});
+
+test("91 replicas of long names converge in digests of 110 bytes", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  for (let index = 0; index < 91; index += 1) {
+    peer.startDispatch(`sizing-llm-${index}`, { id: "a", tokens: 9_000 });
+  }
+  for (let round = 0; round < 20; round += 1) {
+    pass(peer, board, 110);
+    await clock.advance(3_000);
+  }
+  for (let index = 0; index < 91; index += 1) {
+    expect(board.estimate(`sizing-llm-${index}`).requests).toEqual(1);
+  }
+});
+
+test("link use is summed by customer over the daemons and fades", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  board.recordLinkBytes("kennel", 10_000);
+  peer.recordLinkBytes("kennel", 30_000);
+  peer.recordLinkBytes("shop", 10_000);
+  pass(peer, board);
+  expect(board.linkShare(8_000, "kennel")).toEqual(0.5);
+  expect(board.linkShare(8_000, "shop")).toEqual(0.125);
+  expect(board.linkShare(8_000)).toEqual(0.625);
+  await clock.advance(11_000);
+  pass(peer, board);
+  expect(board.linkRate()).toEqual(0);
+});
+
+test("a malformed digest changes nothing", () => {
+  const board = createLoadBoard(createManualClock());
+  const bad = [null, 7, { c: 1 }, { c: "abcde-1;" }, { r: { x: [1] } }];
+  for (const digest of [...bad, { s: ["a"] }, { c: "abc;" }]) {
+    expect(board.takeDigest("peer", digest).isErr()).toEqual(true);
+  }
+  expect(board.estimate("x").requests).toEqual(0);
+});
+
+test("a replica that does not answer does not delay the others", async () => {
+  const clock = createManualClock(1_000_000);
+  const board = createLoadBoard(clock);
+  const polled: string[] = [];
+  const controller = new AbortController();
+  const done = pollReports({
+    ...{ clock, board, listReplicas: () => ["hung", "bad", "r1", "not mine"] },
+    isReader: (subject) => subject !== "load/not mine",
+    poll: (replica) => {
+      polled.push(replica);
+      if (replica === "hung") return new Promise(() => {});
+      const report = createReport({ running: 4, at: clock.now() });
+      return Promise.resolve(replica === "bad" ? Err("refused") : Ok(report));
+    },
+  }, controller.signal);
+  await clock.advance(2_500);
+  controller.abort();
+  await done;
+  expect(polled.filter((replica) => replica === "hung").length).toEqual(1);
+  expect(polled.filter((replica) => replica === "r1").length).toEqual(3);
+  expect(polled.includes("not mine")).toEqual(false);
+  expect(board.estimate("r1").requests).toEqual(4);
+});
--- /dev/null
+++ b/packages/load/src/load_board.ts
@@ -0,0 +1,235 @@
+/**
+ * The present load of each replica, estimated from its newest report and from
+ * the dispatches that the report cannot show yet.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Bytes, LoadReport, Milliseconds } from "@peridotvalve/types";
+import { Err, Ok, type Result } from "ts-results-es";
+import {
+  type Dispatch,
+  LoadBoard,
+  type LoadEstimate,
+  type Unseen,
+} from "./board.ts";
+import {
+  createDeltaCopy,
+  createDeltaSource,
+  type Delta,
+  type DeltaCopy,
+} from "./delta_table.ts";
+import { createLinkUse } from "./link_use.ts";
+import { createReportRelay } from "./report_relay.ts";
+import { createReports } from "./reports.ts";
+import { keyOf } from "./packed.ts";
+import { type Digest, digestSchema, fromWire } from "./wire.ts";
+
+interface Sent extends Dispatch {
+  readonly at: Milliseconds;
+}
+
+const NONE: Unseen = { count: 0, tokens: 0 };
+
+/** Keys of replicas and of customers on the link differ by a prefix. */
+function replicaKey(replica: string): string {
+  return keyOf(`replica ${replica}`);
+}
+
+function linkKey(customer: string): string {
+  return keyOf(`link ${customer}`);
+}
+
+/** Entries of the link have one number, those of replicas two. */
+const LINK_VALUES = 1;
+
+/** Share of the digest's room for load reports. */
+const REPORT_SHARE = 0.5;
+
+/** The frame around the reports and the braces of the digest. */
+const FRAME: Bytes = `{"r":{}},`.length;
+
+export function createLoadBoard(clock: Clock): LoadBoard {
+  const reports = createReports(clock);
+  const relay = createReportRelay(clock, reports.find);
+  const source = createDeltaSource(clock);
+  const link = createLinkUse(clock);
+  const dispatches = new Map<string, Map<string, Sent>>();
+  const peers = new Map<string, DeltaCopy>();
+
+  function madeOf(replica: string): Milliseconds {
+    return reports.find(replica)?.made ?? -Infinity;
+  }
+
+  function ownUnseen(replica: string): Unseen {
+    const made = madeOf(replica);
+    const sent = [...dispatches.get(replica)?.values() ?? []];
+    return sumUnseen(
+      sent.filter((dispatch) => dispatch.at > made)
+        .map(({ tokens }) => ({ count: 1, tokens })),
+    );
+  }
+
+  function peersUnseen(replica: string): Unseen {
+    const made = madeOf(replica);
+    const key = replicaKey(replica);
+    const copies = [...peers.values()].flatMap((copy) =>
+      copy.entries().get(key) ?? []
+    );
+    return sumUnseen(
+      copies.filter((copied) => copied.at > made)
+        .map(({ values: [count = 0, tokens = 0] }) => ({ count, tokens })),
+    );
+  }
+
+  /** Brings the table for the digest up to date. */
+  function refreshSource(): void {
+    const current = new Map<string, readonly number[]>();
+    for (const replica of dispatches.keys()) {
+      const { count, tokens } = ownUnseen(replica);
+      if (count > 0) add(current, replicaKey(replica), [count, tokens]);
+    }
+    for (const [customer, rate] of link.rates()) {
+      add(current, linkKey(customer), [rate]);
+    }
+    for (const key of [...source.entries().keys()]) {
+      if (!current.has(key)) source.remove(key);
+    }
+    for (const [key, values] of current) source.set(key, values);
+  }
+
+  function composeDigest(limit: Bytes): Digest | undefined {
+    refreshSource();
+    const passed = relay.compose(limit * REPORT_SHARE - FRAME);
+    const used = passed === undefined ? 0 : JSON.stringify(passed).length;
+    const delta = source.compose(limit - used - FRAME);
+    if (passed === undefined && delta === undefined) return undefined;
+    return { ...delta as Digest, ...(passed !== undefined && { r: passed }) };
+  }
+
+  function takeReports(passed: NonNullable<Digest["r"]>): void {
+    for (const [replica, wire] of Object.entries(passed)) {
+      const held = reports.find(replica)?.report;
+      const received = fromWire(wire, held, clock.now());
+      if (received === undefined) continue;
+      reports.takePassed(replica, received.report, received.age);
+    }
+  }
+
+  function takeDigest(peer: string, digest: unknown): Result<void, string> {
+    const parsed = digestSchema.safeParse(digest);
+    if (!parsed.success) return Err(parsed.error.message);
+    const copy = peers.get(peer) ?? createDeltaCopy(clock);
+    peers.set(peer, copy);
+    const applied = copy.apply(parsed.data as Delta);
+    if (applied.isErr()) return applied;
+    takeReports(parsed.data.r ?? {});
+    return Ok(undefined);
+  }
+
+  function ownLinkRate(customer?: string): Bytes {
+    const rates = link.rates();
+    if (customer !== undefined) return rates.get(customer) ?? 0;
+    return [...rates.values()].reduce((sum, rate) => sum + rate, 0);
+  }
+
+  function peerLinkRate(copy: DeltaCopy, customer?: string): Bytes {
+    const wanted = customer === undefined ? undefined : linkKey(customer);
+    let sum = 0;
+    for (const [key, { values }] of copy.entries()) {
+      if (values.length !== LINK_VALUES) continue;
+      if (wanted === undefined || key === wanted) sum += values[0] ?? 0;
+    }
+    return sum;
+  }
+
+  function linkRate(customer?: string): Bytes {
+    const rates = [...peers.values()].map((copy) =>
+      peerLinkRate(copy, customer)
+    );
+    return rates.reduce((sum, rate) => sum + rate, ownLinkRate(customer));
+  }
+
+  return new (class extends LoadBoard {
+    override takeReport(replica: string, report: LoadReport): void {
+      reports.takePolled(replica, report);
+      relay.offer(replica);
+    }
+
+    override startDispatch(replica: string, dispatch: Dispatch): void {
+      const sent = dispatches.get(replica) ?? new Map<string, Sent>();
+      dispatches.set(replica, sent);
+      sent.set(dispatch.id, { ...dispatch, at: clock.monotonic() });
+      // An equal count can be of other dispatches, which are newer.
+      source.touch(replicaKey(replica));
+    }
+
+    override endDispatch(replica: string, id: string): void {
+      const sent = dispatches.get(replica);
+      sent?.delete(id);
+      if (sent?.size === 0) dispatches.delete(replica);
+    }
+
+    override recordLinkBytes(customer: string, bytes: Bytes): void {
+      link.record(customer, bytes);
+    }
+
+    override takeDigest(peer: string, digest: unknown): Result<void, string> {
+      return takeDigest(peer, digest);
+    }
+
+    override dropPeer(peer: string): void {
+      peers.delete(peer);
+    }
+
+    override retainReplicas(replicas: Iterable<string>): void {
+      const retained = new Set(replicas);
+      reports.retain(retained);
+      relay.retain(retained);
+    }
+
+    override composeDigest(limit: Bytes): Digest | undefined {
+      return composeDigest(limit);
+    }
+
+    override estimate(replica: string): LoadEstimate {
+      const held = reports.find(replica);
+      const own = ownUnseen(replica);
+      const others = peersUnseen(replica);
+      const unseen = sumUnseen([own, others]);
+      const { running = 0, waiting = 0, queuedTokens = 0 } = held?.report ?? {};
+      return {
+        requests: running + waiting + unseen.count,
+        queuedTokens: queuedTokens + unseen.tokens,
+        ...{ own, peers: others },
+        ...(held !== undefined && {
+          report: held.report,
+          age: clock.monotonic() - held.made,
+        }),
+      };
+    }
+
+    override linkRate(customer?: string): Bytes {
+      return linkRate(customer);
+    }
+
+    override linkShare(budgetPerSecond: Bytes, customer?: string): number {
+      return linkRate(customer) / budgetPerSecond;
+    }
+  })();
+}
+
+function sumUnseen(parts: readonly Unseen[]): Unseen {
+  return parts.reduce((sum, part) => ({
+    count: sum.count + part.count,
+    tokens: sum.tokens + part.tokens,
+  }), NONE);
+}
+
+/** Two names with the same key add up. */
+function add(
+  current: Map<string, readonly number[]>,
+  key: string,
+  values: readonly number[],
+): void {
+  const held = current.get(key) ?? [];
+  current.set(key, values.map((value, index) => value + (held[index] ?? 0)));
+}
--- /dev/null
+++ b/packages/load/src/packed.ts
@@ -0,0 +1,54 @@
+/**
+ * Packed entries of a digest. A name is replaced by five characters of its
+ * hash, and numbers are in base 36: 11 bytes for an entry where JSON with names
+ * takes 27. With 400 names in a zone, two of them collide with a chance of
+ * 1 in 13,000; their loads are then added up.
+ */
+import { hash } from "node:crypto";
+import { Err, Ok, type Result } from "ts-results-es";
+
+export type Values = readonly number[];
+
+/** Characters of a key, of 6 bits each. */
+const KEY_LENGTH = 5;
+const RADIX = 36;
+const SEPARATOR = ";";
+const ENTRY_PATTERN = /^[\w-]{5}(?:[0-9a-z]{1,10}(?:,[0-9a-z]{1,10}){0,3})?$/;
+
+const MAX_CACHED = 10_000;
+const cache = new Map<string, string>();
+
+/** The key of a name; the same in all daemons. */
+export function keyOf(name: string): string {
+  const cached = cache.get(name);
+  if (cached !== undefined) return cached;
+  const digest = hash("sha256", name, "buffer").toString("base64url");
+  const key = digest.slice(0, KEY_LENGTH);
+  if (cache.size >= MAX_CACHED) cache.clear();
+  cache.set(name, key);
+  return key;
+}
+
+/** One entry with its separator; no values say that it was removed. */
+export function packEntry(key: string, values: Values | undefined): string {
+  const numbers = (values ?? []).map((value) =>
+    Math.round(value).toString(RADIX)
+  );
+  return key + numbers.join(",") + SEPARATOR;
+}
+
+export function unpackEntries(
+  text: string,
+): Result<ReadonlyMap<string, Values | undefined>, string> {
+  const entries = new Map<string, Values | undefined>();
+  for (const entry of text.split(SEPARATOR).slice(0, -1)) {
+    if (!ENTRY_PATTERN.test(entry)) return Err("malformed entry");
+    const numbers = entry.slice(KEY_LENGTH);
+    const values = numbers.split(",").map((part) => parseInt(part, RADIX));
+    entries.set(
+      entry.slice(0, KEY_LENGTH),
+      numbers === "" ? undefined : values,
+    );
+  }
+  return Ok(entries);
+}
--- /dev/null
+++ b/packages/load/src/poller.ts
@@ -0,0 +1,54 @@
+/**
+ * Polls the load reports for which this daemon is chosen. Two daemons of the
+ * zone poll each replica, so that one may die unnoticed for a while.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { LoadReport, Milliseconds } from "@peridotvalve/types";
+import type { Result } from "ts-results-es";
+import type { LoadBoard } from "./board.ts";
+
+export const POLL_PERIOD: Milliseconds = 1_000;
+export const POLLERS = 2;
+
+export interface PollerOptions {
+  readonly clock: Clock;
+  readonly board: LoadBoard;
+  /** The replicas of this zone; read each period. */
+  readonly listReplicas: () => readonly string[];
+  /** `Membership.isReader`, or another choice that all daemons make alike. */
+  readonly isReader: (subject: string, count: number) => boolean;
+  /** Must settle within a deadline of its own. */
+  readonly poll: (replica: string) => Promise<Result<LoadReport, unknown>>;
+}
+
+/** Subject under which a replica's pollers are chosen. */
+export function pollSubject(replica: string): string {
+  return `load/${replica}`;
+}
+
+/** Polls each period until the signal aborts. */
+export async function pollReports(
+  options: PollerOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const { clock, board, listReplicas, isReader } = options;
+  const inProgress = new Set<string>();
+
+  async function pollOne(replica: string): Promise<void> {
+    inProgress.add(replica);
+    const polled = await options.poll(replica);
+    inProgress.delete(replica);
+    if (polled.isOk()) board.takeReport(replica, polled.value);
+  }
+
+  while (!signal.aborted) {
+    const chosen = listReplicas().filter((replica) =>
+      isReader(pollSubject(replica), POLLERS)
+    );
+    // A replica that does not answer must not delay the others.
+    for (const replica of chosen) {
+      if (!inProgress.has(replica)) void pollOne(replica);
+    }
+    await clock.sleep(POLL_PERIOD, signal);
+  }
+}
