Test the HTTP client against raw servers

The attempt states depend on how undici behaves when a connection ends, so the client is tested against sockets that refuse, reset a kept-alive connection, stay silent, send garbage, cut a body and drip bytes. The tests showed that undici's parser errors carry a class name but no usable code, so they are now classified by name. A flood of comments or a dripping body no longer outlives the deadline.

A RetryAgent in the same setup sends a request three times, so the count of arrivals can fail. Before the fix, garbage was reported as a cut.

--- a/packages/upstreams/src/generation_stream.ts
+++ b/packages/upstreams/src/generation_stream.ts
@@ -114,6 +114,12 @@
       }
       if (part.value === undefined) return;
       parser.feed(decoder.decode(part.value, { stream: true }));
+      // A flood of comments must not keep an attempt alive.
+      if (parsed.length === 0 && clock.monotonic() > readDue()) {
+        const failure = source.fail("timeout", "a deadline has passed");
+        yield { isErr: true, failure: describeFailure(failure) };
+        return;
+      }
       for (const value of parsed.splice(0)) yield { isErr: false, value };
       if (malformed) {
         const failure = protocolFailure(source, "malformed event stream");
--- /dev/null
+++ b/packages/upstreams/src/http_client.test.ts
@@ -0,0 +1,184 @@
+import { createSystemClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test } from "node:test";
+import { setImmediate } from "node:timers/promises";
+import { Agent, request, RetryAgent } from "undici";
+import {
+  createHttpClient,
+  type HttpClient,
+  type HttpClientOptions,
+  type HttpFailure,
+} from "./http_client.ts";
+
+const LIMITS = { timeout: 5_000 };
+const ORDER = { method: "POST", path: "/orders", body: "{}" };
+const OK = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/** A server that hands each request (its first packet) to the test. */
+interface RawServer {
+  readonly address: string;
+  /** The connection's number for each request that arrived. */
+  readonly requests: number[];
+  readonly closed: Set<number>;
+}
+
+async function withRawServer(
+  answer: (socket: Socket, requestNumber: number) => void,
+  run: (client: HttpClient, server: RawServer) => Promise<void>,
+  options: Partial<HttpClientOptions> = {},
+): Promise<void> {
+  const sockets: Socket[] = [];
+  const requests: number[] = [];
+  const closed = new Set<number>();
+  const server = createServer((socket) => {
+    const number = sockets.push(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => closed.add(number));
+    socket.on("data", (data) => {
+      if (!data.toString("latin1").includes(" HTTP/1.1\r\n")) return;
+      requests.push(number);
+      answer(socket, requests.length);
+    });
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  const clock = createSystemClock();
+  const client = createHttpClient({ address, clock, ...options });
+  try {
+    await run(client, { address, requests, closed });
+  } finally {
+    await client.close();
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  }
+}
+
+async function sendFailing(client: HttpClient): Promise<HttpFailure> {
+  const answer = await client.send(ORDER, LIMITS);
+  return answer.unwrapErr();
+}
+
+test("a refused connection counts as not sent", async () => {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  server.close();
+  await once(server, "close");
+  const client = createHttpClient({ address, clock: createSystemClock() });
+  const failure = await sendFailing(client);
+  await client.close();
+  expect(failure.sent).toEqual(false);
+  expect(failure.reason).toEqual("unreachable");
+});
+
+// The server closes or resets a kept-alive connection when the second request
+// arrives. The request may have run, so it counts as sent and is not repeated.
+for (const end of ["destroy", "resetAndDestroy"] as const) {
+  test(`a request on a connection that ends is sent once: ${end}`, async () => {
+    await withRawServer((socket, number) => {
+      if (number === 1) socket.write(OK);
+      else socket[end]();
+    }, async (client, server) => {
+      expect((await client.send(ORDER, LIMITS)).isOk()).toEqual(true);
+      const failure = await sendFailing(client);
+      expect(server.requests).toEqual([1, 1]);
+      expect(failure.sent).toEqual(true);
+      expect(failure.reason).toEqual("cut");
+    }, { connections: 1 });
+  });
+}
+
+test("the count of requests shows a client that repeats", async () => {
+  await withRawServer((socket, number) => {
+    if (number < 3) socket.destroy();
+    else socket.write(OK);
+  }, async (_, server) => {
+    const dispatcher = new RetryAgent(new Agent(), { minTimeout: 1 });
+    await request(`http://${server.address}/stock/a`, { dispatcher });
+    expect(server.requests.length).toEqual(3);
+    await dispatcher.destroy();
+  });
+});
+
+test("a silent connection is destroyed and no open one is reused", async () => {
+  await withRawServer((socket, number) => {
+    if (number !== 3) socket.write(OK);
+  }, async (client, server) => {
+    const pair = [client.send(ORDER, LIMITS), client.send(ORDER, LIMITS)];
+    await Promise.all(pair);
+    expect(server.requests.toSorted()).toEqual([1, 2]);
+    const silent = await client.send(ORDER, { timeout: 100 });
+    expect(silent.unwrapErr().sent).toEqual(true);
+    expect(silent.unwrapErr().reason).toEqual("timeout");
+    expect((await client.send(ORDER, LIMITS)).isOk()).toEqual(true);
+    expect(server.requests[3]).toEqual(3);
+    // Both connections that were open at the timeout have ended by now.
+    expect([...server.closed].toSorted()).toEqual([1, 2]);
+  });
+});
+
+for (
+  const [name, content] of [
+    ["garbage", "hello\r\n\r\n"],
+    ["a large header", `HTTP/1.1 200 OK\r\nx: ${"x".repeat(2_000)}\r\n\r\n`],
+    [
+      "a large body",
+      `HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n${"x".repeat(2_000)}`,
+    ],
+  ] as const
+) {
+  test(`${name} is a protocol failure of a sent request`, async () => {
+    await withRawServer((socket) => socket.write(content), async (client) => {
+      const failure = await sendFailing(client);
+      expect(failure.sent).toEqual(true);
+      expect(failure.reason).toEqual("protocol");
+    }, { headerBytes: 1_000, responseBytes: 1_000 });
+  });
+}
+
+test("a body that ends early is cut", async () => {
+  await withRawServer((socket) => {
+    socket.end("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok");
+  }, async (client) => {
+    expect((await sendFailing(client)).reason).toEqual("cut");
+  });
+});
+
+test("a body that drips past the deadline is a timeout", async () => {
+  await withRawServer((socket) => {
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 99999\r\n\r\n");
+    const timer = setInterval(() => socket.write("x"), 5);
+    socket.on("close", () => clearInterval(timer));
+  }, async (client) => {
+    const answer = await client.send(ORDER, { timeout: 100 });
+    expect(answer.unwrapErr().reason).toEqual("timeout");
+  });
+});
+
+test("a withdrawn wait for a connection counts as not sent", async () => {
+  let release = () => {};
+  await withRawServer((socket, number) => {
+    if (number === 1) release = () => socket.write(OK);
+    else socket.write(OK);
+  }, async (client, server) => {
+    const first = client.send(ORDER, LIMITS);
+    while (server.requests.length === 0) await setImmediate();
+    const controller = new AbortController();
+    const signal = controller.signal;
+    const cancelled = client.send(ORDER, { ...LIMITS, signal });
+    const expired = await client.send(ORDER, { timeout: 20 });
+    controller.abort();
+    const withdrawn = (await cancelled).unwrapErr();
+    expect(withdrawn.sent).toEqual(false);
+    expect(withdrawn.reason).toEqual("cancelled");
+    expect(expired.unwrapErr().sent).toEqual(false);
+    expect(expired.unwrapErr().reason).toEqual("timeout");
+    release();
+    expect((await first).isOk()).toEqual(true);
+    // A later request is served; the withdrawn ones never arrive.
+    expect((await client.send(ORDER, LIMITS)).isOk()).toEqual(true);
+    expect(server.requests.length).toEqual(2);
+  }, { connections: 1 });
+});
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -159,6 +159,9 @@
       const part = await read(limits.due - clock.monotonic());
       if (part.isErr()) return part;
       if (part.value === undefined) return Ok(Buffer.concat(parts));
+      if (clock.monotonic() > limits.due) {
+        return Err(fail("timeout", "a deadline has passed"));
+      }
       length += part.value.length;
       if (length > limits.bytes) {
         return Err(fail("protocol", "the response body is too large"));
@@ -204,12 +207,11 @@
   const code = (error as { readonly code?: string }).code ?? error.name;
   const message = `${code}: ${error.message}`;
   if (controller === undefined) return { reason: "unreachable", message };
-  const malformed = code.startsWith("HPE_") ||
-    code === "UND_ERR_HEADERS_OVERFLOW" ||
-    code === "UND_ERR_RES_CONTENT_LENGTH_MISMATCH";
-  // A chunked body that ends early is a parser error, too, but of a cut.
-  const cut = code === "HPE_INVALID_EOF_STATE" ||
-    code === "UND_ERR_RES_CONTENT_LENGTH_MISMATCH";
+  // undici gives the parser's errors their class's name, but not always a code.
+  const malformed = error.name === "HTTPParserError" ||
+    code === "UND_ERR_HEADERS_OVERFLOW";
+  // A body that ends early makes a parser error, too.
+  const cut = /invalid eof/i.test(error.message);
   return { reason: malformed && !cut ? "protocol" : "cut", message };
 }
 
