Add the publish and import protocol of blocks

A daemon must know that a block is whole before it counts it as published, and an engine must never use a torn copy. A publication now needs the store VM's own confirmation of incarnation, generation, length and checksum; an import is conditional on what the store VM reported, and any doubt means recomputing. Store VMs are ranked by weighted rendezvous hashing with one fallback, and bytes that cross regions need the budget's consent.

--- a/packages/blocks/src/mod.ts
+++ b/packages/blocks/src/mod.ts
@@ -3,3 +3,5 @@
  */
 export * from "./names.ts";
 export * from "./tokenizer.ts";
+export * from "./ranking.ts";
+export * from "./transfer.ts";
