Take replica loads from the load board

The fleet polled every replica from every daemon. It now uses the board: two daemons of a zone read a replica's report and pass it on in heartbeats, replicas of other zones are read in every eighth period, and peers' dispatches count.

--- a/packages/daemon/src/chat/admit.ts
+++ b/packages/daemon/src/chat/admit.ts
@@ -3,7 +3,7 @@
  */
 import type { Permit } from "@peridotvalve/admission";
 import type { Failure } from "@peridotvalve/errors";
-import type { Milliseconds } from "@peridotvalve/types";
+import { type Milliseconds, SECOND } from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 import type { Runtime } from "../runtime.ts";
 import { countTokens } from "./prompt.ts";
@@ -19,7 +19,7 @@
   runtime: Runtime,
   work: ChatWork,
 ): Promise<Result<Permit, Failure>> {
-  const prefill = runtime.fleet.expectedFirstToken(work);
+  const prefill = expectFirstToken(work);
   const tokens = Math.min(work.chat.maxTokens, ASSUMED_TOKENS);
   return runtime.admissionOf(work.chat.model).admit({
     customer: work.identity.name,
@@ -30,10 +30,9 @@
   }, work.signal);
 }
 
-/** Time to prefill a whole prompt on an idle replica of the slowest kind. */
-export function estimatePrefill(
-  prompt: string,
-  tokensPerSecond: number,
-): Milliseconds {
-  return countTokens(prompt) / tokensPerSecond * 1_000;
+/** Time to prefill the whole prompt on an idle replica of the slowest kind. */
+export function expectFirstToken(work: ChatWork): Milliseconds {
+  const rates = Object.values(work.group.replicas)
+    .map((replica) => replica.prefillTokensPerSecond);
+  return countTokens(work.chat.prompt) / Math.min(...rates) * SECOND;
 }
--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -92,7 +92,10 @@
   const begun = runtime.clock.monotonic();
   const { limits } = choice.configuration;
   const resume = resumePointOf(record);
-  const dispatch = runtime.fleet.begin(choice.replica, choice.tokens);
+  const dispatch = runtime.fleet.begin(choice.replica, {
+    attempt: record.attempt,
+    tokens: choice.tokens,
+  });
   const stream = choice.replica.engine.generate({
     attempt: record.attempt,
     request: work.request,
--- a/packages/daemon/src/chat/write.ts
+++ b/packages/daemon/src/chat/write.ts
@@ -11,6 +11,7 @@
   writeEvent,
 } from "../http/respond.ts";
 import type { Runtime } from "../runtime.ts";
+import { expectFirstToken } from "./admit.ts";
 import { countTokens } from "./prompt.ts";
 import {
   createCompletion,
@@ -46,7 +47,7 @@
   const answered = written.firstTokenAt ?? runtime.clock.monotonic();
   return {
     latency: answered - admitted,
-    expected: runtime.fleet.expectedFirstToken(work),
+    expected: expectFirstToken(work),
     overloaded: written.failure?.code === "upstream_timeout",
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,6 +13,7 @@
   createEventRing,
   createHybridClock,
 } from "@peridotvalve/events";
+import { createLoadBoard } from "@peridotvalve/load";
 import { createHttpPlatform } from "@peridotvalve/platform";
 import { createAttemptBudget } from "@peridotvalve/retries";
 import {
@@ -31,6 +32,7 @@
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
+import { pollFleet } from "./fleet/report_polling.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
 import { createMeters } from "./meters.ts";
 import {
@@ -101,11 +103,13 @@
     Object.entries(content()?.regions ?? {})
       .find(([, region]) => region.availabilityZones.includes(zone))?.[0] ?? "";
 
+  const board = createLoadBoard(clock);
   const created = await createNeighbours({
     settings,
     clock,
     hybridClock,
     log,
+    board,
     onAnnounce: ({ peer: _, address, version }) =>
       configuration.announce(version, address),
     onUpstreamLeaving: (leaving) => fleet.noteLeaving(leaving),
@@ -143,8 +147,10 @@
   const slowness = createSlownessDetector({ clock });
   const fleet = createFleet({
     clock,
+    board,
     slowness,
     log,
+    availabilityZone: settings.availabilityZone,
     regionOf,
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
   });
@@ -229,6 +235,13 @@
   log("process_started", { version: options.version ?? "unknown" });
   neighbours.start();
   void followVmList();
+  void pollFleet({
+    clock,
+    board,
+    fleet,
+    availabilityZone: settings.availabilityZone,
+    isReader: (subject, count) => membership.isReader(subject, count),
+  }, stopped.signal);
   await configuration.start();
   if (configuration.current() !== undefined) log("process_ready", {});
 
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -1,9 +1,10 @@
 /**
  * The replicas of the configuration in force and what this daemon knows of
- * them. One task for each replica reads its load reports.
+ * them, from load reports, peers, the VM list and its own streams.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
+import type { LoadBoard } from "@peridotvalve/load";
 import type { ListedVm } from "@peridotvalve/platform";
 import type { Candidate, SlownessDetector } from "@peridotvalve/routing";
 import type {
@@ -14,15 +15,19 @@
   Tokens,
 } from "@peridotvalve/types";
 import type { AttemptFailure } from "@peridotvalve/upstreams";
-import { estimatePrefill } from "../chat/admit.ts";
-import type { ChatWork } from "../chat/work.ts";
 import { createReplica, type Replica } from "./replica.ts";
 
-const POLL_INTERVAL: Milliseconds = 500;
-const POLL_TIMEOUT: Milliseconds = 1_000;
+/** Interval at which removed replicas are looked at for their last stream. */
+const CLOSE_INTERVAL: Milliseconds = 500;
 
-/** Reports missed in a row after which a replica gets no work. */
-const MISSED_REPORTS = 3;
+/** Reports missed in a row after which a replica counts as dead. */
+const MISSED_REPORTS = 4;
+
+/** Time between reports of a replica of the own availability zone. */
+const REPORT_INTERVAL: Milliseconds = 1_000;
+
+/** Reports of other availability zones are read once in so many periods. */
+export const REMOTE_PERIODS = 8;
 
 export interface Dispatch {
   end(): void;
@@ -35,15 +40,20 @@
   readonly expected: Milliseconds;
 }
 
+export interface DispatchedWork {
+  readonly attempt: string;
+  readonly tokens: Tokens;
+}
+
 export interface Fleet {
-  /** Follows a configuration: new replicas are read, removed ones forgotten. */
+  /** Follows a configuration: removed replicas end their streams first. */
   apply(configuration: Configuration): void;
   candidates(group: string): readonly Candidate[];
   find(replica: string): Replica | undefined;
   list(): readonly Replica[];
   readyCount(group: string): number;
-  /** Notes that an attempt of so many prompt tokens was dispatched. */
-  begin(replica: Replica, tokens: Tokens): Dispatch;
+  /** Notes that an attempt was dispatched. */
+  begin(replica: Replica, work: DispatchedWork): Dispatch;
   observe(
     replica: Replica,
     event: GenerationEvent,
@@ -54,32 +64,29 @@
   noteLeaving(incarnation: string): void;
   /** Takes the platform's lagging VM list. */
   noteVms(vms: readonly ListedVm[]): void;
-  expectedFirstToken(work: ChatWork): Milliseconds;
   close(): Promise<void>;
 }
 
 export interface FleetOptions {
   readonly clock: Clock;
+  readonly board: LoadBoard;
   readonly slowness: SlownessDetector;
   readonly log: EventLogger["log"];
+  readonly availabilityZone: string;
   readonly regionOf: (availabilityZone: string) => string;
   readonly onLeaving: (incarnation: string) => void;
 }
 
 interface Member {
   readonly replica: Replica;
-  readonly stopped: AbortController;
-  readonly dispatches: Map<symbol, InFlight>;
-  missed: number;
-}
-
-interface InFlight {
-  readonly at: Milliseconds;
-  readonly tokens: Tokens;
+  /** Streams that this daemon has open on the replica. */
+  streams: number;
+  incarnation: string | undefined;
+  isAnnounced: boolean;
 }
 
 export function createFleet(options: FleetOptions): Fleet {
-  const { clock, slowness } = options;
+  const { clock, board, slowness } = options;
   const members = new Map<string, Member>();
   const closing = new Set<Promise<void>>();
   let groups: Readonly<Record<string, ModelGroup>> = {};
@@ -87,48 +94,37 @@
   function add(name: string, group: string): void {
     const settings = groups[group]?.replicas[name];
     if (settings === undefined) return;
-    const replica = createReplica({ name, group, settings, clock });
-    const member = {
+    const report = () => board.estimate(name).report;
+    const replica = createReplica({ name, group, settings, clock, report });
+    members.set(name, {
       replica,
-      stopped: new AbortController(),
-      dispatches: new Map(),
-      missed: 0,
-    };
-    members.set(name, member);
-    void readReports(member);
+      streams: 0,
+      incarnation: undefined,
+      isAnnounced: false,
+    });
   }
 
-  async function readReports(member: Member): Promise<void> {
-    const { replica, stopped } = member;
-    while (!stopped.signal.aborted) {
-      const report = await replica.engine.readLoad(POLL_TIMEOUT);
-      if (report.isErr()) member.missed += 1;
-      else receive(member, report.value);
-      await clock.sleep(POLL_INTERVAL, stopped.signal);
-    }
-  }
-
-  function receive(
-    member: Member,
-    report: Parameters<Replica["receive"]>[0],
-  ): void {
+  /** Follows what the reports say of a replica's incarnation and state. */
+  function refresh(member: Member): void {
     const { replica } = member;
-    const previous = replica.report()?.incarnation;
-    const wasLeaving = replica.isLeaving();
-    member.missed = 0;
-    replica.receive(report);
-    if (previous !== undefined && previous !== report.incarnation) {
-      slowness.forget(replica.name);
-      options.log("upstream_restarted", { previous }, {
-        upstream: replica.name,
-      });
-    }
-    if (!wasLeaving && replica.isLeaving()) {
-      announceLeaving(replica, "load report");
+    const now = replica.report()?.incarnation;
+    if (now !== undefined && now !== member.incarnation) {
+      if (member.incarnation !== undefined) {
+        slowness.forget(replica.name);
+        const previous = member.incarnation;
+        const subject = { upstream: replica.name };
+        options.log("upstream_restarted", { previous }, subject);
+      }
+      member.incarnation = now;
+      member.isAnnounced = false;
     }
+    if (replica.isLeaving()) announceLeaving(member, "load report");
   }
 
-  function announceLeaving(replica: Replica, source: string): void {
+  function announceLeaving(member: Member, source: string): void {
+    if (member.isAnnounced) return;
+    member.isAnnounced = true;
+    const { replica } = member;
     options.log("upstream_leaving", { source }, { upstream: replica.name });
     const incarnation = replica.report()?.incarnation;
     if (incarnation !== undefined) options.onLeaving(incarnation);
@@ -136,7 +132,6 @@
 
   function remove(member: Member): void {
     members.delete(member.replica.name);
-    member.stopped.abort();
     slowness.forget(member.replica.name);
     const closed = closeWhenIdle(member);
     closing.add(closed);
@@ -145,53 +140,57 @@
 
   /** Streams on a removed replica go on to their end. */
   async function closeWhenIdle(member: Member): Promise<void> {
-    while (member.dispatches.size > 0) await clock.sleep(POLL_INTERVAL);
+    while (member.streams > 0) await clock.sleep(CLOSE_INTERVAL);
     await member.replica.engine.close();
   }
 
   function toCandidate(member: Member): Candidate {
+    refresh(member);
     const { replica } = member;
     const { settings, name } = replica;
-    const report = replica.report();
+    const load = board.estimate(name);
     const zone = settings.availabilityZone;
-    const unreported = countUnreported(member);
     const target = groups[replica.group]?.weights ?? "";
     return {
       name,
       availabilityZone: zone,
       region: options.regionOf(zone),
       weights: replica.weights() ?? target,
-      state: stateOf(member),
+      state: stateOf(member, load.age),
       weight: settings.slots,
       slots: settings.slots,
       prefillTokensPerSecond: settings.prefillTokensPerSecond,
-      unreported,
+      unreported: {
+        requests: load.own.count + load.peers.count,
+        tokens: load.own.tokens + load.peers.tokens,
+      },
       health: slowness.healthOf(name),
       probeDue: slowness.isProbeDue(name),
-      ...(report === undefined ? {} : {
-        incarnation: report.incarnation,
+      ...(load.report === undefined ? {} : {
+        incarnation: load.report.incarnation,
         reported: {
-          running: report.running,
-          waiting: report.waiting,
-          queuedTokens: report.queuedTokens,
-          age: clock.monotonic() - report.receivedAt,
+          running: load.report.running,
+          waiting: load.report.waiting,
+          queuedTokens: load.report.queuedTokens,
+          age: load.age ?? 0,
         },
       }),
     };
   }
 
-  function stateOf(member: Member): Candidate["state"] {
-    if (member.replica.isLeaving()) return "leaving";
-    if (member.missed >= MISSED_REPORTS) return "dead";
-    return member.replica.report()?.state ?? "ready";
-  }
-
-  function countUnreported(member: Member): Candidate["unreported"] {
-    const since = member.replica.report()?.receivedAt ?? 0;
-    const fresh = [...member.dispatches.values()]
-      .filter((dispatch) => dispatch.at >= since - POLL_INTERVAL);
-    const tokens = fresh.reduce((sum, dispatch) => sum + dispatch.tokens, 0);
-    return { requests: fresh.length, tokens };
+  function stateOf(
+    { replica }: Member,
+    age: Milliseconds | undefined,
+  ): Candidate["state"] {
+    if (replica.isLeaving()) return "leaving";
+    if (replica.isUnreachable()) return "dead";
+    const isLocal =
+      replica.settings.availabilityZone === options.availabilityZone;
+    const interval = isLocal
+      ? REPORT_INTERVAL
+      : REPORT_INTERVAL * REMOTE_PERIODS;
+    if ((age ?? 0) > interval * MISSED_REPORTS) return "dead";
+    return replica.report()?.state ?? "ready";
   }
 
   function candidates(group: string): readonly Candidate[] {
@@ -213,62 +212,63 @@
           if (!members.has(name)) add(name, group);
         }
       }
+      board.retainReplicas(members.keys());
     },
     candidates,
     find: (name) => members.get(name)?.replica,
     list: () => [...members.values()].map((member) => member.replica),
     readyCount: (group) =>
       candidates(group).filter((one) => one.state === "ready").length,
-    begin(replica, tokens) {
-      const dispatches = members.get(replica.name)?.dispatches ?? new Map();
-      const key = Symbol(replica.name);
-      dispatches.set(key, { at: clock.monotonic(), tokens });
-      return { end: () => void dispatches.delete(key) };
+    begin(replica, { attempt, tokens }) {
+      const member = members.get(replica.name);
+      if (member !== undefined) member.streams += 1;
+      board.startDispatch(replica.name, { id: attempt, tokens });
+      return {
+        end() {
+          if (member !== undefined) member.streams -= 1;
+          board.endDispatch(replica.name, attempt);
+        },
+      };
     },
     observe(replica, event, { begun, expected }) {
       if (event.kind === "start") replica.noteWeights(event.weights);
+      replica.noteReachable(true);
       if (event.kind !== "token" || event.offset > 0) return;
       const gap = clock.monotonic() - begun;
-      const kind = "first token";
-      slowness.record(replica.name, { kind, gap, expected });
+      slowness.record(replica.name, { kind: "first token", gap, expected });
     },
     noteFailure(replica, failure) {
       if (failure.weights !== undefined) replica.noteWeights(failure.weights);
-      if (failure.reason === "leaving") {
-        replica.markLeaving(undefined);
-        announceLeaving(replica, "response");
-      }
-      if (failure.reason === "unreachable") {
-        const member = members.get(replica.name);
-        if (member !== undefined) member.missed = MISSED_REPORTS;
-      }
+      if (failure.reason === "unreachable") replica.noteReachable(false);
+      if (failure.reason !== "leaving") return;
+      replica.markLeaving(undefined);
+      const member = members.get(replica.name);
+      if (member !== undefined) announceLeaving(member, "response");
     },
     noteLeaving(incarnation) {
-      for (const { replica } of members.values()) {
+      for (const member of members.values()) {
+        const { replica } = member;
         if (replica.report()?.incarnation !== incarnation) continue;
         if (replica.isLeaving()) continue;
         replica.markLeaving(incarnation);
-        options.log("upstream_leaving", { source: "peer" }, {
-          upstream: replica.name,
-        });
+        // The peer's heartbeat reaches the whole zone; passing it on again
+        // would only repeat it.
+        member.isAnnounced = true;
+        const subject = { upstream: replica.name };
+        options.log("upstream_leaving", { source: "peer" }, subject);
       }
     },
     noteVms(vms) {
-      for (const { replica } of members.values()) {
+      for (const member of members.values()) {
+        const { replica } = member;
         const listed = vms.find((vm) =>
           vm.address === replica.settings.address
         );
         if (listed?.state !== "leaving" || replica.isLeaving()) continue;
         replica.markLeaving(listed.incarnation);
-        if (replica.isLeaving()) announceLeaving(replica, "VM list");
+        if (replica.isLeaving()) announceLeaving(member, "VM list");
       }
     },
-    expectedFirstToken(work) {
-      const rates = Object.values(work.group.replicas)
-        .map((replica) => replica.prefillTokensPerSecond);
-      const slowest = Math.min(...rates);
-      return estimatePrefill(work.chat.prompt, slowest);
-    },
     async close() {
       for (const member of [...members.values()]) remove(member);
       await Promise.all(closing);
--- a/packages/daemon/src/fleet/replica.ts
+++ b/packages/daemon/src/fleet/replica.ts
@@ -1,6 +1,6 @@
 /**
- * One replica as this daemon sees it: its client, its newest load report, and
- * whether it is leaving. Everything here can be read again after a restart.
+ * One replica as this daemon sees it beside its load reports: its client, the
+ * weight version that its answers told, failures, and whether it is leaving.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type {
@@ -15,20 +15,18 @@
   readonly group: string;
   readonly settings: ReplicaSettings;
   readonly engine: HttpEngine;
-  report(): ReceivedReport | undefined;
-  /** Takes a report; one of a new incarnation clears what was known. */
-  receive(report: LoadReport): void;
+  /** The newest load report, polled here or passed on by a peer. */
+  report(): LoadReport | undefined;
   /** Notes the weight version that an answer of the replica told. */
   noteWeights(weights: string): void;
-  /** Notes that this incarnation gets no new work. */
+  /** Notes that the incarnation, or the one that runs now, takes no new work. */
   markLeaving(incarnation: string | undefined): void;
   isLeaving(): boolean;
   weights(): string | undefined;
-}
-
-export interface ReceivedReport extends LoadReport {
-  /** Monotonic time at which the report arrived. */
-  readonly receivedAt: Milliseconds;
+  /** Notes a failure to reach the replica, or that it answered. */
+  noteReachable(isReachable: boolean): void;
+  /** True while the last contact failed a short time ago. */
+  isUnreachable(): boolean;
 }
 
 export interface ReplicaOptions {
@@ -36,41 +34,57 @@
   readonly group: string;
   readonly settings: ReplicaSettings;
   readonly clock: Clock;
+  readonly report: () => LoadReport | undefined;
 }
 
 // Stands for "the incarnation that runs now" until a report names it.
 const UNNAMED = "";
 
+/** Time for which a replica that refused a connection is not tried again. */
+const AVOID_TIME: Milliseconds = 2_000;
+
+interface ToldWeights {
+  readonly weights: string;
+  /** The report that was the newest when the replica told its version. */
+  readonly report: LoadReport | undefined;
+}
+
 export function createReplica(options: ReplicaOptions): Replica {
-  const { name, group, settings, clock } = options;
+  const { name, group, settings, clock, report } = options;
   const engine = createHttpEngine({ address: settings.address, clock });
-  let report: ReceivedReport | undefined;
-  let weights: string | undefined;
+  let told: ToldWeights | undefined;
   let leaving: string | undefined;
+  let failedAt: Milliseconds | undefined;
 
   return {
     name,
     group,
     settings,
     engine,
-    report: () => report,
-    receive(received) {
-      if (leaving === UNNAMED && report === undefined) {
-        leaving = received.incarnation;
-      }
-      report = { ...received, receivedAt: clock.monotonic() };
-      weights = received.weights;
-      if (received.state === "leaving") leaving = received.incarnation;
-    },
-    noteWeights(told) {
-      weights = told;
+    report,
+    noteWeights(weights) {
+      told = { weights, report: report() };
     },
+    // An answer is newer than the report held when it came, and older than
+    // the next one.
+    weights: () =>
+      told !== undefined && told.report === report()
+        ? told.weights
+        : report()?.weights,
     markLeaving(incarnation) {
-      leaving = incarnation ?? report?.incarnation ?? UNNAMED;
+      leaving = incarnation ?? report()?.incarnation ?? UNNAMED;
+    },
+    isLeaving() {
+      const now = report();
+      if (now?.state === "leaving") return true;
+      if (leaving === UNNAMED && now !== undefined) leaving = now.incarnation;
+      // A returning address is a new incarnation, which is not leaving.
+      return leaving !== undefined && leaving === (now?.incarnation ?? UNNAMED);
+    },
+    noteReachable(isReachable) {
+      failedAt = isReachable ? undefined : clock.monotonic();
     },
-    // A returning address is a new incarnation, which is not leaving.
-    isLeaving: () =>
-      leaving !== undefined && leaving === (report?.incarnation ?? UNNAMED),
-    weights: () => weights,
+    isUnreachable: () =>
+      failedAt !== undefined && clock.monotonic() - failedAt < AVOID_TIME,
   };
 }
--- /dev/null
+++ b/packages/daemon/src/fleet/report_polling.ts
@@ -0,0 +1,54 @@
+/**
+ * Reads the load reports for which this daemon is chosen. Replicas of other
+ * availability zones are read less often, so that the bytes of all reads stay
+ * within the daemon's budget at 730 replicas.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import { type LoadBoard, pollReports } from "@peridotvalve/load";
+import type { Milliseconds } from "@peridotvalve/types";
+import { Err } from "ts-results-es";
+import { type Fleet, REMOTE_PERIODS } from "./fleet.ts";
+
+const POLL_TIMEOUT: Milliseconds = 900;
+
+export interface ReportPollingOptions {
+  readonly clock: Clock;
+  readonly board: LoadBoard;
+  readonly fleet: Fleet;
+  readonly availabilityZone: string;
+  readonly isReader: (subject: string, count: number) => boolean;
+}
+
+/** Polls until the signal aborts. */
+export function pollFleet(
+  options: ReportPollingOptions,
+  signal: AbortSignal,
+): Promise<void> {
+  const { fleet, availabilityZone } = options;
+  let period = 0;
+
+  function listDue(): readonly string[] {
+    period += 1;
+    return fleet.list()
+      .filter(({ settings }, index) =>
+        settings.availabilityZone === availabilityZone ||
+        // The first period reads all; then each has its turn.
+        period === 1 || (period + index) % REMOTE_PERIODS === 0
+      )
+      .map((replica) => replica.name);
+  }
+
+  return pollReports({
+    clock: options.clock,
+    board: options.board,
+    listReplicas: listDue,
+    isReader: options.isReader,
+    poll: async (name) => {
+      const replica = fleet.find(name);
+      if (replica === undefined) return Err("no longer configured");
+      const report = await replica.engine.readLoad(POLL_TIMEOUT);
+      replica.noteReachable(report.isOk());
+      return report;
+    },
+  }, signal);
+}
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -12,6 +12,7 @@
   type NewerVersion,
   type PeerChange,
 } from "@peridotvalve/membership";
+import type { LoadBoard } from "@peridotvalve/load";
 import type { ListedVm } from "@peridotvalve/platform";
 import type { ProcessSettings } from "@peridotvalve/settings";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -53,6 +54,7 @@
   readonly clock: Clock;
   readonly hybridClock: HybridClock;
   readonly log: EventLogger["log"];
+  readonly board: LoadBoard;
   readonly onAnnounce: (newer: NewerVersion) => void;
   readonly onUpstreamLeaving: (incarnation: string) => void;
 }
@@ -60,7 +62,7 @@
 export async function createNeighbours(
   options: NeighbourOptions,
 ): Promise<Result<Neighbours, string>> {
-  const { settings, clock } = options;
+  const { settings, clock, board } = options;
   const [host, port] = splitAddress(settings.listeners.peers);
   const transport = await createUdpTransport({ host, port });
   if (transport.isErr()) return transport;
@@ -80,6 +82,13 @@
       address: seed.address,
       zone: seed.availabilityZone,
     })),
+    createDigest: (limit) => board.composeDigest(limit),
+    onDigest(peer, digest) {
+      const taken = board.takeDigest(peer, digest);
+      if (taken.isErr()) {
+        options.log("datagram_rejected", { reason: taken.error, from: peer });
+      }
+    },
     createAggregate: () => ({ daemons: membership.live().length }),
     onAggregate(aggregate) {
       const content = AGGREGATE.safeParse(aggregate.content);
@@ -87,7 +96,12 @@
     },
     onAnnounce: options.onAnnounce,
     onUpstreamLeaving: options.onUpstreamLeaving,
-    onChange: (change) => logChange(options.log, change),
+    onChange(change) {
+      const isGone = change.kind === "dead" || change.kind === "restarted" ||
+        change.kind === "forgotten";
+      if (isGone) board.dropPeer(change.peer.name);
+      logChange(options.log, change);
+    },
     onReject: (reason, from) =>
       options.log("datagram_rejected", { reason, from }),
     onDrift: (peer, ahead) => options.log("clock_drift", { peer, ahead }),
