Bound the sweeper's memory and the wait for silent peers

The sweeper remembered every settled row for the whole retention, which at many orders a second exceeds a daemon's memory; it now remembers only claims in progress and rows past their retention, which are removed one claim timeout later. A peer that never answers no longer holds up a configuration watch. The lease's row writes move to a module of their own, and work that throws releases its lease.

--- a/packages/claims/src/sweeper.ts
+++ b/packages/claims/src/sweeper.ts
@@ -16,7 +16,7 @@
    * than the send deadline plus the longest call of a service.
    */
   readonly claimTimeout?: Milliseconds;
-  /** Time for which settled rows are kept. */
+  /** Time for which settled rows are kept, apart from `claimTimeout`. */
   readonly retention?: Milliseconds;
   /** Time for one call of the platform. */
   readonly timeout?: Milliseconds;
@@ -83,18 +83,20 @@
     yield "failed";
   }
 
-  /** How long this sweeper has seen the row's version, noting a new one. */
+  /** When this sweeper first saw the row's version. */
   function observe(row: Row): Observation {
     const known = observed.get(row.key);
     if (known?.version === row.version) return known;
     return { version: row.version, since: clock.monotonic() };
   }
 
-  function isExpired(claim: ClaimRow, unchanged: Milliseconds): boolean {
-    if (unchanged < claimTimeout) return false;
+  /**
+   * Whether the row must be settled once it stays unchanged. Wall clocks are
+   * accurate enough for the long retention; the time for which the row is then
+   * seen unchanged guards against a clock that has just jumped.
+   */
+  function isDue(claim: ClaimRow): boolean {
     if (claim.state === "claimed") return true;
-    // Wall clocks are accurate enough for the long retention; the time seen
-    // unchanged guards against a clock that has just jumped.
     return clock.now() - claim.settledAt >= retention;
   }
 
@@ -114,6 +116,7 @@
   return new (class extends ClaimSweeper {
     override async sweep(signal: AbortSignal): Promise<Sweep> {
       const next = new Map<string, Observation>();
+      let seen = 0;
       let markedUnknown = 0;
       let removed = 0;
       let complete = true;
@@ -124,11 +127,14 @@
         }
         const readAt = clock.monotonic();
         for (const row of rows) {
+          seen += 1;
+          const claim = parseClaimRow(row);
+          // Rows within their retention are not remembered; they are many.
+          if (claim === undefined || !isDue(claim)) continue;
           const observation = observe(row);
           next.set(row.key, observation);
-          const claim = parseClaimRow(row);
-          if (claim === undefined || signal.aborted) continue;
-          if (!isExpired(claim, readAt - observation.since)) continue;
+          if (readAt - observation.since < claimTimeout) continue;
+          if (signal.aborted) continue;
           if (!await settle(row, claim)) continue;
           if (claim.state === "claimed") markedUnknown += 1;
           else removed += 1;
@@ -136,7 +142,7 @@
       }
       // A sweep that failed half-way keeps what earlier ones observed.
       observed = complete ? next : new Map([...observed, ...next]);
-      return { seen: next.size, markedUnknown, removed, complete };
+      return { seen, markedUnknown, removed, complete };
     }
   })();
 }
--- a/packages/configuration/src/watch.ts
+++ b/packages/configuration/src/watch.ts
@@ -10,7 +10,7 @@
   SECOND,
   type VersionedConfiguration,
 } from "@peridotvalve/types";
-import type { Result } from "ts-results-es";
+import { Err, type Result } from "ts-results-es";
 import {
   type RawConfiguration,
   readContent,
@@ -38,7 +38,7 @@
   readonly silenceLimit?: Milliseconds;
   /** Time that a start during an outage waits for peers. */
   readonly startPatience?: Milliseconds;
-  /** Time for one call of the platform. */
+  /** Time for one call of the platform or of a peer. */
   readonly timeout?: Milliseconds;
 }
 
@@ -139,7 +139,12 @@
   }
 
   async function fetchFrom(peer: string): Promise<void> {
-    const fetched = await options.fetchFromPeer(peer);
+    const ended = new AbortController();
+    const fetched = await Promise.race([
+      options.fetchFromPeer(peer),
+      clock.sleep(timeout, ended.signal).then(() => Err(`${peer} is silent`)),
+    ]);
+    ended.abort();
     if (fetched.isOk()) adopt(fetched.value, peer);
     else report({ kind: "unreadable", reason: fetched.error });
   }
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -9,13 +9,10 @@
  */
 import { randomUUID } from "node:crypto";
 import { type Clock, createSystemClock } from "@peridotvalve/clock";
-import type { Platform, Row, RowCheck } from "@peridotvalve/platform";
-import {
-  type Milliseconds,
-  SECOND,
-  type Settlement,
-} from "@peridotvalve/types";
-import { leaseKey, type LeaseRow, leaseValue, parseLeaseRow } from "./row.ts";
+import type { Platform, Row } from "@peridotvalve/platform";
+import { type Milliseconds, SECOND } from "@peridotvalve/types";
+import { leaseKey, parseLeaseRow } from "./row.ts";
+import { createRowWriter } from "./row_writer.ts";
 
 export interface LeaseOptions {
   readonly platform: Platform;
@@ -90,6 +87,7 @@
   }: LeaseOptions,
 ): Lease {
   const key = leaseKey(name);
+  const writer = createRowWriter({ platform, key, timeout });
   let hold: Hold | undefined;
   let observation: Observation | undefined;
   // Never reused, so that a write of one try that takes effect late is not
@@ -122,51 +120,6 @@
   /** Counts from before the write, so that contenders count from later. */
   const endAfter = (sent: Milliseconds) => sent + duration - margin;
 
-  async function write(
-    version: number,
-    value: LeaseRow,
-  ): Promise<Settlement<number, string>> {
-    const settlement = await platform.transact({
-      id: `${value.acquisition}/${value.sequence}`,
-      checks: [{ ...key, version }],
-      writes: [{ ...key, value: leaseValue(value) }],
-    }, timeout);
-    if (settlement.kind === "unknown") return settlement;
-    if (settlement.kind === "not done") {
-      const { reason } = settlement;
-      const isConflict = reason.kind === "conflict";
-      const text = isConflict ? CONFLICT : reason.reason;
-      return { kind: "not done", reason: text };
-    }
-    return { kind: "done", value: versionOf(settlement.value.versions) };
-  }
-
-  /** Whether a lost answer's write is what the row holds now. */
-  async function readBack(value: LeaseRow): Promise<number | undefined> {
-    const row = await platform.readRow(key, timeout);
-    if (row.isErr() || row.value === undefined) return undefined;
-    const found = parseLeaseRow(row.value);
-    const isOwn = found?.acquisition === value.acquisition &&
-      found.sequence === value.sequence;
-    return isOwn ? row.value.version : undefined;
-  }
-
-  /** Writes and resolves a lost answer as far as possible. */
-  async function settle(
-    version: number,
-    value: LeaseRow,
-  ): Promise<Settlement<number, string>> {
-    const settlement = await write(version, value);
-    if (settlement.kind === "done") return settlement;
-    // A conflict can be with this very write, when an earlier try came late.
-    if (settlement.kind === "not done" && settlement.reason !== CONFLICT) {
-      return settlement;
-    }
-    const found = await readBack(value);
-    if (found === undefined) return settlement;
-    return { kind: "done", value: found };
-  }
-
   /** Notes the row and answers whether it may be taken over now. */
   function isFree(row: Row | undefined, readSince: Milliseconds): boolean {
     if (row === undefined) return true;
@@ -198,7 +151,7 @@
     const acquisition = randomUUID();
     const value = { holder, acquisition, sequence: ++sequence, token: null };
     const sent = clock.monotonic();
-    const settlement = await settle(version, value);
+    const settlement = await writer.settle(version, value);
     if (settlement.kind !== "done") return unavailable(settlement.reason);
     const token = settlement.value;
     const loss = new AbortController();
@@ -221,7 +174,7 @@
     const { acquisition, token } = held;
     const sent = clock.monotonic();
     const value = { holder, acquisition, sequence: ++sequence, token };
-    const settlement = await settle(held.version, value);
+    const settlement = await writer.settle(held.version, value);
     // The hold can have ended, or been released, during the call.
     if (currentHold() !== held) return { kind: "lost", reason: "ended" };
     if (settlement.kind === "done") {
@@ -261,7 +214,7 @@
     drop(held);
     const { acquisition, token, version } = held;
     const value = { holder: null, acquisition, sequence: ++sequence, token };
-    await settle(version, value);
+    await writer.settle(version, value);
   }
 
   let pending: Promise<LeaseAnswer> | undefined;
@@ -297,14 +250,6 @@
   })();
 }
 
-const CONFLICT = "row has changed";
-
-function versionOf(versions: readonly RowCheck[]): number {
-  const [first] = versions;
-  if (first === undefined) throw new Error("commit without a row version");
-  return first.version;
-}
-
 function unavailable(reason: string): LeaseAnswer {
   return { kind: "unavailable", reason };
 }
--- a/packages/lease/src/run.ts
+++ b/packages/lease/src/run.ts
@@ -39,9 +39,12 @@
     if (token !== undefined && lost !== undefined) {
       const tenure = { token, signal: AbortSignal.any([lost, signal]) };
       const renewing = renewUntil(tenure.signal, { lease, clock, interval });
-      await work(tenure);
-      await lease.release();
-      await renewing;
+      try {
+        await work(tenure);
+      } finally {
+        await lease.release();
+        await renewing;
+      }
     }
     await clock.sleep(interval, signal);
   }
