--- a/packages/load/src/load_board.test.ts
+++ b/packages/load/src/load_board.test.ts
@@ -124,6 +124,7 @@
   peer.takeReport("r1", createReport({ running: 5 }));
   pass(peer, board);
   expect(board.estimate("r1").report?.incarnation).toEqual("other");
+  expect(board.estimate("r1").report?.running).toEqual(0);
 });
 
 test("91 replicas of long names converge in digests of 110 bytes", async () => {
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -143,18 +143,21 @@
 });
 
 test("a datagram of an earlier life that arrives late is ignored", async () => {
-  const { clock, network, daemons, start } = await startZone(2);
-  const [first, second] = daemons;
+  const seen: string[] = [];
+  const { clock, network, daemons, start } = await startZone(2, {
+    onChange: ({ kind, peer }) => {
+      if (kind === "restarted") seen.push(peer.incarnation);
+    },
+  });
+  const [, second] = daemons;
   network.setFaults({ delay: 10_000 });
   await clock.advance(3_000);
   second?.stop();
   network.setFaults({});
   const restarted = start(1);
-  await clock.advance(1_500);
-  const { incarnation } = restarted.membership.identity();
   await clock.advance(10_000);
-  const held = first?.membership.peers().map((peer) => peer.incarnation);
-  expect(held).toEqual([incarnation]);
+  // A late datagram that counted would show as another restart.
+  expect(seen).toEqual([restarted.membership.identity().incarnation]);
 });
 
 test("a new name at the same address replaces the old one", async () => {
