Let the concurrency limit follow the ready replicas

The largest limit was fixed at construction, so a leaving replica or a configuration change left it too high until observations were late.

--- a/packages/admission/src/admission.test.ts
+++ b/packages/admission/src/admission.test.ts
@@ -32,7 +32,11 @@
   });
   return createAdmission({
     clock,
-    limit: createConcurrencyLimit({ clock, initial: places, maximum: places }),
+    limit: createConcurrencyLimit({
+      clock,
+      initial: places,
+      maximum: () => places,
+    }),
     customers,
     queueLength: () => setup.queueLength ?? 100,
     replicas: () => 1,
@@ -276,7 +280,12 @@
 
 test("the limit falls when observations are late and rises only when used", () => {
   const clock = createManualClock();
-  const limit = createConcurrencyLimit({ clock, initial: 20, maximum: 40 });
+  let ready = 40;
+  const limit = createConcurrencyLimit({
+    clock,
+    initial: 20,
+    maximum: () => ready,
+  });
   const record = (latency: number, running: number) => {
     for (let count = 0; count < 20; count += 1) {
       limit.record({ latency, expected: 100, overloaded: false }, running);
@@ -288,4 +297,6 @@
   expect(limit.current()).toEqual(21);
   record(1_000, 21);
   expect(limit.current()).toEqual(17);
+  ready = 8;
+  expect(limit.current()).toEqual(8);
 });
--- a/packages/admission/src/concurrency_limit.ts
+++ b/packages/admission/src/concurrency_limit.ts
@@ -24,7 +24,8 @@
   readonly clock: Clock;
   readonly initial: number;
   readonly minimum?: number;
-  readonly maximum: number;
+  /** Follows the slots of the ready replicas. */
+  readonly maximum: () => number;
   /** Slowdown above which an observation counts as late. */
   readonly lateFactor?: number;
   /** Latency up to which an observation is never late. */
@@ -55,8 +56,8 @@
 export function createConcurrencyLimit(
   options: ConcurrencyLimitOptions,
 ): ConcurrencyLimit {
-  const { clock, maximum } = options;
-  const minimum = Math.min(maximum, Math.max(1, options.minimum ?? 1));
+  const { clock } = options;
+  const minimum = Math.max(1, options.minimum ?? 1);
   const lateFactor = options.lateFactor ?? DEFAULT_LATE_FACTOR;
   const target = options.target ?? DEFAULT_TARGET;
   let limit = clamp(options.initial);
@@ -66,7 +67,7 @@
   let startedAt = clock.monotonic();
 
   function clamp(value: number): number {
-    return Math.min(maximum, Math.max(minimum, value));
+    return Math.max(1, Math.min(options.maximum(), Math.max(minimum, value)));
   }
 
   function isLate(observation: Observation): boolean {
@@ -92,7 +93,7 @@
 
   return new (class extends ConcurrencyLimit {
     override current(): number {
-      return Math.max(1, Math.floor(limit));
+      return Math.floor(clamp(limit));
     }
 
     override record(observation: Observation, running: number): void {
--- a/packages/admission/src/measure_slopes.ts
+++ b/packages/admission/src/measure_slopes.ts
@@ -22,7 +22,7 @@
   const limit = createConcurrencyLimit({
     clock,
     initial: PLACES,
-    maximum: PLACES,
+    maximum: () => PLACES,
   });
   const customers = createCustomerLimits({
     clock,
