--- a/packages/daemon/src/admissions.ts
+++ b/packages/daemon/src/admissions.ts
@@ -44,12 +44,13 @@
   });
 
   function create(route: string): Admission {
-    const slots = countSlots(content(), route);
-    const isService = slots === undefined;
-    const initial = slots ?? SERVICE_CONCURRENCY;
-    const maximum = isService
-      ? HIGHEST_SERVICE_CONCURRENCY
-      : Math.max(1, initial * OVERCOMMIT);
+    const isService = countSlots(content(), route) === undefined;
+    const initial = countSlots(content(), route) ?? SERVICE_CONCURRENCY;
+    const maximum = () => {
+      const slots = countSlots(content(), route);
+      if (slots === undefined) return HIGHEST_SERVICE_CONCURRENCY;
+      return Math.max(1, slots * OVERCOMMIT);
+    };
     return createAdmission({
       clock,
       limit: createConcurrencyLimit({ clock, initial, maximum }),
