Pass load reports on in a short packed form

Every second digest may now be full of reports, the short form is packed, and reports older than 5 s are not passed on, because a daemon that has just started polls every replica once.

--- a/packages/load/src/delta_table.test.ts
+++ b/packages/load/src/delta_table.test.ts
@@ -82,14 +82,16 @@
 });
 
 test("packed entries read back, and malformed ones are refused", () => {
-  const values = fc.array(fc.nat(), { minLength: 1, maxLength: 4 });
+  const values = fc.array(fc.nat(), { minLength: 1, maxLength: 5 });
   fc.assert(fc.property(fc.string(), values, (name, numbers) => {
     const key = keyOf(name);
     const entries = unpackEntries(packEntry(key, numbers)).unwrap();
     expect([...entries]).toEqual([[key, numbers]]);
   }));
   expect([...unpackEntries("abcde;").unwrap()]).toEqual([["abcde", undefined]]);
-  for (const text of ["abcd;", "abcde1,;", "abcdeA;", "abcde1,2,3,4,5;", ";"]) {
+  for (
+    const text of ["abcd;", "abcde1,;", "abcdeA;", "abcde1,2,3,4,5,6;", ";"]
+  ) {
     expect(unpackEntries(text).isErr()).toEqual(true);
   }
 });
--- a/packages/load/src/load_board.test.ts
+++ b/packages/load/src/load_board.test.ts
@@ -142,6 +142,28 @@
   }
 });
 
+test("digests of 118 bytes pass four reports on within seconds", async () => {
+  const clock = createManualClock(1_000_000);
+  const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
+  const replicas = [0, 1, 2, 3].map((index) => `sizing-llm-${index}`);
+  const ages: number[] = [];
+  for (let round = 0; round < 40; round += 1) {
+    for (const replica of replicas) {
+      const at = clock.now() - 300;
+      const report = { queuedTokens: 12_000, usedBlocks: 800, at };
+      peer.takeReport(replica, createReport(report));
+      // Dispatches compete for the room.
+      peer.startDispatch(replica, { id: `${round}`, tokens: 3_000 });
+    }
+    pass(peer, board, 118);
+    await clock.advance(3_000);
+    if (round < 10) continue;
+    ages.push(...replicas.map((replica) => board.estimate(replica).age ?? 1e9));
+  }
+  // Every replica is passed on at least once in eight rounds.
+  expect(Math.max(...ages) <= 8 * 3_000).toEqual(true);
+});
+
 test("link use is summed by customer over the daemons and fades", async () => {
   const clock = createManualClock(1_000_000);
   const [board, peer] = [createLoadBoard(clock), createLoadBoard(clock)];
--- a/packages/load/src/load_board.ts
+++ b/packages/load/src/load_board.ts
@@ -20,8 +20,8 @@
 import { createLinkUse } from "./link_use.ts";
 import { createReportRelay } from "./report_relay.ts";
 import { createReports } from "./reports.ts";
-import { keyOf } from "./packed.ts";
-import { type Digest, digestSchema, fromWire } from "./wire.ts";
+import { linkKey, replicaKey, unpackEntries, type Values } from "./packed.ts";
+import { type Digest, digestSchema, fromLong, fromShort } from "./wire.ts";
 
 interface Sent extends Dispatch {
   readonly at: Milliseconds;
@@ -29,24 +29,15 @@
 
 const NONE: Unseen = { count: 0, tokens: 0 };
 
-/** Keys of replicas and of customers on the link differ by a prefix. */
-function replicaKey(replica: string): string {
-  return keyOf(`replica ${replica}`);
-}
-
-function linkKey(customer: string): string {
-  return keyOf(`link ${customer}`);
-}
-
 /** Entries of the link have one number, those of replicas two. */
 const LINK_VALUES = 1;
 
-/** Share of the digest's room for load reports. */
+/**
+ * Share of the digest's room for load reports in every second digest; the
+ * others may be full of them, because a report in the long form can need more.
+ */
 const REPORT_SHARE = 0.5;
 
-/** The frame around the reports and the braces of the digest. */
-const FRAME: Bytes = `{"r":{}},`.length;
-
 export function createLoadBoard(clock: Clock): LoadBoard {
   const reports = createReports(clock);
   const relay = createReportRelay(clock, reports.find);
@@ -54,6 +45,9 @@
   const link = createLinkUse(clock);
   const dispatches = new Map<string, Map<string, Sent>>();
   const peers = new Map<string, DeltaCopy>();
+  /** Names of the replicas whose report is held, by key. */
+  const replicas = new Map<string, string>();
+  let digests = 0;
 
   function madeOf(replica: string): Milliseconds {
     return reports.find(replica)?.made ?? -Infinity;
@@ -98,17 +92,30 @@
 
   function composeDigest(limit: Bytes): Digest | undefined {
     refreshSource();
-    const passed = relay.compose(limit * REPORT_SHARE - FRAME);
-    const used = passed === undefined ? 0 : JSON.stringify(passed).length;
-    const delta = source.compose(limit - used - FRAME);
-    if (passed === undefined && delta === undefined) return undefined;
-    return { ...delta as Digest, ...(passed !== undefined && { r: passed }) };
+    digests += 1;
+    const share = digests % 2 === 0 ? REPORT_SHARE : 1;
+    const passed = relay.compose(limit * share);
+    const hasPassed = Object.keys(passed).length > 0;
+    const used = hasPassed ? JSON.stringify(passed).length : 0;
+    const delta = source.compose(limit - used);
+    if (!hasPassed && delta === undefined) return undefined;
+    return { ...delta as Digest, ...passed };
   }
 
-  function takeReports(passed: NonNullable<Digest["r"]>): void {
+  function takeLong(passed: NonNullable<Digest["r"]>): void {
     for (const [replica, wire] of Object.entries(passed)) {
-      const held = reports.find(replica)?.report;
-      const received = fromWire(wire, held, clock.now());
+      const { report, age } = fromLong(wire, clock.now());
+      reports.takePassed(replica, report, age);
+      replicas.set(replicaKey(replica), replica);
+    }
+  }
+
+  function takeShort(passed: ReadonlyMap<string, Values | undefined>): void {
+    for (const [key, values = []] of passed) {
+      const replica = replicas.get(key);
+      const held = replica && reports.find(replica);
+      if (!replica || !held) continue;
+      const received = fromShort(values, held.report, clock.now());
       if (received === undefined) continue;
       reports.takePassed(replica, received.report, received.age);
     }
@@ -117,11 +124,14 @@
   function takeDigest(peer: string, digest: unknown): Result<void, string> {
     const parsed = digestSchema.safeParse(digest);
     if (!parsed.success) return Err(parsed.error.message);
+    const short = unpackEntries(parsed.data.p ?? "");
+    if (short.isErr()) return short;
     const copy = peers.get(peer) ?? createDeltaCopy(clock);
     peers.set(peer, copy);
     const applied = copy.apply(parsed.data as Delta);
     if (applied.isErr()) return applied;
-    takeReports(parsed.data.r ?? {});
+    takeLong(parsed.data.r ?? {});
+    takeShort(short.value);
     return Ok(undefined);
   }
 
@@ -151,6 +161,7 @@
   return new (class extends LoadBoard {
     override takeReport(replica: string, report: LoadReport): void {
       reports.takePolled(replica, report);
+      replicas.set(replicaKey(replica), replica);
       relay.offer(replica);
     }
 
@@ -180,8 +191,11 @@
       peers.delete(peer);
     }
 
-    override retainReplicas(replicas: Iterable<string>): void {
-      const retained = new Set(replicas);
+    override retainReplicas(names: Iterable<string>): void {
+      const retained = new Set(names);
+      for (const [key, name] of [...replicas]) {
+        if (!retained.has(name)) replicas.delete(key);
+      }
       reports.retain(retained);
       relay.retain(retained);
     }
--- a/packages/load/src/packed.ts
+++ b/packages/load/src/packed.ts
@@ -13,7 +13,7 @@
 const KEY_LENGTH = 5;
 const RADIX = 36;
 const SEPARATOR = ";";
-const ENTRY_PATTERN = /^[\w-]{5}(?:[0-9a-z]{1,10}(?:,[0-9a-z]{1,10}){0,3})?$/;
+const ENTRY_PATTERN = /^[\w-]{5}(?:[0-9a-z]{1,10}(?:,[0-9a-z]{1,10}){0,4})?$/;
 
 const MAX_CACHED = 10_000;
 const cache = new Map<string, string>();
@@ -29,10 +29,19 @@
   return key;
 }
 
+/** Keys of replicas and of customers on the link differ by a prefix. */
+export function replicaKey(replica: string): string {
+  return keyOf(`replica ${replica}`);
+}
+
+export function linkKey(customer: string): string {
+  return keyOf(`link ${customer}`);
+}
+
 /** One entry with its separator; no values say that it was removed. */
 export function packEntry(key: string, values: Values | undefined): string {
   const numbers = (values ?? []).map((value) =>
-    Math.round(value).toString(RADIX)
+    Math.max(0, Math.round(value)).toString(RADIX)
   );
   return key + numbers.join(",") + SEPARATOR;
 }
--- a/packages/load/src/report_relay.ts
+++ b/packages/load/src/report_relay.ts
@@ -3,13 +3,25 @@
  * many as fit.
  */
 import type { Clock } from "@peridotvalve/clock";
-import type { Bytes, LoadReport } from "@peridotvalve/types";
+import type { Bytes, LoadReport, Milliseconds } from "@peridotvalve/types";
 import { measureJson } from "./delta_table.ts";
 import type { HeldReport } from "./reports.ts";
-import { toLong, toShort, type WireReport } from "./wire.ts";
+import { packEntry, replicaKey } from "./packed.ts";
+import { type Digest, type LongReport, toLong, toShort } from "./wire.ts";
+
+export type PassedReports = Pick<Digest, "r" | "p">;
+
+const FRAME: Bytes = `{"r":{},"p":""},`.length;
+
+/**
+ * Older reports are not passed on. A daemon that has just started sees no
+ * peers, polls every replica of its zone once and would otherwise work off
+ * these reports for minutes.
+ */
+const MAX_AGE: Milliseconds = 5_000;
 
 /** Short forms in a row, so that a peer that missed the long one gets it. */
-const MAX_SHORT = 3;
+const MAX_SHORT = 9;
 
 interface Passed {
   readonly report: LoadReport;
@@ -19,7 +31,7 @@
 export interface ReportRelay {
   /** Marks a replica's report as new. */
   offer(replica: string): void;
-  compose(limit: Bytes): Readonly<Record<string, WireReport>> | undefined;
+  compose(limit: Bytes): PassedReports;
   retain(replicas: ReadonlySet<string>): void;
 }
 
@@ -38,25 +50,43 @@
       last.report.state === report.state;
   }
 
-  function compose(limit: Bytes) {
-    const reports: Record<string, WireReport> = {};
-    let room = limit;
+  function measureLong(replica: string, wire: LongReport): Bytes {
+    return measureJson(replica) + measureJson(wire) + 2;
+  }
+
+  function compose(limit: Bytes): PassedReports {
+    const long: Record<string, LongReport> = {};
+    let short = "";
+    let room = limit - FRAME;
     for (const replica of [...offered]) {
       const held = find(replica);
       if (held === undefined) continue;
       const { report } = held;
       const age = Math.max(0, clock.monotonic() - held.made);
-      const short = isShort(replica, report);
-      const wire = short ? toShort(report, age) : toLong(report, age);
-      const cost = measureJson(replica) + measureJson(wire) + 2;
-      if (cost > room) break;
+      if (age > MAX_AGE) {
+        offered.delete(replica);
+        continue;
+      }
+      const entry = isShort(replica, report)
+        ? packEntry(replicaKey(replica), toShort(report, age))
+        : undefined;
+      const wire = toLong(report, age);
+      const cost = entry?.length ?? measureLong(replica, wire);
+      // A long form that never fits must not stop the others.
+      if (cost > room) continue;
       room -= cost;
-      reports[replica] = wire;
+      if (entry === undefined) long[replica] = wire;
+      else short += entry;
       offered.delete(replica);
-      const shortForms = short ? (passed.get(replica)?.shortForms ?? 0) + 1 : 0;
+      const shortForms = entry === undefined
+        ? 0
+        : (passed.get(replica)?.shortForms ?? 0) + 1;
       passed.set(replica, { report, shortForms });
     }
-    return room === limit ? undefined : reports;
+    return {
+      ...(Object.keys(long).length > 0 && { r: long }),
+      ...(short !== "" && { p: short }),
+    };
   }
 
   return {
--- a/packages/load/src/wire.ts
+++ b/packages/load/src/wire.ts
@@ -2,13 +2,14 @@
  * The digest as a heartbeat carries it. Load reports travel in a long form or,
  * while incarnation, weights and state are unchanged, in a short form.
  */
+import { hash } from "node:crypto";
 import type { LoadReport, Milliseconds, Timestamp } from "@peridotvalve/types";
 import { z } from "zod";
+import type { Values } from "./packed.ts";
 
 const amount = z.number().nonnegative();
 const key = z.string().max(200);
 
-const shortReport = z.tuple([key, amount, amount, amount, amount]);
 const longReport = z.tuple([
   key,
   key,
@@ -24,16 +25,23 @@
 export const digestSchema = z.object({
   c: z.string().max(1_200).optional(),
   s: z.tuple([key, key.nullable()]).optional(),
-  r: z.record(key, z.union([shortReport, longReport])).optional(),
+  /** Reports in the long form, by replica. */
+  r: z.record(key, longReport).optional(),
+  /** Reports in the short form, packed. */
+  p: z.string().max(1_200).optional(),
 });
 
 export type Digest = z.infer<typeof digestSchema>;
-export type WireReport = NonNullable<Digest["r"]>[string];
+export type LongReport = z.infer<typeof longReport>;
 
-/** Characters of an incarnation that tie a short report to the long one. */
-const TAG_LENGTH = 4;
+const TAG_BYTES = 2;
 
-export function toLong(report: LoadReport, age: Milliseconds): WireReport {
+export interface ReceivedReport {
+  readonly report: LoadReport;
+  readonly age: Milliseconds;
+}
+
+export function toLong(report: LoadReport, age: Milliseconds): LongReport {
   const { incarnation, weights, state, running, waiting } = report;
   const { queuedTokens, usedBlocks, freeBlocks } = report;
   return [
@@ -43,29 +51,7 @@
   ];
 }
 
-export function toShort(report: LoadReport, age: Milliseconds): WireReport {
-  const tag = report.incarnation.slice(0, TAG_LENGTH);
-  const { running, waiting, queuedTokens } = report;
-  return [tag, running, waiting, queuedTokens, Math.round(age)];
-}
-
-export interface ReceivedReport {
-  readonly report: LoadReport;
-  readonly age: Milliseconds;
-}
-
-/** Undefined for a short form whose long form is not held. */
-export function fromWire(
-  wire: WireReport,
-  held: LoadReport | undefined,
-  now: Timestamp,
-): ReceivedReport | undefined {
-  if (wire.length === 5) {
-    const [tag, running, waiting, queuedTokens, age] = wire;
-    if (held?.incarnation.slice(0, TAG_LENGTH) !== tag) return undefined;
-    const at = now - age;
-    return { report: { ...held, running, waiting, queuedTokens, at }, age };
-  }
+export function fromLong(wire: LongReport, now: Timestamp): ReceivedReport {
   const [incarnation, weights, state, running, waiting, ...rest] = wire;
   const [queuedTokens, usedBlocks, freeBlocks, age] = rest;
   const report = {
@@ -74,3 +60,26 @@
   };
   return { report, age };
 }
+
+/** Ties a short report to the long one of the same incarnation. */
+function tagOf(report: LoadReport): number {
+  const digest = hash("sha256", report.incarnation, "buffer");
+  return digest.readUIntBE(0, TAG_BYTES);
+}
+
+export function toShort(report: LoadReport, age: Milliseconds): Values {
+  const { running, waiting, queuedTokens } = report;
+  return [tagOf(report), running, waiting, queuedTokens, age];
+}
+
+/** Undefined when the long form held is of another incarnation. */
+export function fromShort(
+  values: Values,
+  held: LoadReport,
+  now: Timestamp,
+): ReceivedReport | undefined {
+  const [tag, running = 0, waiting = 0, queuedTokens = 0, age = 0] = values;
+  if (tag !== tagOf(held)) return undefined;
+  const at = now - age;
+  return { report: { ...held, running, waiting, queuedTokens, at }, age };
+}
