Name the key in rejected configurations

The operators' listener dropped file, line and key of each problem; the command line could not say what to correct.

--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -11,7 +11,7 @@
 } from "@peridotvalve/configuration";
 import type { EventRing } from "@peridotvalve/events";
 import type { Json, Platform } from "@peridotvalve/platform";
-import { readConfiguration } from "@peridotvalve/settings";
+import { formatProblem, readConfiguration } from "@peridotvalve/settings";
 import type { Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 import { readBody } from "../http/body.ts";
@@ -195,7 +195,7 @@
   const { content, change, expect, author = "operator" } = parsed.data;
   const checked = readConfiguration(JSON.stringify(content));
   if (checked.isErr()) {
-    const reason = checked.error.map((problem) => problem.message).join("; ");
+    const reason = checked.error.map(formatProblem).join("; ");
     return sendJson(exchange, 200, { outcome: "rejected", reason });
   }
   const settled = await applyConfiguration({
