Test the stand-ins and the plain service client

A closed response used to cancel any sequence with the same attempt id; it now cancels only its own.

--- a/packages/standins/src/engine/batch.ts
+++ b/packages/standins/src/engine/batch.ts
@@ -27,12 +27,13 @@
 interface Sequence {
   readonly generation: Generation;
   readonly sink: Sink;
-  cancelled: boolean;
+  /** Shared by the sequence's waiting and running form. */
+  readonly state: { cancelled: boolean };
 }
 
 export interface Batch {
-  /** Queues a sequence; false when the queue is full. */
-  add(generation: Generation, sink: Sink): boolean;
+  /** Queues a sequence and returns its cancel; undefined: the queue is full. */
+  add(generation: Generation, sink: Sink): (() => void) | undefined;
   cancel(attempt: string, customer: string): boolean;
   readonly running: () => number;
   readonly waiting: () => number;
@@ -84,7 +85,7 @@
   }
 
   function endIfCancelled(sequence: Sequence, count: number): boolean {
-    if (!sequence.cancelled) return false;
+    if (!sequence.state.cancelled) return false;
     sequence.sink.end(count, "cancelled");
     return true;
   }
@@ -106,7 +107,7 @@
     const sequence: Running = {
       generation,
       sink: next.sink,
-      cancelled: next.cancelled,
+      state: next.state,
       names,
       rest,
       held,
@@ -208,13 +209,16 @@
 
   return {
     add(generation, sink) {
-      if (waiting.length >= options.maxWaiting) return false;
+      if (waiting.length >= options.maxWaiting) return undefined;
       const text = generation.prompt + (generation.resume?.text ?? "");
       const tokens = tokenizer.countTokens(text);
       const queuedAt = performance.now();
-      waiting.push({ generation, sink, tokens, queuedAt, cancelled: false });
+      const state = { cancelled: false };
+      waiting.push({ generation, sink, tokens, queuedAt, state });
       void run();
-      return true;
+      return () => {
+        state.cancelled = true;
+      };
     },
     cancel(attempt, customer) {
       const all: Sequence[] = [...waiting, ...running];
@@ -222,7 +226,7 @@
         generation.attempt === attempt && generation.customer === customer
       );
       if (found === undefined) return false;
-      found.cancelled = true;
+      found.state.cancelled = true;
       return true;
     },
     running: () => running.length,
--- a/packages/standins/src/engine/mod.ts
+++ b/packages/standins/src/engine/mod.ts
@@ -72,11 +72,11 @@
       weights: weights.version,
       faults: server.faults,
     });
-    if (!batch.add(generation, stream)) {
+    const stop = batch.add(generation, stream);
+    if (stop === undefined) {
       return sendRefusal(response, 503, { code: "busy" });
     }
-    const { attempt, customer } = generation;
-    response.on("close", () => batch.cancel(attempt, customer));
+    response.on("close", stop);
   }
 
   async function cancel(request: StandinRequest): Promise<void> {
--- a/packages/standins/src/weight_store/mod.ts
+++ b/packages/standins/src/weight_store/mod.ts
@@ -44,8 +44,7 @@
     peak = Math.max(peak, active);
     try {
       for (let index = 0; index < PARTS && !response.destroyed; index += 1) {
-        const share = Math.min(1, FULL_SPEED_DOWNLOADS / active);
-        const rate = options.bytesPerSecond * share;
+        const rate = rateOf(active, options.bytesPerSecond);
         const slow = server.faults().slowFactor;
         await server.wait(part.length / rate * 1_000 * slow);
         response.write(part);
@@ -71,3 +70,8 @@
   });
   return server;
 }
+
+/** The rate of one download while so many are active. */
+export function rateOf(active: number, fullRate: number): number {
+  return fullRate * Math.min(1, FULL_SPEED_DOWNLOADS / active);
+}
--- a/packages/upstreams/src/http_engine.test.ts
+++ b/packages/upstreams/src/http_engine.test.ts
@@ -125,6 +125,17 @@
   });
 }
 
+test("without the checks, a crossed token reaches the reader", async () => {
+  await withEngine(async (_, standin) => {
+    await setFaults(standin, { crossStreams: true });
+    const response = await fetch(`http://${standin.address}/generate`, {
+      method: "POST",
+      body: JSON.stringify(GENERATION),
+    });
+    expect((await response.text()).includes("crossed")).toEqual(true);
+  });
+});
+
 test("a stream without an end event is cut", async () => {
   await withEngine(async (engine, standin) => {
     await setFaults(standin, { streamFault: "no end" });
