Ask the duty before judging a request

While a duty is off, the legacy system decides about keys, models, services and request forms, but the daemon refused what it did not know itself before it looked at the duty. The duty is now asked first, with the model read leniently. Without a legacy address an unknown key is still refused before its body is read. Ruled out: passing unknown paths on as well; no duty covers them.

--- a/packages/daemon/src/chat/handler.ts
+++ b/packages/daemon/src/chat/handler.ts
@@ -2,7 +2,7 @@
  * `POST /v1/chat/completions` and `GET /v1/models`.
  */
 import type { Failure } from "@peridotvalve/errors";
-import type { ModelGroup } from "@peridotvalve/types";
+import type { ModelGroup, VersionedConfiguration } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { authenticate, type Identity } from "../callers/authentication.ts";
 import { isDutyOn } from "../callers/duties.ts";
@@ -13,32 +13,34 @@
 import { readConfigured, type Runtime } from "../runtime.ts";
 import { admitChat } from "./admit.ts";
 import { relayChat } from "./relay.ts";
-import { type Chat, parseChat } from "./request.ts";
+import { type Chat, parseChat, peekModel } from "./request.ts";
 import { writeCompletion } from "./write.ts";
 
 export async function handleChat(
   runtime: Runtime,
   exchange: Exchange,
 ): Promise<void> {
-  const prepared = await prepare(runtime, exchange);
-  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
-  const { body, chat, identity, group } = prepared.value;
-  const { content } = prepared.value.configuration;
+  const received = await receive(runtime, exchange);
+  if (received.isErr()) return refuse(runtime, exchange, received.error);
+  const { configuration, body, identity } = received.value;
+  const { content } = configuration;
   const question = {
     duty: "chat",
-    route: chat.model,
-    customer: identity.name,
+    route: peekModel(body),
+    customer: identity.isOk() ? identity.value.name : "",
   } as const;
+  // The legacy system judges what it serves, also keys, models and request
+  // forms that are unknown here.
   if (!isDutyOn(content, question)) {
     return await passToLegacy(runtime, exchange, body);
   }
+  const prepared = prepare(received.value);
+  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
   const patience = readPatience(exchange, content.limits.defaultPatience);
   const work = {
+    ...prepared.value,
     request: exchange.id,
-    identity,
-    group,
-    chat,
-    conversation: chat.conversation ?? exchange.id,
+    conversation: prepared.value.chat.conversation ?? exchange.id,
     deadline: exchange.arrived + patience,
     signal: exchange.signal,
     priority: 0,
@@ -63,43 +65,49 @@
   sendJson(exchange, 200, { object: "list", data });
 }
 
-interface Prepared {
-  readonly configuration: NonNullable<
-    ReturnType<Runtime["configuration"]["current"]>
-  >;
-  readonly identity: Identity;
+interface Received {
+  readonly configuration: VersionedConfiguration;
+  readonly identity: Result<Identity, Failure>;
   readonly body: Buffer;
-  readonly chat: Chat;
-  readonly group: ModelGroup;
 }
 
-async function prepare(
+async function receive(
   runtime: Runtime,
   exchange: Exchange,
-): Promise<Result<Prepared, Failure>> {
+): Promise<Result<Received, Failure>> {
   const configured = readConfigured(runtime);
   if (configured.isErr()) return configured;
-  const { limits } = configured.value.content;
-  const identity = authenticate(exchange, configured.value.content);
-  if (identity.isErr()) return identity;
+  const { limits, legacy } = configured.value.content;
+  const early = authenticate(exchange, configured.value.content);
+  // Only the legacy system may know the key; otherwise no body is read for it.
+  if (early.isErr() && legacy === undefined) return early;
   const bounds = { bytes: limits.requestBytes, timeout: limits.bodyTimeout };
   const body = await readBody(exchange, bounds, runtime.clock);
   if (body.isErr()) return body;
-  const chat = parseChat(body.value, limits.maxTokens);
-  if (chat.isErr()) return chat;
   // Read again: a change may have come into force while the body arrived.
   const configuration = readConfigured(runtime).unwrapOr(configured.value);
-  const group = configuration.content.groups[chat.value.model];
+  const identity = authenticate(exchange, configuration.content);
+  return Ok({ configuration, identity, body: body.value });
+}
+
+interface Prepared {
+  readonly identity: Identity;
+  readonly chat: Chat;
+  readonly group: ModelGroup;
+}
+
+function prepare(
+  { configuration, identity, body }: Received,
+): Result<Prepared, Failure> {
+  if (identity.isErr()) return identity;
+  const { groups, limits } = configuration.content;
+  const chat = parseChat(body, limits.maxTokens);
+  if (chat.isErr()) return chat;
+  const group = groups[chat.value.model];
   if (group === undefined || !mayUse(identity.value, chat.value.model)) {
     return Err(unknownModel(chat.value.model));
   }
-  return Ok({
-    configuration,
-    identity: identity.value,
-    body: body.value,
-    chat: chat.value,
-    group,
-  });
+  return Ok({ identity: identity.value, chat: chat.value, group });
 }
 
 function mayUse(identity: Identity, model: string): boolean {
--- a/packages/daemon/src/chat/request.ts
+++ b/packages/daemon/src/chat/request.ts
@@ -57,6 +57,14 @@
   });
 }
 
+const named = z.object({ model: z.string() });
+
+/** The model that a request names, whether or not the rest is valid. */
+export function peekModel(body: Buffer): string {
+  const value = parseJson(body).unwrapOr(undefined);
+  return named.safeParse(value).data?.model ?? "";
+}
+
 function parseJson(body: Buffer): Result<unknown, Failure> {
   try {
     return Ok(JSON.parse(body.toString("utf8")) as unknown);
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -3,7 +3,7 @@
  */
 import type { Permit } from "@peridotvalve/admission";
 import type { Failure } from "@peridotvalve/errors";
-import type { Service } from "@peridotvalve/types";
+import type { Configuration, Service } from "@peridotvalve/types";
 import type { ServiceAnswer, ServiceCall } from "@peridotvalve/upstreams";
 import { Err, Ok, type Result } from "ts-results-es";
 import { authenticate, type Identity } from "../callers/authentication.ts";
@@ -35,25 +35,29 @@
   runtime: Runtime,
   exchange: Exchange,
 ): Promise<void> {
-  const prepared = await prepare(runtime, exchange);
-  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
-  const { target, identity, service, body, isRepeatable } = prepared.value;
+  const received = await receive(runtime, exchange);
+  if (received.isErr()) return refuse(runtime, exchange, received.error);
+  const { content, target, identity, body, isRepeatable } = received.value;
   const question = {
     duty: isRepeatable ? "services" : "orders",
     route: target.service,
-    customer: identity.name,
+    customer: identity.isOk() ? identity.value.name : "",
   } as const;
-  if (!isDutyOn(prepared.value.content, question)) {
+  // The legacy system judges what it serves, also keys and services that are
+  // unknown here.
+  if (!isDutyOn(content, question)) {
     return await passToLegacy(runtime, exchange, body);
   }
-  const { limits } = prepared.value.content;
-  const patience = readPatience(exchange, limits.defaultPatience);
+  const prepared = prepare(received.value);
+  if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
+  const customer = prepared.value.identity.name;
+  const patience = readPatience(exchange, content.limits.defaultPatience);
   const work = {
     request: exchange.id,
-    customer: identity.name,
+    customer,
     service: target.service,
-    call: toCall(exchange, { target, customer: identity.name, body }),
-    timeout: service.timeout,
+    call: toCall(exchange, { target, customer, body }),
+    timeout: prepared.value.service.timeout,
     deadline: exchange.arrived + patience,
     signal: exchange.signal,
   };
@@ -64,57 +68,65 @@
   sendBytes(exchange, toResponse(answer.value));
   const elapsed = runtime.clock.monotonic() - exchange.arrived;
   const { status } = answer.value;
-  runtime.log("request_finished", { status, elapsed, tokens: 0 }, {
-    request: exchange.id,
-    customer: identity.name,
-  });
+  const subject = { request: exchange.id, customer };
+  runtime.log("request_finished", { status, elapsed, tokens: 0 }, subject);
 }
 
-interface Prepared {
-  readonly content: NonNullable<
-    ReturnType<Runtime["configuration"]["current"]>
-  >["content"];
+interface Received {
+  readonly content: Configuration;
   readonly target: Target;
-  readonly identity: Identity;
-  readonly service: Service;
+  readonly identity: Result<Identity, Failure>;
   readonly body: Buffer;
   readonly isRepeatable: boolean;
 }
 
-async function prepare(
+async function receive(
   runtime: Runtime,
   exchange: Exchange,
-): Promise<Result<Prepared, Failure>> {
+): Promise<Result<Received, Failure>> {
   const configured = readConfigured(runtime);
   if (configured.isErr()) return configured;
   const { content } = configured.value;
   const identity = authenticate(exchange, content);
-  if (identity.isErr()) return identity;
+  // Only the legacy system may know the key; otherwise no body is read for it.
+  if (identity.isErr() && content.legacy === undefined) return identity;
   const target = parseTarget(exchange.request.url ?? "");
-  const service = target && content.services[target.service];
-  if (
-    target === undefined || service === undefined ||
-    !(identity.value.customer.services?.includes(target.service) ?? true)
-  ) {
-    return Err({
-      code: "service_not_found",
-      ran: "no",
-      message: "the service does not exist",
-    });
-  }
+  if (target === undefined) return Err(unknownService());
   const { requestBytes, bodyTimeout } = content.limits;
   const limits = { bytes: requestBytes, timeout: bodyTimeout };
   const body = await readBody(exchange, limits, runtime.clock);
   if (body.isErr()) return body;
   const method = exchange.request.method ?? "GET";
-  return Ok({
-    content,
-    target,
-    identity: identity.value,
-    service,
-    body: body.value,
-    isRepeatable: isIdempotent(service, { method, path: target.path }),
+  const isRepeatable = isIdempotent(content.services[target.service], {
+    method,
+    path: target.path,
   });
+  return Ok({ content, target, identity, body: body.value, isRepeatable });
+}
+
+interface Prepared {
+  readonly identity: Identity;
+  readonly service: Service;
+}
+
+function prepare(
+  { content, target, identity }: Received,
+): Result<Prepared, Failure> {
+  if (identity.isErr()) return identity;
+  const service = content.services[target.service];
+  const allowed = identity.value.customer.services;
+  if (service === undefined || !(allowed?.includes(target.service) ?? true)) {
+    return Err(unknownService());
+  }
+  return Ok({ identity: identity.value, service });
+}
+
+function unknownService(): Failure {
+  return {
+    code: "service_not_found",
+    ran: "no",
+    message: "the service does not exist",
+  };
 }
 
 async function order(
--- a/packages/daemon/src/services/rules.ts
+++ b/packages/daemon/src/services/rules.ts
@@ -29,11 +29,12 @@
   return { service, path: rest.startsWith("/") ? rest : `/${rest}` };
 }
 
+/** HTTP's own rule holds for a service that is not configured. */
 export function isIdempotent(
-  service: Service,
+  service: Service | undefined,
   call: { readonly method: string; readonly path: string },
 ): boolean {
-  const rule = service.paths.find((candidate) =>
+  const rule = service?.paths.find((candidate) =>
     hasPrefix(call.path, candidate.prefix) &&
     (candidate.methods.length === 0 || candidate.methods.includes(call.method))
   );
