Cut the stream of a caller that stopped reading

A caller whose connection went silent left the send buffer full, and the stream waited for room without a limit, holding a slot of the replica. It is cut after 30 s without progress. Not yet covered by a test.

--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -3,8 +3,8 @@
  * inside the stream.
  */
 import { once } from "node:events";
-import type { ServerResponse } from "node:http";
 import { type Failure, toResponse } from "@peridotvalve/errors";
+import type { Milliseconds } from "@peridotvalve/types";
 import type { Exchange } from "./exchange.ts";
 
 export function sendJson(
@@ -67,6 +67,9 @@
   });
 }
 
+/** Time for which a caller may leave the send buffer full. */
+const CALLER_STALL: Milliseconds = 30_000;
+
 /** Writes one server-sent event; waits while the caller reads slowly. */
 export async function writeEvent(
   exchange: Exchange,
@@ -75,16 +78,20 @@
   const response = exchange.response;
   if (response.destroyed) return;
   const hasRoom = response.write(`data: ${data}\n\n`);
-  if (!hasRoom) await waitForDrain(response, exchange.signal);
+  if (!hasRoom) await waitForDrain(exchange);
 }
 
+/**
+ * A caller whose connection went silent never drains the buffer. Its stream is
+ * cut, so that it does not hold a replica for ever.
+ */
 async function waitForDrain(
-  response: ServerResponse,
-  signal: AbortSignal,
+  { response, signal }: Exchange,
 ): Promise<void> {
+  const stall = AbortSignal.timeout(CALLER_STALL);
   try {
-    await once(response, "drain", { signal });
+    await once(response, "drain", { signal: AbortSignal.any([signal, stall]) });
   } catch {
-    // The caller has gone; the exchange's signal tells the rest.
+    if (stall.aborted) response.destroy();
   }
 }
