Cancel an attempt at the engine after it was given up

An attempt that ended by a timeout or a protocol error was left running at the engine, because only a consumer that returned early led to a cancel call. Now every attempt that may still run is cancelled; nothing waits for the answer.

--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -122,7 +122,8 @@
     for (;;) {
       const step = await stream.next();
       if (step.done) {
-        isOpen = false;
+        // A stream that was given up may still run at the engine.
+        isOpen = step.value?.sent === "sent";
         return { record, failure: step.value, answerBegan };
       }
       const event = step.value;
