Use the configured retry percentage

The budget had a fixed ratio of 0.1, so that policy.retryPercent did nothing. The ratio is now read at each use and follows configuration changes.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -190,7 +190,9 @@
     services: createServiceDirectory(clock),
     legacy: createLegacy(),
     claims,
-    retryBudget: createAttemptBudget({ ratio: RETRY_RATIO }),
+    retryBudget: createAttemptBudget({
+      ratio: () => (content()?.policy.retryPercent ?? 0) / 100,
+    }),
     drain,
     meters,
     log,
@@ -296,8 +298,6 @@
 /** Daemons of an availability zone that poll the configuration's head. */
 const READERS = 2;
 
-const RETRY_RATIO = 0.1;
-
 interface Listeners {
   readonly callers: Gateway;
   readonly peers: Gateway;
--- a/packages/retries/src/budget.ts
+++ b/packages/retries/src/budget.ts
@@ -16,8 +16,8 @@
 }
 
 export interface AttemptBudgetOptions {
-  /** Extra attempts for each first attempt, in 0..1. */
-  readonly ratio: number;
+  /** Extra attempts for each first attempt, in 0..1; read at each use. */
+  readonly ratio: () => number;
   /** Extra attempts that the daemon can save up, and has at the start. */
   readonly reserve?: number;
   /** The same for one customer. */
@@ -64,8 +64,8 @@
 
   return new (class extends AttemptBudget {
     override recordFirst(customer: string): void {
-      room = Math.min(reserve, room + ratio);
-      const next = roomOf(customer) + ratio;
+      room = Math.min(reserve, room + ratio());
+      const next = roomOf(customer) + ratio();
       setRoom(customer, Math.min(customerReserve, next));
     }
 
--- a/packages/retries/src/retries.test.ts
+++ b/packages/retries/src/retries.test.ts
@@ -138,7 +138,11 @@
   all: readonly { readonly customer: string; readonly first: boolean }[],
   ratio: number,
 ): void {
-  const budget = createAttemptBudget({ ratio, reserve: 5, customerReserve: 2 });
+  const budget = createAttemptBudget({
+    ratio: () => ratio,
+    reserve: 5,
+    customerReserve: 2,
+  });
   const firsts = new Map<string, number>();
   const extras = new Map<string, number>();
   const add = (counts: Map<string, number>, key: string) =>
