Hedge completions whose first token is late

policy.hedgePercent did nothing. An attempt whose first token is later than the 95th percentile of its group now gets one rival on another replica, within the hedge budget; the first token decides and the loser is cancelled. The retry budget is only taken when another attempt follows. The wait counts for the detector of slow replicas, because a cancelled attempt never shows its first token.

--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -9,6 +9,7 @@
   applyEvent,
   type AttemptState,
   decideAfterFailure,
+  hedgeDelayOf,
   ranOf,
   type RelayRecord,
   resumePointOf,
@@ -20,8 +21,12 @@
 import type { AttemptFailure } from "@peridotvalve/upstreams";
 import type { Runtime } from "../runtime.ts";
 import { type Choice, chooseReplica } from "./choice.ts";
+import { raceAttempts, type Runner } from "./hedge.ts";
 import type { ChatWork, RelayPart } from "./work.ts";
 
+/** Attempts whose first token is later than this quantile are hedged. */
+const HEDGE_QUANTILE = 0.95;
+
 /** Part of the patience below which another attempt is not worth its start. */
 const MINIMUM_ATTEMPT_MILLISECONDS = 50;
 
@@ -29,6 +34,7 @@
 const CANCEL_TIMEOUT_MILLISECONDS = 1_000;
 
 interface AttemptEnd {
+  readonly choice: Choice;
   readonly record: RelayRecord;
   readonly failure: AttemptFailure | undefined;
   readonly answerBegan: boolean;
@@ -41,31 +47,112 @@
   let record = startRelay("");
   const states: AttemptState[] = [];
   const excluded: string[] = [];
-  runtime.retryBudget.recordFirst(work.identity.name);
+  const customer = work.identity.name;
+  runtime.retryBudget.recordFirst(customer);
+  runtime.hedgeBudget.recordFirst(customer);
   for (;;) {
     const choice = await chooseReplica(runtime, work, { excluded, record });
     if (choice === undefined) return unavailable(states);
-    record = switchAttempt(record, `att_${randomUUID()}`);
-    const end = yield* runAttempt(runtime, work, { choice, record });
-    record = end.record;
-    if (end.failure === undefined) return undefined;
-    noteFailure(runtime, work, { choice, record, failure: end.failure });
-    excluded.push(choice.replica.name);
-    const decision = decideAfterFailure(end.failure, {
-      work: { kind: "generation", relay: record },
-      earlier: states,
-      answerBegan: end.answerBegan,
-      patience: remainingPatience(runtime, work, record),
-      minimumTime: MINIMUM_ATTEMPT_MILLISECONDS,
-      candidatesLeft: choice.others,
-      withinBudget: isFree(end.failure) ||
-        runtime.retryBudget.take(work.identity.name),
+    const ends = yield* runAttempts(runtime, work, {
+      choice,
+      record,
+      excluded,
     });
-    states.push(stateAfter(end.failure, end.answerBegan));
-    if (decision.kind === "refuse") return decision.failure;
+    for (const end of ends) {
+      if (end.failure === undefined) return undefined;
+      const { failure, answerBegan } = end;
+      noteFailure(runtime, work, end, failure);
+      excluded.push(end.choice.replica.name);
+      const decision = decideAfterFailure(failure, {
+        work: { kind: "generation", relay: end.record },
+        earlier: states,
+        answerBegan,
+        patience: remainingPatience(runtime, work, end.record),
+        minimumTime: MINIMUM_ATTEMPT_MILLISECONDS,
+        candidatesLeft: choice.others - (ends.length - 1),
+        withinBudget: isFree(failure) || runtime.retryBudget.hasRoom(customer),
+      });
+      states.push(stateAfter(failure, answerBegan));
+      record = end.record;
+      if (end !== ends.at(-1)) continue;
+      if (decision.kind === "refuse") return decision.failure;
+      if (!isFree(failure)) runtime.retryBudget.take(customer);
+    }
   }
 }
 
+interface AttemptStart {
+  readonly choice: Choice;
+  readonly record: RelayRecord;
+  readonly excluded: readonly string[];
+}
+
+/** Runs an attempt, and a second one beside it when its first token is late. */
+async function* runAttempts(
+  runtime: Runtime,
+  work: ChatWork,
+  start: AttemptStart,
+): AsyncGenerator<RelayPart, readonly AttemptEnd[], void> {
+  const launch = (choice: Choice): Runner<AttemptEnd> => {
+    const controller = new AbortController();
+    const signal = AbortSignal.any([work.signal, controller.signal]);
+    const record = switchAttempt(start.record, `att_${randomUUID()}`);
+    const parts = runAttempt(runtime, { ...work, signal }, { choice, record });
+    return { parts, controller };
+  };
+  const first = launch(start.choice);
+  const delay = planHedge(runtime, work, start);
+  if (delay === undefined) return [yield* first.parts];
+  return yield* raceAttempts(first, {
+    clock: runtime.clock,
+    delay,
+    isWhole: (end) => end.failure === undefined,
+    start() {
+      const { replica, estimate } = start.choice;
+      // The loser of a race never shows its first token, so the wait is what
+      // the detector of slow replicas learns from it.
+      runtime.fleet.noteLate(replica, { gap: delay, expected: estimate });
+      const second = chooseHedge(runtime, work, start);
+      if (second === undefined) return undefined;
+      runtime.log(
+        "hedge_started",
+        { waited: delay, first: replica.name },
+        subjectOf(work, second),
+      );
+      return launch(second);
+    },
+  });
+}
+
+/** Time to the second attempt; undefined when there is to be none. */
+function planHedge(
+  runtime: Runtime,
+  work: ChatWork,
+  { choice, record }: AttemptStart,
+): number | undefined {
+  if (record.offset > 0) return undefined;
+  if (!runtime.hedgeBudget.hasRoom(work.identity.name)) return undefined;
+  return hedgeDelayOf({
+    quantile: runtime.firstTokens.of(work.chat.model).quantile(HEDGE_QUANTILE),
+    patience: remainingPatience(runtime, work, record),
+    repeatable: true,
+    candidatesLeft: choice.others,
+  });
+}
+
+function chooseHedge(
+  runtime: Runtime,
+  work: ChatWork,
+  { choice, record, excluded }: AttemptStart,
+): Choice | undefined {
+  const second = chooseReplica(runtime, work, {
+    excluded: [...excluded, choice.replica.name],
+    record,
+  });
+  if (second === undefined) return undefined;
+  return runtime.hedgeBudget.take(work.identity.name) ? second : undefined;
+}
+
 /** A refusal by a replica put no load on it, so it costs no retry budget. */
 function isFree(failure: AttemptFailure): boolean {
   return failure.sent === "refused" && failure.reason !== "busy";
@@ -124,23 +211,28 @@
       if (step.done) {
         // A stream that was given up may still run at the engine.
         isOpen = step.value?.sent === "sent";
-        return { record, failure: step.value, answerBegan };
+        return { choice, record, failure: step.value, answerBegan };
       }
       const event = step.value;
       const applied = applyEvent(record, event);
       if (applied.isErr()) {
         const failure = protocolFailure(applied.error);
-        return { record, failure, answerBegan };
+        return { choice, record, failure, answerBegan };
       }
       record = applied.value;
       answerBegan ||= event.kind === "token";
       if (event.kind === "end" && event.finish === "cancelled") {
         return {
+          choice,
           record: { ...record, finished: false },
           failure: cut(),
           answerBegan,
         };
       }
+      if (event.kind === "token" && event.offset === 0) {
+        const elapsed = runtime.clock.monotonic() - begun;
+        runtime.firstTokens.of(work.chat.model).record(elapsed);
+      }
       runtime.fleet.observe(choice.replica, event, {
         begun,
         expected: choice.estimate,
@@ -181,13 +273,9 @@
 function noteFailure(
   runtime: Runtime,
   work: ChatWork,
-  end: {
-    readonly choice: Choice;
-    readonly record: RelayRecord;
-    readonly failure: AttemptFailure;
-  },
+  { choice, record }: AttemptEnd,
+  failure: AttemptFailure,
 ): void {
-  const { choice, record, failure } = end;
   if (failure.reason === "cancelled") return;
   const { reason, message } = failure;
   runtime.log("attempt_failed", {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -34,6 +34,7 @@
 import { createFleet } from "./fleet/fleet.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
+import { createLatencyWindows } from "./latency_windows.ts";
 import { createMeters } from "./meters.ts";
 import {
   answerNotFound,
@@ -193,6 +194,10 @@
     retryBudget: createAttemptBudget({
       ratio: () => (content()?.policy.retryPercent ?? 0) / 100,
     }),
+    hedgeBudget: createAttemptBudget({
+      ratio: () => (content()?.policy.hedgePercent ?? 0) / 100,
+    }),
+    firstTokens: createLatencyWindows(clock),
     drain,
     meters,
     log,
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -40,6 +40,13 @@
   readonly expected: Milliseconds;
 }
 
+export interface LateStream {
+  /** Wait so far. */
+  readonly gap: Milliseconds;
+  /** Expected time to first token. */
+  readonly expected: Milliseconds;
+}
+
 export interface DispatchedWork {
   readonly attempt: string;
   readonly tokens: Tokens;
@@ -59,6 +66,8 @@
     event: GenerationEvent,
     observed: ObservedEvent,
   ): void;
+  /** Notes that a stream still waits for its first token. */
+  noteLate(replica: Replica, late: LateStream): void;
   noteFailure(replica: Replica, failure: AttemptFailure): void;
   /** Takes news from a peer that an incarnation is leaving. */
   noteLeaving(incarnation: string): void;
@@ -237,6 +246,9 @@
       const gap = clock.monotonic() - begun;
       slowness.record(replica.name, { kind: "first token", gap, expected });
     },
+    noteLate(replica, late) {
+      slowness.record(replica.name, { kind: "first token", ...late });
+    },
     noteFailure(replica, failure) {
       if (failure.weights !== undefined) replica.noteWeights(failure.weights);
       if (failure.reason === "unreachable") replica.noteReachable(false);
--- a/packages/daemon/src/runtime.ts
+++ b/packages/daemon/src/runtime.ts
@@ -13,6 +13,7 @@
 import type { Policy, VersionedConfiguration } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Legacy } from "./callers/legacy.ts";
+import type { LatencyWindows } from "./latency_windows.ts";
 import type { Fleet } from "./fleet/fleet.ts";
 import type { Meters } from "./meters.ts";
 import type { ServiceDirectory } from "./services/directory.ts";
@@ -31,6 +32,9 @@
   readonly legacy: Legacy;
   readonly claims: Claims;
   readonly retryBudget: AttemptBudget;
+  readonly hedgeBudget: AttemptBudget;
+  /** Times to first token of single attempts, by model group. */
+  readonly firstTokens: LatencyWindows;
   readonly drain: Drain;
   readonly meters: Meters;
   readonly log: EventLogger["log"];
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -166,6 +166,10 @@
     fields: { kind: S },
     sentence: "No further retry or hedge is allowed at present.",
   }),
+  hedge_started: event(3014, "info", {
+    fields: { waited: N, first: S },
+    sentence: "A second attempt started because the first token was late.",
+  }),
   claim_inserted: event(4001, "debug", {
     fields: { claim: S },
     sentence: "An order has its claim.",
