Never serve the bootstrap folder in place of an accepted change

A daemon that started in an outage without reachable peers served the folder after 3 s, as version 0, although a later configuration was in force elsewhere: an accepted change was reverted there. The same happened when the head was readable and its object was not. The folder now serves only while the platform answers that there is no head; otherwise the daemon is not ready and goes on looking. Ruled out: a time limit of any length, because outages last long. The former test of the fallback demanded the fault and is replaced; the new one fails on the commit before ([0] adopted) and passes now.

--- a/packages/configuration/src/watch.test.ts
+++ b/packages/configuration/src/watch.test.ts
@@ -138,7 +138,7 @@
   watch.stop();
 });
 
-test("a start in an outage waits for a peer before the bootstrap", async () => {
+test("a start in an outage waits for a peer", async () => {
   const peers: Record<string, RawConfiguration> = {};
   const { clock, platform, watch, version, adopted } = setUp(peers);
   platform.setFaults({ outage: true });
@@ -152,14 +152,26 @@
   watch.stop();
 });
 
-test("the bootstrap folder serves until a version is found", async () => {
-  const { clock, platform, apply, start, watch, adopted } = setUp();
-  platform.setFaults({ outage: true });
+test("the bootstrap folder serves while the platform has no head", async () => {
+  const { clock, apply, start, watch, adopted } = setUp();
   await start();
   expect(adopted).toEqual([0]);
-  platform.setFaults({ outage: false });
   await apply("a", 1);
   await clock.advance(5_000);
   expect(adopted).toEqual([0, 1]);
   watch.stop();
 });
+
+// Guards against serving the folder in place of a version accepted later.
+test("a start in an outage without peers has no version until it ends", async () => {
+  const { clock, platform, apply, start, watch, adopted } = setUp();
+  await apply("a", 1);
+  platform.setFaults({ outage: true });
+  await start();
+  await clock.advance(10_000);
+  expect(adopted).toEqual([]);
+  platform.setFaults({ outage: false });
+  await clock.advance(2_000);
+  expect(adopted).toEqual([1]);
+  watch.stop();
+});
--- a/packages/configuration/src/watch.ts
+++ b/packages/configuration/src/watch.ts
@@ -29,7 +29,7 @@
   readonly fetchFromPeer: (
     peer: string,
   ) => Promise<Result<RawConfiguration, string>>;
-  /** The operators' folder, served as version 0 when there is nothing else. */
+  /** The operators' folder, served as version 0 until there is a head. */
   readonly bootstrap: () => Promise<Result<Json, string>>;
   readonly check: (content: Json) => Result<Configuration, string>;
   readonly report?: (note: WatchNote) => void;
@@ -41,7 +41,7 @@
   readonly pollInterval?: Milliseconds;
   /** Without a heartbeat for this long, the daemon polls by itself. */
   readonly silenceLimit?: Milliseconds;
-  /** Time that a start during an outage waits for peers. */
+  /** Time that `start` takes at most; the search goes on afterwards. */
   readonly startPatience?: Milliseconds;
   /** Time for one call of the platform or of a peer. */
   readonly timeout?: Milliseconds;
@@ -71,7 +71,7 @@
   abstract subscribe(
     subscriber: (configuration: VersionedConfiguration) => void,
   ): () => void;
-  /** Resolves when there is a version or nothing could be found. */
+  /** Resolves when there is a version or `startPatience` has passed. */
   abstract start(): Promise<void>;
   abstract stop(): void;
 }
@@ -126,19 +126,23 @@
     for (const subscriber of subscribers) subscriber(current);
   }
 
-  /** Reads the head and adopts it. Returns whether the platform answered. */
-  async function poll(): Promise<boolean> {
+  /** Reads the head and adopts its version. */
+  async function poll(): Promise<"read" | "no head" | "unreadable"> {
     const head = await readHead(reading);
     if (head.isErr()) {
       report({ kind: "unreadable", reason: head.error.reason });
-      return false;
+      return "unreadable";
     }
     const change = head.value;
-    if (change === undefined || !wanted(change.version)) return true;
+    if (change === undefined) return "no head";
+    if (!wanted(change.version)) return "read";
     const content = await readContent(change, reading);
-    if (content.isOk()) adopt(content.value, PLATFORM);
-    else report({ kind: "unreadable", reason: content.error.reason });
-    return content.isOk();
+    if (content.isOk()) {
+      adopt(content.value, PLATFORM);
+      return "read";
+    }
+    report({ kind: "unreadable", reason: content.error.reason });
+    return "unreadable";
   }
 
   function wanted(version: number): boolean {
@@ -177,7 +181,8 @@
     while (!stopped.signal.aborted) {
       await clock.sleep(pollInterval, stopped.signal);
       if (stopped.signal.aborted) return;
-      if (options.isReader() || silence() >= silenceLimit) await poll();
+      if (held() < 0) await lookOnce();
+      else if (options.isReader() || silence() >= silenceLimit) await poll();
     }
   }
 
@@ -192,20 +197,20 @@
     }
   }
 
-  /** Tries the platform and the peers until one has a version. */
-  async function findFirst(): Promise<void> {
-    const end = clock.monotonic() + startPatience;
-    while (!stopped.signal.aborted) {
-      const answered = await poll();
-      if (held() >= 0) return;
-      // All peers, because the first to answer may have an old version.
-      await Promise.all(options.peers().map(fetchFrom));
-      if (held() >= 0) return;
-      if (answered) await findOlder();
-      if (held() >= 0) return;
-      if (answered || clock.monotonic() >= end) break;
-      await clock.sleep(START_PAUSE, stopped.signal);
-    }
+  /** Looks for a first version at the platform, the peers and the folder. */
+  async function lookOnce(): Promise<void> {
+    const answer = await poll();
+    if (held() >= 0) return;
+    // All peers, because the first to answer may have an old version.
+    await Promise.all(options.peers().map(fetchFrom));
+    if (held() >= 0) return;
+    if (answer === "read") await findOlder();
+    // With a head, or without an answer, a change may have been accepted since
+    // the folder was written; serving the folder would revert it.
+    if (answer === "no head") await adoptBootstrap();
+  }
+
+  async function adoptBootstrap(): Promise<void> {
     const content = await options.bootstrap();
     if (content.isErr()) {
       report({ kind: "unreadable", reason: content.error });
@@ -215,6 +220,15 @@
     adopt({ ...bootstrap, content: content.value }, "bootstrap");
   }
 
+  async function findFirst(): Promise<void> {
+    const end = clock.monotonic() + startPatience;
+    while (!stopped.signal.aborted) {
+      await lookOnce();
+      if (held() >= 0 || clock.monotonic() >= end) return;
+      await clock.sleep(START_PAUSE, stopped.signal);
+    }
+  }
+
   return new (class extends ConfigurationWatch {
     override current(): VersionedConfiguration | undefined {
       return current;
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -53,7 +53,7 @@
   operatorToken: secret
     .describe("Bearer token of the operators' listener: value or file."),
   bootstrapFolder: z.exactOptional(z.string().min(1)).describe(
-    "Operators' folder that is used until the platform's head was read, and " +
+    "Operators' folder that is used until the platform has a head, and " +
       "while the duty `configuration` is off. Relative to the settings file.",
   ),
   logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"])
