Keep one implementation of rendezvous hashing

Three packages had their own hash and ranking. The weighted one of routing moves to a package of its own; membership and blocks wrap it for names of equal weight and for store VMs. The choice for a given key changes, which matters to no stored state: published blocks are only looked for at two VMs of the new order.

--- a/packages/blocks/src/ranking.ts
+++ b/packages/blocks/src/ranking.ts
@@ -2,7 +2,7 @@
  * Ranks store VMs for a block by weighted rendezvous hashing: every daemon gets
  * the same order, and a lost VM moves only its own blocks.
  */
-import { createHash } from "node:crypto";
+import { rankByRendezvous } from "@peridotvalve/rendezvous";
 import type { BlockName } from "@peridotvalve/types";
 
 export interface RankedStore {
@@ -12,24 +12,15 @@
   readonly weight?: number;
 }
 
-const HASH_BITS = 48;
-
 /** The stores for a block, best first. */
 export function rankStores<Store extends RankedStore>(
   name: BlockName,
   stores: readonly Store[],
 ): readonly Store[] {
-  const scored = stores.map((store) => ({ store, score: score(name, store) }));
-  scored.sort((left, right) =>
-    right.score - left.score || (left.store.id < right.store.id ? -1 : 1)
-  );
-  return scored.map(({ store }) => store);
-}
-
-function score(name: BlockName, store: RankedStore): number {
-  const hash = createHash("sha256")
-    .update(JSON.stringify([store.id, name.block]))
-    .digest();
-  const fraction = (hash.readUIntBE(0, HASH_BITS / 8) + 0.5) / 2 ** HASH_BITS;
-  return (store.weight ?? 1) / -Math.log(fraction);
+  const members = stores.map((store) => ({
+    name: store.id,
+    weight: store.weight ?? 1,
+    store,
+  }));
+  return rankByRendezvous(name.block, members).map(({ store }) => store);
 }
--- a/packages/membership/src/rendezvous.ts
+++ b/packages/membership/src/rendezvous.ts
@@ -1,27 +1,14 @@
 /**
- * Rendezvous hashing. Every daemon that sees the same members makes the same
- * choice, and a member that comes or goes moves only its own share.
+ * Rendezvous hashing over names of daemons, which all have the same weight.
  */
-import { hash } from "node:crypto";
+import * as rendezvous from "@peridotvalve/rendezvous";
 
-const WEIGHT_BYTES = 6;
-
-/** The members in the order of their weights for a subject. */
+/** The members in the order of their preference for a subject. */
 export function rankByRendezvous(
   subject: string,
   members: Iterable<string>,
 ): readonly string[] {
-  const weighed = [...members].map((member) => ({
-    member,
-    weight: weigh(subject, member),
-  }));
-  weighed.sort((left, right) =>
-    right.weight - left.weight || (left.member < right.member ? -1 : 1)
-  );
-  return weighed.map(({ member }) => member);
-}
-
-function weigh(subject: string, member: string): number {
-  const digest = hash("sha256", JSON.stringify([subject, member]), "buffer");
-  return digest.readUIntBE(0, WEIGHT_BYTES);
+  const weighed = [...members].map((name) => ({ name, weight: 1 }));
+  return rendezvous.rankByRendezvous(subject, weighed)
+    .map(({ name }) => name);
 }
--- /dev/null
+++ b/packages/rendezvous/src/mod.ts
@@ -0,0 +1,4 @@
+/**
+ * Weighted rendezvous hashing.
+ */
+export * from "./rendezvous.ts";
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -13,5 +13,4 @@
 export * from "./policies/round_robin.ts";
 export * from "./policies/sticky.ts";
 export * from "./random_source.ts";
-export * from "./rendezvous.ts";
 export * from "./slowness.ts";
--- a/packages/routing/src/policies/estimate.ts
+++ b/packages/routing/src/policies/estimate.ts
@@ -16,7 +16,7 @@
 import type { LinkBudget } from "../link_budget.ts";
 import { Placement, selectEligible } from "../placement.ts";
 import type { RandomSource } from "../random_source.ts";
-import { rankByRendezvous } from "../rendezvous.ts";
+import { rankByRendezvous } from "@peridotvalve/rendezvous";
 
 export interface EstimateOptions {
   readonly beliefs: Beliefs;
--- a/packages/routing/src/policies/sticky.ts
+++ b/packages/routing/src/policies/sticky.ts
@@ -6,7 +6,7 @@
   rankWithoutEstimate,
   selectEligible,
 } from "../placement.ts";
-import { rankByRendezvous } from "../rendezvous.ts";
+import { rankByRendezvous } from "@peridotvalve/rendezvous";
 
 export function createStickyPlacement(): Placement {
   return new (class extends Placement {
