--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -34,6 +34,8 @@
 }
 
 export interface Deployment {
+  /** Temporary folder of the deployment, with the example and the logs. */
+  readonly root: string;
   readonly folder: string;
   readonly configuration: Configuration;
   readonly settings: ReadonlyMap<string, ProcessSettings>;
@@ -110,11 +112,18 @@
     return address;
   }
 
-  await Promise.all(standins.map(startStandin));
-  const names = options.daemons ?? [...settings.keys()];
-  await Promise.all(names.map(startDaemon));
+  try {
+    await Promise.all(standins.map(startStandin));
+    const names = options.daemons ?? [...settings.keys()];
+    await Promise.all(names.map(startDaemon));
+  } catch (error) {
+    await Promise.all([...processes.values()].map((one) => one.kill()));
+    const text = error instanceof Error ? error.message : String(error);
+    throw new Error(`${text}; logs are in ${logs}`, { cause: error });
+  }
 
   return {
+    root,
     folder: copy.folder,
     configuration,
     settings,
