--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -17,6 +17,7 @@
   readonly signal: AbortSignal;
   /** Monotonic time at which the request arrived. */
   readonly arrived: Milliseconds;
+  readonly clock: Clock;
 }
 
 export function createExchange(
@@ -36,6 +37,7 @@
     response,
     signal: controller.signal,
     arrived: clock.monotonic(),
+    clock,
   };
 }
 
--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -85,13 +85,15 @@
  * A caller whose connection went silent never drains the buffer. Its stream is
  * cut, so that it does not hold a replica for ever.
  */
-async function waitForDrain(
-  { response, signal }: Exchange,
-): Promise<void> {
-  const stall = AbortSignal.timeout(CALLER_STALL);
-  try {
-    await once(response, "drain", { signal: AbortSignal.any([signal, stall]) });
-  } catch {
-    if (stall.aborted) response.destroy();
-  }
+async function waitForDrain(exchange: Exchange): Promise<void> {
+  const { response, signal, clock } = exchange;
+  const settled = new AbortController();
+  const drained = once(response, "drain", {
+    signal: AbortSignal.any([signal, settled.signal]),
+  }).catch(() => {});
+  const stalled = clock.sleep(CALLER_STALL, settled.signal)
+    .then(() => !settled.signal.aborted);
+  const isStalled = await Promise.race([drained.then(() => false), stalled]);
+  settled.abort();
+  if (isStalled) response.destroy();
 }
