End a stop properly with orders, without peers and in an outage

- An order whose caller had gone was no longer counted as pending, because the count ended with the response.
The process exited between claim and outcome and the claim stayed "claimed".
The count now ends when the handler has returned as well.
- A draining daemon is no reader of load reports.
Without a live peer nobody read them, and after 4 s the replicas of its own zone seemed dead: requests in the balancer's delay were refused.
It now reads for itself then.
- `claims.idle()` had no bound, so a stop in a platform outage lasted up to 15 minutes, and timers of abandoned work held the process afterwards.
Both waits share `shutdown.limit`; event 1010 says what was left; the command line exits explicitly.
- A connection with half a request header, or one that became idle after the listener closed, held `server.close`.
Idle ones are now closed as they become idle, and what remains after the work is cut.

Ruled out: the second signal and moleculer's service stop (both were right already); the retry budget for streams resumed during the drain.

--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -46,6 +46,8 @@
   ): Promise<ClaimAnswer>;
   /** Resolves when nothing is stored or removed in the background. */
   abstract idle(): Promise<void>;
+  /** Rows that are being stored or removed in the background. */
+  abstract pending(): number;
 }
 
 const CLAIM_PAUSE: Milliseconds = 50;
@@ -207,6 +209,10 @@
     override async idle(): Promise<void> {
       while (background.size > 0) await Promise.all(background);
     }
+
+    override pending(): number {
+      return background.size;
+    }
   })();
 }
 
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -7,12 +7,14 @@
 import { loadDaemon, loadEvents } from "./optional_modules.ts";
 
 async function main(): Promise<void> {
-  process.exitCode = await runCommandLine(process.argv.slice(2), {
+  const code = await runCommandLine(process.argv.slice(2), {
     print: (line) => process.stdout.write(`${line}\n`),
     warn: (line) => process.stderr.write(`${line}\n`),
     loadDaemon,
     loadEvents,
   });
+  // A daemon that reached its shutdown limit has timers of abandoned work.
+  process.exit(code);
 }
 
 // A reader such as `head` may close the pipe before the end.
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -33,6 +33,7 @@
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
+import type { Exchange } from "./http/exchange.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
 import { createMeters } from "./meters.ts";
 import {
@@ -55,6 +56,12 @@
 
 const PLATFORM_TIMEOUT: Milliseconds = 1_000;
 
+/**
+ * Time in which a listener without work closes its connections. A connection
+ * with half a request header is neither idle nor counted as work.
+ */
+const CLOSE_GRACE: Milliseconds = 1_000;
+
 /** Blocks of 250,000 prompts at a few blocks each, at 16 bytes an entry. */
 const BELIEF_CAPACITY = 262_144;
 
@@ -240,7 +247,11 @@
     board,
     fleet,
     availabilityZone: settings.availabilityZone,
-    isReader: (subject, count) => membership.isReader(subject, count),
+    // A draining daemon is no reader for others. Without a live peer it goes
+    // on reading for its own requests, whose replicas would seem dead.
+    isReader: (subject, count) =>
+      membership.isReader(subject, count) ||
+      (drain.isDraining() && membership.live().length === 0),
   }, stopped.signal);
   await configuration.start();
   if (configuration.current() !== undefined) log("process_ready", {});
@@ -265,12 +276,28 @@
     // The balancer goes on sending until it has seen the readiness fall.
     await clock.sleep(settings.shutdown.balancerDelay);
     const closed = listeners.callers.close();
-    await drain.waitUntilIdle(settings.shutdown.limit);
-    await claims.idle();
+    const isComplete = await drain.waitUntilIdle(settings.shutdown.limit, {
+      background: () => claims.idle(),
+    });
+    if (!isComplete) {
+      log("drain_limit_reached", {
+        requests: drain.pending("request"),
+        outcomes: drain.pending("outcome"),
+        claimRows: claims.pending(),
+      });
+    }
     stopped.abort();
     configuration.stop();
-    await closed;
-    await Promise.all([listeners.peers.close(), listeners.operators.close()]);
+    await closeWithin(listeners.callers, closed, async () => {
+      await clock.sleep(CLOSE_GRACE);
+      // A request may have arrived on a connection that was still open.
+      if (isComplete) await drain.waitUntilIdle(settings.shutdown.limit);
+    });
+    await Promise.all(
+      [listeners.peers, listeners.operators].map((listener) =>
+        closeWithin(listener, listener.close(), () => clock.sleep(CLOSE_GRACE))
+      ),
+    );
     await listeners.stopBroker();
     await Promise.all([
       neighbours.close(),
@@ -342,18 +369,55 @@
 function countAll(handlers: Handlers, drain: Runtime["drain"]): Handlers {
   const counted = Object.entries(handlers).map(([route, handler]) => [
     route,
-    async (exchange: Parameters<Handler>[0]) => {
-      const end = drain.begin();
-      exchange.response.once("close", end);
-      if (drain.isDraining()) {
-        exchange.response.setHeader("connection", "close");
-      }
-      await handler(exchange);
-    },
+    (exchange: Parameters<Handler>[0]) =>
+      countExchange(drain, exchange, handler),
   ]);
   return Object.fromEntries(counted) as Handlers;
 }
 
+/**
+ * The work ends when the response has ended and the handler has returned: an
+ * order goes on when its caller has gone.
+ */
+async function countExchange(
+  drain: Runtime["drain"],
+  exchange: Exchange,
+  handler: Handler,
+): Promise<void> {
+  const { response } = exchange;
+  const end = drain.begin("request");
+  const announceClose = () => {
+    if (!response.headersSent) response.setHeader("connection", "close");
+  };
+  drain.started.addEventListener("abort", announceClose);
+  if (drain.isDraining()) announceClose();
+  try {
+    await handler(exchange);
+  } finally {
+    drain.started.removeEventListener("abort", announceClose);
+    if (response.closed) end();
+    else response.once("close", end);
+  }
+}
+
+/**
+ * Ends the connections of a listener that are left after the work on it, such
+ * as those with half a request header.
+ */
+async function closeWithin(
+  listener: Gateway,
+  closed: Promise<void>,
+  wait: () => Promise<unknown>,
+): Promise<void> {
+  let isOpen = true;
+  const closing = closed.finally(() => {
+    isOpen = false;
+  });
+  await Promise.race([closing, wait()]);
+  if (isOpen) listener.cut();
+  await closing;
+}
+
 function readStatus(runtime: Runtime, neighbours: Neighbours): DaemonStatus {
   const { membership } = neighbours;
   const current = runtime.configuration.current();
--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -31,8 +31,13 @@
 export interface Gateway {
   /** The address it listens on, with the port that was picked. */
   address(): string;
-  /** Stops accepting connections and resolves when the open ones ended. */
+  /**
+   * Stops accepting connections, closes idle ones as they become idle, and
+   * resolves when all have ended.
+   */
   close(): Promise<void>;
+  /** Ends all open connections at once, also those with a request. */
+  cut(): void;
 }
 
 interface ExchangeParams {
@@ -46,6 +51,9 @@
 
 const KEEP_ALIVE_PROBE: Milliseconds = 15_000;
 
+/** Interval at which a closing listener ends connections that became idle. */
+const IDLE_SWEEP_INTERVAL: Milliseconds = 100;
+
 export async function createGateway(
   broker: ServiceBroker,
   options: GatewayOptions,
@@ -85,10 +93,32 @@
   configureServer(server, options.headersTimeout);
   return {
     address: () => formatAddress(server),
-    close: () => broker.destroyService(service),
+    async close() {
+      const ended = new AbortController();
+      const sweeping = closeIdleUntil(ended.signal, server, options.clock);
+      await broker.destroyService(service);
+      ended.abort();
+      await sweeping;
+    },
+    cut: () => server.closeAllConnections(),
   };
 }
 
+/**
+ * `server.close` ends only the connections that are idle when it is called. A
+ * connection whose response ends later would stay for the keep-alive timeout.
+ */
+async function closeIdleUntil(
+  signal: AbortSignal,
+  server: Server,
+  clock: Clock,
+): Promise<void> {
+  while (!signal.aborted) {
+    await clock.sleep(IDLE_SWEEP_INTERVAL, signal);
+    server.closeIdleConnections();
+  }
+}
+
 function createActions(broker: ServiceBroker, options: GatewayOptions): void {
   const actions = Object.values(options.handlers).map((handler, index) => [
     actionName(index),
--- a/packages/daemon/src/services/order.ts
+++ b/packages/daemon/src/services/order.ts
@@ -126,7 +126,7 @@
   runtime: Runtime,
   stored: Promise<unknown>,
 ): Promise<void> {
-  const end = runtime.drain.begin();
+  const end = runtime.drain.begin("outcome");
   const background = stored.finally(end);
   const expiry = new AbortController();
   await Promise.race([
--- a/packages/daemon/src/shutdown.ts
+++ b/packages/daemon/src/shutdown.ts
@@ -2,55 +2,85 @@
  * Graceful shutdown: readiness falls first, the balancer still sends for a
  * while, then the listener closes and the requests in progress end.
  */
+import { setMaxListeners } from "node:events";
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
 
+/**
+ * A caller's request, or the outcome of an order that is stored after its
+ * caller has its response.
+ */
+export type Pending = "request" | "outcome";
+
 export interface Drain {
   /** True from the start of the shutdown on. */
   isDraining(): boolean;
+  /** Fires at the start of the shutdown. */
+  readonly started: AbortSignal;
   /** Counts a piece of work; the returned function ends it, once. */
-  begin(): () => void;
-  /** Pieces of work that have begun and not ended. */
-  pending(): number;
+  begin(kind: Pending): () => void;
+  /** Pieces of work that have begun and not ended, of one kind or all. */
+  pending(kind?: Pending): number;
   start(): void;
-  /** Resolves when nothing is pending, or with false after the limit. */
-  waitUntilIdle(limit: Milliseconds): Promise<boolean>;
+  /**
+   * Resolves with true when nothing is pending and the background work after
+   * it has ended, or with false after the limit.
+   */
+  waitUntilIdle(
+    limit: Milliseconds,
+    options?: { readonly background?: () => Promise<void> },
+  ): Promise<boolean>;
 }
 
 export function createDrain(clock: Clock): Drain {
-  let isDraining = false;
-  let pending = 0;
+  const started = new AbortController();
+  // Each open exchange listens.
+  setMaxListeners(0, started.signal);
+  const pending: Record<Pending, number> = { request: 0, outcome: 0 };
   const waiters = new Set<() => void>();
 
-  function end(): void {
-    pending -= 1;
-    if (pending > 0) return;
+  const countAll = () => pending.request + pending.outcome;
+
+  function end(kind: Pending): void {
+    pending[kind] -= 1;
+    if (countAll() > 0) return;
     for (const wake of waiters) wake();
   }
 
+  async function waitForCount(signal: AbortSignal): Promise<void> {
+    while (countAll() > 0 && !signal.aborted) {
+      await new Promise<void>((resolve) => {
+        waiters.add(resolve);
+        signal.addEventListener("abort", () => resolve(), { once: true });
+      });
+      waiters.clear();
+    }
+  }
+
   return {
-    isDraining: () => isDraining,
-    pending: () => pending,
-    begin() {
-      pending += 1;
+    isDraining: () => started.signal.aborted,
+    started: started.signal,
+    pending: (kind) => kind === undefined ? countAll() : pending[kind],
+    begin(kind) {
+      pending[kind] += 1;
       let isOpen = true;
       return () => {
         if (!isOpen) return;
         isOpen = false;
-        end();
+        end(kind);
       };
     },
     start() {
-      isDraining = true;
+      started.abort();
     },
-    async waitUntilIdle(limit) {
+    async waitUntilIdle(limit, { background = async () => {} } = {}) {
       const expiry = new AbortController();
-      const deadline = clock.monotonic() + limit;
-      const wake = () => expiry.abort();
-      waiters.add(wake);
-      if (pending > 0) await clock.sleep(limit, expiry.signal);
-      waiters.delete(wake);
-      return pending === 0 || clock.monotonic() < deadline;
+      const done = waitForCount(expiry.signal).then(background)
+        .then(() => !expiry.signal.aborted);
+      const late = clock.sleep(limit, expiry.signal).then(() => false);
+      const isIdle = await Promise.race([done, late]);
+      expiry.abort();
+      return isIdle;
     },
   };
 }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -74,6 +74,11 @@
     fields: { bytes: N, limit: N },
     sentence: "The process uses most of its memory limit.",
   }),
+  drain_limit_reached: event(1010, "warn", {
+    fields: { requests: N, outcomes: N, claimRows: N },
+    sentence:
+      "The limit of the shutdown is over; the counted work is left undone.",
+  }),
   request_received: event(2001, "debug", {
     fields: { route: S, method: S },
     sentence: "A request has arrived.",
