Test the binary end to end and remove its warning

Cause of the warning "require() ... only supports loading built-in modules": moleculer loads its datadog reporter, which loads node-fetch, which tries the optional package `encoding` in a try block. The package is not installed, esbuild keeps the require, and the require of a single binary warns for every name that is not built in.

Ruled out: other modules. With a require that reports each name that is not built in, `encoding` was the only one during `serve`. Silencing the warning was not needed.

Change: the build replaces modules of libraries that cannot be resolved by one that throws MODULE_NOT_FOUND, as Node.js does. The list of external names is no longer needed.

--- /dev/null
+++ b/packages/cli/src/binary.test.ts
@@ -0,0 +1,63 @@
+import {
+  copyExample,
+  findBinary,
+  shortenShutdown,
+} from "@peridotvalve/testbed";
+import { expect } from "earl";
+import { execFile, spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { test } from "node:test";
+import { promisify } from "node:util";
+import { fileURLToPath } from "node:url";
+
+const ROOT = fileURLToPath(new URL("../../..", import.meta.url));
+const binary = findBinary();
+const NO_BINARY = "dist/peridotvalve is missing or older than its sources";
+const NO_STRACE = "strace is missing: the system calls were not checked";
+
+// Guards against a library's require of a module that the binary does not
+// hold, about which Node.js warns on standard error.
+test(
+  "serve prints no warning and ends on SIGTERM",
+  { skip: binary === undefined && NO_BINARY },
+  async () => {
+    const folder = mkdtempSync(join(tmpdir(), "peridotvalve-binary-"));
+    await copyExample(
+      join(ROOT, "examples/koiratakki"),
+      folder,
+      shortenShutdown,
+    );
+    const settings = join(folder, "settings/espoo-1.yaml");
+    const daemon = spawn(binary ?? "", ["serve", "--settings", settings]);
+    const ended = once(daemon, "close");
+    let output = "";
+    let errors = "";
+    daemon.stderr.on("data", (chunk) => errors += chunk);
+    for await (const chunk of daemon.stdout) {
+      output += chunk;
+      if (output.includes("process_ready")) daemon.kill("SIGTERM");
+    }
+    const [code] = await ended;
+    rmSync(folder, { recursive: true });
+    expect(errors).toEqual("");
+    expect(code).toEqual(0);
+  },
+);
+
+test(
+  "the binary starts no process and uses no io_uring or shared memory",
+  {
+    skip: spawnSync("strace", ["-V"]).error !== undefined
+      ? NO_STRACE
+      : binary === undefined && NO_BINARY,
+  },
+  async () => {
+    const words = ["--import", "tsx", "scripts/check_syscalls.ts"];
+    const run = promisify(execFile)(process.execPath, words, { cwd: ROOT });
+    const { stdout } = await run;
+    expect(stdout).toMatchRegex(/serve: 0 forbidden of .* after SIGTERM/);
+  },
+);
--- a/packages/daemon/src/whole_path.test.ts
+++ b/packages/daemon/src/whole_path.test.ts
@@ -1,5 +1,6 @@
 import {
   type Deployment,
+  findBinary,
   shortenShutdown,
   startDeployment,
 } from "@peridotvalve/testbed";
@@ -53,6 +54,7 @@
 before(async () => {
   deployment = await startDeployment({
     example: "examples/koiratakki",
+    binary: findBinary(),
     daemons: ["espoo-1", "vantaa-1"],
     edit: shortenShutdown,
   });
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -25,7 +25,7 @@
   /** Model groups whose engines are started; all when absent. */
   readonly groups?: readonly string[];
   /** The product's binary; its sources are run when absent. */
-  readonly binary?: string;
+  readonly binary?: string | undefined;
   readonly seed?: number;
   /** Changes YAML files of the copy before they are used. */
   readonly edit?: Edit;
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -11,7 +11,8 @@
   statSync,
   writeFileSync,
 } from "node:fs";
-import { build } from "esbuild";
+import { findBinary } from "@peridotvalve/testbed";
+import { build, type Plugin } from "esbuild";
 import { inject } from "postject";
 
 const ENTRY = "packages/cli/src/main.ts";
@@ -27,8 +28,38 @@
 const RESOURCE = "NODE_SEA_BLOB";
 const FUSE = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
-// Optional serializers and transporters of moleculer that stay unused.
-const EXTERNAL = ["avsc", "kafka-node", "protobufjs/minimal", "thrift"];
+const UNLESS_CURRENT = "--unless-current";
+
+/**
+ * Optional dependencies of libraries that are not installed, such as the
+ * `encoding` of node-fetch. The require of a single binary knows built-in
+ * modules only and warns about any other name, so a module that throws what
+ * Node.js throws for a missing one takes their place.
+ */
+const MISSING_MODULES: Plugin = {
+  name: "missing-modules",
+  setup(build) {
+    const namespace = "missing";
+    build.onResolve({ filter: /^[^./]/ }, async (args) => {
+      const { path, pluginData, importer, kind, resolveDir } = args;
+      const isOurs = !importer.includes("node_modules");
+      if (pluginData === namespace || isOurs) return undefined;
+      const found = await build.resolve(path, {
+        importer,
+        kind,
+        resolveDir,
+        pluginData: namespace,
+      });
+      return found.errors.length === 0 ? found : { path, namespace };
+    });
+    build.onLoad({ filter: /.*/, namespace }, ({ path }) => ({
+      contents: `throw Object.assign(
+        new Error("Cannot find module '${path}'"),
+        { code: "MODULE_NOT_FOUND" },
+      );`,
+    }));
+  },
+};
 
 function readVersion(): string {
   const text = readFileSync("packages/cli/package.json", "utf8");
@@ -43,7 +74,7 @@
     platform: "node",
     format: "cjs",
     target: "node20",
-    external: EXTERNAL,
+    plugins: [MISSING_MODULES],
     define: { PERIDOTVALVE_VERSION: JSON.stringify(readVersion()) },
     logLevel: "warning",
   });
@@ -65,9 +96,17 @@
   await inject(BINARY, RESOURCE, readFileSync(BLOB), { sentinelFuse: FUSE });
 }
 
-mkdirSync("dist", { recursive: true });
-await bundle();
-writeBlob();
-await writeBinary();
-const megabytes = Math.round(statSync(BINARY).size / BYTES_PER_MEGABYTE);
-console.log(`${BINARY}: version ${readVersion()}, ${megabytes} MB`);
+async function main(): Promise<void> {
+  if (process.argv.includes(UNLESS_CURRENT) && findBinary() !== undefined) {
+    console.log(`${BINARY} is newer than its sources`);
+    return;
+  }
+  mkdirSync("dist", { recursive: true });
+  await bundle();
+  writeBlob();
+  await writeBinary();
+  const megabytes = Math.round(statSync(BINARY).size / BYTES_PER_MEGABYTE);
+  console.log(`${BINARY}: version ${readVersion()}, ${megabytes} MB`);
+}
+
+await main();
