Import kept blocks for conversations that return after eviction

A prompt that returned after eviction was recomputed whole: placement got no copies and nothing was published. Whole blocks of a completed prompt with a conversation key are now published in the background (256 blocks, 512 MB, 4 at once, nearest usable cache group, the link only while twice the bytes are left). Store VMs are asked when the best candidate is not believed to hold the prefix, with a deadline of a quarter of the saving, and an import precedes the attempt with a deadline of its own. Dispatches reserve link bytes and fall to the next candidate; aggregates carry the zone's link rate. Roll-outs share conversations between versions by ready slots. Cache events, dispatches and probes feed beliefs and the slowness detector. Ruled out: one detector for both kinds of gap, since a replica with short answers only would stand out.

Before: the replica that swapped its weights between choice and dispatch was excluded, so that a group with one replica refused the request. It is planned anew once.

Tested: packages/daemon/src/cache/cache.test.ts, 15 passed in 2 min 17 s; with the duty cache off the returning prompt has 0 cached tokens, with it on 200.

--- a/packages/daemon/src/chat/choice.ts
+++ b/packages/daemon/src/chat/choice.ts
@@ -3,24 +3,48 @@
  */
 import { listBlocks, type PromptBlocks } from "@peridotvalve/blocks";
 import type { RelayRecord } from "@peridotvalve/retries";
-import type { Candidate, RankedCandidate } from "@peridotvalve/routing";
-import type { Configuration, Milliseconds, Tokens } from "@peridotvalve/types";
+import type {
+  Candidate,
+  Placement,
+  PlacementRequest,
+  RankedCandidate,
+} from "@peridotvalve/routing";
+import type {
+  Bytes,
+  Configuration,
+  Customer,
+  Milliseconds,
+  ModelGroup,
+  Tokens,
+} from "@peridotvalve/types";
+import { type Copy, measureBlocks } from "../cache/copies.ts";
+import { isDutyOn } from "../callers/duties.ts";
 import type { Replica } from "../fleet/replica.ts";
 import type { Runtime } from "../runtime.ts";
+import { limitLookUp } from "./look_up.ts";
 import { TOKENIZER } from "./prompt.ts";
+import { planWeights } from "./weights.ts";
 import type { ChatWork } from "./work.ts";
 
 export interface Choice {
   readonly replica: Replica;
   readonly ranked: RankedCandidate;
+  /** The copy to import before the attempt. */
+  readonly copy: Copy | undefined;
   /** Weight version for which the attempt is planned. */
   readonly weights: string;
   readonly blocks: PromptBlocks;
+  /** Expected length of one block. */
+  readonly blockBytes: Bytes;
   readonly tokens: Tokens;
   readonly estimate: Milliseconds;
   /** Candidates left besides this one. */
   readonly others: number;
   readonly configuration: Configuration;
+  readonly group: ModelGroup;
+  readonly customer: Customer;
+  /** True when the duty `cache` is on for the request. */
+  readonly keepsBlocks: boolean;
 }
 
 interface Attempted {
@@ -29,32 +53,47 @@
   readonly record: RelayRecord;
 }
 
+interface Ranking {
+  readonly ranked: readonly RankedCandidate[];
+  readonly copies: readonly Copy[];
+  readonly blockBytes: Bytes;
+}
+
 // Bytes of KV cache for each token of the models in use, for the estimate of
 // transfer times only.
 const CACHE_BYTES_PER_TOKEN = 1_024;
 
 /** The best replica, or undefined when none is eligible. */
-export function chooseReplica(
+export async function chooseReplica(
   runtime: Runtime,
   work: ChatWork,
   attempted: Attempted,
-): Choice | undefined {
+): Promise<Choice | undefined> {
   const configuration = runtime.configuration.current()?.content;
   const group = configuration?.groups[work.chat.model];
   if (configuration === undefined || group === undefined) return undefined;
+  const customer = configuration.customers[work.identity.name];
+  if (customer === undefined || customer.disabled) return undefined;
   const candidates = runtime.fleet.candidates(work.chat.model);
-  const weights = planWeights(group.weights, candidates, attempted);
+  const { barredZones } = customer;
+  const { excluded, record } = attempted;
+  const conversation = `${work.identity.name}/${work.conversation}`;
+  const weights = planWeights({
+    ...{ conversation, barredZones, excluded },
+    target: group.weights,
+    begun: record.weights,
+  }, candidates);
   const blocks = listBlocks(work.chat.prompt, {
     customer: work.identity.name,
     weights,
     tokensPerBlock: group.tokensPerBlock,
     tokenizer: TOKENIZER,
   });
-  const placement = runtime.placementOf(configuration.policy.placement);
-  const customer = configuration.customers[work.identity.name];
-  if (customer === undefined || customer.disabled) return undefined;
-  const ranked = placement.choose({
-    conversation: `${work.identity.name}/${work.conversation}`,
+  const duty = { duty: "cache", route: work.chat.model } as const;
+  const keepsBlocks = work.chat.conversation !== undefined &&
+    isDutyOn(configuration, { ...duty, customer: work.identity.name });
+  const request = {
+    conversation,
     customer: work.identity.name,
     weights,
     blocks: blocks.names.map((name) => name.block),
@@ -62,44 +101,80 @@
     promptTokens: blocks.tokens,
     promptBytes: Buffer.byteLength(work.chat.prompt),
     blockBytes: group.tokensPerBlock * CACHE_BYTES_PER_TOKEN,
-    barredZones: customer.barredZones,
+    barredZones,
     returning: work.chat.conversation !== undefined,
     copies: [],
-    excluded: attempted.excluded,
-  }, candidates);
-  const best = ranked[0];
-  const replica = best && runtime.fleet.find(best.candidate.name);
-  if (best === undefined || replica === undefined) return undefined;
+    excluded,
+  };
+  const placement = runtime.placementOf(configuration.policy.placement);
+  const ranking = await rank(runtime, work, {
+    ...{ request, candidates, placement, blocks, keepsBlocks },
+  });
+  const taken = takeFirst(runtime, request.customer, ranking.ranked);
+  if (taken === undefined) return undefined;
+  const { replica, ranked } = taken;
   return {
-    replica,
-    ranked: best,
-    weights,
-    blocks,
+    ...{ replica, ranked, weights, blocks, configuration, group, customer },
+    copy: ranking.copies.find(({ copy }) => copy === ranked.copy),
+    blockBytes: ranking.blockBytes,
     tokens: blocks.tokens,
-    estimate: best.estimate,
-    others: ranked.length - 1,
-    configuration,
+    estimate: ranked.estimate,
+    others: ranking.ranked.length - 1,
+    keepsBlocks,
   };
 }
 
-/**
- * The weight version to plan for. A stream that has begun stays with its
- * version where a replica has it. Before the first replica of a roll-out has
- * the new version, requests go to the version that most replicas have.
- */
-function planWeights(
-  target: string,
-  candidates: readonly Candidate[],
-  attempted: Attempted,
-): string {
-  const counts = new Map<string, number>();
-  for (const { name, state, weights } of candidates) {
-    if (state !== "ready" || attempted.excluded.includes(name)) continue;
-    counts.set(weights, (counts.get(weights) ?? 0) + 1);
+/** Ranks the candidates, with the copies of store VMs where these can help. */
+async function rank(
+  runtime: Runtime,
+  work: ChatWork,
+  plan: {
+    readonly request: PlacementRequest;
+    readonly candidates: readonly Candidate[];
+    readonly placement: Placement;
+    readonly blocks: PromptBlocks;
+    readonly keepsBlocks: boolean;
+  },
+): Promise<Ranking> {
+  const { request, candidates, placement, blocks } = plan;
+  const first = placement.choose(request, candidates);
+  const without = {
+    ranked: first,
+    copies: [],
+    blockBytes: request.blockBytes,
+  };
+  const best = first[0];
+  if (best === undefined || !plan.keepsBlocks) return without;
+  const timeout = limitLookUp(runtime.beliefs, request, best);
+  if (timeout === undefined) return without;
+  const copies = await runtime.cache.find({
+    group: work.chat.model,
+    names: blocks.names,
+    barredZones: request.barredZones,
+  }, timeout);
+  if (copies.length === 0) return without;
+  const blockBytes = measureBlocks(copies);
+  const ranked = placement.choose({
+    ...request,
+    copies: copies.map(({ copy }) => copy),
+    blockBytes,
+  }, candidates);
+  return { ranked, copies, blockBytes };
+}
+
+/** The first candidate whose bytes the budget of the region link allows. */
+function takeFirst(
+  runtime: Runtime,
+  customer: string,
+  ranked: readonly RankedCandidate[],
+): { readonly replica: Replica; readonly ranked: RankedCandidate } | undefined {
+  for (const one of ranked) {
+    const replica = runtime.fleet.find(one.candidate.name);
+    if (replica === undefined) continue;
+    const { linkBytes } = one;
+    if (linkBytes === 0 || runtime.link.reserve(customer, linkBytes)) {
+      return { replica, ranked: one };
+    }
   }
-  const begun = attempted.record.weights;
-  if (begun !== undefined && counts.has(begun)) return begun;
-  if (counts.has(target)) return target;
-  const byCount = [...counts].sort((left, right) => right[1] - left[1]);
-  return byCount[0]?.[0] ?? target;
+  return undefined;
 }
--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -20,6 +20,7 @@
 import type { AttemptFailure } from "@peridotvalve/upstreams";
 import type { Runtime } from "../runtime.ts";
 import { type Choice, chooseReplica } from "./choice.ts";
+import { noteDispatch, prepareBlocks, publishBlocks } from "./import.ts";
 import type { ChatWork, RelayPart } from "./work.ts";
 
 /** Part of the patience below which another attempt is not worth its start. */
@@ -41,6 +42,7 @@
   let record = startRelay("");
   const states: AttemptState[] = [];
   const excluded: string[] = [];
+  const replanned = new Set<string>();
   runtime.retryBudget.recordFirst(work.identity.name);
   for (;;) {
     const choice = await chooseReplica(runtime, work, { excluded, record });
@@ -48,16 +50,20 @@
     record = switchAttempt(record, `att_${randomUUID()}`);
     const end = yield* runAttempt(runtime, work, { choice, record });
     record = end.record;
-    if (end.failure === undefined) return undefined;
+    if (end.failure === undefined) {
+      publishBlocks(runtime, work, choice);
+      return undefined;
+    }
     noteFailure(runtime, work, { choice, record, failure: end.failure });
-    excluded.push(choice.replica.name);
+    const replans = isReplanned(end.failure, choice, replanned);
+    if (!replans) excluded.push(choice.replica.name);
     const decision = decideAfterFailure(end.failure, {
       work: { kind: "generation", relay: record },
       earlier: states,
       answerBegan: end.answerBegan,
       patience: remainingPatience(runtime, work, record),
       minimumTime: MINIMUM_ATTEMPT_MILLISECONDS,
-      candidatesLeft: choice.others,
+      candidatesLeft: choice.others + (replans ? 1 : 0),
       withinBudget: isFree(end.failure) ||
         runtime.retryBudget.take(work.identity.name),
     });
@@ -71,6 +77,23 @@
   return failure.sent === "refused" && failure.reason !== "busy";
 }
 
+/**
+ * True when the replica has swapped its weights and may take the request when
+ * it is planned anew for them; once for each replica, so that it ends.
+ */
+function isReplanned(
+  failure: AttemptFailure,
+  { replica }: Choice,
+  replanned: Set<string>,
+): boolean {
+  if (failure.reason !== "weights mismatch") return false;
+  if (failure.weights === undefined || replanned.has(replica.name)) {
+    return false;
+  }
+  replanned.add(replica.name);
+  return true;
+}
+
 /** Once tokens flow, the caller waits on; only progress counts. */
 function remainingPatience(
   runtime: Runtime,
@@ -89,13 +112,15 @@
   const { choice } = start;
   let record = start.record;
   let answerBegan = false;
-  const begun = runtime.clock.monotonic();
   const { limits } = choice.configuration;
   const resume = resumePointOf(record);
   const dispatch = runtime.fleet.begin(choice.replica, {
     attempt: record.attempt,
     tokens: choice.tokens,
   });
+  const expected = await prepareBlocks(runtime, work, choice);
+  noteDispatch(runtime, choice);
+  const begun = runtime.clock.monotonic();
   const stream = choice.replica.engine.generate({
     attempt: record.attempt,
     request: work.request,
@@ -142,7 +167,8 @@
       }
       runtime.fleet.observe(choice.replica, event, {
         begun,
-        expected: choice.estimate,
+        expected,
+        sampleGap: dispatch.sampleGap,
       });
       yield toPart(event);
     }
--- a/packages/daemon/src/chat/write.ts
+++ b/packages/daemon/src/chat/write.ts
@@ -173,6 +173,12 @@
   const firstToken = (written.firstTokenAt ?? 0) - exchange.arrived;
   runtime.meters.firstToken.record(firstToken, { model: work.chat.model });
   runtime.meters.tokens.add(written.tokens, { model: work.chat.model });
+  runtime.meters.promptTokens.add(countTokens(work.chat.prompt), {
+    model: work.chat.model,
+  });
+  runtime.meters.cachedTokens.add(written.cachedTokens, {
+    model: work.chat.model,
+  });
   runtime.log("first_token_sent", {
     elapsed: firstToken,
     cachedTokens: written.cachedTokens,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,9 @@
 import { createAdmissions } from "./admissions.ts";
 import { createLegacy } from "./callers/legacy.ts";
 import { handleChat, handleModels } from "./chat/handler.ts";
+import { createCache } from "./cache/cache.ts";
+import { followCacheEvents } from "./cache/events.ts";
+import { recordLinkUse } from "./cache/link.ts";
 import { createClaims } from "@peridotvalve/claims";
 import { createSystemClock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
@@ -32,6 +35,7 @@
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
+import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
 import { createMeters } from "./meters.ts";
@@ -103,6 +107,8 @@
     Object.entries(content()?.regions ?? {})
       .find(([, region]) => region.availabilityZones.includes(zone))?.[0] ?? "";
 
+  const isInRegion = (zone: string): boolean =>
+    regionOf(zone) === settings.region;
   const board = createLoadBoard(clock);
   const created = await createNeighbours({
     settings,
@@ -144,7 +150,10 @@
     },
   );
 
-  const slowness = createSlownessDetector({ clock });
+  const meters = createMeters(clock);
+  const slowness = createSlownessByKind(() =>
+    createSlownessDetector({ clock })
+  );
   const fleet = createFleet({
     clock,
     board,
@@ -155,7 +164,7 @@
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
   });
   const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
-  const link = createLinkBudget({
+  const linkBudget = createLinkBudget({
     clock,
     bytesPerSecond: () => {
       const settled = content()?.link;
@@ -164,6 +173,23 @@
     liveDaemons: neighbours.countLive,
     shareOf: (customer) => content()?.customers[customer]?.share ?? 1,
   });
+  const link = recordLinkUse(linkBudget, {
+    record(customer, bytes) {
+      board.recordLinkBytes(customer, bytes);
+      meters.linkBytes.add(bytes);
+    },
+    onSpent: (customer, bytes) =>
+      log("link_budget_spent", { bytes }, { customer }),
+    used: () => neighbours.linkRate(isInRegion),
+  });
+  const cache = createCache({
+    clock,
+    log,
+    link,
+    origin: settings,
+    regionOf,
+    onBlock: (kind) => meters.blocks.add(1, { kind }),
+  });
   const admissions = createAdmissions({
     clock,
     content,
@@ -177,7 +203,6 @@
     origin: settings,
   });
   const drain = createDrain(clock);
-  const meters = createMeters(clock);
   const claims = createClaims({ platform, clock, owner: incarnation });
   const runtime: Runtime = {
     settings,
@@ -187,6 +212,7 @@
     fleet,
     beliefs,
     link,
+    cache,
     services: createServiceDirectory(clock),
     legacy: createLegacy(),
     claims,
@@ -199,6 +225,7 @@
   };
   configuration.subscribe(({ version, content: now }) => {
     fleet.apply(now);
+    cache.apply(now);
     runtime.services.apply(now);
     admissions.apply(now);
     membership.setVersion(version);
@@ -242,6 +269,14 @@
     availabilityZone: settings.availabilityZone,
     isReader: (subject, count) => membership.isReader(subject, count),
   }, stopped.signal);
+  void followCacheEvents({
+    clock,
+    fleet,
+    beliefs,
+    log,
+    availabilityZone: settings.availabilityZone,
+    isReader: (subject, count) => membership.isReader(subject, count),
+  }, stopped.signal);
   await configuration.start();
   if (configuration.current() !== undefined) log("process_ready", {});
 
@@ -275,6 +310,7 @@
     await Promise.all([
       neighbours.close(),
       fleet.close(),
+      cache.close(),
       runtime.services.close(),
       runtime.legacy.close(),
       platform.close(),
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -16,6 +16,7 @@
 } from "@peridotvalve/types";
 import type { AttemptFailure } from "@peridotvalve/upstreams";
 import { createReplica, type Replica } from "./replica.ts";
+import { createTokenGaps } from "./token_gaps.ts";
 
 /** Interval at which removed replicas are looked at for their last stream. */
 const CLOSE_INTERVAL: Milliseconds = 500;
@@ -31,6 +32,8 @@
 
 export interface Dispatch {
   end(): void;
+  /** To be called for each token. */
+  readonly sampleGap: () => void;
 }
 
 export interface ObservedEvent {
@@ -38,6 +41,8 @@
   readonly begun: Milliseconds;
   /** Expected time to first token. */
   readonly expected: Milliseconds;
+  /** Samples the gaps between the attempt's tokens. */
+  readonly sampleGap: () => void;
 }
 
 export interface DispatchedWork {
@@ -88,6 +93,7 @@
 export function createFleet(options: FleetOptions): Fleet {
   const { clock, board, slowness } = options;
   const members = new Map<string, Member>();
+  const gaps = createTokenGaps(clock, slowness);
   const closing = new Set<Promise<void>>();
   let groups: Readonly<Record<string, ModelGroup>> = {};
 
@@ -223,16 +229,21 @@
       const member = members.get(replica.name);
       if (member !== undefined) member.streams += 1;
       board.startDispatch(replica.name, { id: attempt, tokens });
+      // Only one request tries the speed of a slow replica.
+      const { name, group } = replica;
+      if (slowness.isProbeDue(name)) slowness.recordProbe(name);
       return {
+        sampleGap: gaps.follow({ group, replica: name }),
         end() {
           if (member !== undefined) member.streams -= 1;
           board.endDispatch(replica.name, attempt);
         },
       };
     },
-    observe(replica, event, { begun, expected }) {
+    observe(replica, event, { begun, expected, sampleGap }) {
       if (event.kind === "start") replica.noteWeights(event.weights);
       replica.noteReachable(true);
+      if (event.kind === "token") sampleGap();
       if (event.kind !== "token" || event.offset > 0) return;
       const gap = clock.monotonic() - begun;
       slowness.record(replica.name, { kind: "first token", gap, expected });
--- a/packages/daemon/src/meters.ts
+++ b/packages/daemon/src/meters.ts
@@ -19,6 +19,10 @@
   readonly cachedTokens: Counter;
   /** Prompt tokens, by model. */
   readonly promptTokens: Counter;
+  /** Blocks published to or imported from store VMs. */
+  readonly blocks: Counter;
+  /** Bytes of prompts and blocks reserved on the region link. */
+  readonly linkBytes: Counter;
   /** Outcomes of requests, by route, code and whether the work ran. */
   readonly outcomes: Counter;
 }
@@ -43,6 +47,14 @@
       help: "Prompt tokens of completions that ended whole.",
       labels: ["model"],
     }),
+    blocks: registry.counter("peridotvalve_cache_blocks_total", {
+      help: "Blocks published to or imported from store VMs.",
+      labels: ["kind"],
+    }),
+    linkBytes: registry.counter("peridotvalve_link_bytes_total", {
+      help: "Bytes of prompts and blocks reserved on the region link.",
+      labels: [],
+    }),
     outcomes: registry.counter("peridotvalve_requests_total", {
       help: "Requests by route, outcome code and whether the work ran.",
       labels: ["route", "code", "ran"],
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -34,12 +34,21 @@
 
 const STATUS = z.object({ name: z.string(), version: z.number().nullable() });
 
-const AGGREGATE = z.object({ daemons: z.number().int().nonnegative() });
+const AGGREGATE = z.object({
+  daemons: z.number().int().nonnegative(),
+  /** Bytes per second that the zone sends over the region link. */
+  link: z.number().nonnegative().default(0),
+});
 
 export interface Neighbours {
   readonly membership: Membership;
   /** Daemons of all availability zones that are heard, with this one. */
   countLive(): number;
+  /**
+   * Bytes per second that the own availability zone and the accepted others
+   * send over the region link.
+   */
+  linkRate(accepts: (availabilityZone: string) => boolean): number;
   fetchConfiguration(peer: string): Promise<Result<RawConfiguration, string>>;
   /** Addresses of the peers known from settings, heartbeats and VM list. */
   addresses(): readonly string[];
@@ -68,7 +77,7 @@
   if (transport.isErr()) return transport;
   const stopped = new AbortController();
   const rpc = createRpcClient(settings.peerSecret);
-  const zoneSizes = new Map<string, number>();
+  const zones = new Map<string, z.infer<typeof AGGREGATE>>();
   let listed: readonly ListedVm[] = [];
 
   const membership = createMembership({
@@ -89,10 +98,13 @@
         options.log("datagram_rejected", { reason: taken.error, from: peer });
       }
     },
-    createAggregate: () => ({ daemons: membership.live().length }),
+    createAggregate: () => ({
+      daemons: membership.live().length,
+      link: Math.round(board.linkRate()),
+    }),
     onAggregate(aggregate) {
       const content = AGGREGATE.safeParse(aggregate.content);
-      if (content.success) zoneSizes.set(aggregate.zone, content.data.daemons);
+      if (content.success) zones.set(aggregate.zone, content.data);
     },
     onAnnounce: options.onAnnounce,
     onUpstreamLeaving: options.onUpstreamLeaving,
@@ -120,6 +132,16 @@
       .filter((address) => address !== settings.listeners.peers);
   }
 
+  /** What the availability zones say that were heard a short time ago. */
+  function listHeard() {
+    return [...membership.zones()]
+      .filter(([, silence]) => silence < ZONE_MEMORY)
+      .flatMap(([zone]) => {
+        const content = zones.get(zone);
+        return content === undefined ? [] : [{ zone, ...content }];
+      });
+  }
+
   async function readVersion(address: string): Promise<DaemonVersion> {
     const request = { method: "daemon.status", params: {} };
     const answer = await rpc.call(address, request, CALL_TIMEOUT);
@@ -131,12 +153,16 @@
   return Ok({
     membership,
     countLive() {
-      const heard = [...membership.zones()]
-        .filter(([, silence]) => silence < ZONE_MEMORY)
-        .map(([zone]) => zoneSizes.get(zone) ?? 0);
-      const others = heard.reduce((sum, size) => sum + size, 0);
+      const others = listHeard()
+        .reduce((sum, { daemons }) => sum + daemons, 0);
       return Math.max(1, membership.live().length) + others;
     },
+    linkRate: (accepts) =>
+      listHeard()
+        .filter(({ zone }) =>
+          zone !== settings.availabilityZone && accepts(zone)
+        )
+        .reduce((sum, { link }) => sum + link, board.linkRate()),
     async fetchConfiguration(peer) {
       const request = { method: "configuration.fetch", params: {} };
       const answer = await rpc.call(peer, request, CALL_TIMEOUT);
--- a/packages/daemon/src/runtime.ts
+++ b/packages/daemon/src/runtime.ts
@@ -12,6 +12,7 @@
 import type { ProcessSettings } from "@peridotvalve/settings";
 import type { Policy, VersionedConfiguration } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
+import type { Cache } from "./cache/cache.ts";
 import type { Legacy } from "./callers/legacy.ts";
 import type { Fleet } from "./fleet/fleet.ts";
 import type { Meters } from "./meters.ts";
@@ -27,6 +28,7 @@
   readonly fleet: Fleet;
   readonly beliefs: Beliefs;
   readonly link: LinkBudget;
+  readonly cache: Cache;
   readonly services: ServiceDirectory;
   readonly legacy: Legacy;
   readonly claims: Claims;
