Count only whole prefixes in beliefs and inject every block fault

A replica that evicted the first blocks of a prompt and kept the last one was believed to hold the whole prefix, because the deepest known block counted. Such a prompt was neither looked up nor imported. Beliefs now extend a prefix block by block and stop at the first hole. Ruled out: a check in the daemon only, since the estimate would still prefer the replica's cache to an import.

The store VM stand-in can return corrupt blocks.

--- a/packages/daemon/src/cache/testing.ts
+++ b/packages/daemon/src/cache/testing.ts
@@ -71,7 +71,7 @@
   const engineOptions = {
     tokensPerBlock,
     weights: WEIGHTS,
-    prefillTokensPerSecond: 500,
+    prefillTokensPerSecond: 1_000,
     reportLag: 0,
     eventLag: 0,
     ...options.engine,
--- a/packages/routing/src/beliefs.ts
+++ b/packages/routing/src/beliefs.ts
@@ -195,23 +195,31 @@
     return base * faded * GAP_FACTOR ** gaps;
   }
 
-  /** Adds the holders of one block that no deeper block has named. */
-  function collect(
+  /**
+   * Extends the prefixes that end before the block. A prefix with a hole is of
+   * no use: engines may evict the first blocks of a prompt and keep the last.
+   */
+  function extend(
     block: string,
     depth: { readonly blocks: number; readonly weights: string },
     found: Map<string, PrefixBelief>,
-  ): void {
+  ): boolean {
+    let isExtended = false;
     const at = locate(block);
     const first = at.set * WAYS;
     for (let slot = first; slot < first + WAYS; slot += 1) {
       if (tags[slot] !== at.tag) continue;
       const state = byId.get(holders[slot]!);
       if (state === undefined || state.weights !== depth.weights) continue;
-      if (found.has(state.replica)) continue;
-      const confidence = confidenceOf(slot, state);
+      const before = found.get(state.replica);
+      if ((before?.blocks ?? 0) !== depth.blocks - 1) continue;
+      const own = confidenceOf(slot, state);
+      const confidence = Math.min(before?.confidence ?? 1, own);
       if (confidence < MINIMUM_CONFIDENCE) continue;
       found.set(state.replica, { blocks: depth.blocks, confidence });
+      isExtended = true;
     }
+    return isExtended;
   }
 
   return new (class extends Beliefs {
@@ -220,8 +228,8 @@
       weights: string,
     ): ReadonlyMap<string, PrefixBelief> {
       const found = new Map<string, PrefixBelief>();
-      for (let count = blocks.length; count > 0; count -= 1) {
-        collect(blocks[count - 1]!, { blocks: count, weights }, found);
+      for (const [index, block] of blocks.entries()) {
+        if (!extend(block, { blocks: index + 1, weights }, found)) break;
       }
       return found;
     }
--- a/packages/standins/src/store_vm/mod.ts
+++ b/packages/standins/src/store_vm/mod.ts
@@ -31,6 +31,8 @@
   fullDisk: z.boolean().default(false),
   /** Refuses a write with 507 once it has received so many bytes. */
   fullAfterBytes: z.number().int().nonnegative().optional(),
+  /** Changes one byte of each block that is read. */
+  corruptReads: z.boolean().default(false),
 });
 
 const CHUNK_BYTES = 4 * 1024;
@@ -98,7 +100,9 @@
       await link.transfer(end - start, slowFactor);
       if (response.destroyed) return;
       // The bytes that the memory holds now, whichever block they are of.
-      response.write(Buffer.from(bytes.subarray(start, end)));
+      const part = Buffer.from(bytes.subarray(start, end));
+      if (start === 0 && server.faults().corruptReads) part[0]! ^= 1;
+      response.write(part);
     }
     response.end();
   }
