--- a/packages/cli/src/binary.test.ts
+++ b/packages/cli/src/binary.test.ts
@@ -1,3 +1,5 @@
+import { readProcessSettings } from "@peridotvalve/settings";
+import { startPlatformStandin } from "@peridotvalve/standins";
 import {
   copyExample,
   findBinary,
@@ -31,6 +33,11 @@
       shortenShutdown,
     );
     const settings = join(folder, "settings/espoo-1.yaml");
+    const { platform } = (await readProcessSettings(settings)).unwrap();
+    // A daemon that finds neither platform nor peers is never ready.
+    const standin = await startPlatformStandin({
+      port: Number(platform.split(":")[1]),
+    });
     const daemon = spawn(binary ?? "", ["serve", "--settings", settings]);
     const ended = once(daemon, "close");
     let output = "";
@@ -41,6 +48,7 @@
       if (output.includes("process_ready")) daemon.kill("SIGTERM");
     }
     const [code] = await ended;
+    await standin.close();
     rmSync(folder, { recursive: true });
     expect(errors).toEqual("");
     expect(code).toEqual(0);
--- a/packages/daemon/src/chat/hedge.test.ts
+++ b/packages/daemon/src/chat/hedge.test.ts
@@ -50,7 +50,7 @@
   const parts = raceAttempts(createRunner(first, cancelled), {
     clock,
     delay: 50,
-    start: () => second && createRunner(second, cancelled),
+    start: () => Promise.resolve(second && createRunner(second, cancelled)),
     isWhole: (end) => !end.failed,
   });
   const collected = collect(parts);
--- a/packages/daemon/src/chat/hedge.ts
+++ b/packages/daemon/src/chat/hedge.ts
@@ -17,7 +17,7 @@
   /** Time without a token after which the second attempt starts. */
   readonly delay: Milliseconds;
   /** Starts the second attempt, or says that there is none. */
-  readonly start: () => Runner<End> | undefined;
+  readonly start: () => Promise<Runner<End> | undefined>;
   /** Whether an attempt ended without a failure. */
   readonly isWhole: (end: End) => boolean;
 }
@@ -40,18 +40,17 @@
   options: HedgeOptions<End>,
 ): AsyncGenerator<RelayPart, readonly End[], void> {
   const timer = new AbortController();
-  const due = options.clock.sleep(options.delay, timer.signal);
+  const second = startLater(options, timer.signal);
   const ends: End[] = [];
   let racing = [launch(first)];
   let isHedged = false;
   try {
     while (racing.length > 0) {
       const steps = racing.flatMap((one) => one.pending ?? []);
-      const step = await Promise.race(isHedged ? steps : [...steps, due]);
-      if (step === undefined) {
+      const step = await Promise.race(isHedged ? steps : [...steps, second]);
+      if (!("running" in step)) {
         isHedged = true;
-        const second = options.start();
-        if (second !== undefined) racing.push(launch(second));
+        if (step.runner !== undefined) racing.push(launch(step.runner));
         continue;
       }
       const { running, result } = step;
@@ -66,7 +65,7 @@
         running.pending = advance(running);
         continue;
       }
-      for (const loser of racing) if (loser !== running) abandon(loser);
+      for (const one of racing) if (one !== running) abandon(one.runner);
       racing = [running];
       yield* running.held;
       ends.push(yield* running.runner.parts);
@@ -75,10 +74,29 @@
     return ends;
   } finally {
     timer.abort();
-    for (const one of racing) abandon(one);
+    for (const one of racing) abandon(one.runner);
+    if (!isHedged) void abandonLate(second);
   }
 }
 
+interface Second<End> {
+  readonly runner: Runner<End> | undefined;
+}
+
+async function startLater<End>(
+  { clock, delay, start }: HedgeOptions<End>,
+  signal: AbortSignal,
+): Promise<Second<End>> {
+  await clock.sleep(delay, signal);
+  return { runner: signal.aborted ? undefined : await start() };
+}
+
+/** A second attempt that starts after the race has ended is not needed. */
+async function abandonLate<End>(second: Promise<Second<End>>): Promise<void> {
+  const { runner } = await second;
+  if (runner !== undefined) abandon(runner);
+}
+
 function launch<End>(runner: Runner<End>): Running<End> {
   const running: Running<End> = { runner, held: [], pending: undefined };
   running.pending = advance(running);
@@ -90,7 +108,7 @@
 }
 
 /** Not awaited: an attempt on a silent replica may end late. */
-function abandon<End>({ runner }: Running<End>): void {
-  runner.controller.abort();
-  void runner.parts.return(undefined as End);
+function abandon<End>({ controller, parts }: Runner<End>): void {
+  controller.abort();
+  void parts.return(undefined as End);
 }
--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -22,6 +22,7 @@
 import type { Runtime } from "../runtime.ts";
 import { type Choice, chooseReplica } from "./choice.ts";
 import { raceAttempts, type Runner } from "./hedge.ts";
+import { noteDispatch, prepareBlocks, publishBlocks } from "./import.ts";
 import type { ChatWork, RelayPart } from "./work.ts";
 
 /** Attempts whose first token is later than this quantile are hedged. */
@@ -47,6 +48,7 @@
   let record = startRelay("");
   const states: AttemptState[] = [];
   const excluded: string[] = [];
+  const replanned = new Set<string>();
   const customer = work.identity.name;
   runtime.retryBudget.recordFirst(customer);
   runtime.hedgeBudget.recordFirst(customer);
@@ -59,17 +61,22 @@
       excluded,
     });
     for (const end of ends) {
-      if (end.failure === undefined) return undefined;
+      if (end.failure === undefined) {
+        publishBlocks(runtime, work, end.choice);
+        return undefined;
+      }
       const { failure, answerBegan } = end;
       noteFailure(runtime, work, end, failure);
-      excluded.push(end.choice.replica.name);
+      const replans = isReplanned(failure, end.choice, replanned);
+      if (!replans) excluded.push(end.choice.replica.name);
+      const others = choice.others - (ends.length - 1);
       const decision = decideAfterFailure(failure, {
         work: { kind: "generation", relay: end.record },
         earlier: states,
         answerBegan,
         patience: remainingPatience(runtime, work, end.record),
         minimumTime: MINIMUM_ATTEMPT_MILLISECONDS,
-        candidatesLeft: choice.others - (ends.length - 1),
+        candidatesLeft: others + (replans ? 1 : 0),
         withinBudget: isFree(failure) || runtime.retryBudget.hasRoom(customer),
       });
       states.push(stateAfter(failure, answerBegan));
@@ -107,12 +114,12 @@
     clock: runtime.clock,
     delay,
     isWhole: (end) => end.failure === undefined,
-    start() {
+    async start() {
       const { replica, estimate } = start.choice;
       // The loser of a race never shows its first token, so the wait is what
       // the detector of slow replicas learns from it.
       runtime.fleet.noteLate(replica, { gap: delay, expected: estimate });
-      const second = chooseHedge(runtime, work, start);
+      const second = await chooseHedge(runtime, work, start);
       if (second === undefined) return undefined;
       runtime.log(
         "hedge_started",
@@ -140,12 +147,12 @@
   });
 }
 
-function chooseHedge(
+async function chooseHedge(
   runtime: Runtime,
   work: ChatWork,
   { choice, record, excluded }: AttemptStart,
-): Choice | undefined {
-  const second = chooseReplica(runtime, work, {
+): Promise<Choice | undefined> {
+  const second = await chooseReplica(runtime, work, {
     excluded: [...excluded, choice.replica.name],
     record,
   });
@@ -158,6 +165,23 @@
   return failure.sent === "refused" && failure.reason !== "busy";
 }
 
+/**
+ * True when the replica has swapped its weights and may take the request when
+ * it is planned anew for them; once for each replica, so that it ends.
+ */
+function isReplanned(
+  failure: AttemptFailure,
+  { replica }: Choice,
+  replanned: Set<string>,
+): boolean {
+  if (failure.reason !== "weights mismatch") return false;
+  if (failure.weights === undefined || replanned.has(replica.name)) {
+    return false;
+  }
+  replanned.add(replica.name);
+  return true;
+}
+
 /** Once tokens flow, the caller waits on; only progress counts. */
 function remainingPatience(
   runtime: Runtime,
@@ -176,13 +200,15 @@
   const { choice } = start;
   let record = start.record;
   let answerBegan = false;
-  const begun = runtime.clock.monotonic();
   const { limits } = choice.configuration;
   const resume = resumePointOf(record);
   const dispatch = runtime.fleet.begin(choice.replica, {
     attempt: record.attempt,
     tokens: choice.tokens,
   });
+  const expected = await prepareBlocks(runtime, work, choice);
+  noteDispatch(runtime, choice);
+  const begun = runtime.clock.monotonic();
   const stream = choice.replica.engine.generate({
     attempt: record.attempt,
     request: work.request,
@@ -235,7 +261,8 @@
       }
       runtime.fleet.observe(choice.replica, event, {
         begun,
-        expected: choice.estimate,
+        expected,
+        sampleGap: dispatch.sampleGap,
       });
       yield toPart(event);
     }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -5,6 +5,9 @@
 import { createAdmissions } from "./admissions.ts";
 import { createLegacy } from "./callers/legacy.ts";
 import { handleChat, handleModels } from "./chat/handler.ts";
+import { createCache } from "./cache/cache.ts";
+import { followCacheEvents } from "./cache/events.ts";
+import { recordLinkUse } from "./cache/link.ts";
 import { createClaims } from "@peridotvalve/claims";
 import { createSystemClock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
@@ -32,6 +35,7 @@
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
+import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
 import type { Exchange } from "./http/exchange.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
@@ -111,6 +115,8 @@
     Object.entries(content()?.regions ?? {})
       .find(([, region]) => region.availabilityZones.includes(zone))?.[0] ?? "";
 
+  const isInRegion = (zone: string): boolean =>
+    regionOf(zone) === settings.region;
   const board = createLoadBoard(clock);
   const created = await createNeighbours({
     settings,
@@ -152,7 +158,10 @@
     },
   );
 
-  const slowness = createSlownessDetector({ clock });
+  const meters = createMeters(clock);
+  const slowness = createSlownessByKind(() =>
+    createSlownessDetector({ clock })
+  );
   const fleet = createFleet({
     clock,
     board,
@@ -163,7 +172,7 @@
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
   });
   const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
-  const link = createLinkBudget({
+  const linkBudget = createLinkBudget({
     clock,
     bytesPerSecond: () => {
       const settled = content()?.link;
@@ -172,6 +181,23 @@
     liveDaemons: neighbours.countLive,
     shareOf: (customer) => content()?.customers[customer]?.share ?? 1,
   });
+  const link = recordLinkUse(linkBudget, {
+    record(customer, bytes) {
+      board.recordLinkBytes(customer, bytes);
+      meters.linkBytes.add(bytes);
+    },
+    onSpent: (customer, bytes) =>
+      log("link_budget_spent", { bytes }, { customer }),
+    used: () => neighbours.linkRate(isInRegion),
+  });
+  const cache = createCache({
+    clock,
+    log,
+    link,
+    origin: settings,
+    regionOf,
+    onBlock: (kind) => meters.blocks.add(1, { kind }),
+  });
   const admissions = createAdmissions({
     clock,
     content,
@@ -185,7 +211,6 @@
     origin: settings,
   });
   const drain = createDrain(clock);
-  const meters = createMeters(clock);
   const claims = createClaims({ platform, clock, owner: incarnation });
   const runtime: Runtime = {
     settings,
@@ -195,6 +220,7 @@
     fleet,
     beliefs,
     link,
+    cache,
     services: createServiceDirectory(clock),
     legacy: createLegacy(),
     claims,
@@ -213,6 +239,7 @@
   };
   configuration.subscribe(({ version, content: now }) => {
     fleet.apply(now);
+    cache.apply(now);
     runtime.services.apply(now);
     admissions.apply(now);
     membership.setVersion(version);
@@ -260,6 +287,14 @@
       membership.isReader(subject, count) ||
       (drain.isDraining() && membership.live().length === 0),
   }, stopped.signal);
+  void followCacheEvents({
+    clock,
+    fleet,
+    beliefs,
+    log,
+    availabilityZone: settings.availabilityZone,
+    isReader: (subject, count) => membership.isReader(subject, count),
+  }, stopped.signal);
   await configuration.start();
   if (configuration.current() !== undefined) log("process_ready", {});
 
@@ -309,6 +344,7 @@
     await Promise.all([
       neighbours.close(),
       fleet.close(),
+      cache.close(),
       runtime.services.close(),
       runtime.legacy.close(),
       platform.close(),
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -16,6 +16,9 @@
 // End-to-end tests start up to a dozen processes each on a ten-core machine.
 const PARALLEL_FILES = 4;
 
+// A test that hangs must fail instead of stopping the whole run.
+const FILE_TIMEOUT_MILLISECONDS = 240_000;
+
 interface Outcome {
   readonly id: string;
   readonly passed: boolean;
@@ -40,7 +43,11 @@
 }
 
 async function* runFiles(files: readonly string[]): AsyncGenerator<Outcome> {
-  const stream = run({ files: [...files], concurrency: PARALLEL_FILES });
+  const stream = run({
+    files: [...files],
+    concurrency: PARALLEL_FILES,
+    timeout: FILE_TIMEOUT_MILLISECONDS,
+  });
   for await (const event of stream) {
     if (event.type === "test:stderr") process.stderr.write(event.data.message);
     if (event.type !== "test:pass" && event.type !== "test:fail") continue;
