--- a/packages/daemon/src/cache/cache.test.ts
+++ b/packages/daemon/src/cache/cache.test.ts
@@ -184,6 +184,36 @@
     });
   });
 
+  for (const [rate, published] of [[1, 0], [2_500_000, BLOCKS]] as const) {
+    test(`at ${rate} bytes/s ${published} blocks cross the region link`, async () => {
+      const far = { storeZones: ["vaasa", "vaasa"], linkBytesPerSecond: rate };
+      await withBed(far, async (bed) => {
+        await askRight(bed, HOUND);
+        await bed.waitForPublished(published);
+        await evict(bed);
+        await askRight(bed, HOUND);
+        const bytes = await bed.readMetric("peridotvalve_link_bytes_total");
+        const block = 16 * 1024;
+        if (published === 0) expect(bytes).toEqual(0);
+        else expect(bytes).toBeGreaterThanOrEqual(published * block);
+      });
+    });
+  }
+
+  test("without a link budget a prompt is not sent to another region", async () => {
+    const engineZones = ["vaasa", "vaasa"];
+    const far = { engines: 2, engineZones, linkBytesPerSecond: 1 };
+    await withBed(far, async (bed) => {
+      const long = { ...HOUND, prompt: makePrompt("long", 5_000) };
+      const statuses: number[] = [];
+      for (let count = 0; count < 3; count += 1) {
+        statuses.push((await bed.ask(long)).status);
+      }
+      // The saved-up budget of 32 kB passes one prompt of 20 kB.
+      expect(statuses).toEqual([200, 503, 503]);
+    });
+  });
+
   test("a restarted store VM holds nothing and is filled again", async () => {
     await withBed({}, async (bed) => {
       await askRight(bed, HOUND);
--- /dev/null
+++ b/packages/daemon/src/cache/events.test.ts
@@ -0,0 +1,96 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { createBeliefs } from "@peridotvalve/routing";
+import type { CacheEvents } from "@peridotvalve/upstreams";
+import { expect } from "earl";
+import { test } from "node:test";
+import { Ok } from "ts-results-es";
+import type { Fleet } from "../fleet/fleet.ts";
+import type { Replica } from "../fleet/replica.ts";
+import { followCacheEvents } from "./events.ts";
+
+const BLOCKS = ["00000001000000a1", "00000002000000a2"];
+
+function setUp(isReader = () => true) {
+  const clock = createManualClock();
+  const beliefs = createBeliefs({ clock, capacity: 64 });
+  const asked: number[] = [];
+  const logged: string[] = [];
+  let answer: CacheEvents = { incarnation: "i1", first: 1, events: [] };
+  const replica = {
+    name: "r1",
+    settings: { availabilityZone: "espoo" },
+    weights: () => "w1",
+    engine: {
+      readCacheEvents(after: number) {
+        asked.push(after);
+        return Promise.resolve(Ok(answer));
+      },
+    },
+  } as unknown as Replica;
+  const fleet = { list: () => [replica], find: () => replica };
+  const stopped = new AbortController();
+  void followCacheEvents({
+    clock,
+    beliefs,
+    fleet: fleet as unknown as Fleet,
+    log: (name) => void logged.push(name),
+    availabilityZone: "espoo",
+    isReader,
+  }, stopped.signal);
+  return {
+    asked,
+    logged,
+    stop: () => stopped.abort(),
+    find: () => beliefs.find(BLOCKS, "w1").get("r1"),
+    async answerNext(next: CacheEvents) {
+      answer = next;
+      await clock.advance(1_000);
+    },
+  };
+}
+
+function stored(first: number, sequences: readonly number[]): CacheEvents {
+  const events = sequences.map((sequence) => ({
+    sequence,
+    kind: "stored" as const,
+    block: BLOCKS[sequence - 1] ?? "00000009000000a9",
+  }));
+  return { incarnation: "i1", first, events };
+}
+
+test("events become beliefs and are read on from the last one", async () => {
+  const bed = setUp();
+  await bed.answerNext(stored(1, [1, 2]));
+  expect(bed.find()?.blocks).toEqual(2);
+  await bed.answerNext({ incarnation: "i1", first: 1, events: [] });
+  expect(bed.asked.at(-1)).toEqual(2);
+  bed.stop();
+});
+
+test("a gap lowers the confidence in what was known before", async () => {
+  const bed = setUp();
+  await bed.answerNext(stored(1, [1, 2]));
+  const before = bed.find()?.confidence ?? 0;
+  await bed.answerNext(stored(9, [9]));
+  expect(bed.logged).toEqual(["cache_event_gap"]);
+  expect(bed.find()?.confidence ?? 1).toBeLessThan(before * 0.6);
+  bed.stop();
+});
+
+test("a new incarnation is read from its start", async () => {
+  // Its sequence numbers begin again, so the old position hides its events.
+  const bed = setUp();
+  await bed.answerNext(stored(1, [1, 2]));
+  await bed.answerNext({ incarnation: "i2", first: 1, events: [] });
+  await bed.answerNext({ ...stored(1, [1]), incarnation: "i2" });
+  expect(bed.asked.at(-1)).toEqual(0);
+  expect(bed.find()?.blocks).toEqual(1);
+  bed.stop();
+});
+
+test("a daemon that is not a reader asks nothing", async () => {
+  const bed = setUp(() => false);
+  await bed.answerNext(stored(1, [1, 2]));
+  expect(bed.asked).toEqual([]);
+  bed.stop();
+});
--- a/packages/routing/src/beliefs.test.ts
+++ b/packages/routing/src/beliefs.test.ts
@@ -21,6 +21,16 @@
   expect(beliefs.find(BLOCKS, "w1").get("r1")?.blocks).toEqual(1);
 });
 
+test("a prefix whose first block was removed does not count", () => {
+  // Engines evict the least recently used block, which is often the first of a
+  // prompt; the last one alone saves no work.
+  const { beliefs } = setUp();
+  beliefs.recordDispatch(HOLDER, BLOCKS);
+  const removed = { kind: "removed", block: BLOCKS[0]! } as const;
+  beliefs.recordEvents(HOLDER, { events: [removed], gap: false });
+  expect(beliefs.find(BLOCKS, "w1").size).toEqual(0);
+});
+
 test("a new incarnation or other weights clear a replica", () => {
   for (const change of [{ incarnation: "i2" }, { weights: "w2" }]) {
     const { beliefs } = setUp();
