Keep capacity of both versions on retries and test the store pause

A request whose weight version had one replica was refused after a failure there, although replicas of the other version were ready; candidates of all versions now count. A failed attempt that had not told its version released a stream from the version that it had begun with. An import could use link bytes that were reserved for the prompt. Store VMs in another region were asked for blocks that may not cross the link, which cost each returning prompt two link latencies. A full store VM was logged as unavailable because the engine's reason was dropped.

--- a/packages/daemon/src/cache/cache.test.ts
+++ b/packages/daemon/src/cache/cache.test.ts
@@ -194,6 +194,8 @@
         await askRight(bed, HOUND);
         const bytes = await bed.readMetric("peridotvalve_link_bytes_total");
         const block = 16 * 1024;
+        const kept = await bed.readMetric(BLOCK_METRIC, "published");
+        expect(kept > 0).toEqual(published > 0);
         if (published === 0) expect(bytes).toEqual(0);
         else expect(bytes).toBeGreaterThanOrEqual(published * block);
       });
@@ -214,6 +216,22 @@
     });
   });
 
+  test("a full store VM gets no exports for a while", async () => {
+    await withBed({}, async (bed) => {
+      for (const store of bed.stores) {
+        await setFaults(store, { fullDisk: true });
+      }
+      for (let count = 0; count < 6; count += 1) {
+        await askRight(bed, questionOf("kennel-a", `full-${count}`));
+      }
+      const refused = bed.lines.filter((line) => line.includes('"store_full"'));
+      expect(refused.length).toBeGreaterThan(0);
+      // Four exports run at once and try two store VMs; without the pause
+      // each of the 24 blocks would be refused twice.
+      expect(refused.length).toBeLessThanOrEqual(8);
+    });
+  });
+
   test("a restarted store VM holds nothing and is filled again", async () => {
     await withBed({}, async (bed) => {
       await askRight(bed, HOUND);
--- a/packages/daemon/src/cache/cache.ts
+++ b/packages/daemon/src/cache/cache.ts
@@ -25,13 +25,13 @@
   readonly group: string;
   readonly names: readonly BlockName[];
   readonly barredZones: readonly string[];
+  /** Expected length of one block. */
+  readonly blockBytes: Bytes;
 }
 
 export interface PublishedPrompt extends CachedPrompt {
   readonly engine: BlockEngine;
   readonly place: Place;
-  /** Expected length of one block. */
-  readonly blockBytes: Bytes;
 }
 
 export interface CopyImport {
@@ -78,7 +78,7 @@
 
   return {
     apply: (configuration) => stores.apply(configuration),
-    find({ group, names, barredZones }, timeout) {
+    find({ group, names, barredZones, blockBytes }, timeout) {
       const question = {
         group,
         barredZones,
@@ -87,7 +87,11 @@
       } as const;
       return findCopies({
         names,
-        groups: stores.list(question),
+        // A block that may not cross the link need not be asked for there.
+        groups: stores.list(question).filter(({ region }) =>
+          region === origin.region ||
+          link.available(names[0]?.customer ?? "") >= blockBytes
+        ),
         timeout,
         stores,
         onMissing: (cacheGroup, block) => published.remove(cacheGroup, block),
--- a/packages/daemon/src/chat/choice.ts
+++ b/packages/daemon/src/chat/choice.ts
@@ -2,7 +2,6 @@
  * Chooses the replica for an attempt.
  */
 import { listBlocks, type PromptBlocks } from "@peridotvalve/blocks";
-import type { RelayRecord } from "@peridotvalve/retries";
 import type {
   Candidate,
   Placement,
@@ -50,7 +49,8 @@
 interface Attempted {
   /** Replicas that failed earlier attempts. */
   readonly excluded: readonly string[];
-  readonly record: RelayRecord;
+  /** Version of the stream that has begun. */
+  readonly begun: string | undefined;
 }
 
 interface Ranking {
@@ -76,12 +76,11 @@
   if (customer === undefined || customer.disabled) return undefined;
   const candidates = runtime.fleet.candidates(work.chat.model);
   const { barredZones } = customer;
-  const { excluded, record } = attempted;
+  const { excluded, begun } = attempted;
   const conversation = `${work.identity.name}/${work.conversation}`;
   const weights = planWeights({
-    ...{ conversation, barredZones, excluded },
+    ...{ conversation, barredZones, excluded, begun },
     target: group.weights,
-    begun: record.weights,
   }, candidates);
   const blocks = listBlocks(work.chat.prompt, {
     customer: work.identity.name,
@@ -119,11 +118,25 @@
     blockBytes: ranking.blockBytes,
     tokens: blocks.tokens,
     estimate: ranked.estimate,
-    others: ranking.ranked.length - 1,
+    others: countUsable(candidates, { barredZones, excluded }) - 1,
     keepsBlocks,
   };
 }
 
+/**
+ * Counts the candidates of all weight versions: a request whose version has no
+ * other replica can be planned for another version.
+ */
+function countUsable(
+  candidates: readonly Candidate[],
+  plan: Pick<PlacementRequest, "barredZones"> & Pick<Attempted, "excluded">,
+): number {
+  return candidates.filter(({ name, state, availabilityZone }) =>
+    state === "ready" && !plan.excluded.includes(name) &&
+    !plan.barredZones.includes(availabilityZone)
+  ).length;
+}
+
 /** Ranks the candidates, with the copies of store VMs where these can help. */
 async function rank(
   runtime: Runtime,
@@ -151,6 +164,7 @@
     group: work.chat.model,
     names: blocks.names,
     barredZones: request.barredZones,
+    blockBytes: request.blockBytes,
   }, timeout);
   if (copies.length === 0) return without;
   const blockBytes = measureBlocks(copies);
--- a/packages/daemon/src/chat/import.ts
+++ b/packages/daemon/src/chat/import.ts
@@ -33,7 +33,9 @@
     engine: replica.engine,
     place: { availabilityZone, region },
     copy,
-    reserved: ranked.linkBytes,
+    reserved: copy.copy.region === region
+      ? 0
+      : copy.located.length * choice.blockBytes,
     timeout: Math.min(
       // A longer import saves nothing over a recomputation.
       copy.located.length * blockTime,
--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -43,13 +43,17 @@
   const states: AttemptState[] = [];
   const excluded: string[] = [];
   const replanned = new Set<string>();
+  let begun: string | undefined;
   runtime.retryBudget.recordFirst(work.identity.name);
   for (;;) {
-    const choice = await chooseReplica(runtime, work, { excluded, record });
+    const choice = await chooseReplica(runtime, work, { excluded, begun });
     if (choice === undefined) return unavailable(states);
     record = switchAttempt(record, `att_${randomUUID()}`);
     const end = yield* runAttempt(runtime, work, { choice, record });
     record = end.record;
+    // An attempt that failed before it told its version does not release the
+    // stream from the version that it began with.
+    begun = record.weights ?? begun;
     if (end.failure === undefined) {
       publishBlocks(runtime, work, choice);
       return undefined;
--- a/packages/upstreams/src/http_json.ts
+++ b/packages/upstreams/src/http_json.ts
@@ -69,7 +69,9 @@
   if (REFUSALS.has(answer.status) && refusal !== undefined) {
     return { kind: "not done", reason: refusal };
   }
-  return { kind: "unknown", reason: `unexpected status ${answer.status}` };
+  const detail = refusal === undefined ? "" : ` (${refusal})`;
+  const reason = `unexpected status ${answer.status}${detail}`;
+  return { kind: "unknown", reason };
 }
 
 function textOf(answer: HttpAnswer): string {
