Prove each source of a leaving replica by itself

The new test tells an engine to leave through one source at a time: VM list, load report, refusal, and for a second daemon only the news of its peer while the platform is down. The engine stand-in can refuse or report on its own and lists the requests that it received; none may arrive more than 3 s after the engine was told. A returning address gets work again. One configuration change that removes a replica, bars a zone and disables a customer reaches queued work.

Two faults found by reading the code for the test:

- A replica that the VM list named before its first load report was not taken for leaving, because no incarnation could be compared.
The mark now holds until a report names another incarnation.
- A replica whose leaving was seen before its first report was never announced to peers, because the log entry and the announcement shared one flag.

Ruled out: the queue itself; placement reads the configuration in force for each attempt, so only admission needs to be told, which it is.

--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -82,6 +82,9 @@
   /** Streams that this daemon has open on the replica. */
   streams: number;
   incarnation: string | undefined;
+  /** True when the log says that the incarnation is leaving. */
+  isLogged: boolean;
+  /** True when the peers know it; that needs the incarnation's name. */
   isAnnounced: boolean;
 }
 
@@ -100,6 +103,7 @@
       replica,
       streams: 0,
       incarnation: undefined,
+      isLogged: false,
       isAnnounced: false,
     });
   }
@@ -116,18 +120,22 @@
         options.log("upstream_restarted", { previous }, subject);
       }
       member.incarnation = now;
+      member.isLogged = false;
       member.isAnnounced = false;
     }
     if (replica.isLeaving()) announceLeaving(member, "load report");
   }
 
   function announceLeaving(member: Member, source: string): void {
-    if (member.isAnnounced) return;
-    member.isAnnounced = true;
     const { replica } = member;
-    options.log("upstream_leaving", { source }, { upstream: replica.name });
+    if (!member.isLogged) {
+      member.isLogged = true;
+      options.log("upstream_leaving", { source }, { upstream: replica.name });
+    }
     const incarnation = replica.report()?.incarnation;
-    if (incarnation !== undefined) options.onLeaving(incarnation);
+    if (member.isAnnounced || incarnation === undefined) return;
+    member.isAnnounced = true;
+    options.onLeaving(incarnation);
   }
 
   function remove(member: Member): void {
@@ -254,6 +262,7 @@
         // The peer's heartbeat reaches the whole zone; passing it on again
         // would only repeat it.
         member.isAnnounced = true;
+        member.isLogged = true;
         const subject = { upstream: replica.name };
         options.log("upstream_leaving", { source: "peer" }, subject);
       }
--- a/packages/daemon/src/fleet/replica.ts
+++ b/packages/daemon/src/fleet/replica.ts
@@ -79,7 +79,8 @@
       if (now?.state === "leaving") return true;
       if (leaving === UNNAMED && now !== undefined) leaving = now.incarnation;
       // A returning address is a new incarnation, which is not leaving.
-      return leaving !== undefined && leaving === (now?.incarnation ?? UNNAMED);
+      if (leaving === undefined) return false;
+      return now === undefined || leaving === now.incarnation;
     },
     noteReachable(isReachable) {
       failedAt = isReachable ? undefined : clock.monotonic();
--- a/packages/standins/src/engine/mod.ts
+++ b/packages/standins/src/engine/mod.ts
@@ -50,18 +50,40 @@
   checksum: z.string(),
 });
 
+const drainSchema = z.object({
+  leaving: z.boolean(),
+  /** Whether a leaving engine refuses work, and whether it reports it. */
+  refuses: z.boolean().default(true),
+  reports: z.boolean().default(true),
+});
+
+/** A request for a generation, with its arrival on the wall clock. */
+interface Received {
+  readonly customer: string;
+  readonly prompt: string;
+  readonly at: number;
+}
+
+const MAX_RECEIVED = 10_000;
+
 export async function startEngineStandin(
   input: EngineStandinOptions = {},
 ): Promise<Standin> {
   const options = engineOptions.parse(input);
   const incarnation = randomUUID();
   const cache = createBlockCache(options);
-  let leaving = false;
+  const received: Received[] = [];
+  let drainState = drainSchema.parse({ leaving: false });
 
   async function generate(request: StandinRequest): Promise<void> {
     const generation = await request.readJson(generationSchema) as Generation;
     const { response } = request;
-    if (leaving) return sendRefusal(response, 503, { code: "leaving" });
+    const { customer, prompt } = generation;
+    received.push({ customer, prompt: prompt.slice(-80), at: Date.now() });
+    if (received.length > MAX_RECEIVED) received.shift();
+    if (drainState.leaving && drainState.refuses) {
+      return sendRefusal(response, 503, { code: "leaving" });
+    }
     const version = weights.version();
     if (generation.weights !== version) {
       const error = { code: "weights_mismatch", weights: version };
@@ -75,7 +97,7 @@
     if (!batch.add(generation, stream)) {
       return sendRefusal(response, 503, { code: "busy" });
     }
-    const { attempt, customer } = generation;
+    const { attempt } = generation;
     response.on("close", () => batch.cancel(attempt, customer));
   }
 
@@ -124,9 +146,8 @@
   }
 
   async function drain(request: StandinRequest): Promise<void> {
-    const schema = z.object({ leaving: z.boolean() });
-    leaving = (await request.readJson(schema)).leaving;
-    sendJson(request.response, 200, { leaving });
+    drainState = await request.readJson(drainSchema);
+    sendJson(request.response, 200, drainState);
   }
 
   const routes: Readonly<Record<string, Route>> = {
@@ -140,6 +161,10 @@
     "GET /health": (request) =>
       sendJson(request.response, 200, { incarnation }),
     "POST /control/drain": drain,
+    "GET /control/received": (request) =>
+      sendJson(request.response, 200, { received }),
+    "GET /control/loads": (request) =>
+      sendJson(request.response, 200, { loads: weights.history() }),
   };
 
   let dropped = 0;
@@ -149,13 +174,21 @@
     route: (method, path) => routes[`${method} ${path}`],
   });
   const { wait, faults } = server;
-  const weights = createWeights(options, { wait, onChange: cache.clear });
+  const weights = createWeights(options, {
+    wait,
+    loadFactor: () => faults().loadFactor,
+    onChange: cache.clear,
+  });
   const batch = createBatch({ options, faults, cache, wait });
   const context = { cache, options, faults, weights: weights.version };
   const reports = createLoadReports(options.reportLag / options.speed, () => ({
     incarnation,
     weights: weights.version(),
-    state: leaving ? "leaving" : weights.loading() ? "loading" : "ready",
+    state: drainState.leaving && drainState.reports
+      ? "leaving"
+      : weights.loading()
+      ? "loading"
+      : "ready",
     running: batch.running(),
     waiting: batch.waiting(),
     queuedTokens: batch.queuedTokens(),
--- a/packages/standins/src/engine/options.ts
+++ b/packages/standins/src/engine/options.ts
@@ -42,6 +42,8 @@
 export const engineFaults = commonFaults.extend({
   /** Multiplies the time of steps. */
   slowFactor: z.number().positive().default(1),
+  /** Multiplies the time of weight loads without a weight store. */
+  loadFactor: z.number().positive().default(1),
   /** Stops the steps while it is set. */
   stallStreams: z.boolean().default(false),
   /** Resets a stream's connection after so many tokens. */
--- a/packages/standins/src/engine/weights.ts
+++ b/packages/standins/src/engine/weights.ts
@@ -3,27 +3,39 @@
  */
 import type { EngineOptions } from "./options.ts";
 
+export interface WeightsLoad {
+  readonly version: string;
+  readonly fence: number;
+  readonly from: number;
+  /** Undefined while it lasts. */
+  readonly to: number | undefined;
+}
+
 export interface WeightsState {
   readonly version: () => string;
   readonly loading: () => boolean;
+  /** Every load since the start, with times on the wall clock. */
+  readonly history: () => readonly WeightsLoad[];
   /** False when the fencing token is older than one that was seen. */
   order(version: string, fence: number): boolean;
 }
 
 export function createWeights(options: EngineOptions, context: {
   readonly wait: (milliseconds: number) => Promise<void>;
+  readonly loadFactor: () => number;
   /** Called when the version has changed. */
   readonly onChange: () => void;
 }): WeightsState {
   let version = options.weights;
   let wanted = version;
   let highestFence = 0;
+  const history: WeightsLoad[] = [];
   let loads = 0;
 
   async function download(name: string): Promise<void> {
     const { weightStore } = options;
     if (weightStore === undefined) {
-      return await context.wait(options.loadDuration);
+      return await context.wait(options.loadDuration * context.loadFactor());
     }
     const url = `http://${weightStore}/weights/${encodeURIComponent(name)}`;
     const response = await fetch(url);
@@ -31,8 +43,10 @@
     await response.arrayBuffer();
   }
 
-  async function load(name: string): Promise<void> {
+  async function load(name: string, fence: number): Promise<void> {
     loads += 1;
+    const from = Date.now();
+    const index = history.push({ version: name, fence, from, to: undefined });
     try {
       await download(name);
       // A later order replaces one that is still loading.
@@ -45,18 +59,20 @@
       if (wanted === name) wanted = version;
     } finally {
       loads -= 1;
+      history[index - 1] = { version: name, fence, from, to: Date.now() };
     }
   }
 
   return {
     version: () => version,
     loading: () => loads > 0,
+    history: () => history,
     order(name, fence) {
       if (options.checksFencing && fence < highestFence) return false;
       highestFence = Math.max(highestFence, fence);
       if (wanted !== name) {
         wanted = name;
-        void load(name);
+        void load(name, fence);
       }
       return true;
     },
