Answer every bad input with a typed refusal in time

- `limits.headersTimeout` was not read, and the library's server looks at header deadlines every 30 s only: slow headers got no answer within 12 s.
The listener follows the setting and looks every 500 ms.
- A path with doubled slashes matched no route and got the library's own untyped 404.
It is a typed refusal now.
- Dot segments led out of the service's own paths ("stock/../bookings/orders") and were passed on.
They are refused.

Ruled out: bodies (size, time, truncation, types), authentication and the forged customer header, and HTTP parsing, which were right.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -49,8 +49,6 @@
 import { createDrain } from "./shutdown.ts";
 import type { DaemonStatus } from "./status.ts";
 
-const HEADERS_TIMEOUT: Milliseconds = 10_000;
-
 /** Interval at which the platform's lagging VM list is read. */
 const VM_LIST_INTERVAL: Milliseconds = 2_000;
 
@@ -239,6 +237,9 @@
         }),
     }),
   });
+  configuration.subscribe(({ content: now }) =>
+    listeners.callers.setHeadersTimeout(now.limits.headersTimeout)
+  );
   log("process_started", { version: options.version ?? "unknown" });
   neighbours.start();
   void followVmList();
@@ -350,7 +351,6 @@
       name,
       address: settings.listeners[name],
       handlers: own,
-      headersTimeout: HEADERS_TIMEOUT,
       clock,
       onDefect: (error, exchange) =>
         log("handler_failed", { reason: String(error) }, {
--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -3,7 +3,13 @@
  * same broker. Actions write the response themselves, because streams and
  * typed failures need control over headers and ends.
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "@peridotvalve/clock";
 import { toResponse } from "@peridotvalve/errors";
@@ -22,7 +28,6 @@
   readonly address: string;
   /** Route such as "POST /v1/chat/completions" to its handler. */
   readonly handlers: Readonly<Record<string, Handler>>;
-  readonly headersTimeout: Milliseconds;
   readonly clock: Clock;
   /** Reports an error that a handler did not turn into an outcome. */
   readonly onDefect: (error: unknown, exchange: Exchange) => void;
@@ -31,6 +36,8 @@
 export interface Gateway {
   /** The address it listens on, with the port that was picked. */
   address(): string;
+  /** Sets the time in which a caller must have sent a request's headers. */
+  setHeadersTimeout(timeout: Milliseconds): void;
   /**
    * Stops accepting connections, closes idle ones as they become idle, and
    * resolves when all have ended.
@@ -51,6 +58,12 @@
 
 const KEEP_ALIVE_PROBE: Milliseconds = 15_000;
 
+/** Until a configuration says otherwise. */
+const DEFAULT_HEADERS_TIMEOUT: Milliseconds = 10_000;
+
+/** Interval at which a server looks for connections past their deadline. */
+const DEADLINE_CHECK_INTERVAL: Milliseconds = 500;
+
 /** Interval at which a closing listener ends connections that became idle. */
 const IDLE_SWEEP_INTERVAL: Milliseconds = 100;
 
@@ -64,12 +77,14 @@
   const service = broker.createService({
     name: `${options.name}-gateway`,
     mixins: [WebGateway as never],
+    methods: { createServer: createCheckingServer },
     settings: {
       ip,
       port,
       logRequest: null,
       logResponse: null,
       log4XXResponses: false,
+      onError: answerUnroutable,
       routes: [{
         path: "/",
         bodyParsers: false,
@@ -90,8 +105,11 @@
   });
   await broker.waitForServices(`${options.name}-gateway`);
   const server = (service as Service & { readonly server: Server }).server;
-  configureServer(server, options.headersTimeout);
+  configureServer(server);
   return {
+    setHeadersTimeout(timeout) {
+      server.headersTimeout = timeout;
+    },
     address: () => formatAddress(server),
     async close() {
       const ended = new AbortController();
@@ -155,8 +173,40 @@
   }
 }
 
-function configureServer(server: Server, headersTimeout: Milliseconds): void {
-  server.headersTimeout = headersTimeout;
+/**
+ * The library's own server looks at header deadlines every 30 s only, and not
+ * at all once it is closing.
+ */
+function createCheckingServer(
+  this: { server: Server; readonly httpHandler: RequestListener },
+): void {
+  this.server = createServer(
+    { connectionsCheckingInterval: DEADLINE_CHECK_INTERVAL },
+    this.httpHandler,
+  );
+}
+
+/** Answers a request that no route takes, such as one with doubled slashes. */
+function answerUnroutable(
+  _request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  if (response.headersSent) return;
+  const { status, body } = toResponse({
+    code: "not_found",
+    ran: "no",
+    message: "there is nothing at this path",
+  }, "");
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    "content-type": "application/json; charset=utf-8",
+    "content-length": Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+function configureServer(server: Server): void {
+  server.headersTimeout = DEFAULT_HEADERS_TIMEOUT;
   // Bodies have a deadline of their own, which answers with a typed failure.
   server.requestTimeout = 0;
   server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT;
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -16,7 +16,12 @@
 import { readConfigured, type Runtime } from "../runtime.ts";
 import { callRepeatable, type ServiceWork } from "./call.ts";
 import { runOrder } from "./order.ts";
-import { isIdempotent, parseTarget, type Target } from "./rules.ts";
+import {
+  isIdempotent,
+  leavesService,
+  parseTarget,
+  type Target,
+} from "./rules.ts";
 
 const IDEMPOTENCY_HEADER = "idempotency-key";
 const LONGEST_KEY = 256;
@@ -102,6 +107,13 @@
       message: "the service does not exist",
     });
   }
+  if (leavesService(target.path)) {
+    return Err({
+      code: "invalid_request",
+      ran: "no",
+      message: "the path leads out of the service",
+    });
+  }
   const { requestBytes, bodyTimeout } = content.limits;
   const limits = { bytes: requestBytes, timeout: bodyTimeout };
   const body = await readBody(exchange, limits, runtime.clock);
