Draw the ports of a deployment from one slice

Cause: a port is checked seconds before it is listened on. Two deployments that start together with some 45 ports each, drawn from 18,000, share one in about one of ten cases; a process then ends at its start ("the process ended before the line", seen once in two concurrent runs of the rollout test), and the processes that did start were left behind.

Ruled out: ports for outgoing connections, which lie above the range.

Each deployment now takes its ports from one of 100 slices, and a failed start ends what it started. Before: one start of a pair failed. After: the rollout, duties and bad-input tests start and end; no further failed start was seen.

--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -110,9 +110,15 @@
     return address;
   }
 
-  await Promise.all(standins.map(startStandin));
-  const names = options.daemons ?? [...settings.keys()];
-  await Promise.all(names.map(startDaemon));
+  try {
+    await Promise.all(standins.map(startStandin));
+    const names = options.daemons ?? [...settings.keys()];
+    await Promise.all(names.map(startDaemon));
+  } catch (error) {
+    // Nobody else knows the processes that did start.
+    await Promise.all([...processes.values()].map((one) => one.kill()));
+    throw error;
+  }
 
   return {
     folder: copy.folder,
--- a/packages/testbed/src/example.ts
+++ b/packages/testbed/src/example.ts
@@ -19,6 +19,13 @@
 const PORT_RANGE = 18_000;
 const MAXIMUM_TRIES = 10_000;
 
+/**
+ * Ports of one deployment lie in one slice. Ports are checked seconds before
+ * they are listened on, so two deployments that start together would pick a
+ * common one in one of ten cases if each port were drawn from the whole range.
+ */
+const SLICE = 180;
+
 /** Changes the text of a settings file before it is used. */
 export type Edit = (text: string, file: string) => string;
 
@@ -37,10 +44,15 @@
   cpSync(example, target, { recursive: true });
   const files = listYaml(target);
   const ports = new Map<string, number>();
+  const slices = PORT_RANGE / SLICE;
+  let first = FIRST_PORT + Math.floor(Math.random() * slices) * SLICE;
   const texts = files.map((file) => readFileSync(file, "utf8"));
   for (const text of texts) {
     for (const [, port = ""] of text.matchAll(ADDRESS)) {
-      if (!ports.has(port)) ports.set(port, await findFreePort(ports));
+      if (ports.has(port)) continue;
+      const free = await findFreePort(first);
+      ports.set(port, free);
+      first = free + 1;
     }
   }
   const replace = (text: string) =>
@@ -62,13 +74,9 @@
     .map((entry) => join(folder, entry));
 }
 
-async function findFreePort(
-  taken: ReadonlyMap<string, number>,
-): Promise<number> {
-  const used = new Set(taken.values());
+async function findFreePort(first: number): Promise<number> {
   for (let count = 0; count < MAXIMUM_TRIES; count += 1) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORT_RANGE);
-    if (!used.has(port) && await isFree(port)) return port;
+    if (await isFree(first + count)) return first + count;
   }
   throw new Error("no free port was found");
 }
