--- a/packages/daemon/src/cache/testing.ts
+++ b/packages/daemon/src/cache/testing.ts
@@ -108,6 +108,7 @@
     operatorToken: OPERATOR_TOKEN,
     bootstrapFolder: folder,
     logLevel: "trace",
+    leaseDuration: 15_000,
     shutdown: { balancerDelay: 0, limit: 5_000 },
   }, { write: (line) => lines.push(line) })).unwrap();
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -40,6 +40,7 @@
 import type { Exchange } from "./http/exchange.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
 import { createLatencyWindows } from "./latency_windows.ts";
+import { runClaimSweeping } from "./maintenance/claim_sweeping.ts";
 import { createMeters } from "./meters.ts";
 import {
   answerNotFound,
@@ -48,14 +49,13 @@
 import { createNeighbours, type Neighbours } from "./peers/neighbours.ts";
 import { createRpcHandler } from "./peers/rpc.ts";
 import { createPlacements } from "./placements.ts";
+import { runRollouts } from "./rollouts/rollouts.ts";
 import type { Runtime } from "./runtime.ts";
 import { createServiceDirectory } from "./services/directory.ts";
 import { handleService } from "./services/handler.ts";
 import { createDrain } from "./shutdown.ts";
 import type { DaemonStatus } from "./status.ts";
 
-const HEADERS_TIMEOUT: Milliseconds = 10_000;
-
 /** Interval at which the platform's lagging VM list is read. */
 const VM_LIST_INTERVAL: Milliseconds = 2_000;
 
@@ -273,6 +273,9 @@
         }),
     }),
   });
+  configuration.subscribe(({ content: now }) =>
+    listeners.callers.setHeadersTimeout(now.limits.headersTimeout)
+  );
   log("process_started", { version: options.version ?? "unknown" });
   neighbours.start();
   void followVmList();
@@ -295,6 +298,21 @@
     availabilityZone: settings.availabilityZone,
     isReader: (subject, count) => membership.isReader(subject, count),
   }, stopped.signal);
+  const owned = {
+    clock,
+    platform,
+    board,
+    fleet,
+    log,
+    content,
+    holder: incarnation,
+    leaseDuration: settings.leaseDuration,
+    isReader: (subject: string, count: number) =>
+      membership.isReader(subject, count),
+  };
+  // A draining daemon gives its leases up at once; others go on.
+  void runRollouts(owned, drain.started);
+  void runClaimSweeping(owned, drain.started);
   await configuration.start();
   if (configuration.current() !== undefined) log("process_ready", {});
 
@@ -391,7 +409,6 @@
       name,
       address: settings.listeners[name],
       handlers: own,
-      headersTimeout: HEADERS_TIMEOUT,
       clock,
       onDefect: (error, exchange) =>
         log("handler_failed", { reason: String(error) }, {
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -16,7 +16,12 @@
 import { readConfigured, type Runtime } from "../runtime.ts";
 import { callRepeatable, type ServiceWork } from "./call.ts";
 import { runOrder } from "./order.ts";
-import { isIdempotent, parseTarget, type Target } from "./rules.ts";
+import {
+  isIdempotent,
+  leavesService,
+  parseTarget,
+  type Target,
+} from "./rules.ts";
 
 const IDEMPOTENCY_HEADER = "idempotency-key";
 const LONGEST_KEY = 256;
@@ -118,9 +123,18 @@
   if (service === undefined || !(allowed?.includes(target.service) ?? true)) {
     return Err(unknownService());
   }
+  if (leavesService(target.path)) return Err(leavingPath());
   return Ok({ identity: identity.value, service });
 }
 
+function leavingPath(): Failure {
+  return {
+    code: "invalid_request",
+    ran: "no",
+    message: "the path leads out of the service",
+  };
+}
+
 function unknownService(): Failure {
   return {
     code: "service_not_found",
