Carry clock stamps with requests, calls and claims

Cause: only heartbeats carried the hybrid clock's stamp. Between two heartbeats, a repeated order could stand before the order itself when the daemon that ran it has a wall clock that is ahead, and `timeline` printed raw JSON only.

Change: the daemon sends its stamp in x-peridotvalve-clock to engines, services and the platform. Calls between daemons carry one in both directions and both ends observe it. Claim rows keep the writer's stamp and readers observe it; rows of older versions have none. A caller's own header of that name is not forwarded.

Ruled out: relying on heartbeats alone, which leave an order and its repeat within the heartbeat interval unordered across daemons.

--- a/packages/claims/src/claims.ts
+++ b/packages/claims/src/claims.ts
@@ -12,6 +12,7 @@
 import { removeOwnRow } from "./removal.ts";
 import {
   type ClaimedRow,
+  type ClaimRow,
   claimValue,
   type Outcome,
   outcomeOf,
@@ -90,6 +91,7 @@
       attempt,
       fingerprint,
       claimedAt: clock.now(),
+      clock: context.stamps.tick(),
     };
     // Counts from before the insert, so that the sweeper counts from later.
     const sendEnd = clock.monotonic() + context.sendDeadline;
@@ -150,12 +152,18 @@
       if (present?.attempt === attempt) return own(found.version);
       if (abandoned.has(present?.attempt ?? "")) continue;
       abandonUndecided();
-      return classify(found, call);
+      return readOther(found, call);
     }
     abandonUndecided();
     return { kind: "not claimed", reason };
   }
 
+  function readOther(found: Row, call: ClaimedCall): ClaimAnswer {
+    const row = parseClaimRow(found);
+    if (row?.clock !== undefined) context.stamps.observe(row.clock, row.owner);
+    return classify(row, call);
+  }
+
   /** Polls until the row of another attempt changes or patience ends. */
   async function waitForChange(
     call: ClaimedCall,
@@ -188,7 +196,7 @@
       const waiting = { patience: remaining, ...(signal ? { signal } : {}) };
       const change = await waitForChange(call, waiting);
       if (change === "patience ended") return answer;
-      if (change !== "absent") return classify(change, call);
+      if (change !== "absent") return readOther(change, call);
     }
   }
 
@@ -211,8 +219,10 @@
 }
 
 /** What the row of another attempt says about a call. */
-function classify(found: Row, { fingerprint }: ClaimedCall): ClaimAnswer {
-  const row = parseClaimRow(found);
+function classify(
+  row: ClaimRow | undefined,
+  { fingerprint }: ClaimedCall,
+): ClaimAnswer {
   // A row that this version cannot read must not be taken for no claim.
   if (row === undefined) return { kind: "unknown outcome" };
   if (row.fingerprint !== fingerprint) return { kind: "different call" };
--- a/packages/claims/src/options.ts
+++ b/packages/claims/src/options.ts
@@ -10,6 +10,17 @@
   SECOND,
 } from "@peridotvalve/types";
 
+/**
+ * Stamps of a logical clock that are stored in claim rows, so that a process
+ * that reads a row orders its events after those of the writer.
+ */
+export interface ClaimStamps {
+  tick(): string;
+  observe(stamp: string, owner: string): void;
+}
+
+const NO_STAMPS: ClaimStamps = { tick: () => "", observe: () => {} };
+
 export interface ClaimsOptions {
   readonly platform: Platform;
   readonly clock?: Clock;
@@ -35,6 +46,7 @@
   readonly lateEffectLimit?: Milliseconds;
   /** Longest body that is stored with an outcome. */
   readonly maxBodyBytes?: Bytes;
+  readonly stamps?: ClaimStamps;
 }
 
 export type ClaimsContext = Required<ClaimsOptions>;
@@ -51,6 +63,7 @@
     removalLimit: 15 * MINUTE,
     lateEffectLimit: 30 * SECOND,
     maxBodyBytes: 64 * KIBIBYTE,
+    stamps: NO_STAMPS,
     ...options,
   };
 }
--- a/packages/claims/src/owned_claim.ts
+++ b/packages/claims/src/owned_claim.ts
@@ -135,6 +135,10 @@
     return storing;
   }
 
+  function stamped(): ClaimedRow {
+    return { ...row, clock: context.stamps.tick() };
+  }
+
   return new (class extends OwnedClaim {
     override readonly attempt = row.attempt;
 
@@ -155,11 +159,12 @@
     override complete(outcome: Outcome): Promise<Storage> {
       const { maxBodyBytes } = context;
       const settledAt = clock.now();
-      return settle(finishRow(row, outcome, { settledAt, maxBodyBytes }));
+      const limits = { settledAt, maxBodyBytes };
+      return settle(finishRow(stamped(), outcome, limits));
     }
 
     override markUnknown(): Promise<Storage> {
-      return settle(unknownRow(row, clock.now()));
+      return settle(unknownRow(stamped(), clock.now()));
     }
 
     override async release(): Promise<Release> {
--- a/packages/claims/src/row.ts
+++ b/packages/claims/src/row.ts
@@ -22,6 +22,8 @@
   fingerprint: z.string(),
   /** Wall-clock time at the owner, for readers. */
   claimedAt: z.number(),
+  /** Stamp of the writer's logical clock; absent in rows of older versions. */
+  clock: z.string().optional(),
 };
 
 const CLAIM_ROW = z.discriminatedUnion("state", [
@@ -82,7 +84,7 @@
 }
 
 export function unknownRow(claimed: ClaimRow, settledAt: Timestamp): ClaimRow {
-  const { owner, attempt, fingerprint, claimedAt } = claimed;
+  const { owner, attempt, fingerprint, claimedAt, clock } = claimed;
   const state = "unknown";
-  return { owner, attempt, fingerprint, claimedAt, state, settledAt };
+  return { owner, attempt, fingerprint, claimedAt, clock, state, settledAt };
 }
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -16,6 +16,7 @@
 import {
   addressType,
   deadline,
+  json,
   optionalToken,
   withClient,
 } from "../arguments.ts";
@@ -48,6 +49,7 @@
       request: filterOption("request"),
       customer: filterOption("customer"),
       conversation: filterOption("conversation"),
+      json,
     },
     handler: (options) => timeline(options, environment),
   });
@@ -69,6 +71,7 @@
   readonly request: string | undefined;
   readonly customer: string | undefined;
   readonly conversation: string | undefined;
+  readonly json: boolean;
 }
 
 interface ReadFailure {
@@ -103,7 +106,7 @@
   const sources = reads.flatMap((read) => read.isOk() ? [read.value] : []);
   const filter = filterOf(options);
   for await (const line of events.mergeTimeline(sources, filter)) {
-    environment.print(line);
+    environment.print(options.json ? line : events.formatLine(line));
   }
   // In an outage the events of the processes that answer are still of use.
   for (const { message } of failures) environment.warn(message);
--- a/packages/cli/src/optional_modules.ts
+++ b/packages/cli/src/optional_modules.ts
@@ -35,6 +35,8 @@
     sources: readonly (readonly string[])[],
     filter: TimelineFilter,
   ) => AsyncIterable<string> | Iterable<string>;
+  /** The event of a line of `mergeTimeline` as a line for people. */
+  readonly formatLine: (line: string) => string;
   readonly listEvents: () => readonly CatalogueEntry[];
 }
 
@@ -50,6 +52,8 @@
   const events = await import("@peridotvalve/events");
   return {
     mergeTimeline: (sources, filter) => mergeLines(events, sources, filter),
+    formatLine: (line) =>
+      events.parseRecord(line).map(events.formatEvent).unwrapOr(line),
     listEvents: () =>
       Object.entries(events.CATALOGUE).map(([name, traits]) => ({
         number: traits.number,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,7 +6,7 @@
 import { createLegacy } from "./callers/legacy.ts";
 import { handleChat, handleModels } from "./chat/handler.ts";
 import { createClaims } from "@peridotvalve/claims";
-import { createSystemClock } from "@peridotvalve/clock";
+import { type Clock, createSystemClock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
 import {
   createEventLogger,
@@ -41,6 +41,7 @@
 } from "./operators/handlers.ts";
 import { createNeighbours, type Neighbours } from "./peers/neighbours.ts";
 import { createRpcHandler } from "./peers/rpc.ts";
+import { createStamps } from "./peers/stamps.ts";
 import { createPlacements } from "./placements.ts";
 import type { Runtime } from "./runtime.ts";
 import { createServiceDirectory } from "./services/directory.ts";
@@ -72,13 +73,15 @@
   readonly version?: string;
   /** Writes one line of the log; standard output by default. */
   readonly write?: (line: string) => void;
+  /** Replaces the system clock in tests. */
+  readonly clock?: Clock;
 }
 
 export async function createDaemon(
   settings: ProcessSettings,
   options: DaemonOptions = {},
 ): Promise<Result<Daemon, string>> {
-  const clock = createSystemClock();
+  const clock = options.clock ?? createSystemClock();
   const incarnation = `${settings.name}/${randomUUID()}`;
   const hybridClock = createHybridClock(clock);
   const ring = createEventRing();
@@ -90,9 +93,11 @@
     ...(options.write === undefined ? {} : { write: options.write }),
   });
   const log = logger.log.bind(logger);
+  const stamps = createStamps(hybridClock, log);
   const platform = createHttpPlatform({
     address: `http://${settings.platform}`,
     clock,
+    createHeaders: stamps.headers,
   });
   const stopped = new AbortController();
 
@@ -108,6 +113,7 @@
     settings,
     clock,
     hybridClock,
+    stamps,
     log,
     board,
     onAnnounce: ({ peer: _, address, version }) =>
@@ -153,6 +159,7 @@
     availabilityZone: settings.availabilityZone,
     regionOf,
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
+    createHeaders: stamps.headers,
   });
   const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
   const link = createLinkBudget({
@@ -178,7 +185,12 @@
   });
   const drain = createDrain(clock);
   const meters = createMeters(clock);
-  const claims = createClaims({ platform, clock, owner: incarnation });
+  const claims = createClaims({
+    platform,
+    clock,
+    owner: incarnation,
+    stamps,
+  });
   const runtime: Runtime = {
     settings,
     incarnation,
@@ -187,7 +199,10 @@
     fleet,
     beliefs,
     link,
-    services: createServiceDirectory(clock),
+    services: createServiceDirectory({
+      clock,
+      createHeaders: stamps.headers,
+    }),
     legacy: createLegacy(),
     claims,
     retryBudget: createAttemptBudget({ ratio: RETRY_RATIO }),
@@ -217,7 +232,7 @@
         "configuration.fetch": () => configuration.current() ?? null,
         "daemon.status": status,
         "events.read": (params) => ring.read(afterOf(params)),
-      }, { secret: settings.peerSecret, clock }),
+      }, { secret: settings.peerSecret, clock, stamps }),
     },
     operators: createOperatorHandlers({
       runtime,
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -75,6 +75,8 @@
   readonly availabilityZone: string;
   readonly regionOf: (availabilityZone: string) => string;
   readonly onLeaving: (incarnation: string) => void;
+  /** Headers of every request to an engine, made anew for each. */
+  readonly createHeaders: () => Readonly<Record<string, string>>;
 }
 
 interface Member {
@@ -95,7 +97,14 @@
     const settings = groups[group]?.replicas[name];
     if (settings === undefined) return;
     const report = () => board.estimate(name).report;
-    const replica = createReplica({ name, group, settings, clock, report });
+    const replica = createReplica({
+      name,
+      group,
+      settings,
+      clock,
+      report,
+      createHeaders: options.createHeaders,
+    });
     members.set(name, {
       replica,
       streams: 0,
--- a/packages/daemon/src/fleet/replica.ts
+++ b/packages/daemon/src/fleet/replica.ts
@@ -35,6 +35,8 @@
   readonly settings: ReplicaSettings;
   readonly clock: Clock;
   readonly report: () => LoadReport | undefined;
+  /** Headers of every request to the engine, made anew for each. */
+  readonly createHeaders: () => Readonly<Record<string, string>>;
 }
 
 // Stands for "the incarnation that runs now" until a report names it.
@@ -51,7 +53,11 @@
 
 export function createReplica(options: ReplicaOptions): Replica {
   const { name, group, settings, clock, report } = options;
-  const engine = createHttpEngine({ address: settings.address, clock });
+  const engine = createHttpEngine({
+    address: settings.address,
+    clock,
+    createHeaders: options.createHeaders,
+  });
   let told: ToldWeights | undefined;
   let leaving: string | undefined;
   let failedAt: Milliseconds | undefined;
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -20,6 +20,7 @@
 import { z } from "zod";
 import type { DaemonVersion } from "../operators/handlers.ts";
 import { createRpcClient } from "./rpc.ts";
+import type { Stamps } from "./stamps.ts";
 
 const CALL_TIMEOUT: Milliseconds = 1_500;
 
@@ -53,6 +54,7 @@
   readonly settings: ProcessSettings;
   readonly clock: Clock;
   readonly hybridClock: HybridClock;
+  readonly stamps: Stamps;
   readonly log: EventLogger["log"];
   readonly board: LoadBoard;
   readonly onAnnounce: (newer: NewerVersion) => void;
@@ -67,7 +69,7 @@
   const transport = await createUdpTransport({ host, port });
   if (transport.isErr()) return transport;
   const stopped = new AbortController();
-  const rpc = createRpcClient(settings.peerSecret);
+  const rpc = createRpcClient(settings.peerSecret, options.stamps);
   const zoneSizes = new Map<string, number>();
   let listed: readonly ListedVm[] = [];
 
--- a/packages/daemon/src/peers/rpc.ts
+++ b/packages/daemon/src/peers/rpc.ts
@@ -4,6 +4,7 @@
  */
 import { timingSafeEqual } from "node:crypto";
 import type { Clock } from "@peridotvalve/clock";
+import { CLOCK_HEADER } from "@peridotvalve/events";
 import type { Milliseconds } from "@peridotvalve/types";
 import {
   type JSONRPCRequest,
@@ -16,6 +17,7 @@
 import { type Exchange, readHeader } from "../http/exchange.ts";
 import type { Handler } from "../http/gateway.ts";
 import { sendFailure, sendJson } from "../http/respond.ts";
+import type { Stamps } from "./stamps.ts";
 
 const REQUEST_BYTES = 64 * 1024;
 const REQUEST_TIMEOUT: Milliseconds = 5_000;
@@ -27,7 +29,11 @@
 
 export function createRpcHandler(
   methods: Methods,
-  options: { readonly secret: string; readonly clock: Clock },
+  options: {
+    readonly secret: string;
+    readonly clock: Clock;
+    readonly stamps: Stamps;
+  },
 ): Handler {
   const server = new JSONRPCServer();
   for (const [name, method] of Object.entries(methods)) {
@@ -44,7 +50,13 @@
     const limits = { bytes: REQUEST_BYTES, timeout: REQUEST_TIMEOUT };
     const body = await readBody(exchange, limits, options.clock);
     if (body.isErr()) return sendFailure(exchange, body.error);
+    const from = exchange.request.socket.remoteAddress ?? "";
+    options.stamps.observe(readHeader(exchange, CLOCK_HEADER), from);
     const answer = await server.receiveJSON(body.value.toString("utf8"));
+    const headers = Object.entries(options.stamps.headers());
+    for (const [name, value] of headers) {
+      exchange.response.setHeader(name, value);
+    }
     sendJson(exchange, 200, answer);
   };
 }
@@ -66,7 +78,7 @@
   close(): Promise<void>;
 }
 
-export function createRpcClient(secret: string): RpcClient {
+export function createRpcClient(secret: string, stamps: Stamps): RpcClient {
   const agent = new Agent({ pipelining: 1, keepAliveTimeout: 4_000 });
   let lastId = 0;
   return {
@@ -86,10 +98,12 @@
           headers: {
             "content-type": "application/json",
             "authorization": `Bearer ${secret}`,
+            ...stamps.headers(),
           },
           body: JSON.stringify(request),
           signal: AbortSignal.timeout(timeout),
         });
+        stamps.observe(answer.headers[CLOCK_HEADER], address);
         return toResult(await answer.body.json());
       } catch (error) {
         return Err((error as Error).message);
--- /dev/null
+++ b/packages/daemon/src/peers/stamps.ts
@@ -0,0 +1,38 @@
+/**
+ * Stamps of the hybrid logical clock that travel with requests and calls.
+ */
+import {
+  CLOCK_HEADER,
+  type EventLogger,
+  formatStamp,
+  type HybridClock,
+  parseStamp,
+} from "@peridotvalve/events";
+
+export interface Stamps {
+  /** A new stamp, as text. */
+  tick(): string;
+  /** A new stamp, as the header of a request or response. */
+  headers(): Readonly<Record<string, string>>;
+  /** Takes over a received stamp; text that is none has no effect. */
+  observe(text: unknown, from: string): void;
+}
+
+export function createStamps(
+  hybridClock: HybridClock,
+  log: EventLogger["log"],
+): Stamps {
+  const tick = () => formatStamp(hybridClock.tick());
+  return {
+    tick,
+    headers: () => ({ [CLOCK_HEADER]: tick() }),
+    observe(text, from) {
+      if (typeof text !== "string") return;
+      const stamp = parseStamp(text);
+      if (stamp.isErr()) return;
+      const observed = hybridClock.observe(stamp.value);
+      if (observed.isOk()) return;
+      log("clock_drift", { peer: from, ahead: observed.error.ahead });
+    },
+  };
+}
--- a/packages/daemon/src/services/directory.ts
+++ b/packages/daemon/src/services/directory.ts
@@ -21,7 +21,16 @@
   close(): Promise<void>;
 }
 
-export function createServiceDirectory(clock: Clock): ServiceDirectory {
+export interface ServiceDirectoryOptions {
+  readonly clock: Clock;
+  /** Headers of every call, made anew for each. */
+  readonly createHeaders: () => Readonly<Record<string, string>>;
+}
+
+export function createServiceDirectory(
+  options: ServiceDirectoryOptions,
+): ServiceDirectory {
+  const { clock, createHeaders } = options;
   const clients = new Map<string, HttpPlainService>();
   const failedAt = new Map<string, Milliseconds>();
   let services: Configuration["services"] = {};
@@ -30,7 +39,7 @@
   function clientOf(address: string): HttpPlainService {
     const known = clients.get(address);
     if (known !== undefined) return known;
-    const client = createHttpPlainService({ address, clock });
+    const client = createHttpPlainService({ address, clock, createHeaders });
     clients.set(address, client);
     return client;
   }
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -3,6 +3,7 @@
  */
 import type { Permit } from "@peridotvalve/admission";
 import type { Failure } from "@peridotvalve/errors";
+import { CLOCK_HEADER } from "@peridotvalve/events";
 import type { Service } from "@peridotvalve/types";
 import type { ServiceAnswer, ServiceCall } from "@peridotvalve/upstreams";
 import { Err, Ok, type Result } from "ts-results-es";
@@ -29,6 +30,7 @@
   "authorization",
   CUSTOMER_HEADER,
   REQUEST_HEADER,
+  CLOCK_HEADER,
 ]);
 
 export async function handleService(
--- a/packages/events/src/events.test.ts
+++ b/packages/events/src/events.test.ts
@@ -8,6 +8,7 @@
 import { AREAS, CATALOGUE } from "./catalogue.ts";
 import { renderEventsPage } from "./events_page.ts";
 import { createHybridClock, formatStamp, parseStamp } from "./hybrid_clock.ts";
+import { formatEvent } from "./line.ts";
 import { createEventLogger } from "./logger.ts";
 import { type EventRecord, parseRecord } from "./record.ts";
 import { createEventRing } from "./ring.ts";
@@ -63,6 +64,20 @@
   expect(parseStamp(record.clock).isOk()).toEqual(true);
 });
 
+test("the line for people quotes text that could be taken for fields", () => {
+  const { ring, logger } = createProcess("a", 0);
+  logger.log("attempt_failed", { attempt: "t1", reason: "cut: a=b\n" }, {
+    request: "r1",
+  });
+  logger.log("drain_finished", { elapsed: 1.2345 });
+  const lines = ring.read(0).events.map(formatEvent);
+  expect(lines).toEqual([
+    "1970-01-01T00:16:40.000Z+0 a 3003 attempt_failed request=r1 | " +
+    'attempt=t1 reason="cut: a=b\\n"',
+    "1970-01-01T00:16:40.000Z+1 a 1004 drain_finished | elapsed=1.2",
+  ]);
+});
+
 test("two loggers of one process keep their lines apart", () => {
   const first = createProcess("a", 0);
   const second = createProcess("b", 0);
--- a/packages/platform/src/exchange.ts
+++ b/packages/platform/src/exchange.ts
@@ -29,6 +29,7 @@
   readonly clock: Clock;
   readonly connections: number;
   readonly maxAnswerBytes: Bytes;
+  readonly createHeaders: () => Readonly<Record<string, string>>;
 }
 
 export abstract class Exchanger {
@@ -96,7 +97,7 @@
 function exchangeOnce(
   pool: Pool,
   request: HttpRequest,
-  { clock, maxAnswerBytes, timeout, missed }: OnceOptions,
+  { clock, maxAnswerBytes, createHeaders, timeout, missed }: OnceOptions,
 ): Promise<Exchange> {
   return new Promise((resolve) => {
     const ended = new AbortController();
@@ -128,9 +129,12 @@
       method: request.method,
       path: request.path,
       body: request.body ?? null,
-      headers: request.body === undefined
-        ? {}
-        : { "content-type": request.contentType ?? "application/json" },
+      headers: {
+        ...createHeaders(),
+        ...(request.body === undefined ? {} : {
+          "content-type": request.contentType ?? "application/json",
+        }),
+      },
     }, {
       onRequestStart(controller) {
         // Runs before the first byte is written; a request that had to wait
--- a/packages/platform/src/http_platform.ts
+++ b/packages/platform/src/http_platform.ts
@@ -39,6 +39,8 @@
   /** Connections open at once; calls beyond wait within their timeout. */
   readonly connections?: number;
   readonly maxAnswerBytes?: Bytes;
+  /** Headers of every request, made anew for each. */
+  readonly createHeaders?: () => Readonly<Record<string, string>>;
 }
 
 export abstract class HttpPlatform extends Platform {
@@ -67,6 +69,7 @@
     clock: options.clock ?? createSystemClock(),
     connections: options.connections ?? DEFAULT_CONNECTIONS,
     maxAnswerBytes: options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES,
+    createHeaders: options.createHeaders ?? (() => ({})),
   });
 
   async function query<Value>(
--- a/packages/upstreams/src/http_client.ts
+++ b/packages/upstreams/src/http_client.ts
@@ -44,6 +44,8 @@
   /** Bound of a whole response body. */
   readonly responseBytes?: Bytes;
   readonly headerBytes?: Bytes;
+  /** Headers of every request, made anew for each; they go over its own. */
+  readonly createHeaders?: () => Readonly<Record<string, string>>;
 }
 
 export abstract class HttpClient {
@@ -126,7 +128,7 @@
         used.dispatch({
           method: request.method,
           path: prefix + request.path,
-          headers: { ...request.headers },
+          headers: { ...request.headers, ...options.createHeaders?.() },
           body: request.body ?? null,
           idempotent: false,
         }, exchange.handler);
