Test every kind of process death, and spread calls for each service

process_kills.test.ts kills (SIGKILL) and restarts an engine, a store VM, the platform, a service process and a daemon while 12 streams, 12 orders and 12 look-ups are in progress for each. Streams and look-ups must end whole (repeated through the other daemon after a failure or a broken connection); an order ends whole or with a typed outcome, and runs at most once over the records read before the kill and after it.

The first runs showed a fault: with bookings-1 killed, 9 of 12 orders were "outcome_unknown", although half of them should have gone to bookings-2. Cause: the directory of services had one turn for all services, so that orders and look-ups in alternation always reached the same address of each. Ruled out: the avoidance of failed addresses, which the run before the kill does not touch.

Limits of the stand-ins: the platform's restart loses its tables and a service's restart loses its records.

--- /dev/null
+++ b/packages/daemon/src/process_kills.test.ts
@@ -0,0 +1,252 @@
+import { expectedAnswer } from "@peridotvalve/standins";
+import {
+  type Deployment,
+  findBinary,
+  shortenShutdown,
+  startDeployment,
+} from "@peridotvalve/testbed";
+import { expect } from "earl";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import OpenAI, { APIConnectionError, APIError } from "openai";
+
+const DAEMONS = ["espoo-1", "vantaa-1"] as const;
+const CUSTOMER = "pet-shops-uusimaa";
+const MODEL = "shop-app";
+const CALLERS = 12;
+const TOKENS = 40;
+
+// Callers begin within a second and are in progress when the process dies.
+const CALLER_PAUSE = 60;
+const SERVICE_LATENCY = 600;
+const KILL_AFTER = 500;
+const RESTART_AFTER = 800;
+
+const PATIENCE = 6_000;
+const TRIES = 12;
+const TRY_PAUSE = 400;
+
+/** What a caller was told in the end. */
+type Told =
+  | { readonly kind: "whole" }
+  | { readonly kind: "wrong"; readonly detail: string }
+  | { readonly kind: "failure"; readonly code: string; readonly ran: string }
+  | { readonly kind: "broken" };
+
+let deployment: Deployment;
+
+function authorization(): string {
+  return `Bearer ${deployment.keys[CUSTOMER]}`;
+}
+
+async function stream(daemon: string, name: string): Promise<Told> {
+  const client = new OpenAI({
+    apiKey: deployment.keys[CUSTOMER] ?? "",
+    baseURL: `http://${deployment.addressOf(daemon)}/v1`,
+    maxRetries: 0,
+  });
+  const content = `Chest ${name} [[tokens=${TOKENS}]]`;
+  try {
+    const chunks = await client.chat.completions.create({
+      model: MODEL,
+      messages: [{ role: "user", content }],
+      stream: true,
+    });
+    let text = "";
+    let isFinished = false;
+    for await (const chunk of chunks) {
+      text += chunk.choices[0]?.delta.content ?? "";
+      isFinished ||= chunk.choices[0]?.finish_reason === "stop";
+    }
+    if (!isFinished) return { kind: "broken" };
+    const group = deployment.configuration.groups[MODEL];
+    const expected = expectedAnswer({
+      customer: CUSTOMER,
+      weights: group?.weights ?? "",
+      prompt: `<|user|>${content}\n`,
+      maxTokens: TOKENS,
+    }, { tokensPerBlock: group?.tokensPerBlock }).join("");
+    return text === expected
+      ? { kind: "whole" }
+      : { kind: "wrong", detail: text };
+  } catch (error) {
+    if (error instanceof APIConnectionError) return { kind: "broken" };
+    if (!(error instanceof APIError)) return { kind: "broken" };
+    return readFailure(error.error);
+  }
+}
+
+async function call(
+  daemon: string,
+  request: {
+    readonly path: string;
+    readonly init: RequestInit;
+    readonly isWhole: (text: string) => boolean;
+  },
+): Promise<Told> {
+  const url = `http://${deployment.addressOf(daemon)}${request.path}`;
+  try {
+    const answer = await fetch(url, {
+      ...request.init,
+      headers: {
+        ...request.init.headers,
+        authorization: authorization(),
+        "x-peridotvalve-patience-ms": String(PATIENCE),
+      },
+    });
+    const text = await answer.text();
+    if (!answer.ok) return readFailure(JSON.parse(text).error);
+    if (request.isWhole(text)) return { kind: "whole" };
+    return { kind: "wrong", detail: text };
+  } catch {
+    return { kind: "broken" };
+  }
+}
+
+function order(daemon: string, key: string): Promise<Told> {
+  return call(daemon, {
+    path: "/services/bookings/orders",
+    init: {
+      method: "POST",
+      headers: { "idempotency-key": key },
+      body: JSON.stringify({ key }),
+    },
+    isWhole: (text) => typeof JSON.parse(text).order === "number",
+  });
+}
+
+function lookUp(daemon: string, item: string): Promise<Told> {
+  return call(daemon, {
+    path: `/services/stock/stock/${item}`,
+    init: {},
+    isWhole: (text) => text === JSON.stringify({ item, stock: item.length }),
+  });
+}
+
+function readFailure(error: unknown): Told {
+  const { code, ran } = (error ?? {}) as Record<string, unknown>;
+  return { kind: "failure", code: String(code), ran: String(ran) };
+}
+
+/** Repeats through the other daemon while that is safe for this work. */
+async function insist(
+  first: number,
+  send: (daemon: string) => Promise<Told>,
+  isRepeatable: (told: Told) => boolean,
+): Promise<Told> {
+  let told: Told = { kind: "broken" };
+  for (let count = 0; count < TRIES; count += 1) {
+    told = await send(DAEMONS[(first + count) % DAEMONS.length] ?? "");
+    if (told.kind === "whole" || !isRepeatable(told)) return told;
+    await sleep(TRY_PAUSE);
+  }
+  return told;
+}
+
+const isSafeOrder = (told: Told) =>
+  told.kind === "broken" || (told.kind === "failure" && told.ran === "no");
+
+/** Runs of each order by key in the records of the service's processes. */
+async function readRuns(): Promise<ReadonlyMap<string, ReadonlySet<string>>> {
+  const runs = new Map<string, Set<string>>();
+  for (const name of ["bookings-1", "bookings-2"]) {
+    const url = `http://${deployment.addressOf(name)}/control/calls`;
+    const { calls } = await (await fetch(url)).json() as {
+      calls: readonly { idempotencyKey: string; number: number }[];
+    };
+    const { pid } = deployment.processes.get(name) ?? { pid: 0 };
+    for (const { idempotencyKey, number } of calls) {
+      const known = runs.get(idempotencyKey) ?? new Set();
+      runs.set(idempotencyKey, known.add(`${name} ${pid} ${number}`));
+    }
+  }
+  return runs;
+}
+
+before(async () => {
+  deployment = await startDeployment({
+    example: "examples/koiratakki",
+    binary: findBinary(),
+    daemons: DAEMONS,
+    groups: [MODEL],
+    edit: shortenShutdown,
+  });
+});
+
+after(async () => {
+  const codes = await deployment.stop();
+  expect([...codes.values()]).toEqual([0, 0]);
+});
+
+// Guards against lost, wrong or doubled work when a process dies at any point
+// of the path: an answer that is not the whole one, an outcome without a code
+// or `ran`, and an order that runs twice.
+for (
+  const victim of [
+    "shop-app-espoo-1",
+    "guide-cache-espoo-1",
+    "platform",
+    "bookings-1",
+    "espoo-1",
+  ]
+) {
+  test(`every caller is answered truly when ${victim} is killed`, async () => {
+    for (const name of ["bookings-1", "bookings-2"]) {
+      await deployment.setFaults(name, { latency: SERVICE_LATENCY });
+    }
+    const keys = Array.from(
+      { length: CALLERS },
+      (_, index) => `${victim}-${index}`,
+    );
+    const begin = <Value>(work: (key: string, index: number) => Value) =>
+      keys.map(async (key, index) => {
+        await sleep(index * CALLER_PAUSE);
+        return await work(key, index);
+      });
+    const streams = begin((key, index) =>
+      insist(
+        index,
+        (daemon) => stream(daemon, key),
+        (told) => told.kind !== "wrong",
+      )
+    );
+    const lookUps = begin((key, index) =>
+      insist(
+        index,
+        (daemon) => lookUp(daemon, key),
+        (told) => told.kind !== "wrong",
+      )
+    );
+    const orders = begin((key, index) =>
+      insist(index, (daemon) => order(daemon, key), isSafeOrder)
+    );
+    await sleep(KILL_AFTER);
+    const runsBefore = await readRuns();
+    await deployment.processes.get(victim)?.kill();
+    await sleep(RESTART_AFTER);
+    await deployment.restart(victim);
+    const repeated = await Promise.all([...streams, ...lookUps]);
+    const told = await Promise.all(orders);
+    const runs = await readRuns();
+    const wholes = (list: readonly Told[]) =>
+      list.filter((one) => one.kind === "whole").length;
+
+    expect(repeated.filter((one) => one.kind !== "whole")).toEqual([]);
+    for (const [index, key] of keys.entries()) {
+      const all = new Set([
+        ...(runsBefore.get(key) ?? []),
+        ...(runs.get(key) ?? []),
+      ]);
+      const outcome = told[index];
+      expect([key, all.size <= 1]).toEqual([key, true]);
+      if (outcome?.kind === "failure") {
+        expect(["no", "unknown", "yes"]).toInclude(outcome.ran);
+        expect([key, outcome.ran === "no" && all.size > 0])
+          .toEqual([key, false]);
+      } else {
+        expect([key, outcome]).toEqual([key, { kind: "whole" }]);
+      }
+    }
+    expect(wholes(told) >= CALLERS / 3).toEqual(true);
+  });
+}
--- a/packages/daemon/src/services/directory.ts
+++ b/packages/daemon/src/services/directory.ts
@@ -34,7 +34,9 @@
   const clients = new Map<string, HttpPlainService>();
   const failedAt = new Map<string, Milliseconds>();
   let services: Configuration["services"] = {};
-  let turn = 0;
+  // One turn for each service: with a common one, calls that alternate
+  // between two services would all go to the same address of each.
+  const turns = new Map<string, number>();
 
   function clientOf(address: string): HttpPlainService {
     const known = clients.get(address);
@@ -56,7 +58,8 @@
     list(service) {
       const addresses = services[service]?.addresses ?? [];
       if (addresses.length === 0) return [];
-      turn = (turn + 1) % addresses.length;
+      const turn = ((turns.get(service) ?? 0) + 1) % addresses.length;
+      turns.set(service, turn);
       const turned = [...addresses.slice(turn), ...addresses.slice(0, turn)];
       const ordered = [
         ...turned.filter((address) => !isAvoided(address)),
