--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,7 +9,7 @@
 import { followCacheEvents } from "./cache/events.ts";
 import { recordLinkUse } from "./cache/link.ts";
 import { createClaims } from "@peridotvalve/claims";
-import { createSystemClock } from "@peridotvalve/clock";
+import { type Clock, createSystemClock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
 import {
   createEventLogger,
@@ -48,6 +48,7 @@
 } from "./operators/handlers.ts";
 import { createNeighbours, type Neighbours } from "./peers/neighbours.ts";
 import { createRpcHandler } from "./peers/rpc.ts";
+import { createStamps } from "./peers/stamps.ts";
 import { createPlacements } from "./placements.ts";
 import { runRollouts } from "./rollouts/rollouts.ts";
 import type { Runtime } from "./runtime.ts";
@@ -84,13 +85,15 @@
   readonly version?: string;
   /** Writes one line of the log; standard output by default. */
   readonly write?: (line: string) => void;
+  /** Replaces the system clock in tests. */
+  readonly clock?: Clock;
 }
 
 export async function createDaemon(
   settings: ProcessSettings,
   options: DaemonOptions = {},
 ): Promise<Result<Daemon, string>> {
-  const clock = createSystemClock();
+  const clock = options.clock ?? createSystemClock();
   const incarnation = `${settings.name}/${randomUUID()}`;
   const hybridClock = createHybridClock(clock);
   const ring = createEventRing();
@@ -102,9 +105,11 @@
     ...(options.write === undefined ? {} : { write: options.write }),
   });
   const log = logger.log.bind(logger);
+  const stamps = createStamps(hybridClock, log);
   const platform = createHttpPlatform({
     address: `http://${settings.platform}`,
     clock,
+    createHeaders: stamps.headers,
   });
   const stopped = new AbortController();
 
@@ -122,6 +127,7 @@
     settings,
     clock,
     hybridClock,
+    stamps,
     log,
     board,
     onAnnounce: ({ peer: _, address, version }) =>
@@ -170,6 +176,7 @@
     availabilityZone: settings.availabilityZone,
     regionOf,
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
+    createHeaders: stamps.headers,
   });
   const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
   const linkBudget = createLinkBudget({
@@ -211,7 +218,12 @@
     origin: settings,
   });
   const drain = createDrain(clock);
-  const claims = createClaims({ platform, clock, owner: incarnation });
+  const claims = createClaims({
+    platform,
+    clock,
+    owner: incarnation,
+    stamps,
+  });
   const runtime: Runtime = {
     settings,
     incarnation,
@@ -221,7 +233,10 @@
     beliefs,
     link,
     cache,
-    services: createServiceDirectory(clock),
+    services: createServiceDirectory({
+      clock,
+      createHeaders: stamps.headers,
+    }),
     legacy: createLegacy(),
     claims,
     retryBudget: createAttemptBudget({
@@ -258,7 +273,7 @@
         "configuration.fetch": () => configuration.current() ?? null,
         "daemon.status": status,
         "events.read": (params) => ring.read(afterOf(params)),
-      }, { secret: settings.peerSecret, clock }),
+      }, { secret: settings.peerSecret, clock, stamps }),
     },
     operators: createOperatorHandlers({
       runtime,
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -20,6 +20,7 @@
 import { z } from "zod";
 import type { DaemonVersion } from "../operators/handlers.ts";
 import { createRpcClient } from "./rpc.ts";
+import type { Stamps } from "./stamps.ts";
 
 const CALL_TIMEOUT: Milliseconds = 1_500;
 
@@ -62,6 +63,7 @@
   readonly settings: ProcessSettings;
   readonly clock: Clock;
   readonly hybridClock: HybridClock;
+  readonly stamps: Stamps;
   readonly log: EventLogger["log"];
   readonly board: LoadBoard;
   readonly onAnnounce: (newer: NewerVersion) => void;
@@ -76,7 +78,7 @@
   const transport = await createUdpTransport({ host, port });
   if (transport.isErr()) return transport;
   const stopped = new AbortController();
-  const rpc = createRpcClient(settings.peerSecret);
+  const rpc = createRpcClient(settings.peerSecret, options.stamps);
   const zones = new Map<string, z.infer<typeof AGGREGATE>>();
   let listed: readonly ListedVm[] = [];
 
--- a/packages/daemon/src/services/directory.ts
+++ b/packages/daemon/src/services/directory.ts
@@ -21,16 +21,27 @@
   close(): Promise<void>;
 }
 
-export function createServiceDirectory(clock: Clock): ServiceDirectory {
+export interface ServiceDirectoryOptions {
+  readonly clock: Clock;
+  /** Headers of every call, made anew for each. */
+  readonly createHeaders: () => Readonly<Record<string, string>>;
+}
+
+export function createServiceDirectory(
+  options: ServiceDirectoryOptions,
+): ServiceDirectory {
+  const { clock, createHeaders } = options;
   const clients = new Map<string, HttpPlainService>();
   const failedAt = new Map<string, Milliseconds>();
   let services: Configuration["services"] = {};
-  let turn = 0;
+  // One turn for each service: with a common one, calls that alternate
+  // between two services would all go to the same address of each.
+  const turns = new Map<string, number>();
 
   function clientOf(address: string): HttpPlainService {
     const known = clients.get(address);
     if (known !== undefined) return known;
-    const client = createHttpPlainService({ address, clock });
+    const client = createHttpPlainService({ address, clock, createHeaders });
     clients.set(address, client);
     return client;
   }
@@ -47,7 +58,8 @@
     list(service) {
       const addresses = services[service]?.addresses ?? [];
       if (addresses.length === 0) return [];
-      turn = (turn + 1) % addresses.length;
+      const turn = ((turns.get(service) ?? 0) + 1) % addresses.length;
+      turns.set(service, turn);
       const turned = [...addresses.slice(turn), ...addresses.slice(0, turn)];
       const ordered = [
         ...turned.filter((address) => !isAvoided(address)),
