Record concurrent runs and check the guarantees on them

Cause: nothing showed the guarantees on concurrent runs of real processes; the tests of the packages each look at one mechanism.

Change: packages/history with a recorder, seeded callers, operators and faults, a relay for cuts, and one check for each rule as a pure function. `npm run soak` runs schedules or a directed scenario, also with a mechanism taken out of the daemon.

--- /dev/null
+++ b/packages/history/src/table.ts
@@ -0,0 +1,77 @@
+/**
+ * The directed scenarios by name, the mechanism that each is for, and the rule
+ * that must be broken without it.
+ */
+import type { RunOptions } from "./run.ts";
+import * as scenarios from "./scenarios.ts";
+import type { Mechanism } from "./weakened_build.ts";
+import type { World } from "./world.ts";
+
+export interface Scenario {
+  readonly run: (world: World) => Promise<void>;
+  readonly without: Mechanism;
+  readonly rule: string;
+  readonly options?: Partial<RunOptions>;
+}
+
+const TWO_DAEMONS = ["north-1", "south-1"];
+
+export const SCENARIOS = {
+  "repeated orders": {
+    run: scenarios.repeatOrders,
+    without: "claims",
+    rule: "an order runs at most once",
+  },
+  "forged orders": {
+    run: scenarios.forgeOrders,
+    without: "claim customers",
+    rule: "a customer sees only its own order numbers",
+  },
+  "lost service answers": {
+    run: scenarios.loseServiceAnswers,
+    without: "refusals",
+    rule: 'a refusal with ran: "no" is true',
+  },
+  "crossed streams": {
+    run: scenarios.crossStreams,
+    without: "offset checks",
+    rule: "a completion has the tokens of its own answer in order",
+  },
+  "leaving engine": {
+    run: scenarios.leaveEngine,
+    without: "leaving marks",
+    rule: "a leaving upstream gets no new work after 3 s",
+  },
+  "leaving engine of another zone": {
+    run: scenarios.leaveEngineQuietly,
+    without: "leaving marks",
+    rule: "a leaving upstream gets no new work after 3 s",
+  },
+  "planned stop": {
+    run: scenarios.stopDaemon,
+    without: "graceful shutdown",
+    rule: "a planned stop cuts off no request",
+  },
+  "spread change": {
+    run: scenarios.spreadChange,
+    without: "configuration propagation",
+    rule: "an accepted configuration is in force everywhere within 5 s",
+  },
+  "restart in an outage": {
+    run: scenarios.restartInOutage,
+    without: "start from peers",
+    rule: "versions at a daemon never fall",
+  },
+  "raced changes": {
+    run: scenarios.raceOperators,
+    without: "transaction checks",
+    rule: "operators who raced from one version never both win",
+    options: { daemons: TWO_DAEMONS },
+  },
+} satisfies Readonly<Record<string, Scenario>>;
+
+export type ScenarioName = keyof typeof SCENARIOS;
+
+export function isScenario(name: string): name is ScenarioName {
+  return name in SCENARIOS;
+}
--- a/packages/standins/src/engine/mod.ts
+++ b/packages/standins/src/engine/mod.ts
@@ -12,6 +12,7 @@
   type StandinRequest,
   startServer,
 } from "../server.ts";
+import { createAttemptLog } from "./attempt_log.ts";
 import { createBatch } from "./batch.ts";
 import { createBlockCache } from "./block_cache.ts";
 import { createLoadReports } from "./load_reports.ts";
@@ -56,11 +57,13 @@
   const options = engineOptions.parse(input);
   const incarnation = randomUUID();
   const cache = createBlockCache(options);
+  const attempts = createAttemptLog();
   let leaving = false;
 
   async function generate(request: StandinRequest): Promise<void> {
     const generation = await request.readJson(generationSchema) as Generation;
     const { response } = request;
+    attempts.add(generation);
     if (leaving) return sendRefusal(response, 503, { code: "leaving" });
     const version = weights.version();
     if (generation.weights !== version) {
@@ -140,6 +143,8 @@
     "GET /health": (request) =>
       sendJson(request.response, 200, { incarnation }),
     "POST /control/drain": drain,
+    "GET /control/attempts": ({ response }) =>
+      sendJson(response, 200, { attempts: attempts.list() }),
   };
 
   let dropped = 0;
--- a/packages/standins/src/platform/faults.ts
+++ b/packages/standins/src/platform/faults.ts
@@ -21,6 +21,8 @@
   readsPerSecond: z.number().positive(),
   /** Milliseconds by which the list of VMs is behind. */
   vmListLag: z.number().nonnegative(),
+  /** Commits transactions whose checks do not hold. */
+  ignoreChecks: z.boolean(),
 });
 
 export type PlatformFaults = Readonly<z.infer<typeof PLATFORM_FAULTS>>;
@@ -33,6 +35,7 @@
   writesPerSecond: WRITES_PER_SECOND,
   readsPerSecond: READS_PER_SECOND,
   vmListLag: 0,
+  ignoreChecks: false,
 };
 
 /**
--- a/packages/standins/src/platform/server.ts
+++ b/packages/standins/src/platform/server.ts
@@ -87,7 +87,8 @@
       : reads.take(faults.readsPerSecond);
     if (!allowed) return refuse(429, "rate limit");
     if (faults.delay > 0) await sleep(faults.delay);
-    const answer = state.answer(call, faults.vmListLag);
+    const served = faults.ignoreChecks ? withoutChecks(call) : call;
+    const answer = state.answer(served, faults.vmListLag);
     return isWrite && losesAnswer() ? "lost" : answer;
   }
 
@@ -128,6 +129,13 @@
   };
 }
 
+function withoutChecks(call: Call): Call {
+  if (call.method !== "POST" || call.path[0] !== "tables") return call;
+  const transaction = parseJson(call.body) as Readonly<Record<string, unknown>>;
+  const body = Buffer.from(JSON.stringify({ ...transaction, checks: [] }));
+  return { ...call, body };
+}
+
 async function readCall(request: IncomingMessage): Promise<Call> {
   const url = new URL(request.url ?? "/", `http://${HOST}`);
   return {
--- a/packages/standins/src/service/mod.ts
+++ b/packages/standins/src/service/mod.ts
@@ -1,6 +1,7 @@
 /**
  * A plain service that records every call that it runs.
  */
+import { appendFileSync, existsSync, readFileSync } from "node:fs";
 import { z } from "zod";
 import {
   commonFaults,
@@ -15,6 +16,8 @@
 export const serviceOptions = serverOptions.extend({
   /** Milliseconds that a call takes. */
   latency: z.coerce.number().nonnegative().default(0),
+  /** File that keeps the calls over a restart; in memory only when absent. */
+  journal: z.string().optional(),
 });
 
 export type ServiceStandinOptions = z.input<typeof serviceOptions>;
@@ -35,16 +38,20 @@
   readonly path: string;
   readonly customer: string | null;
   readonly idempotencyKey: string | null;
+  /** Id of the request at the daemon that sent the call. */
+  readonly request: string | null;
   readonly body: string;
 }
 
 const CUSTOMER_HEADER = "x-peridotvalve-customer";
+const REQUEST_HEADER = "x-request-id";
 
 export async function startServiceStandin(
   input: ServiceStandinOptions = {},
 ): Promise<Standin> {
   const options = serviceOptions.parse(input);
-  const calls: RecordedCall[] = [];
+  const { journal } = options;
+  const calls = readJournal(journal);
 
   async function run(request: StandinRequest): Promise<void> {
     const body = (await request.readBody()).toString("utf8");
@@ -52,14 +59,19 @@
     const faults = server.faults();
     if (faults.refuse) return sendRefusal(response, 503, { code: "busy" });
     const number = calls.length + 1;
-    calls.push({
+    const call = {
       number,
       method,
       path,
       customer: headerOf(request, CUSTOMER_HEADER),
       idempotencyKey: headerOf(request, "idempotency-key"),
+      request: headerOf(request, REQUEST_HEADER),
       body,
-    });
+    };
+    calls.push(call);
+    if (journal !== undefined) {
+      appendFileSync(journal, `${JSON.stringify(call)}\n`);
+    }
     await server.wait(faults.latency ?? options.latency);
     if (server.faults().hangAfterEffect) return;
     if (path === "/orders") return sendJson(response, 201, { order: number });
@@ -84,6 +96,13 @@
   return server;
 }
 
+function readJournal(file: string | undefined): RecordedCall[] {
+  if (file === undefined || !existsSync(file)) return [];
+  // A process that died while it wrote leaves an incomplete last line.
+  return readFileSync(file, "utf8").split("\n").slice(0, -1)
+    .map((line) => JSON.parse(line) as RecordedCall);
+}
+
 function headerOf(request: StandinRequest, name: string): string | null {
   const value = request.headers[name];
   return typeof value === "string" ? value : null;
--- a/packages/testbed/src/deployment.ts
+++ b/packages/testbed/src/deployment.ts
@@ -75,6 +75,7 @@
   const standins = listStandins(configuration, {
     platform: [...settings.values()][0]?.platform ?? "",
     options,
+    journals: logs,
   });
   const processes = new Map<string, Process>();
   const logOf = (name: string) => join(logs, `${name}.log`);
@@ -167,9 +168,14 @@
 
 function listStandins(
   configuration: Configuration,
-  parts: { readonly platform: string; readonly options: DeploymentOptions },
+  parts: {
+    readonly platform: string;
+    readonly options: DeploymentOptions;
+    /** Folder where services keep their calls over a restart. */
+    readonly journals: string;
+  },
 ): readonly Standin[] {
-  const { options, platform } = parts;
+  const { options, platform, journals } = parts;
   const seed = ["--seed", String(options.seed ?? 1)];
   const groups = Object.entries(configuration.groups)
     .filter(([name]) => options.groups?.includes(name) ?? true);
@@ -201,7 +207,11 @@
     service.addresses.map((address, index) => ({
       name: `${name}-${index + 1}`,
       address,
-      words: ["service", ...seed],
+      words: [
+        "service",
+        ...seed,
+        ...["--journal", join(journals, `${name}-${index + 1}.calls`)],
+      ],
     }))
   );
   const legacy = configuration.legacy === undefined ? [] : [{
