Tell other availability zones of leaving replicas

Cause: a daemon reads the report of a replica of another availability zone once in 8 s, and news of a leaving replica stayed within its zone. A daemon therefore sent new work to such a replica later than 3 s after it was told to leave. The first period, which reads all replicas, also ran before the configuration was there and read none, so that a daemon that had just started was blind for up to 8 s.

Ruled out: the marks of refused attempts (the first attempt of the other zone was refused with 503, so it does arrive), and a late drain state at the engine (its own log has the attempt's arrival). Reading all replicas each second would break the daemon's byte budget at 730 replicas.

Change: the aggregates that zones exchange each second name up to 8 leaving incarnations of the sender's own zone; the receiver marks them and passes new ones on in its zone. A replica that was not listed in the period before is read at once.

The test of the polling periods fails without the change ([7000, 15000] in place of [2000, 7000, 15000]). More than 8 leaving replicas of a zone at once are not covered by one aggregate.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -113,6 +113,7 @@
     onAnnounce: ({ peer: _, address, version }) =>
       configuration.announce(version, address),
     onUpstreamLeaving: (leaving) => fleet.noteLeaving(leaving),
+    listLeaving: () => fleet.listLeaving(),
   });
   if (created.isErr()) return created;
   const neighbours = created.value;
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -62,6 +62,8 @@
   noteFailure(replica: Replica, failure: AttemptFailure): void;
   /** Takes news from a peer that an incarnation is leaving. */
   noteLeaving(incarnation: string): void;
+  /** Incarnations of the own availability zone that are leaving. */
+  listLeaving(): readonly string[];
   /** Takes the platform's lagging VM list. */
   noteVms(vms: readonly ListedVm[]): void;
   close(): Promise<void>;
@@ -258,6 +260,15 @@
         options.log("upstream_leaving", { source: "peer" }, subject);
       }
     },
+    listLeaving() {
+      return [...members.values()].flatMap((member) => {
+        const { settings, report, isLeaving } = member.replica;
+        const isLocal = settings.availabilityZone === options.availabilityZone;
+        if (!isLocal || !isLeaving()) return [];
+        refresh(member);
+        return report()?.incarnation ?? [];
+      });
+    },
     noteVms(vms) {
       for (const member of members.values()) {
         const { replica } = member;
--- a/packages/daemon/src/fleet/report_polling.ts
+++ b/packages/daemon/src/fleet/report_polling.ts
@@ -26,16 +26,21 @@
 ): Promise<void> {
   const { fleet, availabilityZone } = options;
   let period = 0;
+  // A replica that is not in it is due at once. The configuration, and with
+  // it the replicas, may come after the first periods.
+  let listed: ReadonlySet<string> = new Set();
 
   function listDue(): readonly string[] {
     period += 1;
-    return fleet.list()
-      .filter(({ settings }, index) =>
+    const replicas = fleet.list();
+    const due = replicas
+      .filter(({ name, settings }, index) =>
         settings.availabilityZone === availabilityZone ||
-        // The first period reads all; then each has its turn.
-        period === 1 || (period + index) % REMOTE_PERIODS === 0
+        !listed.has(name) || (period + index) % REMOTE_PERIODS === 0
       )
-      .map((replica) => replica.name);
+      .map(({ name }) => name);
+    listed = new Set(replicas.map(({ name }) => name));
+    return due;
   }
 
   return pollReports({
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -34,7 +34,13 @@
 
 const STATUS = z.object({ name: z.string(), version: z.number().nullable() });
 
-const AGGREGATE = z.object({ daemons: z.number().int().nonnegative() });
+/** Leaving upstreams in one aggregate, which is a single datagram. */
+const MAX_LEAVING = 8;
+
+const AGGREGATE = z.object({
+  daemons: z.number().int().nonnegative(),
+  leaving: z.array(z.string()).max(MAX_LEAVING).optional(),
+});
 
 export interface Neighbours {
   readonly membership: Membership;
@@ -57,6 +63,8 @@
   readonly board: LoadBoard;
   readonly onAnnounce: (newer: NewerVersion) => void;
   readonly onUpstreamLeaving: (incarnation: string) => void;
+  /** Incarnations of the own availability zone that are leaving. */
+  readonly listLeaving: () => readonly string[];
 }
 
 export async function createNeighbours(
@@ -69,6 +77,7 @@
   const stopped = new AbortController();
   const rpc = createRpcClient(settings.peerSecret);
   const zoneSizes = new Map<string, number>();
+  const zoneLeaving = new Map<string, readonly string[]>();
   let listed: readonly ListedVm[] = [];
 
   const membership = createMembership({
@@ -89,10 +98,25 @@
         options.log("datagram_rejected", { reason: taken.error, from: peer });
       }
     },
-    createAggregate: () => ({ daemons: membership.live().length }),
-    onAggregate(aggregate) {
-      const content = AGGREGATE.safeParse(aggregate.content);
-      if (content.success) zoneSizes.set(aggregate.zone, content.data.daemons);
+    createAggregate() {
+      const leaving = options.listLeaving().slice(0, MAX_LEAVING);
+      const daemons = membership.live().length;
+      return { daemons, ...(leaving.length > 0 && { leaving }) };
+    },
+    onAggregate({ zone, content }) {
+      const read = AGGREGATE.safeParse(content);
+      if (!read.success) return;
+      const { daemons, leaving = [] } = read.data;
+      zoneSizes.set(zone, daemons);
+      const known = zoneLeaving.get(zone) ?? [];
+      zoneLeaving.set(zone, leaving);
+      for (const incarnation of leaving) {
+        options.onUpstreamLeaving(incarnation);
+        // Only two daemons of the zone get the aggregate.
+        if (!known.includes(incarnation)) {
+          membership.reportUpstreamLeaving(incarnation);
+        }
+      }
     },
     onAnnounce: options.onAnnounce,
     onUpstreamLeaving: options.onUpstreamLeaving,
