End with the reason when a listener cannot be opened

Cause: moleculer-web's start never settles when listening fails, so that a daemon whose address was in use waited for ever, with two of its listeners open and no line in its log.

Ruled out: a slow start (the process was idle after 82 s) and the platform (it listened, and the other two daemons were ready).

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -24,7 +24,7 @@
 } from "@peridotvalve/routing";
 import type { ProcessSettings } from "@peridotvalve/settings";
 import type { Configuration, Milliseconds } from "@peridotvalve/types";
-import { Ok, type Result } from "ts-results-es";
+import { Ok, Result } from "ts-results-es";
 import { createBroker } from "./broker.ts";
 import {
   checkContent,
@@ -206,7 +206,7 @@
   });
 
   const status = (): DaemonStatus => readStatus(runtime, neighbours);
-  const listeners = await openListeners(runtime, {
+  const opened = await openListeners(runtime, {
     callers: {
       "POST /v1/chat/completions": (exchange) => handleChat(runtime, exchange),
       "GET /v1/models": (exchange) => handleModels(runtime, exchange),
@@ -233,6 +233,11 @@
         }),
     }),
   });
+  if (opened.isErr()) {
+    await Promise.all([neighbours.close(), platform.close()]);
+    return opened;
+  }
+  const listeners = opened.value;
   log("process_started", { version: options.version ?? "unknown" });
   neighbours.start();
   void followVmList();
@@ -315,7 +320,7 @@
     readonly peers: Handlers;
     readonly operators: Handlers;
   },
-): Promise<Listeners> {
+): Promise<Result<Listeners, string>> {
   const { settings, clock, drain, log } = runtime;
   const broker = createBroker(settings.name);
   await broker.start();
@@ -331,12 +336,17 @@
           request: exchange.id,
         }),
     });
-  return {
-    callers: await open("callers", countAll(handlers.callers, drain)),
-    peers: await open("peers", handlers.peers),
-    operators: await open("operators", handlers.operators),
-    stopBroker: () => broker.stop(),
-  };
+  const opened = Result.all([
+    await open("callers", countAll(handlers.callers, drain)),
+    await open("peers", handlers.peers),
+    await open("operators", handlers.operators),
+  ]);
+  if (opened.isErr()) {
+    await broker.stop();
+    return opened;
+  }
+  const [callers, peers, operators] = opened.value;
+  return Ok({ callers, peers, operators, stopBroker: () => broker.stop() });
 }
 
 /** Counts each exchange as pending work, so that a shutdown waits for it. */
--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -3,6 +3,7 @@
  * same broker. Actions write the response themselves, because streams and
  * typed failures need control over headers and ends.
  */
+import { once } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "@peridotvalve/clock";
@@ -10,6 +11,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Context, Service, ServiceBroker } from "moleculer";
 import WebGateway from "moleculer-web";
+import { Err, Ok, type Result } from "ts-results-es";
 import { createExchange, type Exchange } from "./exchange.ts";
 import { sendFailure } from "./respond.ts";
 
@@ -49,7 +51,7 @@
 export async function createGateway(
   broker: ServiceBroker,
   options: GatewayOptions,
-): Promise<Gateway> {
+): Promise<Result<Gateway, string>> {
   const entries = Object.entries(options.handlers);
   createActions(broker, options);
   const [ip, port] = splitAddress(options.address);
@@ -80,13 +82,30 @@
       }],
     },
   });
-  await broker.waitForServices(`${options.name}-gateway`);
   const server = (service as Service & { readonly server: Server }).server;
+  const listening = await waitForListening(server);
+  if (listening.isErr()) {
+    return listening.mapErr((reason) =>
+      `the ${options.name} listener cannot be opened: ${reason}`
+    );
+  }
+  await broker.waitForServices(`${options.name}-gateway`);
   configureServer(server, options.headersTimeout);
-  return {
+  return Ok({
     address: () => formatAddress(server),
     close: () => broker.destroyService(service),
-  };
+  });
+}
+
+/** moleculer-web itself waits for ever when the address is in use. */
+async function waitForListening(server: Server): Promise<Result<void, string>> {
+  try {
+    // Rejects with the first "error" event.
+    if (!server.listening) await once(server, "listening");
+    return Ok(undefined);
+  } catch (error) {
+    return Err((error as Error).message);
+  }
 }
 
 function createActions(broker: ServiceBroker, options: GatewayOptions): void {
--- /dev/null
+++ b/packages/daemon/src/listeners.test.ts
@@ -0,0 +1,28 @@
+import { readProcessSettings } from "@peridotvalve/settings";
+import { expect } from "earl";
+import { once } from "node:events";
+import { type AddressInfo, createServer } from "node:net";
+import { test } from "node:test";
+import { createDaemon } from "./daemon.ts";
+
+const SETTINGS = "examples/koiratakki/settings/espoo-1.yaml";
+
+// Guards against a daemon that waits for ever, without a line in its log, when
+// one of its addresses is in use.
+test("a daemon whose operators' address is in use says so", async () => {
+  const other = createServer().listen(0, "127.0.0.1");
+  await once(other, "listening");
+  const { port } = other.address() as AddressInfo;
+  const settings = (await readProcessSettings(SETTINGS)).unwrap();
+  const used = `127.0.0.1:${port}`;
+  const free = "127.0.0.1:0";
+  const created = await createDaemon({
+    ...settings,
+    listeners: { callers: free, peers: free, operators: used },
+  }, { write: () => {} });
+  other.close();
+  expect(created.isErr()).toEqual(true);
+  expect(String(created.isErr() && created.error)).toInclude(
+    "the operators listener cannot be opened",
+  );
+});
