--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -27,7 +27,7 @@
 } from "@peridotvalve/routing";
 import type { ProcessSettings } from "@peridotvalve/settings";
 import type { Configuration, Milliseconds } from "@peridotvalve/types";
-import { Ok, type Result } from "ts-results-es";
+import { Ok, Result } from "ts-results-es";
 import { createBroker } from "./broker.ts";
 import {
   checkContent,
@@ -133,6 +133,7 @@
     onAnnounce: ({ peer: _, address, version }) =>
       configuration.announce(version, address),
     onUpstreamLeaving: (leaving) => fleet.noteLeaving(leaving),
+    listLeaving: () => fleet.listLeaving(),
   });
   if (created.isErr()) return created;
   const neighbours = created.value;
@@ -261,7 +262,7 @@
   });
 
   const status = (): DaemonStatus => readStatus(runtime, neighbours);
-  const listeners = await openListeners(runtime, {
+  const opened = await openListeners(runtime, {
     callers: {
       "POST /v1/chat/completions": (exchange) => handleChat(runtime, exchange),
       "GET /v1/models": (exchange) => handleModels(runtime, exchange),
@@ -288,6 +289,11 @@
         }),
     }),
   });
+  if (opened.isErr()) {
+    await Promise.all([neighbours.close(), platform.close()]);
+    return opened;
+  }
+  const listeners = opened.value;
   configuration.subscribe(({ content: now }) =>
     listeners.callers.setHeadersTimeout(now.limits.headersTimeout)
   );
@@ -415,7 +421,7 @@
     readonly peers: Handlers;
     readonly operators: Handlers;
   },
-): Promise<Listeners> {
+): Promise<Result<Listeners, string>> {
   const { settings, clock, drain, log } = runtime;
   const broker = createBroker(settings.name);
   await broker.start();
@@ -430,12 +436,17 @@
           request: exchange.id,
         }),
     });
-  return {
-    callers: await open("callers", countAll(handlers.callers, drain)),
-    peers: await open("peers", handlers.peers),
-    operators: await open("operators", handlers.operators),
-    stopBroker: () => broker.stop(),
-  };
+  const opened = Result.all([
+    await open("callers", countAll(handlers.callers, drain)),
+    await open("peers", handlers.peers),
+    await open("operators", handlers.operators),
+  ]);
+  if (opened.isErr()) {
+    await broker.stop();
+    return opened;
+  }
+  const [callers, peers, operators] = opened.value;
+  return Ok({ callers, peers, operators, stopBroker: () => broker.stop() });
 }
 
 /** Counts each exchange as pending work, so that a shutdown waits for it. */
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -35,10 +35,14 @@
 
 const STATUS = z.object({ name: z.string(), version: z.number().nullable() });
 
+/** Leaving upstreams in one aggregate, which is a single datagram. */
+const MAX_LEAVING = 8;
+
 const AGGREGATE = z.object({
   daemons: z.number().int().nonnegative(),
   /** Bytes per second that the zone sends over the region link. */
   link: z.number().nonnegative().default(0),
+  leaving: z.array(z.string()).max(MAX_LEAVING).default([]),
 });
 
 export interface Neighbours {
@@ -68,6 +72,8 @@
   readonly board: LoadBoard;
   readonly onAnnounce: (newer: NewerVersion) => void;
   readonly onUpstreamLeaving: (incarnation: string) => void;
+  /** Incarnations of the own availability zone that are leaving. */
+  readonly listLeaving: () => readonly string[];
 }
 
 export async function createNeighbours(
@@ -100,13 +106,26 @@
         options.log("datagram_rejected", { reason: taken.error, from: peer });
       }
     },
-    createAggregate: () => ({
-      daemons: membership.live().length,
-      link: Math.round(board.linkRate()),
-    }),
-    onAggregate(aggregate) {
-      const content = AGGREGATE.safeParse(aggregate.content);
-      if (content.success) zones.set(aggregate.zone, content.data);
+    createAggregate() {
+      const leaving = options.listLeaving().slice(0, MAX_LEAVING);
+      return {
+        daemons: membership.live().length,
+        link: Math.round(board.linkRate()),
+        ...(leaving.length > 0 && { leaving }),
+      };
+    },
+    onAggregate({ zone, content }) {
+      const read = AGGREGATE.safeParse(content);
+      if (!read.success) return;
+      const known = zones.get(zone)?.leaving ?? [];
+      zones.set(zone, read.data);
+      for (const incarnation of read.data.leaving) {
+        options.onUpstreamLeaving(incarnation);
+        // Only two daemons of the zone get the aggregate.
+        if (!known.includes(incarnation)) {
+          membership.reportUpstreamLeaving(incarnation);
+        }
+      }
     },
     onAnnounce: options.onAnnounce,
     onUpstreamLeaving: options.onUpstreamLeaving,
--- a/packages/standins/src/engine/mod.ts
+++ b/packages/standins/src/engine/mod.ts
@@ -12,6 +12,7 @@
   type StandinRequest,
   startServer,
 } from "../server.ts";
+import { createAttemptLog } from "./attempt_log.ts";
 import { createBatch } from "./batch.ts";
 import { createBlockCache } from "./block_cache.ts";
 import { createLoadReports } from "./load_reports.ts";
@@ -73,6 +74,7 @@
   const incarnation = randomUUID();
   const cache = createBlockCache(options);
   const received: Received[] = [];
+  const attempts = createAttemptLog();
   let drainState = drainSchema.parse({ leaving: false });
 
   async function generate(request: StandinRequest): Promise<void> {
@@ -81,6 +83,7 @@
     const { customer, prompt } = generation;
     received.push({ customer, prompt: prompt.slice(-80), at: Date.now() });
     if (received.length > MAX_RECEIVED) received.shift();
+    attempts.add(generation);
     if (drainState.leaving && drainState.refuses) {
       return sendRefusal(response, 503, { code: "leaving" });
     }
@@ -165,6 +168,8 @@
       sendJson(request.response, 200, { received }),
     "GET /control/loads": (request) =>
       sendJson(request.response, 200, { loads: weights.history() }),
+    "GET /control/attempts": ({ response }) =>
+      sendJson(response, 200, { attempts: attempts.list() }),
   };
 
   let dropped = 0;
