Derive the capacity page from measured slopes

Cause: the design names docs/CAPACITY.md, but only heartbeats, placement and admission had measured slopes, and nothing tied them to the two-year size.

Change: `npm run capacity` runs nine measuring scripts, each at three or more sizes, stores the figures with command, seed, commit and Node.js version in docs/capacity_slopes.json, and derives the page.

--- /dev/null
+++ b/packages/replay/src/capacity/counted_platform.ts
@@ -0,0 +1,30 @@
+/**
+ * Counts the calls of a platform. A call counts when it is made, so repeats
+ * after a refusal are included, as the platform's rate limit sees them.
+ */
+import type { Platform } from "@peridotvalve/platform";
+
+export interface PlatformCalls {
+  readonly reads: number;
+  readonly writes: number;
+}
+
+const WRITES: ReadonlySet<string | symbol> = new Set(["transact", "putObject"]);
+
+export function countCalls(inner: Platform): {
+  readonly platform: Platform;
+  readonly calls: () => PlatformCalls;
+} {
+  const calls = { reads: 0, writes: 0 };
+  const platform = new Proxy(inner, {
+    get(target, name) {
+      const member: unknown = Reflect.get(target, name, target);
+      if (typeof member !== "function") return member;
+      return (...args: unknown[]) => {
+        calls[WRITES.has(name) ? "writes" : "reads"] += 1;
+        return Reflect.apply(member, target, args);
+      };
+    },
+  });
+  return { platform, calls: () => ({ ...calls }) };
+}
--- /dev/null
+++ b/packages/replay/src/capacity/measure_configuration.ts
@@ -0,0 +1,141 @@
+/**
+ * Prints JSON with the processor time, heap and bytes of reading and checking
+ * a configuration, by count of replicas and customers, and with the reads of
+ * configuration watches by count of readers.
+ *
+ * Run: `node --import tsx packages/replay/src/capacity/measure_configuration.ts`.
+ */
+import { createManualClock } from "@peridotvalve/clock";
+import {
+  applyConfiguration,
+  createConfigurationWatch,
+} from "@peridotvalve/configuration";
+import {
+  createHttpPlatform,
+  createMemoryPlatform,
+  type Json,
+} from "@peridotvalve/platform";
+import { readConfiguration } from "@peridotvalve/settings";
+import type { Configuration } from "@peridotvalve/types";
+import { Err, Ok } from "ts-results-es";
+import { countCalls } from "./counted_platform.ts";
+import { startStandins } from "./standin_processes.ts";
+import { createFleetConfiguration, SIZES } from "./fleet_configuration.ts";
+import {
+  createCollector,
+  measureHeap,
+  medianOf,
+  processorSince,
+  round,
+} from "./measuring.ts";
+
+const ROUNDS = 9;
+const CHECKS_PER_ROUND = 5;
+const WATCHES = [1, 4, 16];
+const WATCH_SECONDS = 60;
+/** The last one is all daemons and replicas of the two-year size. */
+const VMS = [137, 545, 1_090];
+const LISTS_PER_ROUND = 20;
+const TIMEOUT = 1_000;
+
+function measureReading(collect: () => void) {
+  const cases = SIZES.map((size) => ({
+    size,
+    text: JSON.stringify(createFleetConfiguration(size)),
+    times: [] as number[],
+  }));
+  for (let index = 0; index < ROUNDS; index += 1) {
+    for (const { text, times } of cases) {
+      const usage = process.cpuUsage();
+      for (let count = 0; count < CHECKS_PER_ROUND; count += 1) {
+        readConfiguration(text).unwrap();
+      }
+      times.push(processorSince(usage) / CHECKS_PER_ROUND);
+    }
+  }
+  return cases.map(({ size, text, times }) => ({
+    ...size,
+    bytes: Buffer.byteLength(text),
+    readAndCheckMilliseconds: round(medianOf(times)),
+    heapBytes: measureHeap(collect, () => readConfiguration(text).unwrap())
+      .bytes,
+  }));
+}
+
+/** Reads of the platform by watches that all are readers. */
+async function measureWatches(count: number) {
+  const clock = createManualClock(0);
+  const { platform, calls } = countCalls(createMemoryPlatform({ clock }));
+  const content = createFleetConfiguration(SIZES[0]!);
+  await applyConfiguration({ change: "c1", content, author: "measure" }, {
+    platform,
+    clock,
+  });
+  const usage = process.cpuUsage();
+  const watches = Array.from({ length: count }, () =>
+    createConfigurationWatch({
+      platform,
+      clock,
+      isReader: () => true,
+      peers: () => [],
+      fetchFromPeer: () => Promise.resolve(Err("no peer")),
+      bootstrap: () => Promise.resolve(Err("none")),
+      check: (json: Json) => Ok(json as unknown as Configuration),
+    }));
+  const begun = calls().reads;
+  await Promise.all(watches.map((watch) => watch.start()));
+  const startReads = calls().reads - begun;
+  const polling = calls().reads;
+  await clock.advance(WATCH_SECONDS * 1_000);
+  const reads = calls().reads - polling;
+  const processor = processorSince(usage);
+  for (const watch of watches) watch.stop();
+  return {
+    watches: count,
+    readsForEachStart: startReads / count,
+    readsPerSecond: round(reads / WATCH_SECONDS),
+    processorMillisecondsForEachRead: round(processor / reads),
+  };
+}
+
+/** Processor time and bytes of reading the platform's VM list. */
+async function measureVmList(address: string, vms: number) {
+  const list = Array.from({ length: vms }, (_, index) => ({
+    name: `vm-${index}`,
+    address: `10.1.${index >> 8}.${index & 255}:8000`,
+    zone: `zone-${index % 8}`,
+    state: "live",
+    incarnation: `incarnation-${index}`,
+  }));
+  const body = JSON.stringify(list);
+  await fetch(`http://${address}/control/vms`, { method: "POST", body });
+  const platform = createHttpPlatform({ address: `http://${address}` });
+  const times: number[] = [];
+  for (let index = 0; index < ROUNDS; index += 1) {
+    const usage = process.cpuUsage();
+    for (let count = 0; count < LISTS_PER_ROUND; count += 1) {
+      (await platform.readVms(TIMEOUT)).unwrap();
+    }
+    times.push(processorSince(usage) / LISTS_PER_ROUND);
+  }
+  await platform.close();
+  return {
+    vms,
+    bytes: Buffer.byteLength(body),
+    processorMilliseconds: round(medianOf(times)),
+  };
+}
+
+async function main(): Promise<void> {
+  const reading = measureReading(createCollector());
+  const watches = [];
+  for (const count of WATCHES) watches.push(await measureWatches(count));
+  const standin = await startStandins([["platform"]]);
+  const [address = ""] = standin.addresses;
+  const vmLists = [];
+  for (const vms of VMS) vmLists.push(await measureVmList(address, vms));
+  await standin.stop();
+  console.log(JSON.stringify({ reading, watches, vmLists }));
+}
+
+await main();
--- /dev/null
+++ b/packages/replay/src/capacity/measure_load.ts
@@ -0,0 +1,180 @@
+/**
+ * Prints JSON with the processor time and heap of the load board by count of
+ * replicas, with the digests of 44 peers, and with the processor time and bytes
+ * of polling load reports over HTTP.
+ *
+ * Run: `node --import tsx packages/replay/src/capacity/measure_load.ts`.
+ */
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { createManualClock, createSystemClock } from "@peridotvalve/clock";
+import { createLoadBoard, type LoadBoard } from "@peridotvalve/load";
+import type { LoadReport } from "@peridotvalve/types";
+import { createHttpEngine } from "@peridotvalve/upstreams";
+import { startEngines } from "./standin_processes.ts";
+import { replicaNames } from "./fleet_configuration.ts";
+import {
+  createCollector,
+  measureHeap,
+  medianOf,
+  processorSince,
+  round,
+} from "./measuring.ts";
+
+const REPLICAS = [91, 365, 730];
+const PEERS = 44;
+const ROUNDS = 7;
+const DIGEST_BYTES = 800;
+const POLL_RATES = [10, 50, 200];
+const POLL_SECONDS = 3;
+const WARM_UP_POLLS = 500;
+const POLL_TIMEOUT = 1_000;
+
+function reportOf(index: number, at: number): LoadReport {
+  return {
+    incarnation: `incarnation-${index}`,
+    weights: "w1",
+    state: "ready",
+    running: index % 9,
+    waiting: index % 3,
+    queuedTokens: 100 * (index % 50),
+    usedBlocks: index % 128,
+    freeBlocks: 128,
+    at,
+  };
+}
+
+/** Boards of one zone's daemons, each of which polled a part. */
+function createBoards(names: readonly string[]) {
+  const clock = createManualClock(1_700_000_000_000);
+  const boards = Array.from(
+    { length: PEERS + 1 },
+    () => createLoadBoard(clock),
+  );
+  for (const [index, name] of names.entries()) {
+    const report = reportOf(index, clock.now());
+    for (const board of boards) board.takeReport(name, report);
+    boards[index % boards.length]?.startDispatch(name, {
+      id: `d${index}`,
+      tokens: 500,
+    });
+  }
+  return { clock, boards };
+}
+
+/** Passes the digests of all peers to the first board, once. */
+function exchange(boards: readonly LoadBoard[]): number {
+  let bytes = 0;
+  for (const [index, peer] of boards.entries()) {
+    if (index === 0) continue;
+    const digest = peer.composeDigest(DIGEST_BYTES);
+    if (digest === undefined) continue;
+    bytes += JSON.stringify(digest).length;
+    boards[0]?.takeDigest(`peer-${index}`, digest).unwrap();
+  }
+  return bytes;
+}
+
+function measureBoard(count: number, collect: () => void) {
+  const names = replicaNames(count);
+  const { clock, boards } = createBoards(names);
+  exchange(boards);
+  const [board] = boards;
+  if (board === undefined) throw new Error("no board");
+  const estimates: number[] = [];
+  const takes: number[] = [];
+  for (let index = 0; index < ROUNDS; index += 1) {
+    const usage = process.cpuUsage();
+    for (const name of names) board.estimate(name);
+    estimates.push(processorSince(usage));
+    const begun = process.cpuUsage();
+    for (const [at, name] of names.entries()) {
+      board.takeReport(name, reportOf(at, clock.now()));
+    }
+    takes.push(processorSince(begun) / count);
+  }
+  const { bytes } = measureHeap(collect, () => {
+    const own = createBoards(names);
+    exchange(own.boards);
+    return own;
+  });
+  return {
+    replicas: count,
+    peers: PEERS,
+    estimateOfAllMilliseconds: round(medianOf(estimates)),
+    takeReportMicroseconds: round(medianOf(takes) * 1_000),
+    heapBytesForEachDaemon: Math.round(bytes / (PEERS + 1)),
+  };
+}
+
+/** Bytes in both directions on the connection for one poll. */
+async function measurePollBytes(): Promise<number> {
+  const body = JSON.stringify(reportOf(1, Date.now()));
+  const server = createServer((_, response) => {
+    response.setHeader("content-type", "application/json");
+    response.end(body);
+  });
+  const sockets: Socket[] = [];
+  server.on("connection", (socket: Socket) => sockets.push(socket));
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const clock = createSystemClock();
+  const engine = createHttpEngine({ address: `127.0.0.1:${port}`, clock });
+  const polls = 50;
+  for (let index = 0; index < polls; index += 1) {
+    (await engine.readLoad(POLL_TIMEOUT)).unwrap();
+  }
+  await engine.close();
+  server.close();
+  const bytes = sockets.reduce(
+    (sum, socket) => sum + socket.bytesRead + socket.bytesWritten,
+    0,
+  );
+  return Math.round(bytes / polls);
+}
+
+async function measurePolls(address: string, rate: number) {
+  const clock = createSystemClock();
+  const engine = createHttpEngine({ address, clock });
+  for (let index = 0; index < WARM_UP_POLLS; index += 1) {
+    (await engine.readLoad(POLL_TIMEOUT)).unwrap();
+  }
+  const usage = process.cpuUsage();
+  const begun = clock.monotonic();
+  const total = rate * POLL_SECONDS;
+  let failed = 0;
+  const all: Promise<void>[] = [];
+  for (let index = 0; index < total; index += 1) {
+    const due = begun + index * 1_000 / rate;
+    await clock.sleep(Math.max(0, due - clock.monotonic()));
+    all.push(
+      engine.readLoad(POLL_TIMEOUT).then((answer) => {
+        if (answer.isErr()) failed += 1;
+      }),
+    );
+  }
+  await Promise.all(all);
+  const processor = processorSince(usage);
+  await engine.close();
+  return {
+    pollsPerSecond: rate,
+    processorMillisecondsForEachPoll: round(processor / total),
+    failed,
+  };
+}
+
+async function main(): Promise<void> {
+  const collect = createCollector();
+  const board = REPLICAS.map((count) => measureBoard(count, collect));
+  const engines = await startEngines(1, []);
+  const [address = ""] = engines.addresses;
+  const polls = [];
+  for (const rate of POLL_RATES) polls.push(await measurePolls(address, rate));
+  await engines.stop();
+  const pollBytes = await measurePollBytes();
+  console.log(JSON.stringify({ board, polls, pollBytes }));
+}
+
+await main();
--- /dev/null
+++ b/packages/replay/src/capacity/measure_logging.ts
@@ -0,0 +1,104 @@
+/**
+ * Prints JSON with the processor time and bytes of log events and the processor
+ * time and heap of the metrics, by count of events, models and customers.
+ *
+ * Run: `node --import tsx packages/replay/src/capacity/measure_logging.ts`.
+ */
+import { createSystemClock } from "@peridotvalve/clock";
+import {
+  createEventLogger,
+  createEventRing,
+  createHybridClock,
+} from "@peridotvalve/events";
+import { createRegistry } from "@peridotvalve/metrics";
+import {
+  createCollector,
+  measureHeap,
+  medianOf,
+  processorSince,
+  round,
+} from "./measuring.ts";
+
+const EVENTS = [1_000, 10_000, 50_000];
+const SERIES = [4, 16, 64];
+const ROUNDS = 5;
+const RECORDS = 20_000;
+const WARM_UP = 3;
+
+function measureEvents(count: number) {
+  const clock = createSystemClock();
+  let bytes = 0;
+  const logger = createEventLogger({
+    process: { name: "entry-1", incarnation: "entry-1/measure" },
+    clock: createHybridClock(clock),
+    // The event below is of this level; a lower one would not be written.
+    level: "debug",
+    ring: createEventRing(),
+    write: (line) => {
+      bytes += line.length + 1;
+    },
+  });
+  const usage = process.cpuUsage();
+  for (let index = 0; index < count; index += 1) {
+    logger.log("attempt_started", { attempt: `att_${index}`, kind: "first" }, {
+      request: `req_${index}`,
+      customer: "customer-1",
+      conversation: `conversation-${index}`,
+      upstream: "model-1-zone-1-9",
+    });
+  }
+  return {
+    events: count,
+    microsecondsForEach: processorSince(usage) * 1_000 / count,
+    bytesForEach: Math.round(bytes / count),
+  };
+}
+
+function measureMetrics(series: number, collect: () => void) {
+  const clock = createSystemClock();
+  const { value: registry, bytes } = measureHeap(collect, () => {
+    const own = createRegistry(clock);
+    const histogram = own.histogram("h", { help: "h", labels: ["model"] });
+    const counter = own.counter("c", { help: "c", labels: ["model"] });
+    for (let index = 0; index < series; index += 1) {
+      histogram.record(index, { model: `m${index}` });
+      counter.add(1, { model: `m${index}` });
+    }
+    return { own, histogram };
+  });
+  for (let index = 0; index < WARM_UP; index += 1) registry.own.render();
+  const usage = process.cpuUsage();
+  for (let index = 0; index < RECORDS; index += 1) {
+    registry.histogram.record(index % 900, { model: `m${index % series}` });
+  }
+  const record = processorSince(usage);
+  const begun = process.cpuUsage();
+  registry.own.render();
+  return {
+    series,
+    heapBytes: bytes,
+    recordMicroseconds: round(record * 1_000 / RECORDS),
+    renderMilliseconds: round(processorSince(begun)),
+  };
+}
+
+function main(): void {
+  const collect = createCollector();
+  const samples = EVENTS.map((): ReturnType<typeof measureEvents>[] => []);
+  for (let index = 0; index < ROUNDS; index += 1) {
+    for (const [at, count] of EVENTS.entries()) {
+      samples[at]?.push(measureEvents(count));
+    }
+  }
+  const events = samples.map((all, index) => ({
+    events: EVENTS[index],
+    microsecondsForEach: round(
+      medianOf(all.map((one) => one.microsecondsForEach)),
+    ),
+    bytesForEach: all[0]?.bytesForEach,
+  }));
+  const metrics = SERIES.map((series) => measureMetrics(series, collect));
+  console.log(JSON.stringify({ events, metrics }));
+}
+
+main();
--- /dev/null
+++ b/packages/replay/src/capacity/measuring.ts
@@ -0,0 +1,51 @@
+/**
+ * Parts that the measuring scripts share: medians, processor time and the
+ * growth of the heap.
+ */
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
+
+const MICROSECONDS = 1_000;
+
+export function medianOf(values: readonly number[]): number {
+  return quantileOf(values, 0.5);
+}
+
+/** Nearest-rank quantile; NaN without values. */
+export function quantileOf(values: readonly number[], part: number): number {
+  const sorted = [...values].sort((left, right) => left - right);
+  const rank = Math.max(1, Math.ceil(part * sorted.length));
+  return sorted[rank - 1] ?? NaN;
+}
+
+/** Rounds to three digits behind the point. */
+export function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
+/** Processor time of this process in milliseconds since the usage was read. */
+export function processorSince(usage: NodeJS.CpuUsage): number {
+  const { user, system } = process.cpuUsage(usage);
+  return (user + system) / MICROSECONDS;
+}
+
+/** A full garbage collection, without a flag on the command line. */
+export function createCollector(): () => void {
+  setFlagsFromString("--expose-gc");
+  return runInNewContext("gc") as () => void;
+}
+
+/** Bytes of heap and buffers that the work's result keeps alive. */
+export function measureHeap<Value>(
+  collect: () => void,
+  work: () => Value,
+): { readonly value: Value; readonly bytes: number } {
+  collect();
+  const before = process.memoryUsage();
+  const value = work();
+  collect();
+  const after = process.memoryUsage();
+  const bytes = after.heapUsed - before.heapUsed +
+    after.arrayBuffers - before.arrayBuffers;
+  return { value, bytes };
+}
--- /dev/null
+++ b/packages/replay/src/capacity/memory_probe.ts
@@ -0,0 +1,15 @@
+/**
+ * Loaded into a measured process through NODE_OPTIONS: on SIGUSR2 it collects
+ * the garbage and prints the bytes in use as one JSON line.
+ */
+import { createCollector } from "./measuring.ts";
+
+const collect = createCollector();
+let count = 0;
+
+process.on("SIGUSR2", () => {
+  collect();
+  const { heapUsed, external } = process.memoryUsage();
+  count += 1;
+  console.log(JSON.stringify({ probe: count, bytes: heapUsed + external }));
+});
--- /dev/null
+++ b/packages/replay/src/capacity/page.ts
@@ -0,0 +1,79 @@
+/**
+ * Derives the capacity page from the measured slopes. Every figure at the
+ * two-year size is worked out here, so that a new measurement changes the page.
+ */
+import { deriveLines, type Line } from "./derivation.ts";
+
+export interface Slope {
+  readonly command: string;
+  readonly sizes: string;
+  readonly seed: number | null;
+  readonly commit: string;
+  readonly node: string;
+  // The scripts' output; `derivation.ts` reads the figures that it needs.
+  // deno-lint-ignore no-explicit-any
+  readonly figures: Readonly<Record<string, any>>;
+}
+
+export type Slopes = Readonly<Record<string, Slope>>;
+
+const HEAD = `# Capacity at the two-year size
+
+Derived by \`npm run capacity\` from \`docs/capacity_slopes.json\`; change neither
+file by hand. The machine that measures is shared and busy, so the times are
+medians and only their order of magnitude is stable.
+
+The two-year size (\`docs/design.md\`, section 3): 360 daemons and 730 replicas in
+2 regions and 8 availability zones (45 daemons and 91 replicas in each), 5,800
+accelerators, 3,200 requests/s and 1.4 M tokens/s (8.9 requests/s and 3,900
+tokens/s for a daemon), 250,000 prompts, 300 customers, 4 models, 650
+configuration changes a day in force within 5 s, 18 VM failures and 63 restarts a
+day. Control may use 2% of a core (20 ms/s), 32 MB and 12 KB/s in a daemon.
+
+A line that exceeds its bound is marked "does not fit", with the mechanism that
+will carry it. A line that was not measured is marked "not measured". The
+replicas' accelerators (8 each) do not appear in any state or message of the
+system.
+`;
+
+export function createPage(slopes: Slopes): string {
+  const { sections, notes } = deriveLines(slopes);
+  return [
+    HEAD,
+    ...sections.flatMap(({ title, text, lines }) => [
+      `## ${title}\n`,
+      ...(text === "" ? [] : [`${text}\n`]),
+      formatTable(lines),
+    ]),
+    "## Lines that do not fit or are not measured\n",
+    notes.map((note) => `- ${note}\n`).join(""),
+    "## Commands\n",
+    formatCommands(slopes),
+  ].join("\n");
+}
+
+function formatTable(lines: readonly Line[]): string {
+  const columns = [...new Set(lines.flatMap((line) => Object.keys(line)))];
+  const rows = lines.map((line) =>
+    columns.map((column) => line[column] ?? "").join(" | ")
+  );
+  return [
+    `| ${columns.join(" | ")} |`,
+    `| ${columns.map(() => "---").join(" | ")} |`,
+    ...rows.map((row) => `| ${row} |`),
+    "",
+  ].join("\n");
+}
+
+function formatCommands(slopes: Slopes): string {
+  return formatTable(
+    Object.entries(slopes).map(([name, slope]) => ({
+      slope: name,
+      command: `\`${slope.command}\``,
+      sizes: slope.sizes,
+      seed: String(slope.seed ?? "none"),
+      commit: slope.commit,
+      "Node.js": slope.node,
+    })),
+  );
+}
