Read a replica's report without summing the peers' dispatches

Cause: placement asked for a replica's report about five times for each candidate, and each time the load board summed the unseen dispatches of all peers only to drop them. At 730 replicas and 44 peers one list of candidates took 10 ms of the event loop, 61 ms/s at the two-year load against 20 ms/s for all control.

Change: LoadBoard.report returns the newest report alone.

Ruled out: a kept list of candidates, which is still needed but must follow ages, health and dispatches, and so is not a local change.

--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -94,7 +94,7 @@
   function add(name: string, group: string): void {
     const settings = groups[group]?.replicas[name];
     if (settings === undefined) return;
-    const report = () => board.estimate(name).report;
+    const report = () => board.report(name);
     const replica = createReplica({ name, group, settings, clock, report });
     members.set(name, {
       replica,
--- a/packages/load/src/board.ts
+++ b/packages/load/src/board.ts
@@ -55,6 +55,9 @@
    */
   abstract composeDigest(limit: Bytes): Digest | undefined;
 
+  /** The newest report; costs nothing beside `estimate`, which asks peers. */
+  abstract report(replica: string): LoadReport | undefined;
+
   abstract estimate(replica: string): LoadEstimate;
 
   /**
--- a/packages/load/src/load_board.ts
+++ b/packages/load/src/load_board.ts
@@ -204,6 +204,10 @@
       return composeDigest(limit);
     }
 
+    override report(replica: string): LoadReport | undefined {
+      return reports.find(replica)?.report;
+    }
+
     override estimate(replica: string): LoadEstimate {
       const held = reports.find(replica);
       const own = ownUnseen(replica);
