Replay traces against stated outcomes

Cause: `peridotvalve replay` was a stub, and no run checked outcomes under recorded demand.

Change: the package replay reads a trace, sends it open-loop to the daemons with latencies from the intended send times, switches faults at stand-ins, checks the outcome file and reports measures as a table, JSON and an SVG plot. A seeded generator makes traces of the shape of each deployment.

Test change: commands.test.ts no longer lists replay among the commands that a build lacks; two tests of its arguments and of an unreachable daemon replace it.

--- a/packages/cli/src/commands.test.ts
+++ b/packages/cli/src/commands.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "earl";
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { test } from "node:test";
@@ -178,15 +178,54 @@
 });
 
 test("commands that a build lacks say so and exit with 2", async () => {
-  const trace = ["replay", "t.json", "--outcomes", "o.json"];
   const serve = ["serve", "--settings", SETTINGS];
-  for (const args of [trace, serve, ["events"], ["timeline", "x.log"]]) {
+  for (const args of [serve, ["events"], ["timeline", "x.log"]]) {
     const result = await run(args);
     expect(result.code).toEqual(2);
     expect(result.errors[0]?.endsWith("not part of this build")).toEqual(true);
   }
 });
 
+// Guards against a replay without files or daemons that counts as passed.
+test("replay refuses missing arguments and files", async () => {
+  const daemon = ["--daemon", "127.0.0.1:1"];
+  const outcomes = ["--outcomes", "none.json"];
+  for (
+    const [args, message] of [
+      [["replay", ...outcomes, ...daemon], "a trace is required"],
+      [["replay", "none.jsonl", ...daemon], "--outcomes is required"],
+      [["replay", "none.jsonl", ...outcomes], "--daemon is required"],
+      [["replay", "none.jsonl", ...outcomes, ...daemon], "cannot read none"],
+      [["replay", "--generate", "bakery"], 'no shape "bakery"'],
+    ] as const
+  ) {
+    const result = await run(args);
+    expect(result.code).toEqual(2);
+    expect(result.errors[0]?.startsWith(message)).toEqual(true);
+  }
+});
+
+test("replay fails when the daemon cannot be reached", async () => {
+  const folder = await mkdtemp(join(tmpdir(), "peridotvalve-replay-"));
+  const generated = ["--generate", "koiratakki", "--minutes", "0.05"];
+  const { output } = await run(["replay", ...generated]);
+  const trace = join(folder, "trace.jsonl");
+  const outcomes = join(folder, "outcomes.json");
+  const json = join(folder, "report.json");
+  await writeFile(trace, output.join("\n"));
+  await writeFile(outcomes, '{"minimumCompleted":1}');
+  const result = await run([
+    ...["replay", trace, "--outcomes", outcomes, "--report", json],
+    ...["--daemon", "127.0.0.1:1"],
+  ]);
+  const report = JSON.parse(await readFile(json, "utf8")) as {
+    readonly measures: { readonly requests: number };
+  };
+  await rm(folder, { recursive: true });
+  expect(result.code).toEqual(1);
+  expect(report.measures.requests).toEqual(output.length);
+});
+
 test("serve hands the settings to the daemon and reports its end", async () => {
   const names: string[] = [];
   const ends = [Ok(undefined), Err("port in use")];
--- a/packages/cli/src/commands/replay.ts
+++ b/packages/cli/src/commands/replay.ts
@@ -1,25 +1,167 @@
 /**
- * `replay`: reserved for the replay of recorded traces.
+ * `replay`: sends a recorded trace to running daemons and checks the stated
+ * outcomes, or generates a trace.
  */
-import { command, option, positional, string } from "cmd-ts";
+import {
+  array,
+  command,
+  multioption,
+  number,
+  option,
+  optional,
+  positional,
+  string,
+} from "cmd-ts";
+import { readFile, writeFile } from "node:fs/promises";
+import { addressType } from "../arguments.ts";
 import type { Environment } from "../environment.ts";
-import { type ExitCode, WRONG_USAGE } from "../exit_codes.ts";
+import { DONE, type ExitCode, REJECTED, WRONG_USAGE } from "../exit_codes.ts";
+
+interface Arguments {
+  readonly trace: string | undefined;
+  readonly outcomes: string | undefined;
+  readonly daemons: readonly string[];
+  readonly keys: string | undefined;
+  readonly report: string | undefined;
+  readonly plot: string | undefined;
+  readonly generate: string | undefined;
+  readonly seed: number;
+  readonly minutes: number;
+  readonly rate: number;
+}
+
+const file = optional(string);
+const MINUTE = 60_000;
 
 export function createReplay(environment: Environment) {
   return command({
     name: "replay",
-    description: "replay a recorded trace (not part of this build)",
+    description: "replay a recorded trace against stated outcomes",
     args: {
-      trace: positional({ type: string, displayName: "trace" }),
+      trace: positional({ type: file, displayName: "trace" }),
       outcomes: option({
         long: "outcomes",
-        type: string,
+        type: file,
         description: "file with the stated outcomes",
       }),
+      daemons: multioption({
+        long: "daemon",
+        type: array(addressType),
+        description: "callers' listener of a daemon",
+      }),
+      keys: option({
+        long: "keys",
+        type: file,
+        description: "JSON file with the API key of each customer",
+      }),
+      // Not "json": cmd-ts takes an option of that name for the flag `--json`
+      // of the other commands.
+      report: option({
+        long: "report",
+        type: file,
+        description: "file for the report as JSON",
+      }),
+      plot: option({ long: "plot", type: file, description: "SVG plot" }),
+      generate: option({
+        long: "generate",
+        type: file,
+        description: "print a trace of this deployment's shape instead",
+      }),
+      seed: option({
+        long: "seed",
+        type: number,
+        defaultValue: () => 1,
+        description: "seed of the generated trace",
+      }),
+      minutes: option({
+        long: "minutes",
+        type: number,
+        defaultValue: () => 1,
+        description: "length of the generated trace",
+      }),
+      rate: option({
+        long: "rate",
+        type: number,
+        defaultValue: () => 8,
+        description: "mean requests per second of the generated trace",
+      }),
     },
-    handler: (): ExitCode => {
-      environment.warn("replay is not part of this build");
-      return WRONG_USAGE;
-    },
+    handler: (args): Promise<ExitCode> =>
+      args.generate === undefined
+        ? replay(environment, args)
+        : generate(environment, args),
   });
 }
+
+async function generate(
+  environment: Environment,
+  { generate: name, seed, minutes, rate }: Arguments,
+): Promise<ExitCode> {
+  const { SHAPES, generateTrace } = await import("@peridotvalve/replay");
+  const shape = SHAPES[name ?? ""];
+  if (shape === undefined) {
+    environment.warn(`no shape "${name}": ${Object.keys(SHAPES).join(", ")}`);
+    return WRONG_USAGE;
+  }
+  const options = { seed, rate, duration: minutes * MINUTE };
+  for (const request of generateTrace(shape, options)) {
+    environment.print(JSON.stringify(request));
+  }
+  return DONE;
+}
+
+async function replay(
+  environment: Environment,
+  args: Arguments,
+): Promise<ExitCode> {
+  const { trace, outcomes, daemons, keys } = args;
+  const complain = (text: string): ExitCode => {
+    environment.warn(text);
+    return WRONG_USAGE;
+  };
+  if (trace === undefined) return complain("a trace is required");
+  if (outcomes === undefined) return complain("--outcomes is required");
+  if (daemons.length === 0) return complain("--daemon is required");
+  const {
+    checkOutcomes,
+    countOrders,
+    createPlot,
+    formatTable,
+    measure,
+    parseOutcomes,
+    parseTrace,
+    replayTrace,
+  } = await import("@peridotvalve/replay");
+  const texts = await Promise.all(
+    [trace, outcomes, ...(keys === undefined ? [] : [keys])].map(readText),
+  );
+  const [traceText, outcomesText, keysText = "{}"] = texts;
+  if (traceText === undefined) return complain(`cannot read ${trace}`);
+  if (outcomesText === undefined) return complain(`cannot read ${outcomes}`);
+  const requests = parseTrace(traceText);
+  if (requests.isErr()) return complain(`${trace}: ${requests.error}`);
+  const stated = parseOutcomes(outcomesText);
+  if (stated.isErr()) return complain(`${outcomes}: ${stated.error}`);
+  const sent = await replayTrace(requests.value, {
+    daemons,
+    keys: JSON.parse(keysText) as Readonly<Record<string, string>>,
+    faults: stated.value.faults,
+  });
+  const measures = measure(sent);
+  const services = stated.value.ordersRunOnceAt;
+  const checks = checkOutcomes(stated.value, {
+    ...{ sent, measures },
+    ...(services === undefined ? {} : { runs: await countOrders(services) }),
+  });
+  for (const line of formatTable(measures, checks)) environment.print(line);
+  const report = { measures, checks };
+  if (args.report !== undefined) {
+    await writeFile(args.report, `${JSON.stringify(report, null, 2)}\n`);
+  }
+  if (args.plot !== undefined) await writeFile(args.plot, createPlot(sent));
+  return checks.every(({ passed }) => passed) ? DONE : REJECTED;
+}
+
+function readText(path: string): Promise<string | undefined> {
+  return readFile(path, "utf8").catch(() => undefined);
+}
--- /dev/null
+++ b/packages/replay/src/run/check.ts
@@ -0,0 +1,80 @@
+/**
+ * Compares a replay with its stated outcomes. A check without anything to look
+ * at fails, so that a daemon that answers nothing passes none.
+ */
+import type { Measures } from "./measures.ts";
+import type { Outcomes } from "./outcomes.ts";
+import type { Sent } from "./send.ts";
+
+export interface Check {
+  readonly name: string;
+  readonly passed: boolean;
+  readonly seen: string;
+}
+
+export function checkOutcomes(outcomes: Outcomes, replayed: {
+  readonly sent: readonly Sent[];
+  readonly measures: Measures;
+  /** Runs of each order; undefined when they were not counted. */
+  readonly runs?: ReadonlyMap<string, number>;
+}): readonly Check[] {
+  const { measures, sent, runs } = replayed;
+  const checks: Check[] = [{
+    name: `at least ${outcomes.minimumCompleted} completed`,
+    passed: measures.completed >= outcomes.minimumCompleted,
+    seen: String(measures.completed),
+  }];
+  const { minimumWithinPatience, firstTokenP95, maximumRecomputed } = outcomes;
+  if (minimumWithinPatience !== undefined) {
+    checks.push({
+      name: `share within patience at least ${minimumWithinPatience}`,
+      passed: measures.withinPatience >= minimumWithinPatience,
+      seen: measures.withinPatience.toFixed(3),
+    });
+  }
+  if (firstTokenP95 !== undefined) {
+    const { p95 } = measures.firstToken;
+    checks.push({
+      name: `first token at the 95th percentile at most ${firstTokenP95} ms`,
+      passed: p95 !== null && p95 <= firstTokenP95,
+      seen: p95 === null ? "no first token" : `${p95.toFixed(1)} ms`,
+    });
+  }
+  if (maximumRecomputed !== undefined) {
+    const { recomputed } = measures;
+    checks.push({
+      name: `share recomputed at most ${maximumRecomputed}`,
+      passed: recomputed !== null && recomputed <= maximumRecomputed,
+      seen: recomputed === null ? "no prompts" : recomputed.toFixed(3),
+    });
+  }
+  if (outcomes.ordersRunOnceAt !== undefined) {
+    checks.push(checkOrders(sent, runs ?? new Map()));
+  }
+  return checks;
+}
+
+/**
+ * Every order that was answered as done ran once; none ran more often, and none
+ * that was refused with "not run" ran at all.
+ */
+function checkOrders(
+  sent: readonly Sent[],
+  runs: ReadonlyMap<string, number>,
+): Check {
+  let done = 0;
+  const faults: string[] = [];
+  for (const { request, completed, ran } of sent) {
+    if (request.kind !== "order" || request.key === undefined) continue;
+    const count = runs.get(request.key) ?? 0;
+    if (completed) done += 1;
+    const isWrong = count > 1 || (completed && count !== 1) ||
+      (ran === "no" && count > 0);
+    if (isWrong) faults.push(`${request.key} ran ${count} times`);
+  }
+  return {
+    name: "every completed order ran once, no order ran twice",
+    passed: done > 0 && faults.length === 0,
+    seen: faults[0] ?? `${done} orders done`,
+  };
+}
--- /dev/null
+++ b/packages/replay/src/run/replay.ts
@@ -0,0 +1,67 @@
+/**
+ * Sends a trace open-loop: each request at its own time, whether or not earlier
+ * ones were answered.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { Agent } from "undici";
+import type { TraceRequest } from "../trace/trace.ts";
+import type { Outcomes } from "./outcomes.ts";
+import { sendRequest, type Sent } from "./send.ts";
+
+export interface ReplayOptions {
+  /** Addresses of the daemons, which get the requests in turn. */
+  readonly daemons: readonly string[];
+  /** API keys by customer. */
+  readonly keys: Readonly<Record<string, string>>;
+  readonly faults?: Outcomes["faults"];
+}
+
+/** Bounds the connections, so that a silent daemon cannot exhaust the ports. */
+const CONNECTIONS = 1_024;
+
+export async function replayTrace(
+  requests: readonly TraceRequest[],
+  { daemons, keys, faults = [] }: ReplayOptions,
+): Promise<readonly Sent[]> {
+  const dispatcher = new Agent({ connections: CONNECTIONS });
+  const start = performance.now();
+  const switches = faults.map(async (fault) => {
+    await sleep(Math.max(0, start + fault.at - performance.now()));
+    await fetch(`http://${fault.standin}/control/faults`, {
+      method: "POST",
+      body: JSON.stringify(fault.faults),
+    });
+  });
+  const sent: Promise<Sent>[] = [];
+  for (const [index, request] of requests.entries()) {
+    const due = start + request.at;
+    const wait = due - performance.now();
+    if (wait > 0) await sleep(wait);
+    sent.push(sendRequest(request, {
+      daemon: daemons[index % daemons.length] ?? "",
+      key: keys[request.customer] ?? "",
+      ...{ dispatcher, due, start },
+    }));
+  }
+  const all = await Promise.all(sent);
+  await Promise.all(switches);
+  await dispatcher.destroy();
+  return all;
+}
+
+/** How often each order ran, by idempotency key, at the services' stand-ins. */
+export async function countOrders(
+  addresses: readonly string[],
+): Promise<ReadonlyMap<string, number>> {
+  const runs = new Map<string, number>();
+  for (const address of addresses) {
+    const answer = await fetch(`http://${address}/control/calls`);
+    const { calls } = await answer.json() as {
+      readonly calls: readonly { readonly idempotencyKey: string | null }[];
+    };
+    for (const { idempotencyKey: key } of calls) {
+      if (key !== null) runs.set(key, (runs.get(key) ?? 0) + 1);
+    }
+  }
+  return runs;
+}
--- /dev/null
+++ b/packages/replay/src/run/send.ts
@@ -0,0 +1,190 @@
+/**
+ * Sends one request of a trace. Times count from the intended send time, so
+ * that a sender that lags behind does not hide the wait.
+ */
+import { createParser } from "eventsource-parser";
+import { type Dispatcher, request as sendHttp } from "undici";
+import { z } from "zod";
+import {
+  type ChatRequest,
+  parseJson,
+  promptOf,
+  type TraceRequest,
+} from "../trace/trace.ts";
+
+/** What became of one request; times in milliseconds. */
+export interface Sent {
+  readonly request: TraceRequest;
+  readonly daemon: string;
+  /** Intended send time since the start of the replay. */
+  readonly intended: number;
+  /** Time by which the sender was late. */
+  readonly late: number;
+  /** From the intended send time; undefined without a first token. */
+  readonly firstToken: number | undefined;
+  readonly elapsed: number;
+  readonly status: number;
+  /** True when the whole answer arrived. */
+  readonly completed: boolean;
+  /** What a refusal says about the work. */
+  readonly ran: string | undefined;
+  readonly code: string | undefined;
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly tokens: number;
+  readonly requestId: string | undefined;
+}
+
+export interface Target {
+  readonly daemon: string;
+  readonly key: string;
+  readonly dispatcher: Dispatcher;
+  /** Monotonic time at which the request should have been sent. */
+  readonly due: number;
+  readonly start: number;
+}
+
+/** Time after the patience at which a caller hangs up. */
+const HANG_UP_MILLISECONDS = 30_000;
+
+const CHUNK = z.object({
+  choices: z.array(z.object({
+    delta: z.object({ content: z.string().optional() }).optional(),
+  })).optional(),
+  usage: z.object({
+    prompt_tokens: z.number(),
+    prompt_tokens_details: z.object({ cached_tokens: z.number() }).optional(),
+  }).nullish(),
+  error: z.unknown().optional(),
+});
+
+const ERROR = z.object({
+  error: z.object({ code: z.string(), ran: z.string() }),
+});
+
+interface Progress {
+  firstToken: number | undefined;
+  tokens: number;
+  promptTokens: number;
+  cachedTokens: number;
+  done: boolean;
+}
+
+export async function sendRequest(
+  request: TraceRequest,
+  target: Target,
+): Promise<Sent> {
+  const late = Math.max(0, performance.now() - target.due);
+  const progress: Progress = {
+    firstToken: undefined,
+    tokens: 0,
+    promptTokens: 0,
+    cachedTokens: 0,
+    done: false,
+  };
+  let status = 0;
+  let requestId: string | undefined;
+  let refusal: z.infer<typeof ERROR>["error"] | undefined;
+  try {
+    const answer = await sendHttp(urlOf(request, target), {
+      method: request.kind === "chat" ? "POST" : request.method,
+      dispatcher: target.dispatcher,
+      headers: headersOf(request, target),
+      body: bodyOf(request),
+      signal: AbortSignal.timeout(request.patience + HANG_UP_MILLISECONDS),
+    });
+    status = answer.statusCode;
+    const id = answer.headers["x-request-id"];
+    requestId = typeof id === "string" ? id : undefined;
+    if (status < 300 && request.kind === "chat") {
+      await readStream(answer.body, { progress, due: target.due });
+    } else {
+      const text = await answer.body.text();
+      const parsed = ERROR.safeParse(parseJson(text));
+      if (parsed.success) refusal = parsed.data.error;
+      progress.done = status < 300;
+    }
+  } catch {
+    progress.done = false;
+  }
+  return {
+    request,
+    daemon: target.daemon,
+    intended: target.due - target.start,
+    late,
+    firstToken: progress.firstToken,
+    elapsed: performance.now() - target.due,
+    status,
+    completed: progress.done,
+    ran: refusal?.ran,
+    code: refusal?.code,
+    promptTokens: progress.promptTokens,
+    cachedTokens: progress.cachedTokens,
+    tokens: progress.tokens,
+    requestId,
+  };
+}
+
+function urlOf(request: TraceRequest, { daemon }: Target): string {
+  if (request.kind === "chat") return `http://${daemon}/v1/chat/completions`;
+  return `http://${daemon}/services/${request.service}${request.path}`;
+}
+
+function headersOf(
+  request: TraceRequest,
+  { key }: Target,
+): Record<string, string> {
+  return {
+    authorization: `Bearer ${key}`,
+    "x-peridotvalve-patience-ms": String(request.patience),
+    ...(request.kind === "chat"
+      ? { "content-type": "application/json" }
+      : request.key === undefined
+      ? {}
+      : { "idempotency-key": request.key }),
+  };
+}
+
+function bodyOf(request: TraceRequest): string | null {
+  if (request.kind !== "chat") return request.body ?? null;
+  return chatBody(request);
+}
+
+function chatBody(request: ChatRequest): string {
+  return JSON.stringify({
+    model: request.model,
+    stream: true,
+    stream_options: { include_usage: true },
+    prompt_cache_key: request.conversation,
+    max_tokens: request.tokens,
+    messages: [{ role: "user", content: promptOf(request) }],
+  });
+}
+
+async function readStream(
+  body: AsyncIterable<Buffer>,
+  { progress, due }: { readonly progress: Progress; readonly due: number },
+): Promise<void> {
+  const decoder = new TextDecoder();
+  const parser = createParser({
+    onEvent({ data }) {
+      if (data === "[DONE]") {
+        progress.done = progress.tokens > 0;
+        return;
+      }
+      const parsed = CHUNK.safeParse(parseJson(data));
+      if (!parsed.success) return;
+      const { choices, usage } = parsed.data;
+      if (choices?.[0]?.delta?.content !== undefined) {
+        progress.firstToken ??= performance.now() - due;
+        progress.tokens += 1;
+      }
+      if (usage === undefined || usage === null) return;
+      progress.promptTokens = usage.prompt_tokens;
+      progress.cachedTokens = usage.prompt_tokens_details?.cached_tokens ?? 0;
+    },
+  });
+  for await (const part of body) {
+    parser.feed(decoder.decode(part, { stream: true }));
+  }
+}
