--- a/packages/daemon/src/fleet/measure_fleet.ts
+++ b/packages/daemon/src/fleet/measure_fleet.ts
@@ -52,6 +52,7 @@
     availabilityZone: "z0",
     regionOf: () => "a",
     onLeaving: () => {},
+    createHeaders: () => ({}),
   });
   fleet.apply(configuration);
   for (let index = 0; index < count; index += 1) {
