--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -116,7 +116,13 @@
   const row = await platform.readRow(key, PLATFORM_TIMEOUT);
   if (row.isErr()) return refuseUnavailable(exchange, row.error.reason);
   const order = parseClaimRow(row.value);
-  if (order === undefined) return answerNotFound(exchange);
+  if (order === undefined) {
+    return sendFailure(exchange, {
+      code: "not_found",
+      ran: "no",
+      message: "this customer has no order with this key",
+    });
+  }
   sendJson(exchange, 200, order);
 }
 
--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -8,6 +8,7 @@
   copyFileSync,
   mkdirSync,
   readFileSync,
+  renameSync,
   statSync,
   writeFileSync,
 } from "node:fs";
@@ -20,6 +21,7 @@
 const SEA_SETTINGS = "dist/sea.json";
 const BLOB = "dist/peridotvalve.blob";
 const BINARY = "dist/peridotvalve";
+const UNFINISHED = "dist/peridotvalve.unfinished";
 
 const EXECUTABLE = 0o755;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -91,9 +93,12 @@
 }
 
 async function writeBinary(): Promise<void> {
-  copyFileSync(process.execPath, BINARY);
-  chmodSync(BINARY, EXECUTABLE);
-  await inject(BINARY, RESOURCE, readFileSync(BLOB), { sentinelFuse: FUSE });
+  // Renamed when it is whole, so that no other process runs a partial binary.
+  copyFileSync(process.execPath, UNFINISHED);
+  chmodSync(UNFINISHED, EXECUTABLE);
+  const blob = readFileSync(BLOB);
+  await inject(UNFINISHED, RESOURCE, blob, { sentinelFuse: FUSE });
+  renameSync(UNFINISHED, BINARY);
 }
 
 async function main(): Promise<void> {
