Record the metrics of the daemon and describe them

Cause: outcomes, prompt tokens and cached tokens were registered and never recorded, and queue wait, attempts, claims, link bytes, configuration, peers, control bytes and the event loop had no metric.

Outcomes are counted once for each exchange of the callers' listener when its response closes; the failure that was sent gives code and `ran`, also inside a stream. Gauges are read at the scrape. Label values come from the configuration, the routes and the codes of the program.

Ruled out: counting in each handler, which would miss refusals of the gateway and count a stream's failure as 200.

Without `claims.add` (by hand) the new test fails.

--- a/packages/daemon/src/chat/handler.ts
+++ b/packages/daemon/src/chat/handler.ts
@@ -45,7 +45,8 @@
   };
   const permit = await admitChat(runtime, work);
   if (permit.isErr()) return refuse(runtime, exchange, permit.error);
-  const { priority } = permit.value;
+  const { priority, queued } = permit.value;
+  runtime.meters.queueWait.record(queued, { route: chat.model });
   const parts = relayChat(runtime, { ...work, priority });
   const written = await writeCompletion(runtime, exchange, { work, parts });
   permit.value.finish(written);
--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -41,16 +41,24 @@
   let record = startRelay("");
   const states: AttemptState[] = [];
   const excluded: string[] = [];
+  let reason = "";
   runtime.retryBudget.recordFirst(work.identity.name);
   for (;;) {
     const choice = await chooseReplica(runtime, work, { excluded, record });
     if (choice === undefined) return unavailable(states);
     record = switchAttempt(record, `att_${randomUUID()}`);
+    const kind = resumePointOf(record) === undefined ? "repeated" : "resumed";
+    runtime.meters.attempts.add(1, {
+      model: work.chat.model,
+      kind: states.length === 0 ? "first" : kind,
+      reason,
+    });
     const end = yield* runAttempt(runtime, work, { choice, record });
     record = end.record;
     if (end.failure === undefined) return undefined;
     noteFailure(runtime, work, { choice, record, failure: end.failure });
     excluded.push(choice.replica.name);
+    reason = end.failure.reason;
     const decision = decideAfterFailure(end.failure, {
       work: { kind: "generation", relay: record },
       earlier: states,
--- a/packages/daemon/src/chat/write.ts
+++ b/packages/daemon/src/chat/write.ts
@@ -5,6 +5,7 @@
 import { type Failure, toResponse } from "@peridotvalve/errors";
 import type { Exchange } from "../http/exchange.ts";
 import {
+  noteFailure,
   openEventStream,
   sendFailure,
   sendJson,
@@ -27,6 +28,7 @@
 interface Written {
   readonly failure: Failure | undefined;
   readonly firstTokenAt: number | undefined;
+  readonly lastTokenAt: number | undefined;
   readonly cachedTokens: number;
   readonly tokens: number;
 }
@@ -66,7 +68,7 @@
       return { ...written, failure: step.value };
     }
     const part = step.value;
-    written = addPart(runtime, written, part);
+    written = addPart(runtime, written, { work, part });
     if (part.kind === "text") {
       if (!exchange.response.headersSent) {
         openEventStream(exchange);
@@ -90,6 +92,7 @@
 /** Ends a stream that cannot be completed; there is no "[DONE]" then. */
 async function endFailed(exchange: Exchange, failure: Failure): Promise<void> {
   if (!exchange.response.headersSent) return sendFailure(exchange, failure);
+  noteFailure(exchange, failure);
   const { body } = toResponse(failure, exchange.id);
   await writeEvent(exchange, JSON.stringify(body));
   exchange.response.end();
@@ -115,7 +118,7 @@
       sendJson(exchange, 200, toWhole(completion, { text, finish }, usage));
       return written;
     }
-    written = addPart(runtime, written, step.value);
+    written = addPart(runtime, written, { work, part: step.value });
     if (step.value.kind === "text") text += step.value.text;
     if (step.value.kind === "finished") finish = step.value.finish;
   }
@@ -125,20 +128,31 @@
   return {
     failure: undefined,
     firstTokenAt: undefined,
+    lastTokenAt: undefined,
     cachedTokens: 0,
     tokens: 0,
   };
 }
 
-function addPart(runtime: Runtime, written: Written, part: RelayPart): Written {
+function addPart(
+  runtime: Runtime,
+  written: Written,
+  { work, part }: { readonly work: ChatWork; readonly part: RelayPart },
+): Written {
   if (part.kind === "started") {
     return { ...written, cachedTokens: part.cachedTokens };
   }
   if (part.kind === "finished") return written;
+  const now = runtime.clock.monotonic();
+  if (written.lastTokenAt !== undefined) {
+    const gap = now - written.lastTokenAt;
+    runtime.meters.betweenTokens.record(gap, { model: work.chat.model });
+  }
   return {
     ...written,
     tokens: written.tokens + 1,
-    firstTokenAt: written.firstTokenAt ?? runtime.clock.monotonic(),
+    firstTokenAt: written.firstTokenAt ?? now,
+    lastTokenAt: now,
   };
 }
 
@@ -172,7 +186,11 @@
   }
   const firstToken = (written.firstTokenAt ?? 0) - exchange.arrived;
   runtime.meters.firstToken.record(firstToken, { model: work.chat.model });
-  runtime.meters.tokens.add(written.tokens, { model: work.chat.model });
+  const { promptTokens, cachedTokens } = usageOf(work, written);
+  const { model } = work.chat;
+  runtime.meters.tokens.add(written.tokens, { model });
+  runtime.meters.promptTokens.add(promptTokens, { model });
+  runtime.meters.cachedTokens.add(cachedTokens, { model });
   runtime.log("first_token_sent", {
     elapsed: firstToken,
     cachedTokens: written.cachedTokens,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -33,7 +33,10 @@
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
+import { createGauges } from "./gauges.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
+import type { Exchange } from "./http/exchange.ts";
+import { failureOf } from "./http/respond.ts";
 import { createMeters } from "./meters.ts";
 import {
   answerNotFound,
@@ -170,6 +173,7 @@
     },
     liveDaemons: neighbours.countLive,
     shareOf: (customer) => content()?.customers[customer]?.share ?? 1,
+    onReserve: (bytes) => meters.linkBytes.add(bytes),
   });
   const admissions = createAdmissions({
     clock,
@@ -219,6 +223,12 @@
     membership.setVersion(version);
   });
 
+  const gauges = createGauges({
+    registry: meters.registry,
+    clock,
+    configuration,
+    membership,
+  });
   const status = (): DaemonStatus => readStatus(runtime, neighbours);
   const listeners = await openListeners(runtime, {
     callers: {
@@ -239,6 +249,7 @@
       platform,
       ring,
       status,
+      refreshGauges: gauges.refresh,
       readVersions: () =>
         neighbours.readVersions({
           name: settings.name,
@@ -287,6 +298,7 @@
     await closed;
     await Promise.all([listeners.peers.close(), listeners.operators.close()]);
     await listeners.stopBroker();
+    gauges.stop();
     await Promise.all([
       neighbours.close(),
       fleet.close(),
@@ -330,7 +342,7 @@
     readonly operators: Handlers;
   },
 ): Promise<Listeners> {
-  const { settings, clock, drain, log } = runtime;
+  const { settings, clock, log } = runtime;
   const broker = createBroker(settings.name);
   await broker.start();
   const open = (name: keyof typeof handlers, own: Handlers) =>
@@ -346,7 +358,7 @@
         }),
     });
   return {
-    callers: await open("callers", countAll(handlers.callers, drain)),
+    callers: await open("callers", countAll(handlers.callers, runtime)),
     peers: await open("peers", handlers.peers),
     operators: await open("operators", handlers.operators),
     stopBroker: () => broker.stop(),
@@ -354,12 +366,18 @@
 }
 
 /** Counts each exchange as pending work, so that a shutdown waits for it. */
-function countAll(handlers: Handlers, drain: Runtime["drain"]): Handlers {
+function countAll(
+  handlers: Handlers,
+  { drain, meters }: Pick<Runtime, "drain" | "meters">,
+): Handlers {
   const counted = Object.entries(handlers).map(([route, handler]) => [
     route,
     async (exchange: Parameters<Handler>[0]) => {
       const end = drain.begin();
       exchange.response.once("close", end);
+      exchange.response.once("close", () => {
+        meters.outcomes.add(1, { route, ...describeOutcome(exchange) });
+      });
       if (drain.isDraining()) {
         exchange.response.setHeader("connection", "close");
       }
@@ -369,6 +387,18 @@
   return Object.fromEntries(counted) as Handlers;
 }
 
+/** Bounded values: codes of failures, or the class of a passed-on status. */
+function describeOutcome(exchange: Exchange) {
+  const failure = failureOf(exchange);
+  if (failure !== undefined) return { code: failure.code, ran: failure.ran };
+  if (!exchange.response.writableFinished) {
+    return { code: "cancelled", ran: "unknown" };
+  }
+  const { statusCode } = exchange.response;
+  const code = statusCode < 400 ? "ok" : `${Math.floor(statusCode / 100)}xx`;
+  return { code, ran: "yes" };
+}
+
 function readStatus(runtime: Runtime, neighbours: Neighbours): DaemonStatus {
   const { membership } = neighbours;
   const current = runtime.configuration.current();
--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -34,7 +34,19 @@
   exchange.response.end(text);
 }
 
+const failures = new WeakMap<ServerResponse, Failure>();
+
+/** Notes the outcome of an exchange that failed, for the metrics. */
+export function noteFailure(exchange: Exchange, failure: Failure): void {
+  failures.set(exchange.response, failure);
+}
+
+export function failureOf(exchange: Exchange): Failure | undefined {
+  return failures.get(exchange.response);
+}
+
 export function sendFailure(exchange: Exchange, failure: Failure): void {
+  noteFailure(exchange, failure);
   const { status, headers, body } = toResponse(failure, exchange.id);
   for (const [name, value] of Object.entries(headers)) {
     if (!exchange.response.headersSent) {
--- a/packages/daemon/src/meters.ts
+++ b/packages/daemon/src/meters.ts
@@ -21,6 +21,16 @@
   readonly promptTokens: Counter;
   /** Outcomes of requests, by route, code and whether the work ran. */
   readonly outcomes: Counter;
+  /** Time between tokens in ms, by model. */
+  readonly betweenTokens: HistogramMetric;
+  /** Time in the queue of the admission in ms, by model or service. */
+  readonly queueWait: HistogramMetric;
+  /** Attempts, by model, kind, and reason of the failure before. */
+  readonly attempts: Counter;
+  /** Bytes reserved of the budget of the link between regions. */
+  readonly linkBytes: Counter;
+  /** Answers to claims of orders. */
+  readonly claims: Counter;
 }
 
 export function createMeters(clock: Clock): Meters {
@@ -47,5 +57,27 @@
       help: "Requests by route, outcome code and whether the work ran.",
       labels: ["route", "code", "ran"],
     }),
+    betweenTokens: registry.histogram(
+      "peridotvalve_between_tokens_milliseconds",
+      {
+        help: "Time between two tokens of a stream in milliseconds.",
+        labels: ["model"],
+      },
+    ),
+    queueWait: registry.histogram("peridotvalve_queue_wait_milliseconds", {
+      help: "Time in the queue of a model or service in milliseconds.",
+      labels: ["route"],
+    }),
+    attempts: registry.counter("peridotvalve_attempts_total", {
+      help: "Attempts by kind and reason of the failure before.",
+      labels: ["model", "kind", "reason"],
+    }),
+    linkBytes: registry.counter("peridotvalve_link_bytes_total", {
+      help: "Bytes reserved of the budget of the link between regions.",
+    }),
+    claims: registry.counter("peridotvalve_claims_total", {
+      help: "Claims of orders by the answer that they got.",
+      labels: ["answer"],
+    }),
   };
 }
--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -32,6 +32,8 @@
   readonly platform: Platform;
   readonly ring: EventRing;
   readonly status: () => DaemonStatus;
+  /** Brings the gauges to the present before the metrics are read. */
+  readonly refreshGauges: () => void;
   /** Version of every known daemon; undefined where it did not answer. */
   readonly readVersions: () => Promise<readonly DaemonVersion[]>;
 }
@@ -58,9 +60,10 @@
   return {
     "GET /healthz": (exchange) => sendText(exchange, 200, "alive\n"),
     "GET /readyz": (exchange) => answerReady(parts, exchange),
-    "GET /metrics": guarded((exchange) =>
-      sendText(exchange, 200, parts.runtime.meters.registry.render())
-    ),
+    "GET /metrics": guarded((exchange) => {
+      parts.refreshGauges();
+      sendText(exchange, 200, parts.runtime.meters.registry.render());
+    }),
     "GET /status": guarded((exchange) =>
       sendJson(exchange, 200, parts.status())
     ),
--- a/packages/daemon/src/services/order.ts
+++ b/packages/daemon/src/services/order.ts
@@ -162,6 +162,7 @@
 
 function log(runtime: Runtime, order: Order, answer: ClaimAnswer): void {
   const subject = { request: order.request, customer: order.customer };
+  runtime.meters.claims.add(1, { answer: answer.kind });
   if (answer.kind === "owned") {
     return runtime.log(
       "claim_inserted",
--- a/packages/daemon/src/whole_path.test.ts
+++ b/packages/daemon/src/whole_path.test.ts
@@ -6,6 +6,7 @@
 } from "@peridotvalve/testbed";
 import { expect } from "earl";
 import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import OpenAI, { APIError } from "openai";
 
 const CUSTOMER_KEY = "espoo-kennel-club";
@@ -55,7 +56,7 @@
   deployment = await startDeployment({
     example: "examples/koiratakki",
     binary: findBinary(),
-    daemons: ["espoo-1", "vantaa-1"],
+    daemons: ["espoo-1", "espoo-2", "vantaa-1"],
     edit: shortenShutdown,
   });
 });
@@ -63,7 +64,7 @@
 after(async () => {
   const codes = await deployment.stop();
   // Guards against a shutdown that never ends or ends with an error.
-  expect([...codes.values()]).toEqual([0, 0]);
+  expect([...codes.values()]).toEqual([0, 0, 0]);
 });
 
 test("an unchanged openai client gets a stream, a whole answer and models", async () => {
@@ -109,6 +110,52 @@
   expect(await countRuns("order-1")).toEqual(1);
 });
 
+// Guards against metrics that are registered and never recorded.
+test("the metrics count requests, tokens, claims and control bytes", async () => {
+  const operators = deployment.settings.get("espoo-1")?.listeners.operators;
+  let text = "";
+  // Peers are seen after their first heartbeats.
+  for (let count = 0; count < 50; count += 1) {
+    const answer = await fetch(`http://${operators}/metrics`, {
+      headers: { authorization: `Bearer ${deployment.operatorToken}` },
+    });
+    text = await answer.text();
+    if (/peers\{state="live"\} [1-9]/.test(text)) break;
+    await sleep(100);
+  }
+  const model = 'model="sizing-llm"';
+  for (
+    const sample of [
+      'requests_total{route="POST /v1/chat/completions",code="ok",ran="yes"} 2',
+      'requests_total{route="GET /v1/models",code="invalid_api_key",ran="no"} 1',
+      `first_token_milliseconds_count{${model}} 2`,
+      `between_tokens_milliseconds_count{${model}} 16`,
+      `queue_wait_milliseconds_count{route="sizing-llm"} 2`,
+      `tokens_total{${model}} 18`,
+      `attempts_total{${model},kind="first",reason=""} 2`,
+      'claims_total{answer="owned"} 1',
+      "configuration_version 0",
+      "link_bytes_total",
+    ]
+  ) {
+    expect([sample, text.includes(`peridotvalve_${sample}`)])
+      .toEqual([sample, true]);
+  }
+  for (
+    const sample of [
+      "prompt_tokens_total{.*}",
+      "configuration_age_seconds",
+      'control_bytes{direction="sent"}',
+      'control_bytes{direction="received"}',
+      'event_loop_delay_milliseconds{quantile="1"}',
+      'peers{state="live"}',
+    ]
+  ) {
+    const value = new RegExp(`peridotvalve_${sample} ([0-9.]+)`).exec(text);
+    expect([sample, Number(value?.[1]) > 0]).toEqual([sample, true]);
+  }
+});
+
 test("an order without an idempotency key is refused and not run", async () => {
   const address = deployment.addressOf("espoo-1");
   const answer = await fetch(`http://${address}/services/bookings/orders`, {
