--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -50,12 +50,19 @@
   const excluded: string[] = [];
   const replanned = new Set<string>();
   let begun: string | undefined;
+  let reason = "";
   const customer = work.identity.name;
   runtime.retryBudget.recordFirst(customer);
   runtime.hedgeBudget.recordFirst(customer);
   for (;;) {
     const choice = await chooseReplica(runtime, work, { excluded, begun });
     if (choice === undefined) return unavailable(states);
+    const kind = record.offset === 0 ? "repeated" : "resumed";
+    runtime.meters.attempts.add(1, {
+      model: work.chat.model,
+      kind: states.length === 0 ? "first" : kind,
+      reason,
+    });
     const ends = yield* runAttempts(runtime, work, {
       choice,
       record,
@@ -68,6 +75,7 @@
         return undefined;
       }
       const { failure, answerBegan } = end;
+      reason = failure.reason;
       noteFailure(runtime, work, end, failure);
       const replans = isReplanned(failure, end.choice, replanned);
       if (!replans) excluded.push(end.choice.replica.name);
@@ -128,6 +136,11 @@
       runtime.fleet.noteLate(replica, { gap: delay, expected: estimate });
       const second = await chooseHedge(runtime, work, start);
       if (second === undefined) return undefined;
+      runtime.meters.attempts.add(1, {
+        model: work.chat.model,
+        kind: "hedge",
+        reason: "late",
+      });
       runtime.log(
         "hedge_started",
         { waited: delay, first: replica.name },
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -37,8 +37,10 @@
 import { createFleet } from "./fleet/fleet.ts";
 import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
+import { createGauges } from "./gauges.ts";
 import type { Exchange } from "./http/exchange.ts";
 import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
+import { failureOf } from "./http/respond.ts";
 import { createLatencyWindows } from "./latency_windows.ts";
 import { runClaimSweeping } from "./maintenance/claim_sweeping.ts";
 import { createMeters } from "./meters.ts";
@@ -261,6 +263,12 @@
     membership.setVersion(version);
   });
 
+  const gauges = createGauges({
+    registry: meters.registry,
+    clock,
+    configuration,
+    membership,
+  });
   const status = (): DaemonStatus => readStatus(runtime, neighbours);
   const opened = await openListeners(runtime, {
     callers: {
@@ -281,6 +289,7 @@
       platform,
       ring,
       status,
+      refreshGauges: gauges.refresh,
       readVersions: () =>
         neighbours.readVersions({
           name: settings.name,
@@ -380,6 +389,7 @@
       ),
     );
     await listeners.stopBroker();
+    gauges.stop();
     await Promise.all([
       neighbours.close(),
       fleet.close(),
@@ -422,7 +432,7 @@
     readonly operators: Handlers;
   },
 ): Promise<Result<Listeners, string>> {
-  const { settings, clock, drain, log } = runtime;
+  const { settings, clock, log } = runtime;
   const broker = createBroker(settings.name);
   await broker.start();
   const open = (name: keyof typeof handlers, own: Handlers) =>
@@ -437,7 +447,7 @@
         }),
     });
   const opened = Result.all([
-    await open("callers", countAll(handlers.callers, drain)),
+    await open("callers", countAll(handlers.callers, runtime)),
     await open("peers", handlers.peers),
     await open("operators", handlers.operators),
   ]);
@@ -450,11 +460,18 @@
 }
 
 /** Counts each exchange as pending work, so that a shutdown waits for it. */
-function countAll(handlers: Handlers, drain: Runtime["drain"]): Handlers {
+function countAll(
+  handlers: Handlers,
+  { drain, meters }: Pick<Runtime, "drain" | "meters">,
+): Handlers {
   const counted = Object.entries(handlers).map(([route, handler]) => [
     route,
-    (exchange: Parameters<Handler>[0]) =>
-      countExchange(drain, exchange, handler),
+    (exchange: Parameters<Handler>[0]) => {
+      exchange.response.once("close", () => {
+        meters.outcomes.add(1, { route, ...describeOutcome(exchange) });
+      });
+      return countExchange(drain, exchange, handler);
+    },
   ]);
   return Object.fromEntries(counted) as Handlers;
 }
@@ -502,6 +519,18 @@
   await closing;
 }
 
+/** Bounded values: codes of failures, or the class of a passed-on status. */
+function describeOutcome(exchange: Exchange) {
+  const failure = failureOf(exchange);
+  if (failure !== undefined) return { code: failure.code, ran: failure.ran };
+  if (!exchange.response.writableFinished) {
+    return { code: "cancelled", ran: "unknown" };
+  }
+  const { statusCode } = exchange.response;
+  const code = statusCode < 400 ? "ok" : `${Math.floor(statusCode / 100)}xx`;
+  return { code, ran: "yes" };
+}
+
 function readStatus(runtime: Runtime, neighbours: Neighbours): DaemonStatus {
   const { membership } = neighbours;
   const current = runtime.configuration.current();
--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -3,6 +3,7 @@
  * inside the stream.
  */
 import { once } from "node:events";
+import type { ServerResponse } from "node:http";
 import { type Failure, toResponse } from "@peridotvalve/errors";
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Exchange } from "./exchange.ts";
@@ -34,7 +35,19 @@
   exchange.response.end(text);
 }
 
+const failures = new WeakMap<ServerResponse, Failure>();
+
+/** Notes the outcome of an exchange that failed, for the metrics. */
+export function noteFailure(exchange: Exchange, failure: Failure): void {
+  failures.set(exchange.response, failure);
+}
+
+export function failureOf(exchange: Exchange): Failure | undefined {
+  return failures.get(exchange.response);
+}
+
 export function sendFailure(exchange: Exchange, failure: Failure): void {
+  noteFailure(exchange, failure);
   const { status, headers, body } = toResponse(failure, exchange.id);
   for (const [name, value] of Object.entries(headers)) {
     if (!exchange.response.headersSent) {
