--- /dev/null
+++ b/packages/replay/src/capacity/fit.test.ts
@@ -0,0 +1,33 @@
+import { expect } from "earl";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import { fitLine } from "./fit.ts";
+import { createPage, type Slopes } from "./page.ts";
+
+function readSlopes(): Slopes {
+  const file = new URL(
+    "../../../../docs/capacity_slopes.json",
+    import.meta.url,
+  );
+  return JSON.parse(readFileSync(file, "utf8")) as Slopes;
+}
+
+test("the fitted line has the slope and the intercept of its points", () => {
+  const { slope, intercept } = fitLine([[1, 5], [2, 7], [10, 23]]);
+  expect(Math.abs(slope - 2) < 1e-9).toEqual(true);
+  expect(Math.abs(intercept - 3) < 1e-9).toEqual(true);
+});
+
+// Guards against a page that hides a line whose figure is above its bound.
+test("a heartbeat above the bound of traffic is marked", () => {
+  const slopes = readSlopes();
+  const heartbeats = slopes["heartbeats"]!;
+  const results = [{ ...heartbeats.figures["results"].at(-1) }];
+  results[0].bytesPerSecond = 13_000;
+  const changed = {
+    ...slopes,
+    heartbeats: { ...heartbeats, figures: { results } },
+  };
+  expect(createPage(slopes).includes("13.0, does not fit")).toEqual(false);
+  expect(createPage(changed)).toInclude("13.0, does not fit");
+});
--- /dev/null
+++ b/packages/replay/src/measurements/link_bytes.ts
@@ -0,0 +1,65 @@
+/**
+ * Bytes of prompts that daemons sent to replicas of the other region, from the
+ * events that they log. Answers and KV cache blocks are not counted.
+ */
+import type { Deployment } from "@peridotvalve/testbed";
+import { z } from "zod";
+import type { Sent } from "../run/send.ts";
+import { parseJson } from "../trace/trace.ts";
+
+const BYTES_PER_TOKEN = 4;
+
+const LINE = z.object({
+  context: z.object({
+    name: z.literal("attempt_started"),
+    request: z.string(),
+    upstream: z.string(),
+  }),
+});
+
+/** Number of lines that each daemon has logged so far. */
+export function markLogs(
+  deployment: Deployment,
+  daemons: readonly string[],
+): ReadonlyMap<string, number> {
+  return new Map(
+    daemons.map((name) => [
+      name,
+      deployment.processes.get(name)?.lines().length ?? 0,
+    ]),
+  );
+}
+
+export function countLinkBytes(
+  deployment: Deployment,
+  sent: readonly Sent[],
+  marks: ReadonlyMap<string, number>,
+): number {
+  const tokens = new Map(
+    sent.map(({ requestId, promptTokens }) => [requestId, promptTokens]),
+  );
+  let bytes = 0;
+  for (const [name, mark] of marks) {
+    const lines = deployment.processes.get(name)?.lines().slice(mark) ?? [];
+    const region = deployment.settings.get(name)?.region;
+    for (const line of lines) {
+      if (!line.includes("attempt_started")) continue;
+      const parsed = LINE.safeParse(parseJson(line));
+      if (!parsed.success) continue;
+      const { request, upstream } = parsed.data.context;
+      if (regionOf(deployment, upstream) === region) continue;
+      bytes += (tokens.get(request) ?? 0) * BYTES_PER_TOKEN;
+    }
+  }
+  return bytes;
+}
+
+function regionOf(deployment: Deployment, replica: string): string | undefined {
+  const { groups, regions } = deployment.configuration;
+  const settings = Object.values(groups)
+    .map((group) => group.replicas[replica])
+    .find((found) => found !== undefined);
+  return Object.entries(regions).find(([, region]) =>
+    region.availabilityZones.includes(settings?.availabilityZone ?? "")
+  )?.[0];
+}
