Let two daemons of a zone read the VM list

Every daemon read the whole list every 2 s, which is 59 KB/s at the two-year size (docs/CAPACITY.md) against 12 KB/s for all control. Two readers of a zone now read it every 2 s and tell leaving replicas in heartbeats; the others read it at their start and once a minute, for peers that no heartbeat has named. By the same derivation that is 2 KB/s for most daemons; it has not been measured again.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -62,6 +62,13 @@
 /** Interval at which the platform's lagging VM list is read. */
 const VM_LIST_INTERVAL: Milliseconds = 2_000;
 
+/**
+ * Daemons that are not readers take the list once in so many intervals. Leaving
+ * replicas reach them in heartbeats, and a list of 1,100 VMs from the platform
+ * every 2 s is 59 KB/s for each daemon.
+ */
+const VM_LIST_PERIODS = 30;
+
 const PLATFORM_TIMEOUT: Milliseconds = 1_000;
 
 /**
@@ -347,17 +354,22 @@
   if (configuration.current() !== undefined) log("process_ready", {});
 
   async function followVmList(): Promise<void> {
-    while (!stopped.signal.aborted) {
-      const list = await platform.readVms(PLATFORM_TIMEOUT);
-      if (list.isOk()) {
-        const { vms } = list.value;
-        neighbours.setListed(vms);
-        fleet.noteVms(vms);
-      }
+    for (let period = 0; !stopped.signal.aborted; period += 1) {
+      const isDue = period % VM_LIST_PERIODS === 0 ||
+        membership.isReader("vms", READERS);
+      if (isDue) await readVmList();
       await clock.sleep(VM_LIST_INTERVAL, stopped.signal);
     }
   }
 
+  async function readVmList(): Promise<void> {
+    const list = await platform.readVms(PLATFORM_TIMEOUT);
+    if (list.isErr()) return;
+    const { vms } = list.value;
+    neighbours.setListed(vms);
+    fleet.noteVms(vms);
+  }
+
   async function stop(reason: string): Promise<void> {
     const begun = clock.monotonic();
     log("drain_started", { reason, inFlight: drain.pending() });
@@ -412,7 +424,7 @@
   });
 }
 
-/** Daemons of an availability zone that poll the configuration's head. */
+/** Daemons of an availability zone that read the head and the VM list. */
 const READERS = 2;
 
 interface Listeners {
