Give requests their own limit in a shutdown and split the daemon's module

A planned stop ended streams after shutdown.limit (60 s), although some run much longer and none may be cut off.

--- a/packages/daemon/src/cache/testing.ts
+++ b/packages/daemon/src/cache/testing.ts
@@ -109,7 +109,7 @@
     bootstrapFolder: folder,
     logLevel: "trace",
     leaseDuration: 15_000,
-    shutdown: { balancerDelay: 0, limit: 5_000 },
+    shutdown: { balancerDelay: 0, requestLimit: 600_000, limit: 5_000 },
   }, { write: (line) => lines.push(line) })).unwrap();
 
   async function readMetric(name: string, label = ""): Promise<number> {
--- a/packages/daemon/src/clock_order.test.ts
+++ b/packages/daemon/src/clock_order.test.ts
@@ -53,7 +53,7 @@
 function settingsOf(name: string): ProcessSettings {
   const settings = deployment.settings.get(name);
   if (settings === undefined) throw new Error(`no settings of ${name}`);
-  const shutdown = { balancerDelay: 0, limit: 5_000 };
+  const shutdown = { balancerDelay: 0, requestLimit: 600_000, limit: 5_000 };
   return { ...settings, seeds: [], shutdown };
 }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,12 +2,6 @@
  * Assembles one daemon from its parts and runs it to its graceful shutdown.
  */
 import { randomUUID } from "node:crypto";
-import { createAdmissions } from "./admissions.ts";
-import { createLegacy } from "./callers/legacy.ts";
-import { handleChat, handleModels } from "./chat/handler.ts";
-import { createCache } from "./cache/cache.ts";
-import { followCacheEvents } from "./cache/events.ts";
-import { recordLinkUse } from "./cache/link.ts";
 import { createClaims } from "@peridotvalve/claims";
 import { type Clock, createSystemClock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
@@ -27,28 +21,31 @@
 } from "@peridotvalve/routing";
 import type { ProcessSettings } from "@peridotvalve/settings";
 import type { Configuration, Milliseconds } from "@peridotvalve/types";
-import { Ok, Result } from "ts-results-es";
-import { createBroker } from "./broker.ts";
+import { Ok, type Result } from "ts-results-es";
+import { createAdmissions } from "./admissions.ts";
+import { createCache } from "./cache/cache.ts";
+import { followCacheEvents } from "./cache/events.ts";
+import { recordLinkUse } from "./cache/link.ts";
+import { createLegacy } from "./callers/legacy.ts";
+import { handleChat, handleModels } from "./chat/handler.ts";
 import {
   checkContent,
   createConfigurationSource,
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
-import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
+import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { createGauges } from "./gauges.ts";
-import type { Exchange } from "./http/exchange.ts";
-import { createGateway, type Gateway, type Handler } from "./http/gateway.ts";
-import { failureOf } from "./http/respond.ts";
 import { createLatencyWindows } from "./latency_windows.ts";
+import { closeWithin, openListeners } from "./listeners.ts";
 import { runClaimSweeping } from "./maintenance/claim_sweeping.ts";
 import { createMeters } from "./meters.ts";
 import {
   answerNotFound,
   createOperatorHandlers,
 } from "./operators/handlers.ts";
-import { createNeighbours, type Neighbours } from "./peers/neighbours.ts";
+import { createNeighbours } from "./peers/neighbours.ts";
 import { createRpcHandler } from "./peers/rpc.ts";
 import { createStamps } from "./peers/stamps.ts";
 import { createPlacements } from "./placements.ts";
@@ -57,7 +54,7 @@
 import { createServiceDirectory } from "./services/directory.ts";
 import { handleService } from "./services/handler.ts";
 import { createDrain } from "./shutdown.ts";
-import type { DaemonStatus } from "./status.ts";
+import { type DaemonStatus, readStatus } from "./status.ts";
 
 /** Interval at which the platform's lagging VM list is read. */
 const VM_LIST_INTERVAL: Milliseconds = 2_000;
@@ -378,6 +375,7 @@
     // The balancer goes on sending until it has seen the readiness fall.
     await clock.sleep(settings.shutdown.balancerDelay);
     const closed = listeners.callers.close();
+    await drain.waitForRequests(settings.shutdown.requestLimit);
     const isComplete = await drain.waitUntilIdle(settings.shutdown.limit, {
       background: () => claims.idle(),
     });
@@ -427,150 +425,6 @@
 /** Daemons of an availability zone that read the head and the VM list. */
 const READERS = 2;
 
-interface Listeners {
-  readonly callers: Gateway;
-  readonly peers: Gateway;
-  readonly operators: Gateway;
-  stopBroker(): Promise<void>;
-}
-
-type Handlers = Readonly<Record<string, Handler>>;
-
-async function openListeners(
-  runtime: Runtime,
-  handlers: {
-    readonly callers: Handlers;
-    readonly peers: Handlers;
-    readonly operators: Handlers;
-  },
-): Promise<Result<Listeners, string>> {
-  const { settings, clock, log } = runtime;
-  const broker = createBroker(settings.name);
-  await broker.start();
-  const open = (name: keyof typeof handlers, own: Handlers) =>
-    createGateway(broker, {
-      name,
-      address: settings.listeners[name],
-      handlers: own,
-      clock,
-      onDefect: (error, exchange) =>
-        log("handler_failed", { reason: String(error) }, {
-          request: exchange.id,
-        }),
-    });
-  const opened = Result.all([
-    await open("callers", countAll(handlers.callers, runtime)),
-    await open("peers", handlers.peers),
-    await open("operators", handlers.operators),
-  ]);
-  if (opened.isErr()) {
-    await broker.stop();
-    return opened;
-  }
-  const [callers, peers, operators] = opened.value;
-  return Ok({ callers, peers, operators, stopBroker: () => broker.stop() });
-}
-
-/** Counts each exchange as pending work, so that a shutdown waits for it. */
-function countAll(
-  handlers: Handlers,
-  { drain, meters }: Pick<Runtime, "drain" | "meters">,
-): Handlers {
-  const counted = Object.entries(handlers).map(([route, handler]) => [
-    route,
-    (exchange: Parameters<Handler>[0]) => {
-      exchange.response.once("close", () => {
-        meters.outcomes.add(1, { route, ...describeOutcome(exchange) });
-      });
-      return countExchange(drain, exchange, handler);
-    },
-  ]);
-  return Object.fromEntries(counted) as Handlers;
-}
-
-/**
- * The work ends when the response has ended and the handler has returned: an
- * order goes on when its caller has gone.
- */
-async function countExchange(
-  drain: Runtime["drain"],
-  exchange: Exchange,
-  handler: Handler,
-): Promise<void> {
-  const { response } = exchange;
-  const end = drain.begin("request");
-  const announceClose = () => {
-    if (!response.headersSent) response.setHeader("connection", "close");
-  };
-  drain.started.addEventListener("abort", announceClose);
-  if (drain.isDraining()) announceClose();
-  try {
-    await handler(exchange);
-  } finally {
-    drain.started.removeEventListener("abort", announceClose);
-    if (response.closed) end();
-    else response.once("close", end);
-  }
-}
-
-/**
- * Ends the connections of a listener that are left after the work on it, such
- * as those with half a request header.
- */
-async function closeWithin(
-  listener: Gateway,
-  closed: Promise<void>,
-  wait: () => Promise<unknown>,
-): Promise<void> {
-  let isOpen = true;
-  const closing = closed.finally(() => {
-    isOpen = false;
-  });
-  await Promise.race([closing, wait()]);
-  if (isOpen) listener.cut();
-  await closing;
-}
-
-/** Bounded values: codes of failures, or the class of a passed-on status. */
-function describeOutcome(exchange: Exchange) {
-  const failure = failureOf(exchange);
-  if (failure !== undefined) return { code: failure.code, ran: failure.ran };
-  if (!exchange.response.writableFinished) {
-    return { code: "cancelled", ran: "unknown" };
-  }
-  const { statusCode } = exchange.response;
-  const code = statusCode < 400 ? "ok" : `${Math.floor(statusCode / 100)}xx`;
-  return { code, ran: "yes" };
-}
-
-function readStatus(runtime: Runtime, neighbours: Neighbours): DaemonStatus {
-  const { membership } = neighbours;
-  const current = runtime.configuration.current();
-  const groups = Object.keys(current?.content.groups ?? {});
-  return {
-    name: runtime.settings.name,
-    incarnation: runtime.incarnation,
-    availabilityZone: runtime.settings.availabilityZone,
-    version: current?.version ?? null,
-    change: current?.change ?? null,
-    isDraining: runtime.drain.isDraining(),
-    pending: runtime.drain.pending(),
-    peers: membership.peers(),
-    zones: Object.fromEntries(membership.zones()),
-    replicas: groups.flatMap((group) =>
-      runtime.fleet.candidates(group).map((candidate) => ({
-        name: candidate.name,
-        group,
-        state: candidate.state,
-        weights: candidate.weights,
-        health: candidate.health,
-        running: candidate.reported?.running ?? 0,
-        waiting: candidate.reported?.waiting ?? 0,
-      }))
-    ),
-  };
-}
-
 function afterOf(params: unknown): number {
   const after = (params as { readonly after?: unknown } | undefined)?.after;
   return typeof after === "number" ? after : 0;
--- a/packages/daemon/src/shutdown.ts
+++ b/packages/daemon/src/shutdown.ts
@@ -22,6 +22,8 @@
   /** Pieces of work that have begun and not ended, of one kind or all. */
   pending(kind?: Pending): number;
   start(): void;
+  /** Resolves when no request is pending, with false after the limit. */
+  waitForRequests(limit: Milliseconds): Promise<boolean>;
   /**
    * Resolves with true when nothing is pending and the background work after
    * it has ended, or with false after the limit.
@@ -43,12 +45,14 @@
 
   function end(kind: Pending): void {
     pending[kind] -= 1;
-    if (countAll() > 0) return;
     for (const wake of waiters) wake();
   }
 
-  async function waitForCount(signal: AbortSignal): Promise<void> {
-    while (countAll() > 0 && !signal.aborted) {
+  async function waitForCount(
+    count: () => number,
+    signal: AbortSignal,
+  ): Promise<void> {
+    while (count() > 0 && !signal.aborted) {
       await new Promise<void>((resolve) => {
         waiters.add(resolve);
         signal.addEventListener("abort", () => resolve(), { once: true });
@@ -57,6 +61,18 @@
     }
   }
 
+  async function finishWithin(
+    limit: Milliseconds,
+    work: (signal: AbortSignal) => Promise<void>,
+  ): Promise<boolean> {
+    const expiry = new AbortController();
+    const done = work(expiry.signal).then(() => !expiry.signal.aborted);
+    const late = clock.sleep(limit, expiry.signal).then(() => false);
+    const isDone = await Promise.race([done, late]);
+    expiry.abort();
+    return isDone;
+  }
+
   return {
     isDraining: () => started.signal.aborted,
     started: started.signal,
@@ -73,14 +89,16 @@
     start() {
       started.abort();
     },
+    waitForRequests: (limit) =>
+      finishWithin(
+        limit,
+        (signal) => waitForCount(() => pending.request, signal),
+      ),
     async waitUntilIdle(limit, { background = async () => {} } = {}) {
-      const expiry = new AbortController();
-      const done = waitForCount(expiry.signal).then(background)
-        .then(() => !expiry.signal.aborted);
-      const late = clock.sleep(limit, expiry.signal).then(() => false);
-      const isIdle = await Promise.race([done, late]);
-      expiry.abort();
-      return isIdle;
+      return await finishWithin(
+        limit,
+        (signal) => waitForCount(countAll, signal).then(background),
+      );
     },
   };
 }
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -34,8 +34,11 @@
     "Time between failing readiness and closing the listeners, in which the " +
       "balancer stops sending, milliseconds.",
   ),
+  requestLimit: milliseconds.default(600_000).describe(
+    "Longest time in which requests in progress may end, milliseconds.",
+  ),
   limit: milliseconds.default(60_000).describe(
-    "Longest time for a graceful shutdown, milliseconds.",
+    "Longest time after them for storing the outcomes of orders, milliseconds.",
   ),
 });
 
--- a/packages/settings/src/process_settings.test.ts
+++ b/packages/settings/src/process_settings.test.ts
@@ -38,7 +38,11 @@
   expect(settings.operatorToken).toEqual("a-long-enough-token");
   expect(settings.bootstrapFolder).toEqual(join(folder, "operators"));
   expect(settings.logLevel).toEqual("info");
-  expect(settings.shutdown).toEqual({ balancerDelay: 5_000, limit: 60_000 });
+  expect(settings.shutdown).toEqual({
+    balancerDelay: 5_000,
+    requestLimit: 600_000,
+    limit: 60_000,
+  });
 });
 
 test("a short or missing secret is refused with the line of its key", async () => {
--- a/packages/settings/src/process_settings.ts
+++ b/packages/settings/src/process_settings.ts
@@ -60,6 +60,7 @@
 
 export interface Shutdown {
   readonly balancerDelay: Milliseconds;
+  readonly requestLimit: Milliseconds;
   readonly limit: Milliseconds;
 }
 
