Share the start and the refusal of exchanges with callers

Chat and service handlers each had the same start and refusal, and two packages listed the same connection headers.

--- a/packages/daemon/src/chat/handler.ts
+++ b/packages/daemon/src/chat/handler.ts
@@ -2,12 +2,12 @@
  * `POST /v1/chat/completions` and `GET /v1/models`.
  */
 import type { Failure } from "@peridotvalve/errors";
-import type { ModelGroup, VersionedConfiguration } from "@peridotvalve/types";
+import type { ModelGroup } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { authenticate, type Identity } from "../callers/authentication.ts";
 import { isDutyOn } from "../callers/duties.ts";
 import { passToLegacy } from "../callers/pass.ts";
-import { readBody } from "../http/body.ts";
+import { receive, type Received, refuse } from "../callers/receive.ts";
 import { type Exchange, readPatience } from "../http/exchange.ts";
 import { sendFailure, sendJson } from "../http/respond.ts";
 import { readConfigured, type Runtime } from "../runtime.ts";
@@ -66,31 +66,6 @@
   sendJson(exchange, 200, { object: "list", data });
 }
 
-interface Received {
-  readonly configuration: VersionedConfiguration;
-  readonly identity: Result<Identity, Failure>;
-  readonly body: Buffer;
-}
-
-async function receive(
-  runtime: Runtime,
-  exchange: Exchange,
-): Promise<Result<Received, Failure>> {
-  const configured = readConfigured(runtime);
-  if (configured.isErr()) return configured;
-  const { limits, legacy } = configured.value.content;
-  const early = authenticate(exchange, configured.value.content);
-  // Only the legacy system may know the key; otherwise no body is read for it.
-  if (early.isErr() && legacy === undefined) return early;
-  const bounds = { bytes: limits.requestBytes, timeout: limits.bodyTimeout };
-  const body = await readBody(exchange, bounds, runtime.clock);
-  if (body.isErr()) return body;
-  // Read again: a change may have come into force while the body arrived.
-  const configuration = readConfigured(runtime).unwrapOr(configured.value);
-  const identity = authenticate(exchange, configuration.content);
-  return Ok({ configuration, identity, body: body.value });
-}
-
 interface Prepared {
   readonly identity: Identity;
   readonly chat: Chat;
@@ -123,13 +98,3 @@
     param: "model",
   };
 }
-
-function refuse(
-  runtime: Runtime,
-  exchange: Exchange,
-  failure: Failure,
-): void {
-  const { code, ran } = failure;
-  runtime.log("request_refused", { code, ran }, { request: exchange.id });
-  sendFailure(exchange, failure);
-}
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -1,26 +1,7 @@
 /**
- * Headers that belong to one connection and must not be passed on.
+ * Raw header lists of requests that are passed on.
  */
-
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  "connection",
-  "content-length",
-  "expect",
-  "host",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
-/** True when a header describes the message and not the connection. */
-export function isEndToEnd(name: string): boolean {
-  return !HOP_BY_HOP.has(name.toLowerCase());
-}
+import { isEndToEnd } from "@peridotvalve/upstreams";
 
 /** The end-to-end headers of a raw list [name, value, name, value, …]. */
 export function* listEndToEnd(
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -4,17 +4,21 @@
 import type { Permit } from "@peridotvalve/admission";
 import type { Failure } from "@peridotvalve/errors";
 import { CLOCK_HEADER } from "@peridotvalve/events";
-import type { Configuration, Service } from "@peridotvalve/types";
-import type { ServiceAnswer, ServiceCall } from "@peridotvalve/upstreams";
+import type { Service } from "@peridotvalve/types";
+import {
+  isEndToEnd,
+  type ServiceAnswer,
+  type ServiceCall,
+} from "@peridotvalve/upstreams";
 import { Err, Ok, type Result } from "ts-results-es";
-import { authenticate, type Identity } from "../callers/authentication.ts";
+import type { Identity } from "../callers/authentication.ts";
 import { isDutyOn } from "../callers/duties.ts";
 import { passToLegacy } from "../callers/pass.ts";
-import { readBody } from "../http/body.ts";
+import { receive, type Received, refuse } from "../callers/receive.ts";
 import { type Exchange, readHeader, readPatience } from "../http/exchange.ts";
-import { isEndToEnd, listEndToEnd } from "../http/headers.ts";
-import { sendBytes, sendFailure } from "../http/respond.ts";
-import { readConfigured, type Runtime } from "../runtime.ts";
+import { listEndToEnd } from "../http/headers.ts";
+import { sendBytes } from "../http/respond.ts";
+import type { Runtime } from "../runtime.ts";
 import { callRepeatable, type ServiceWork } from "./call.ts";
 import { runOrder } from "./order.ts";
 import {
@@ -42,9 +46,17 @@
   runtime: Runtime,
   exchange: Exchange,
 ): Promise<void> {
+  const target = parseTarget(exchange.request.url ?? "");
+  if (target === undefined) {
+    return refuse(runtime, exchange, unknownService());
+  }
   const received = await receive(runtime, exchange);
   if (received.isErr()) return refuse(runtime, exchange, received.error);
-  const { content, target, identity, body, isRepeatable } = received.value;
+  const { configuration, identity, body } = received.value;
+  const { content } = configuration;
+  const method = exchange.request.method ?? "GET";
+  const call = { method, path: target.path };
+  const isRepeatable = isIdempotent(content.services[target.service], call);
   const question = {
     duty: isRepeatable ? "services" : "orders",
     route: target.service,
@@ -55,7 +67,7 @@
   if (!isDutyOn(content, question)) {
     return await passToLegacy(runtime, exchange, body);
   }
-  const prepared = prepare(received.value);
+  const prepared = prepare(received.value, target);
   if (prepared.isErr()) return refuse(runtime, exchange, prepared.error);
   const customer = prepared.value.identity.name;
   const patience = readPatience(exchange, content.limits.defaultPatience);
@@ -79,47 +91,17 @@
   runtime.log("request_finished", { status, elapsed, tokens: 0 }, subject);
 }
 
-interface Received {
-  readonly content: Configuration;
-  readonly target: Target;
-  readonly identity: Result<Identity, Failure>;
-  readonly body: Buffer;
-  readonly isRepeatable: boolean;
-}
-
-async function receive(
-  runtime: Runtime,
-  exchange: Exchange,
-): Promise<Result<Received, Failure>> {
-  const configured = readConfigured(runtime);
-  if (configured.isErr()) return configured;
-  const { content } = configured.value;
-  const identity = authenticate(exchange, content);
-  // Only the legacy system may know the key; otherwise no body is read for it.
-  if (identity.isErr() && content.legacy === undefined) return identity;
-  const target = parseTarget(exchange.request.url ?? "");
-  if (target === undefined) return Err(unknownService());
-  const { requestBytes, bodyTimeout } = content.limits;
-  const limits = { bytes: requestBytes, timeout: bodyTimeout };
-  const body = await readBody(exchange, limits, runtime.clock);
-  if (body.isErr()) return body;
-  const method = exchange.request.method ?? "GET";
-  const isRepeatable = isIdempotent(content.services[target.service], {
-    method,
-    path: target.path,
-  });
-  return Ok({ content, target, identity, body: body.value, isRepeatable });
-}
-
 interface Prepared {
   readonly identity: Identity;
   readonly service: Service;
 }
 
 function prepare(
-  { content, target, identity }: Received,
+  { configuration, identity }: Received,
+  target: Target,
 ): Result<Prepared, Failure> {
   if (identity.isErr()) return identity;
+  const { content } = configuration;
   const service = content.services[target.service];
   const allowed = identity.value.customer.services;
   if (service === undefined || !(allowed?.includes(target.service) ?? true)) {
@@ -227,13 +209,3 @@
     .filter(([name]) => isEndToEnd(name) && name !== REQUEST_HEADER);
   return { ...answer, headers: Object.fromEntries(headers) };
 }
-
-function refuse(
-  runtime: Runtime,
-  exchange: Exchange,
-  failure: Failure,
-): void {
-  const { code, ran } = failure;
-  runtime.log("request_refused", { code, ran }, { request: exchange.id });
-  sendFailure(exchange, failure);
-}
--- a/packages/upstreams/src/http_plain_service.ts
+++ b/packages/upstreams/src/http_plain_service.ts
@@ -4,6 +4,7 @@
  */
 import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
+import { isEndToEnd } from "./end_to_end.ts";
 import { createHttpClient, type HttpClientOptions } from "./http_client.ts";
 import {
   PlainService,
@@ -12,22 +13,6 @@
   type ServiceFailure,
 } from "./plain_service.ts";
 
-/** Headers of one connection (RFC 9110, 7.6.1), and those set by the client. */
-const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
-  "connection",
-  "content-length",
-  "expect",
-  "host",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 export abstract class HttpPlainService extends PlainService {
   /** Ends every call and closes all connections. */
   abstract close(): Promise<void>;
@@ -67,7 +52,7 @@
   const named = headers["connection"]?.toLowerCase().split(/\s*,\s*/) ?? [];
   const entries = Object.entries(headers).filter(([name]) => {
     const lower = name.toLowerCase();
-    return !CONNECTION_HEADERS.has(lower) && !named.includes(lower);
+    return isEndToEnd(lower) && !named.includes(lower);
   });
   return Object.fromEntries(entries);
 }
