--- a/packages/daemon/src/configuration_source.ts
+++ b/packages/daemon/src/configuration_source.ts
@@ -22,6 +22,9 @@
 import { Err, type Result } from "ts-results-es";
 import { isDutyOn } from "./callers/duties.ts";
 
+/** Change id of a configuration that the operators' folder gives. */
+export const FOLDER_CHANGE = "folder";
+
 const FOLDER_POLL_INTERVAL: Milliseconds = 1_000;
 
 /** Checks a stored configuration. */
@@ -77,7 +80,7 @@
     const now = JSON.stringify(read.value);
     if (now === text) return;
     text = now;
-    current = { version: 0, change: "folder", content: read.value };
+    current = { version: 0, change: FOLDER_CHANGE, content: read.value };
     for (const subscriber of subscribers) subscriber(current);
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -31,6 +31,7 @@
 import {
   checkContent,
   createConfigurationSource,
+  FOLDER_CHANGE,
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
@@ -338,6 +339,7 @@
     fleet,
     log,
     content,
+    version: () => readVersion(configuration),
     holder: incarnation,
     leaseDuration: settings.leaseDuration,
     isReader: (subject: string, count: number) =>
@@ -429,6 +431,13 @@
   });
 }
 
+/** The folder of the operators has no version and is never behind a head. */
+function readVersion(configuration: ConfigurationWatch): number {
+  const current = configuration.current();
+  if (current?.change === FOLDER_CHANGE) return Number.POSITIVE_INFINITY;
+  return current?.version ?? -1;
+}
+
 /** Daemons of an availability zone that read the head and the VM list. */
 const READERS = 2;
 
--- /dev/null
+++ b/packages/daemon/src/rollouts/current.test.ts
@@ -0,0 +1,40 @@
+import { createManualClock } from "@peridotvalve/clock";
+import { applyConfiguration } from "@peridotvalve/configuration";
+import { createMemoryPlatform } from "@peridotvalve/platform";
+import { expect } from "earl";
+import { test } from "node:test";
+import { waitUntilCurrent } from "./current.ts";
+
+async function setUp({ outage = false, version = 0 } = {}) {
+  const clock = createManualClock();
+  const platform = createMemoryPlatform({ clock });
+  const change = { change: "a", content: {}, author: "test" };
+  await applyConfiguration(change, { platform, clock });
+  platform.setFaults({ outage });
+  const state = { version, outcome: undefined as boolean | undefined };
+  const controller = new AbortController();
+  const options = { clock, platform, version: () => state.version };
+  const waiting = waitUntilCurrent(options, controller.signal);
+  waiting.then((outcome) => state.outcome = outcome);
+  return { clock, state, controller };
+}
+
+// Guards against a rollout of a version that an accepted change replaced.
+test("a daemon behind the head waits until it has caught up", async () => {
+  const { clock, state } = await setUp();
+  await clock.advance(10_000);
+  expect(state.outcome).toEqual(undefined);
+  state.version = 1;
+  await clock.advance(1_000);
+  expect(state.outcome).toEqual(true);
+});
+
+test("an unreadable head does not pass for the version in force", async () => {
+  const behind = { outage: true, version: 1 };
+  const { clock, state, controller } = await setUp(behind);
+  await clock.advance(10_000);
+  expect(state.outcome).toEqual(undefined);
+  controller.abort();
+  await clock.advance(1_000);
+  expect(state.outcome).toEqual(false);
+});
--- a/packages/daemon/src/rollouts/rollouts.ts
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -15,6 +15,7 @@
 } from "@peridotvalve/types";
 import { isDutyOn } from "../callers/duties.ts";
 import type { Fleet } from "../fleet/fleet.ts";
+import { waitUntilCurrent } from "./current.ts";
 import { runRollout } from "./rollout.ts";
 
 /** Pause between two looks at the reports of a group. */
@@ -36,6 +37,8 @@
   readonly holder: string;
   readonly leaseDuration: Milliseconds;
   readonly content: () => Configuration | undefined;
+  /** Version in force; infinite where the operators' folder rules. */
+  readonly version: () => number;
   readonly isReader: (subject: string, count: number) => boolean;
 }
 
@@ -104,10 +107,12 @@
   async function work(tenure: Tenure): Promise<void> {
     const fence = tenure.token;
     log("lease_acquired", { lease: `rollouts/${name}`, fence });
-    await runRollout(name, tenure, {
-      ...options,
-      group: () => findGroup(name, options),
-    });
+    if (await waitUntilCurrent(options, tenure.signal)) {
+      await runRollout(name, tenure, {
+        ...options,
+        group: () => findGroup(name, options),
+      });
+    }
     if (tenure.signal.aborted && !signal.aborted) {
       const reason = "not renewed in time";
       log("lease_lost", { lease: `rollouts/${name}`, reason });
