--- a/packages/claims/src/sweeper.ts
+++ b/packages/claims/src/sweeper.ts
@@ -38,7 +38,12 @@
 }
 
 const CLAIM_TIMEOUT: Milliseconds = 5 * MINUTE;
-const RETENTION: Milliseconds = 24 * 60 * MINUTE;
+/**
+ * Callers come back after minutes to days, and a repeat that finds no row runs
+ * again.
+ */
+export const RETENTION: Milliseconds = 7 * 24 * 60 * MINUTE;
+
 const TIMEOUT: Milliseconds = 2 * SECOND;
 const PAGE_PAUSE: Milliseconds = 50;
 const PAGE_ROWS = 200;
--- a/packages/replay/src/capacity/derivation.ts
+++ b/packages/replay/src/capacity/derivation.ts
@@ -1,8 +1,10 @@
 /**
  * The lines of the capacity page: measured slopes times the two-year sizes.
  */
-import type { Slopes } from "./page.ts";
+import { RETENTION } from "@peridotvalve/claims";
+import { SECOND } from "@peridotvalve/types";
 import { fitLine } from "./fit.ts";
+import type { Slopes } from "./page.ts";
 
 export type Line = Readonly<Record<string, string>>;
 
@@ -294,7 +296,7 @@
   const lists = DAEMONS * VM_LISTS;
   const sweep = sweeps.at(-1);
   const rowsPerRead = sweep.rows / sweep.readsForEachSweep;
-  const rows = orders * 86_400;
+  const rows = orders * RETENTION / SECOND;
   const sweepReads = 1_000 / 50;
   const starts = DAEMONS * (watch.readsForEachStart + 1);
   const zoneStarts = ZONE_DAEMONS * (watch.readsForEachStart + 1);
@@ -373,7 +375,7 @@
         (100 * PLATFORM_WRITES / writesPerOrder / 3_200).toFixed(1)
       }% of the requests. Above that does not fit; the sweeper's deletions ` +
       "can be put into one transaction for a page of rows.",
-      `Sweeper: ${(rows / 1e6).toFixed(1)} M rows are kept for a day. One ` +
+      `Sweeper: ${(rows / 1e6).toFixed(1)} M rows are kept for 7 days. One ` +
       `sweep takes ${(rows / rowsPerRead).toFixed(0)} reads, ` +
       `${(rows / rowsPerRead * 0.05 / 60).toFixed(0)} min at its pace and ` +
       `${
