--- a/packages/replay/src/capacity/derivation.ts
+++ b/packages/replay/src/capacity/derivation.ts
@@ -276,8 +276,7 @@
     "Aggregates between availability zones: not measured. One daemon in each " +
     "zone sends 14 datagrams a second; the others send none.",
     "Cache event reading, the sweeper inside the daemon and roll-outs: not " +
-    "measured; they are not part of this build. The sweeper by itself is " +
-    "measured below.",
+    "measured inside a daemon. The sweeper by itself is measured below.",
     "Relay of the control state under a fleet of 730 reachable replicas in " +
     "one process: not measured; the sums are of separate measurements.",
   ];
--- a/packages/replay/src/mod.ts
+++ b/packages/replay/src/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Trace replay, measurements and history checks.
+ * Trace replay and its measures.
  */
 export * from "./run/check.ts";
 export * from "./run/measures.ts";
--- a/packages/routing/src/link_budget.ts
+++ b/packages/routing/src/link_budget.ts
@@ -26,8 +26,6 @@
   readonly shareOf: (customer: string) => number;
   /** Time of filling that the budget can save up. */
   readonly burst?: Milliseconds;
-  /** Learns of the bytes of each reservation. */
-  readonly onReserve?: (bytes: Bytes) => void;
 }
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -125,7 +123,6 @@
       const own = Math.min(account.bytes, bytes);
       account.bytes -= own;
       common -= bytes - own;
-      options.onReserve?.(bytes);
       return true;
     }
   })();
