Keep parts of prompts in stores, announce loads of weights, free only outdated parts

Cause: a fifth of all tokens read were shared parts read again, and daemons kept sending to replicas that drained for new weights.

--- a/packages/dispatch/src/cache_view.ts
+++ b/packages/dispatch/src/cache_view.ts
@@ -26,9 +26,16 @@
     salt: string,
     parts: readonly PromptPart[],
   ): Tokens;
-  /** Forgets all parts of a holder, or those of other salts. */
+  /** True when the holder keeps the whole part. */
+  abstract keeps(holder: string, salt: string, part: PromptPart): boolean;
+  /** Tokens of all parts of a holder. */
+  abstract total(holder: string): Tokens;
+  /** Salts and ids of the parts whose salt is not current. */
+  abstract listStale(
+    holder: string,
+    isCurrent: (salt: string) => boolean,
+  ): readonly (readonly [salt: string, part: string])[];
   abstract clear(holder: string): void;
-  abstract retain(holders: ReadonlySet<string>): void;
 }
 
 /**
@@ -94,14 +101,33 @@
       holders.delete(holder);
     }
 
-    override retain(present: ReadonlySet<string>): void {
-      for (const holder of holders.keys()) {
-        if (!present.has(holder)) holders.delete(holder);
-      }
+    override keeps(holder: string, salt: string, part: PromptPart): boolean {
+      const held = holders.get(holder)?.get(keyOf(salt, part.id)) ?? 0;
+      return held >= part.tokens;
+    }
+
+    override total(holder: string): Tokens {
+      let total: Tokens = 0;
+      for (const tokens of holders.get(holder)?.values() ?? []) total += tokens;
+      return total;
+    }
+
+    override listStale(
+      holder: string,
+      isCurrent: (salt: string) => boolean,
+    ): readonly (readonly [salt: string, part: string])[] {
+      const keys = [...holders.get(holder)?.keys() ?? []];
+      return keys.map(splitKey).filter(([salt]) => !isCurrent(salt));
     }
   })();
 }
 
+// Salts are made by this project and hold no space.
 function keyOf(salt: string, part: string): string {
   return `${salt} ${part}`;
 }
+
+function splitKey(key: string): readonly [salt: string, part: string] {
+  const space = key.indexOf(" ");
+  return [key.slice(0, space), key.slice(space + 1)];
+}
--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -43,12 +43,25 @@
   readonly memory: Tokens;
 }
 
+/** A store VM that keeps parts of prompts for the replicas. */
+export interface StoreTraits {
+  readonly address: string;
+  readonly zone: string;
+  readonly capacity: Tokens;
+  /** Tokens that its link carries in a millisecond. */
+  readonly tokensPerMillisecond: number;
+  /** Time before each transfer starts. */
+  readonly startDelay: Milliseconds;
+}
+
 export interface Service {
   readonly name: string;
   /** Connections that one replica accepts from all daemons together. */
   readonly maxConnections: number;
   /** Present for services of model engines. */
   readonly engine?: EngineTraits;
+  /** Present for stores of kept cache. */
+  readonly store?: StoreTraits;
 }
 
 export interface Customer {
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -6,5 +6,6 @@
 export * from "./load.ts";
 export * from "./placement.ts";
 export * from "./replica.ts";
+export * from "./transfers.ts";
 export * from "./weights.ts";
 export * from "./work.ts";
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -11,6 +11,7 @@
 import type { LoadView } from "./load.ts";
 import type { Replica, ReplicaTable } from "./replica.ts";
 import type { ModelTerms, Work } from "./work.ts";
+import type { PartPlan, TransferPlanner } from "./transfers.ts";
 import type { WeightTargets } from "./weights.ts";
 
 export interface Origin {
@@ -19,18 +20,15 @@
   readonly regions: ReadonlyMap<string, string>;
 }
 
-/** Where a missing part of the prompt can be fetched from. */
-export interface CacheSource {
-  readonly address: string;
-  readonly tokens: Tokens;
-}
-
 export interface Choice {
   readonly replica: Replica;
   /** Version that the request asks for; undefined for plain services. */
   readonly version?: number;
   readonly salt?: string;
-  readonly source?: CacheSource;
+  /** One plan for each part, in order; absent when nothing is asked. */
+  readonly parts?: readonly PartPlan[];
+  /** Prompt tokens that are fetched. */
+  readonly fetched: Tokens;
   /** Prompt tokens that the replica has to read. */
   readonly unread: Tokens;
   readonly memory: Tokens;
@@ -53,6 +51,7 @@
   readonly weights: WeightTargets;
   readonly origin: Origin;
   readonly memoryOf: (service: string) => Tokens;
+  readonly transfers: TransferPlanner;
 }
 
 // The costs below are in prompt tokens that a replica could read instead.
@@ -76,18 +75,6 @@
 /** Share of the memory that running requests may take. */
 const USABLE_MEMORY = 0.92;
 
-/**
- * Time of a transfer of a cached token against reading it: a link of 88 Gbit/s
- * carries 600 tokens of 18 KB in the time in which 100 are read.
- */
-const FETCH_COST = 0.17;
-
-/** Transfers between zones take twice as long. */
-const ZONE_FETCH_FACTOR = 2;
-
-/** A smaller part is read sooner than its transfer is arranged. */
-const LEAST_FETCH: Tokens = 400;
-
 /** Plain services: one request in flight counts as one slot. */
 const SLOT_COST = 1;
 const PLAIN_ZONE_COST = 0.6;
@@ -95,6 +82,7 @@
 
 export function createPlacement(options: PlacementOptions): Placement {
   const { replicas, load, cache, weights, origin, memoryOf } = options;
+  const { transfers } = options;
 
   function distance(zone: string): "zone" | "region" | "other" {
     if (zone === origin.zone) return "zone";
@@ -116,7 +104,8 @@
     });
     const best = leastCost(options);
     if (best === undefined) return undefined;
-    return { ...best, unread: 0, memory: 0, candidates: usable.length };
+    const candidates = usable.length;
+    return { ...best, unread: 0, fetched: 0, memory: 0, candidates };
   }
 
   function chooseForPrompt(
@@ -140,14 +129,21 @@
       const { id, zone } = replica.entry;
       const salt = saltOf(work, terms.model, version);
       const held = cache.held(id, salt, terms.parts);
-      const source = findSource(replica, salt, held);
-      const fetched = source?.tokens ?? 0;
+      const isCurrent = version >= weights.target(terms.model);
+      const plan = transfers.plan({
+        replica,
+        salt,
+        shared,
+        peers: usable,
+        mayUseStores: isCurrent,
+      });
+      const fetched = plan.fetched;
       const unread = Math.max(1, terms.promptTokens - held - fetched);
       const memory = terms.promptTokens + terms.outputTokens;
       const present = load.of(id);
       const far = distance(zone);
       const cost = present.unread + unread +
-        fetched * FETCH_COST * ZONE_FETCH_FACTOR +
+        plan.cost +
         present.requests * RUNNING_COST +
         (far === "zone"
           ? 0
@@ -155,37 +151,23 @@
           ? OTHER_ZONE_COST
           : OTHER_REGION_COST) +
         (id === home ? -HOME_BONUS : 0) +
-        (version < weights.target(terms.model) ? OLD_WEIGHTS_COST : 0) +
+        (isCurrent ? 0 : OLD_WEIGHTS_COST) +
         (present.memory + memory > room ? NO_MEMORY_COST : 0);
       return {
         replica,
         version,
         salt,
-        ...(source === undefined ? {} : { source }),
+        ...(plan.parts === undefined ? {} : {
+          // The last part is the request's own: nothing is asked for it.
+          parts: [...plan.parts, {}],
+        }),
+        fetched,
         unread,
         memory,
         cost,
         candidates: usable.length,
       };
     }
-
-    /** The replica that keeps most beyond what this one keeps itself. */
-    function findSource(
-      replica: Replica,
-      salt: string,
-      held: Tokens,
-    ): CacheSource | undefined {
-      let best: CacheSource | undefined;
-      const region = origin.regions.get(replica.entry.zone);
-      for (const other of usable) {
-        if (other === replica) continue;
-        if (origin.regions.get(other.entry.zone) !== region) continue;
-        const tokens = cache.held(other.entry.id, salt, shared) - held;
-        if (tokens < LEAST_FETCH || tokens <= (best?.tokens ?? 0)) continue;
-        best = { address: other.entry.address, tokens };
-      }
-      return best;
-    }
   }
 
   return new (class extends Placement {
@@ -216,6 +198,18 @@
   return `${model}@${version}${wall}`;
 }
 
+const SALT = /^(.*?)@(\d+)(?:\/|$)/;
+
+/**
+ * True when the salt is of a version below the one named for its model. A
+ * model of which no version was named has only its first one, so that none of
+ * its salts is outdated.
+ */
+export function isOutdatedSalt(salt: string, weights: WeightTargets): boolean {
+  const [, model = "", version = ""] = SALT.exec(salt) ?? [];
+  return version !== "" && Number(version) < weights.target(model);
+}
+
 function leastCost<Option extends { readonly cost: number }>(
   options: readonly Option[],
 ): Option | undefined {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -407,7 +407,7 @@
       unread: N,
       cost: N,
       candidates: N,
-      source: S,
+      fetched: N,
       remaining: N,
     },
     sentence: "An attempt of a request goes to this replica.",
@@ -452,6 +452,10 @@
     fields: { reason: S },
     sentence: "The cache events of a replica cannot be read.",
   }),
+  parts_freed: event(7010, "info", {
+    fields: { store: S, parts: N, isDone: "boolean" },
+    sentence: "Parts of replaced weights were freed in a store.",
+  }),
   weights_named: event(8009, "info", {
     fields: { model: S, version: N },
     sentence: "The operator named a new weight version.",
--- a/packages/gateway/src/cache_feed.ts
+++ b/packages/gateway/src/cache_feed.ts
@@ -3,9 +3,10 @@
  * an event, so a pause between calls gathers several.
  */
 import type { Clock } from "@peridotvalve/clock";
-import type { CacheView, Replica, ReplicaTable } from "@peridotvalve/dispatch";
+import type { CacheView } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import type { Milliseconds } from "@peridotvalve/types";
+import type { ReplicaClock } from "./replica_clock.ts";
 import type { ReplicaControl } from "./replica_control.ts";
 
 export interface CacheFeedOptions {
@@ -13,14 +14,23 @@
   readonly logger: EventLogger;
   readonly control: ReplicaControl;
   readonly cache: CacheView;
-  readonly replicas: ReplicaTable;
-  /** True when this daemon reads the events of the replica itself. */
-  readonly isReader: (replica: Replica) => boolean;
+  readonly replicaClock: ReplicaClock;
+  /** Holders whose events this daemon reads itself. */
+  readonly holders: () => readonly CacheHolder[];
+}
+
+/** A replica or a store that keeps parts of prompts. */
+export interface CacheHolder {
+  /** Name in the cache view. */
+  readonly id: string;
+  readonly address: string;
 }
 
 export abstract class CacheFeed {
   /** Starts or stops following so that all present replicas are followed. */
   abstract refresh(): void;
+  /** The epoch of a holder that answers; undefined while it does not. */
+  abstract epochOf(id: string): number | undefined;
   abstract stop(): void;
 }
 
@@ -29,17 +39,21 @@
 const FAILURE_PAUSE: Milliseconds = 2_000;
 
 export function createCacheFeed(options: CacheFeedOptions): CacheFeed {
-  const { clock, logger, control, cache, replicas, isReader } = options;
+  const { clock, logger, control, cache, replicaClock, holders } = options;
+  const epochs = new Map<string, number>();
   const followed = new Map<string, AbortController>();
 
-  async function follow(replica: Replica, signal: AbortSignal): Promise<void> {
-    const { id, address } = replica.entry;
+  async function follow(
+    { id, address }: CacheHolder,
+    signal: AbortSignal,
+  ): Promise<void> {
     let since = 0;
     let epoch: number | undefined;
     while (!signal.aborted) {
       const read = await control.cacheEvents(address, { since, wait: WAIT });
       if (signal.aborted) return;
       if (read.isErr()) {
+        epochs.delete(id);
         logger.log("cache_unread", { reason: read.error.reason }, {
           upstream: id,
         });
@@ -54,11 +68,12 @@
         continue;
       }
       epoch = page.epoch;
+      epochs.set(id, epoch);
+      if (page.time !== undefined) replicaClock.observe(page.time);
       if (page.hasGap && since > 0) {
         logger.log("cache_event_gap", { first: page.next, expected: since }, {
           upstream: id,
         });
-        cache.clear(id);
       }
       for (const event of page.events) cache.apply(id, event);
       since = page.next;
@@ -68,27 +83,27 @@
 
   return new (class extends CacheFeed {
     override refresh(): void {
-      const wanted = new Map(
-        replicas.all()
-          .filter(({ entry }) => entry.weights.size > 0)
-          .filter(isReader)
-          .map((replica) => [replica.entry.id, replica]),
-      );
+      const wanted = new Map(holders().map((holder) => [holder.id, holder]));
       for (const [id, controller] of followed) {
         if (wanted.has(id)) continue;
         controller.abort();
         followed.delete(id);
+        epochs.delete(id);
       }
-      for (const [id, replica] of wanted) {
+      for (const [id, holder] of wanted) {
         if (followed.has(id)) continue;
         const controller = new AbortController();
         followed.set(id, controller);
-        follow(replica, controller.signal).catch((error: unknown) => {
+        follow(holder, controller.signal).catch((error: unknown) => {
           logger.log("handler_failed", { reason: String(error) });
         });
       }
     }
 
+    override epochOf(id: string): number | undefined {
+      return epochs.get(id);
+    }
+
     override stop(): void {
       for (const controller of followed.values()) controller.abort();
       followed.clear();
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -2,8 +2,8 @@
  * What the gateway needs to know of a protocol's headers. An adapter decodes
  * them into these types and composes them from these types.
  */
-import type { ModelTerms } from "@peridotvalve/dispatch";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { ModelTerms, PartPlan } from "@peridotvalve/dispatch";
+import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import type { IncomingHttpHeaders } from "node:http";
 
 /** What a caller's headers say. */
@@ -26,8 +26,10 @@
   readonly priority?: number;
   readonly weights?: number;
   readonly salt?: string;
-  /** Address of a replica that keeps parts of the prompt. */
-  readonly source?: string;
+  /** What to fetch and save, for each part of the prompt in order. */
+  readonly parts?: readonly PartPlan[];
+  /** End of the fetches on the replicas' own clock. */
+  readonly fetchEnd?: Timestamp;
   readonly lastEvent?: number;
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,10 +8,13 @@
   createLoadView,
   createPlacement,
   createReplicaTable,
+  createTransferPlanner,
   createWeightTargets,
   type DesiredState,
+  isOutdatedSalt,
   type Origin,
   type ReplicaEntry,
+  type StoreTraits,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import { createLease } from "@peridotvalve/lease";
@@ -20,7 +23,8 @@
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { createServer, type Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
-import { createCacheFeed } from "./cache_feed.ts";
+import { createCacheCleaner } from "./cache_cleaner.ts";
+import { type CacheHolder, createCacheFeed } from "./cache_feed.ts";
 import { createChannels } from "./channels.ts";
 import type { Dialect } from "./dialect.ts";
 import { createFollower } from "./follower.ts";
@@ -28,6 +32,7 @@
 import { createMeters } from "./meters.ts";
 import { createPeers } from "./peers.ts";
 import { createRegistration } from "./registration.ts";
+import { createReplicaClock } from "./replica_clock.ts";
 import { createRelay } from "./relay.ts";
 import type { ReplicaControl } from "./replica_control.ts";
 import { createRetryBudget } from "./retry_budget.ts";
@@ -128,6 +133,9 @@
 const CONNECTION_SHARE = 0.85;
 const USUAL_CONNECTIONS = 8;
 
+/** A replica is avoided so long after the last word that it loads weights. */
+const BUSY_AVOIDANCE: Milliseconds = 1_300;
+
 const DAEMON_TABLE = "daemons";
 
 export function createGateway(parts: GatewayParts): Gateway {
@@ -144,6 +152,14 @@
   let isDraining = false;
   let replicasKnown = false;
 
+  const replicaClock = createReplicaClock(clock);
+  const transfers = createTransferPlanner({
+    clock,
+    cache,
+    stores: answeringStores,
+    regions: settings.origin.regions,
+  });
+
   const replicas = createReplicaTable({
     clock,
     onChange(change, { entry }) {
@@ -226,6 +242,7 @@
     weights,
     origin: settings.origin,
     memoryOf,
+    transfers,
   });
   const budget = createRetryBudget({
     clock,
@@ -256,6 +273,8 @@
     weights,
     placement,
     budget,
+    transfers,
+    replicaClock,
     connectionsOf,
   });
   const front = createFront({
@@ -272,8 +291,17 @@
     logger,
     control,
     cache,
-    replicas,
-    isReader: () => peerCount() <= CACHE_READERS,
+    replicaClock,
+    holders: listHolders,
+  });
+  const cleaner = createCacheCleaner({
+    clock,
+    logger,
+    cache,
+    control,
+    stores: listStores,
+    epochOf: (store) => cacheFeed.epochOf(store),
+    isCurrent: (salt) => !isOutdatedSalt(salt, weights),
   });
   const lease = createLease({
     platform: parts.store,
@@ -293,10 +321,42 @@
     weights,
     control,
     handover: settings.leaseDuration + LEASE_MARGIN,
+    announce(loading) {
+      avoidBusy([...loading]);
+      peers?.announceBusy(loading);
+    },
+    cleaner,
     mayContend: () => !isDraining,
   });
   const servers: Server[] = [];
 
+  function avoidBusy(ids: readonly string[]): void {
+    for (const id of ids) replicas.avoid(id, BUSY_AVOIDANCE);
+  }
+
+  function listStores(): readonly StoreTraits[] {
+    const services = holder.current()?.state.services.values() ?? [];
+    return [...services].flatMap(({ store }) => store ?? []);
+  }
+
+  function answeringStores(): readonly StoreTraits[] {
+    return listStores().filter(({ address }) =>
+      cacheFeed.epochOf(address) !== undefined
+    );
+  }
+
+  function listHolders(): readonly CacheHolder[] {
+    if (peerCount() > CACHE_READERS) return [];
+    const engines = replicas.all()
+      .filter(({ entry }) => entry.weights.size > 0)
+      .map(({ entry: { id, address } }) => ({ id, address }));
+    const stores = listStores().map(({ address }) => ({
+      id: address,
+      address,
+    }));
+    return [...engines, ...stores];
+  }
+
   function memoryOf(service: string): Tokens {
     const known = holder.current()?.state.services.get(service);
     return known?.engine?.memory ?? Infinity;
@@ -313,8 +373,10 @@
   function takeOperatorRow({ key, value }: FollowedRow): void {
     if (codec.isState(key)) {
       const state = codec.readState(value);
-      if (state.isOk()) holder.offer(state.value, "store");
-      else logger.log("state_rejected", { reason: state.error });
+      if (state.isOk()) {
+        holder.offer(state.value, "store");
+        cacheFeed.refresh();
+      } else logger.log("state_rejected", { reason: state.error });
       return;
     }
     const named = codec.readWeights(key, value);
@@ -385,6 +447,7 @@
         [DAEMON_TABLE, daemons],
       ]),
       peers: () => registration.peers(),
+      onBusy: avoidBusy,
     });
     return Ok(undefined);
   }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -32,21 +32,22 @@
   /** Followed tables whose rows peers lend each other, by name. */
   readonly tables: ReadonlyMap<string, Follower>;
   readonly peers: () => readonly PeerAddress[];
+  /** A peer says that the replicas are busy with a load of weights. */
+  readonly onBusy: (replicas: readonly string[]) => void;
 }
 
 export abstract class Peers {
   /** Serves the rows that are known here. */
   abstract readonly server: Server;
   abstract run(signal: AbortSignal): Promise<void>;
-  /** Peers that were heard lately. */
-  abstract live(): readonly string[];
+  /** Tells the peers that the replicas are busy with a load of weights. */
+  abstract announceBusy(replicas: ReadonlySet<string>): void;
 }
 
 const PERIOD: Milliseconds = 250;
 
 /** An unchanged digest is repeated only so often. */
 const LONGEST_SILENCE: Milliseconds = 1_000;
-const PEER_LIFETIME: Milliseconds = 3_000;
 
 const CALL_TIMEOUT: Milliseconds = 1_000;
 
@@ -56,6 +57,7 @@
 const DATAGRAM = z.object({
   n: z.string(),
   v: z.record(z.string(), z.number()),
+  b: z.array(z.string()),
   l: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
 });
 
@@ -70,7 +72,7 @@
 
 export function createPeers(options: PeersOptions): Peers {
   const { clock, logger, name, transport, load, tables } = options;
-  const heard = new Map<string, Milliseconds>();
+  let busy: readonly string[] = [];
   const lending = new Set<string>();
   let lastSent = "";
   let lastSentAt: Milliseconds = -Infinity;
@@ -95,7 +97,7 @@
       ]),
     );
     const digest = load.digest();
-    const text = JSON.stringify({ n: name, v: versions, l: digest });
+    const text = JSON.stringify({ n: name, v: versions, b: busy, l: digest });
     const now = clock.monotonic();
     if (text === lastSent && now - lastSentAt < LONGEST_SILENCE) return;
     lastSent = text;
@@ -116,7 +118,7 @@
         logger.log("datagram_rejected", { reason: "malformed", from });
         continue;
       }
-      heard.set(peer.name, clock.monotonic());
+      if (parsed.b.length > 0) options.onBusy(parsed.b);
       load.takeDigest(peer.name, parsed.l as LoadDigest);
       for (const [table, version] of Object.entries(parsed.v)) {
         compare(peer, table, version);
@@ -182,9 +184,10 @@
       await Promise.all(tasks);
     }
 
-    override live(): readonly string[] {
-      const oldest = clock.monotonic() - PEER_LIFETIME;
-      return [...heard].flatMap(([peer, at]) => at >= oldest ? [peer] : []);
+    override announceBusy(replicas: ReadonlySet<string>): void {
+      const isNew = [...replicas].some((id) => !busy.includes(id));
+      busy = [...replicas];
+      if (isNew) send();
     }
   })();
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -17,11 +17,12 @@
   type Placement,
   priorityOf,
   type ReplicaTable,
+  type TransferPlanner,
   type WeightTargets,
   type Work,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import type { Caller } from "./caller.ts";
 import type {
   AnswerHead,
@@ -31,6 +32,7 @@
 } from "./channels.ts";
 import type { AnswerTerms, Dialect } from "./dialect.ts";
 import { createEventSplitter } from "./events.ts";
+import type { ReplicaClock } from "./replica_clock.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 export interface RelayOptions {
@@ -44,6 +46,8 @@
   readonly weights: WeightTargets;
   readonly placement: Placement;
   readonly budget: RetryBudget;
+  readonly transfers: TransferPlanner;
+  readonly replicaClock: ReplicaClock;
   /** Connections that this daemon may hold to one replica of a service. */
   readonly connectionsOf: (service: string) => number;
 }
@@ -107,6 +111,12 @@
 /** Refusals by full or changing replicas that are answered with another. */
 const MAX_REFUSALS = 3;
 
+/**
+ * A fetch that has not ended by then is dropped and the prompt is read; parts
+ * are freed only longer after their last use.
+ */
+const LONGEST_FETCH: Milliseconds = 2_000;
+
 /** A request with less time left is not worth a further attempt. */
 const LEAST_REMAINING: Milliseconds = 60;
 
@@ -133,7 +143,12 @@
 
 export function createRelay(options: RelayOptions) {
   const { clock, logger, dialect, channels, replicas, load, cache } = options;
-  const { placement, budget, weights } = options;
+  const { placement, budget, weights, transfers, replicaClock } = options;
+
+  function fetchTerms(): { readonly fetchEnd?: Timestamp } {
+    const now = replicaClock.now();
+    return now === undefined ? {} : { fetchEnd: now + LONGEST_FETCH };
+  }
 
   return async function relay(
     work: Work,
@@ -217,7 +232,7 @@
     }
 
     async function attempt(choice: Choice): Promise<AttemptEnd> {
-      const { replica, version, salt, source } = choice;
+      const { replica, version, salt, parts } = choice;
       const { entry } = replica;
       sends += 1;
       const number = sends;
@@ -236,13 +251,16 @@
           ...(work.terms === undefined ? {} : { priority: priorityOf(work) }),
           ...(version === undefined ? {} : { weights: version }),
           ...(salt === undefined ? {} : { salt }),
-          ...(source === undefined ? {} : { source: source.address }),
+          ...(parts === undefined ? {} : { parts }),
+          ...(choice.fetched === 0 ? {} : fetchTerms()),
           ...(lastEvent > 0 ? { lastEvent } : {}),
         }),
       });
       const flight = load.start(entry.id, choice);
       if (salt !== undefined && work.terms !== undefined) {
         cache.expect(entry.id, salt, work.terms.parts);
+        const shared = work.terms.parts.slice(0, -1);
+        if (parts !== undefined) transfers.noteSent(salt, shared, parts);
       }
       logger.log("attempt_placed", {
         number,
@@ -250,7 +268,7 @@
         unread: choice.unread,
         cost: Math.round(choice.cost),
         candidates: choice.candidates,
-        source: source?.address ?? "",
+        fetched: choice.fetched,
         remaining: Math.round(left),
       }, { ...subject, upstream: entry.id });
       const watch = watchAttempt(opened, { clock, caller, due: work.due });
--- a/packages/gateway/src/replica_control.ts
+++ b/packages/gateway/src/replica_control.ts
@@ -3,7 +3,7 @@
  */
 import type { CacheEvent, Replica } from "@peridotvalve/dispatch";
 import type { Unavailable } from "@peridotvalve/tables";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 
 export interface ReplicaReport {
@@ -42,6 +42,8 @@
   readonly epoch: number;
   readonly next: number;
   readonly hasGap: boolean;
+  /** Time on the replicas' clock; absent when the answer has none. */
+  readonly time?: Timestamp;
   readonly events: readonly CacheEvent[];
 }
 
@@ -50,6 +52,11 @@
   readonly wait: Milliseconds;
 }
 
+export interface Freeing {
+  readonly parts: readonly (readonly [salt: string, part: string])[];
+  readonly epoch: number;
+}
+
 export abstract class ReplicaControl {
   abstract report(
     replica: Replica,
@@ -59,4 +66,6 @@
     address: string,
     query: CacheQuery,
   ): Promise<Result<CachePage, Unavailable>>;
+  /** Frees parts of a store that has not been restarted since the epoch. */
+  abstract freeParts(address: string, freeing: Freeing): Promise<boolean>;
 }
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -14,6 +14,7 @@
 import type { EventLogger } from "@peridotvalve/events";
 import type { Lease } from "@peridotvalve/lease";
 import type { Milliseconds } from "@peridotvalve/types";
+import type { CacheCleaner } from "./cache_cleaner.ts";
 import type { ReplicaControl } from "./replica_control.ts";
 
 export interface RolloutOptions {
@@ -26,6 +27,9 @@
   readonly control: ReplicaControl;
   /** Orders of two daemons must be at least this far apart. */
   readonly handover: Milliseconds;
+  /** Tells this daemon and its peers that replicas are busy with a load. */
+  readonly announce: (loading: ReadonlySet<string>) => void;
+  readonly cleaner: CacheCleaner;
   /** False while this daemon is about to stop. */
   readonly mayContend: () => boolean;
 }
@@ -48,6 +52,8 @@
 const REPORT_LAG: Milliseconds = 350;
 const BUSY_POLL: Milliseconds = 300;
 
+const ANNOUNCEMENT: Milliseconds = 150;
+
 /** A replica that has not loaded by then is left to a later look. */
 const LONGEST_LOAD: Milliseconds = 6_000;
 
@@ -64,8 +70,9 @@
     );
   }
 
-  const isNeeded = () =>
+  const isBehind = () =>
     weights.models().some((model) => behind(model).length > 0);
+  const isNeeded = () => isBehind() || options.cleaner.isNeeded();
 
   /** Keeps the lease until the work is done and the next holder may order. */
   async function hold(signal: AbortSignal): Promise<void> {
@@ -77,6 +84,8 @@
     while (!signal.aborted && lease.token() !== undefined) {
       if (!isNeeded() && !isRecent()) break;
       if (options.mayContend()) startLoads();
+      options.announce(loading);
+      if (!isBehind() && !isRecent()) await options.cleaner.clean();
       await clock.sleep(LOOK, signal);
       if (clock.monotonic() - renewed < RENEWAL) continue;
       renewed = clock.monotonic();
@@ -101,6 +110,7 @@
       ) {
         const { id } = replica.entry;
         loading.add(id);
+        options.announce(loading);
         load(replica, model, target).catch((error: unknown) => {
           logger.log("handler_failed", { reason: String(error) });
         }).finally(() => loading.delete(id));
@@ -115,6 +125,8 @@
   ): Promise<void> {
     const { id } = replica.entry;
     const end = clock.monotonic() + LONGEST_LOAD;
+    // Peers hear that the replica is about to be busy before it is.
+    await clock.sleep(ANNOUNCEMENT);
     let ordered: number | undefined;
     while (clock.monotonic() < end && weights.target(model) === target) {
       if (lease.token() === undefined || replicas.find(id) === undefined) {
