--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -27,6 +27,8 @@
   readonly timeout: Milliseconds;
   /** Time to the answer, or to the first event of a stream. */
   readonly latencyTarget: Milliseconds;
+  /** Longest pause between two events of a stream that is on time. */
+  readonly longestPause: Milliseconds;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Replicas on which one request may run. */
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -8,7 +8,7 @@
 import type { Tokens } from "@peridotvalve/types";
 import { findRendezvousHome } from "@peridotvalve/rendezvous";
 import type { CacheView } from "./cache_view.ts";
-import type { LoadView } from "./load.ts";
+import type { LoadView, ReplicaLoad } from "./load.ts";
 import type { Replica, ReplicaTable } from "./replica.ts";
 import type { ModelTerms, Work } from "./work.ts";
 import type { PartPlan, TransferPlanner } from "./transfers.ts";
@@ -32,6 +32,10 @@
   /** Prompt tokens that the replica has to read. */
   readonly unread: Tokens;
   readonly memory: Tokens;
+  /** Prompt tokens that the replica is believed to keep. */
+  readonly held: Tokens;
+  /** Load of the replica before this request. */
+  readonly load: ReplicaLoad;
   readonly cost: number;
   readonly candidates: number;
 }
@@ -100,12 +104,12 @@
         ? PLAIN_ZONE_COST
         : PLAIN_REGION_COST;
       const cost = requests * SLOT_COST + way + Math.random() / 4;
-      return { replica, cost };
+      return { replica, cost, load: load.of(replica.entry.id) };
     });
     const best = leastCost(options);
     if (best === undefined) return undefined;
     const candidates = usable.length;
-    return { ...best, unread: 0, fetched: 0, memory: 0, candidates };
+    return { ...best, unread: 0, held: 0, fetched: 0, memory: 0, candidates };
   }
 
   function chooseForPrompt(
@@ -162,6 +166,8 @@
           parts: [...plan.parts, {}],
         }),
         fetched,
+        held,
+        load: present,
         unread,
         memory,
         cost,
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -70,6 +70,10 @@
   abstract find(id: string): Replica | undefined;
   abstract all(): readonly Replica[];
   abstract recordSuccess(id: string): void;
+  /** Something has just arrived from the replica. */
+  abstract noteHeard(id: string): void;
+  /** Time since anything arrived from the replica. */
+  abstract silence(id: string): Milliseconds;
   /** The replica did not answer, or broke off. */
   abstract recordFailure(id: string): void;
   /** The replica is busy with other work for a while. */
@@ -88,6 +92,7 @@
   { clock, onChange }: ReplicaTableOptions,
 ): ReplicaTable {
   const replicas = new Map<string, State>();
+  const heard = new Map<string, Milliseconds>();
   /** Removed entries that may come back after an outage of the list. */
   const missing = new Map<string, Milliseconds>();
   let lastContact: Milliseconds = clock.monotonic();
@@ -130,6 +135,7 @@
     missing.delete(id);
     if (known === undefined) return;
     replicas.delete(id);
+    heard.delete(id);
     onChange("gone", known);
   }
 
@@ -185,6 +191,14 @@
       return [...replicas.values()];
     }
 
+    override noteHeard(id: string): void {
+      if (replicas.has(id)) heard.set(id, clock.monotonic());
+    }
+
+    override silence(id: string): Milliseconds {
+      return clock.monotonic() - (heard.get(id) ?? -Infinity);
+    }
+
     override recordSuccess(id: string): void {
       const known = replicas.get(id);
       if (known === undefined || known.failures === 0) return;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -17,6 +17,7 @@
   type Placement,
   priorityOf,
   type ReplicaTable,
+  type Route,
   type TransferPlanner,
   type WeightTargets,
   type Work,
@@ -121,16 +122,28 @@
 const LEAST_REMAINING: Milliseconds = 60;
 
 /**
- * Silence of a replica, in latency targets of the route, after which a
- * request that may be repeated goes elsewhere. A caller gives a stream up
- * after four targets.
+ * Silence, in latency targets of the route, after which a call that may be
+ * repeated goes to another replica.
  */
 const SILENT_TARGETS = 2.4;
 const LEAST_SILENCE: Milliseconds = 400;
 
-/** A stream that pauses so long goes on elsewhere if it can be resumed. */
-const STREAM_SILENCE: Milliseconds = 1_300;
-const LEAST_FIRST_EVENT: Milliseconds = 1_400;
+/**
+ * A replica that says nothing at all for so long is taken as dead; one that
+ * only lets this request wait is busy, and another would have to start anew.
+ */
+const DEAD_SILENCE: Milliseconds = 900;
+
+/**
+ * Callers give a stream up after a gap of two seconds, four latency targets or
+ * eight of its longest pauses, whichever is longest.
+ */
+const LEAST_GAP: Milliseconds = 2_000;
+const GAP_TARGETS = 4;
+const GAP_PAUSES = 8;
+
+/** Part of the caller's gap after which a busy replica is given up. */
+const GAP_SHARE = 0.7;
 
 /** A replica that changes its weights or is full is left alone so long. */
 const BUSY_AVOIDANCE: Milliseconds = 250;
@@ -156,7 +169,12 @@
     caller: Caller,
   ): Promise<RelayResult> {
     const excluded = new Set<string>();
-    const subject = { request: work.id, ...customerOf(work) };
+    const conversation = work.terms?.parts.at(-2)?.id;
+    const subject = {
+      request: work.id,
+      ...customerOf(work),
+      ...(conversation === undefined ? {} : { conversation }),
+    };
     const repeatable = isRepeatable(work);
     let sends = 0;
     let runs = 0;
@@ -266,12 +284,21 @@
         number,
         version: version ?? 0,
         unread: choice.unread,
+        held: choice.held,
+        waiting: choice.load.unread,
+        running: choice.load.requests,
+        saves: parts?.filter(({ saveTo }) => saveTo !== undefined).length ?? 0,
         cost: Math.round(choice.cost),
         candidates: choice.candidates,
         fetched: choice.fetched,
         remaining: Math.round(left),
       }, { ...subject, upstream: entry.id });
-      const watch = watchAttempt(opened, { clock, caller, due: work.due });
+      const watch = watchAttempt(opened, {
+        clock,
+        caller,
+        due: work.due,
+        silence: () => replicas.silence(entry.id),
+      });
       try {
         const outcome = await follow(opened, { choice, watch, flight });
         note(choice, outcome);
@@ -299,13 +326,15 @@
       const isStream = work.route.kind === "stream";
       const { latencyTarget } = work.route;
       if (repeatable && runs + 1 < work.route.maxRuns) {
-        watch.limitSilence(
-          isStream
-            ? Math.max(LEAST_FIRST_EVENT, latencyTarget * SILENT_TARGETS)
-            : Math.max(LEAST_SILENCE, latencyTarget * SILENT_TARGETS),
-        );
+        if (isStream) watch.limitSilence(DEAD_SILENCE, longestGap(work.route));
+        else {
+          watch.limitSilence(
+            Math.max(LEAST_SILENCE, latencyTarget * SILENT_TARGETS),
+          );
+        }
       }
       const result = await opened.head;
+      if (result.isOk()) replicas.noteHeard(choice.replica.entry.id);
       if (result.isErr()) return watch.cause() ?? ended(result.error);
       const head = result.value;
       const terms = dialect.readAnswer(head.status, head.headers);
@@ -322,7 +351,7 @@
         return { kind: "not run", reason, misdirected, terms };
       }
       if (isStream && head.status === 200) {
-        return await passStream(opened, head, { watch, flight });
+        return await passStream(opened, head, { choice, watch, flight });
       }
       return await passAnswer(opened, head, watch);
     }
@@ -330,7 +359,8 @@
     async function passStream(
       opened: Attempt,
       head: AnswerHead,
-      { watch, flight }: {
+      { choice, watch, flight }: {
+        readonly choice: Choice;
         readonly watch: Watch;
         readonly flight: Flight;
       },
@@ -349,6 +379,7 @@
           };
         }
         flight.noteFirstToken();
+        replicas.noteHeard(choice.replica.entry.id);
         // The time in which a slow caller takes the events is not silence.
         watch.limitSilence(Infinity);
         const whole = splitter.push(next.value, lastEvent);
@@ -358,7 +389,7 @@
           if (whole.lastId !== undefined) lastEvent = whole.lastId;
           await caller.write(whole.bytes);
         }
-        if (mayMove) watch.limitSilence(STREAM_SILENCE);
+        if (mayMove) watch.limitSilence(DEAD_SILENCE, longestGap(work.route));
       }
       if (!caller.hasBegun()) caller.begin(head.status, head.rawHeaders);
       caller.finish();
@@ -444,23 +475,39 @@
 
 const SILENT = "silent";
 
+function longestGap(route: Route): Milliseconds {
+  const { latencyTarget, longestPause } = route;
+  const gap = Math.max(
+    LEAST_GAP,
+    latencyTarget * GAP_TARGETS,
+    longestPause * GAP_PAUSES,
+  );
+  return gap * GAP_SHARE;
+}
+
 interface Watch {
-  /** Ends the attempt when nothing arrives for so long from now on. */
-  limitSilence(limit: Milliseconds): void;
+  /**
+   * Ends the attempt when nothing arrives for so long from now on; up to the
+   * second limit while other requests hear from the replica.
+   */
+  limitSilence(limit: Milliseconds, busyLimit?: Milliseconds): void;
   /** Why the attempt was ended from here. */
   cause(): AttemptEnd | undefined;
   stop(): void;
 }
 
 /** Ends an attempt when its caller leaves, its time is over or it is silent. */
-function watchAttempt(opened: Attempt, { clock, caller, due }: {
+function watchAttempt(opened: Attempt, options: {
   readonly clock: Clock;
   readonly caller: Caller;
   readonly due: Milliseconds;
+  /** Time since anything arrived from the replica. */
+  readonly silence: () => Milliseconds;
 }): Watch {
+  const { clock, caller, due, silence } = options;
   let cause: AttemptEnd | undefined;
   let isStopped = false;
-  let silence: NodeJS.Timeout | undefined;
+  let silenceTimer: NodeJS.Timeout | undefined;
 
   function stopFor(end: AttemptEnd, reason: string): void {
     if (isStopped || cause !== undefined) return;
@@ -475,23 +522,31 @@
   caller.onLeave(() => stopFor({ kind: "left" }, "caller left"));
 
   return {
-    limitSilence(limit) {
-      clearTimeout(silence);
+    limitSilence(limit, busyLimit = limit) {
+      clearTimeout(silenceTimer);
       if (limit === Infinity) return;
       const timer = setTimeout(() => {
         // Input that arrived during a pause of the process is read first.
         setImmediate(() => {
-          if (silence !== timer) return;
+          if (silenceTimer !== timer) return;
+          const isBusy = silence() < limit;
+          if (isBusy && busyLimit > limit) {
+            this.limitSilence(
+              Math.min(limit, busyLimit - limit),
+              busyLimit - limit,
+            );
+            return;
+          }
           stopFor({ kind: "lost", reason: SILENT }, SILENT);
         });
       }, limit);
-      silence = timer;
+      silenceTimer = timer;
     },
     cause: () => cause,
     stop() {
       isStopped = true;
       clearTimeout(overdue);
-      clearTimeout(silence);
+      clearTimeout(silenceTimer);
     },
   };
 }
