--- /dev/null
+++ b/packages/dispatch/src/replica.test.ts
@@ -0,0 +1,133 @@
+import { test } from "node:test";
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import {
+  createReplicaTable,
+  type ReplicaChange,
+  type ReplicaEntry,
+} from "./replica.ts";
+
+function entry(id: string, options: Partial<ReplicaEntry> = {}): ReplicaEntry {
+  return {
+    id,
+    service: "llm",
+    address: `10.0.0.1:${8_000 + id.charCodeAt(0)}`,
+    zone: "espoo",
+    slots: 8,
+    state: "ready",
+    weights: new Map([["m", 1]]),
+    ...options,
+  };
+}
+
+function createTable() {
+  const clock = createManualClock();
+  const changes: (readonly [ReplicaChange, string])[] = [];
+  const table = createReplicaTable({
+    clock,
+    onChange: (change, { entry: { id } }) => changes.push([change, id]),
+  });
+  const usable = () => table.usable("llm").map((replica) => replica.entry.id);
+  return { clock, changes, table, usable };
+}
+
+test("a leaving replica takes no requests", () => {
+  const { table, usable, changes } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  table.put(entry("a", { state: "leaving" }));
+  expect(usable()).toEqual(["b"]);
+  expect(changes.at(-1)).toEqual(["leaving", "a"]);
+});
+
+test("an entry that is removed is gone at once", () => {
+  const { table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  table.remove("a");
+  expect(usable()).toEqual(["b"]);
+});
+
+// Failure: entries lapse while the store is away, and living replicas would
+// lose their connections and beliefs until their entries are back.
+test("entries that lapsed in an outage have time to come back", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  await clock.advance(5_000);
+  table.noteContact();
+  table.replaceAll([entry("b")]);
+  expect(usable()).toEqual(["a", "b"]);
+  await clock.advance(1_000);
+  table.put(entry("a"));
+  await clock.advance(5_000);
+  table.noteContact();
+  expect(usable()).toEqual(["a", "b"]);
+});
+
+test("an entry still missing some time after an outage is gone", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  await clock.advance(5_000);
+  table.noteContact();
+  table.replaceAll([entry("b")]);
+  for (let second = 0; second < 3; second += 1) {
+    await clock.advance(1_000);
+    table.noteContact();
+  }
+  expect(usable()).toEqual(["b"]);
+});
+
+test("a replica that starts again under its id is another incarnation", () => {
+  const { table, changes } = createTable();
+  table.put(entry("a", { born: 1, weights: new Map([["m", 4]]) }));
+  table.put(entry("a", { born: 2, weights: new Map([["m", 3]]) }));
+  expect(changes.at(-1)).toEqual(["restarted", "a"]);
+  expect(table.find("a")?.weights.get("m")).toEqual(3);
+});
+
+// Failure: requests that may not be repeated went on to replicas that had gone
+// silent until their entries lapsed (koiratakki scale-1, 152 failed).
+test("a replica that answers nothing is left out until it is heard", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  table.noteSent("a");
+  expect(usable()).toEqual(["a", "b"]);
+  await clock.advance(1_000);
+  expect(usable()).toEqual(["b"]);
+  expect(table.silent()).toEqual(["a"]);
+  table.noteHeard("a");
+  expect(usable()).toEqual(["a", "b"]);
+});
+
+test("a silent replica is tried again when no other is left", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a")]);
+  table.noteSent("a");
+  await clock.advance(1_000);
+  expect(usable()).toEqual(["a"]);
+});
+
+test("avoidance doubles with failures in a row and ends with success", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  table.recordFailure("a");
+  table.recordFailure("a");
+  expect(usable()).toEqual(["b"]);
+  await clock.advance(499);
+  expect(usable()).toEqual(["b"]);
+  await clock.advance(2);
+  expect(usable()).toEqual(["a", "b"]);
+  table.recordFailure("a");
+  table.recordSuccess("a");
+  expect(usable()).toEqual(["a", "b"]);
+});
+
+// Failure: a replica that refused a version it was wrongly believed to have
+// refused all requests, because the belief could only rise.
+test("a wrong belief of weights can be corrected downwards", () => {
+  const { table } = createTable();
+  table.put(entry("a"));
+  table.recordWeights("a", "m", 3);
+  table.recordWeights("a", "m", 2);
+  expect(table.find("a")?.weights.get("m")).toEqual(3);
+  table.correctWeights("a", "m", 2);
+  expect(table.find("a")?.weights.get("m")).toEqual(2);
+});
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -55,6 +55,13 @@
  */
 const RETURN_GRACE: Milliseconds = 2_500;
 
+/**
+ * A replica that has said nothing for so long since a request was sent there
+ * gets no more, and is tried again after the second time.
+ */
+const DEAD_SILENCE: Milliseconds = 900;
+const SILENT_AGAIN: Milliseconds = 4_000;
+
 /** An outage of the list shorter than this drops no living replica. */
 const OUTAGE: Milliseconds = 2_500;
 
@@ -70,6 +77,10 @@
   abstract find(id: string): Replica | undefined;
   abstract all(): readonly Replica[];
   abstract recordSuccess(id: string): void;
+  /** A request has just been sent there. */
+  abstract noteSent(id: string): void;
+  /** Replicas that have said nothing since a request was sent there. */
+  abstract silent(): readonly string[];
   /** Something has just arrived from the replica. */
   abstract noteHeard(id: string): void;
   /** Time since anything arrived from the replica. */
@@ -93,6 +104,16 @@
 ): ReplicaTable {
   const replicas = new Map<string, State>();
   const heard = new Map<string, Milliseconds>();
+  /** When the first request was sent that nothing has followed. */
+  const unanswered = new Map<string, Milliseconds>();
+
+  function isSilent(id: string): boolean {
+    const since = unanswered.get(id);
+    if (since === undefined) return false;
+    const silence = clock.monotonic() - since;
+    if (silence >= SILENT_AGAIN) unanswered.delete(id);
+    return silence >= DEAD_SILENCE && silence < SILENT_AGAIN;
+  }
   /** Removed entries that may come back after an outage of the list. */
   const missing = new Map<string, Milliseconds>();
   let lastContact: Milliseconds = clock.monotonic();
@@ -136,6 +157,7 @@
     if (known === undefined) return;
     replicas.delete(id);
     heard.delete(id);
+    unanswered.delete(id);
     onChange("gone", known);
   }
 
@@ -179,7 +201,9 @@
       const ready = [...replicas.values()].filter(({ entry }) =>
         entry.service === service && entry.state === "ready"
       );
-      const sound = ready.filter((replica) => replica.avoidedUntil <= now);
+      const sound = ready.filter(({ avoidedUntil, entry }) =>
+        avoidedUntil <= now && !isSilent(entry.id)
+      );
       return sound.length > 0 ? sound : ready;
     }
 
@@ -191,7 +215,17 @@
       return [...replicas.values()];
     }
 
+    override noteSent(id: string): void {
+      if (!replicas.has(id) || unanswered.has(id)) return;
+      unanswered.set(id, clock.monotonic());
+    }
+
+    override silent(): readonly string[] {
+      return [...unanswered.keys()].filter(isSilent);
+    }
+
     override noteHeard(id: string): void {
+      unanswered.delete(id);
       if (replicas.has(id)) heard.set(id, clock.monotonic());
     }
 
--- a/packages/dispatch/src/weights.ts
+++ b/packages/dispatch/src/weights.ts
@@ -13,8 +13,16 @@
 }
 
 export abstract class WeightTargets {
-  /** Takes a named version over; lower ones than the present are ignored. */
-  abstract name(model: string, version: number): void;
+  /**
+   * Takes a named version over; lower ones than the present are ignored. A
+   * version that was there when this daemon started may have been named long
+   * ago, so that no request may begin below it.
+   */
+  abstract name(
+    model: string,
+    version: number,
+    options?: { readonly isOld: boolean },
+  ): void;
   /** The newest version named, or 0. */
   abstract target(model: string): number;
   /** Time since the newest version was named. */
@@ -46,9 +54,14 @@
   }
 
   return new (class extends WeightTargets {
-    override name(model: string, version: number): void {
+    override name(
+      model: string,
+      version: number,
+      { isOld } = { isOld: false },
+    ): void {
       if (version <= this.target(model)) return;
-      const target = { version, since: clock.monotonic() };
+      const since = isOld ? -Infinity : clock.monotonic();
+      const target = { version, since };
       targets.set(model, [...named(model), target].slice(-MAX_TARGETS));
     }
 
@@ -121,9 +134,12 @@
     Math.floor(replicas.length * LOADING_SHARE),
   );
   const busy = behind.filter(({ entry }) => loading.has(entry.id)).length;
-  const waiting = behind.filter(({ entry }) =>
-    !loading.has(entry.id) && entry.state === "ready"
-  );
+  // The oldest first: each version that was named has a bound of its own.
+  const waiting = behind
+    .filter(({ entry }) => !loading.has(entry.id) && entry.state === "ready")
+    .sort((left, right) =>
+      (left.weights.get(model) ?? 0) - (right.weights.get(model) ?? 0)
+    );
   const chosen = waiting.slice(0, Math.max(0, limit - busy));
   const rounds = Math.ceil((waiting.length - chosen.length) / limit);
   const left = options.patience * SPREAD_SHARE - options.age;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,7 +126,7 @@
 /** Extra time between the orders of two daemons. */
 const LEASE_MARGIN: Milliseconds = 300;
 /** Time for which a holder may act after a renewal was sent. */
-const LEASE_USE: Milliseconds = 1_200;
+const LEASE_USE: Milliseconds = 1_000;
 const STORE_TIMEOUT: Milliseconds = 900;
 
 /**
@@ -144,6 +144,9 @@
 /** A replica is avoided so long after the last word that it loads weights. */
 const BUSY_AVOIDANCE: Milliseconds = 700;
 
+/** A replica that was heard since then is not taken as silent here. */
+const SILENCE: Milliseconds = 900;
+
 const DAEMON_TABLE = "daemons";
 
 export function createGateway(parts: GatewayParts): Gateway {
@@ -159,6 +162,7 @@
   });
   let isDraining = false;
   let replicasKnown = false;
+  let operatorKnown = false;
 
   const replicaClock = createReplicaClock(clock);
   const transfers = createTransferPlanner({
@@ -189,8 +193,13 @@
     table: codec.operatorTable,
     wait: STATE_WAIT,
     pause: 0,
-    onSnapshot: (rows) => rows.forEach(takeOperatorRow),
-    onChange: (rows) => rows.forEach(takeOperatorRow),
+    onSnapshot(rows) {
+      for (const row of rows) takeOperatorRow(row, !operatorKnown);
+      operatorKnown = true;
+    },
+    onChange(rows) {
+      for (const row of rows) takeOperatorRow(row, false);
+    },
   });
   const entries = createFollower({
     clock,
@@ -389,7 +398,7 @@
     return Math.max(LEAST_CONNECTIONS, Math.floor(share));
   }
 
-  function takeOperatorRow({ key, value }: FollowedRow): void {
+  function takeOperatorRow({ key, value }: FollowedRow, isOld: boolean): void {
     if (codec.isState(key)) {
       const state = codec.readState(value);
       if (state.isOk()) {
@@ -402,7 +411,7 @@
     if (named === undefined) return;
     const { model, version } = named;
     if (version <= weights.target(model)) return;
-    weights.name(model, version);
+    weights.name(model, version, { isOld });
     logger.log("weights_named", { model, version });
   }
 
@@ -472,6 +481,10 @@
         return loading;
       },
       onBusy: avoidBusy,
+      silent: () => replicas.silent(),
+      // Only a cut between the peer and the replica leaves it audible here.
+      onSilent: (ids) =>
+        avoidBusy(ids.filter((id) => replicas.silence(id) > SILENCE)),
     });
     return Ok(undefined);
   }
--- a/packages/gateway/src/peers.ts
+++ b/packages/gateway/src/peers.ts
@@ -34,6 +34,10 @@
   readonly peers: () => readonly PeerAddress[];
   /** Replicas that this daemon has load weights. */
   readonly busy: () => readonly string[];
+  /** Replicas that have not answered this daemon. */
+  readonly silent: () => readonly string[];
+  /** A peer says that replicas do not answer it. */
+  readonly onSilent: (replicas: readonly string[]) => void;
   /** A peer says that the replicas are busy with a load of weights. */
   readonly onBusy: (replicas: readonly string[]) => void;
 }
@@ -56,10 +60,12 @@
 /** A start without the store asks peers at this pace. */
 const START_PERIOD: Milliseconds = 300;
 
+/** Short names of fields keep a datagram in one packet. */
 const DATAGRAM = z.object({
   n: z.string(),
   v: z.record(z.string(), z.number()),
   b: z.array(z.string()),
+  s: z.array(z.string()),
   l: z.record(
     z.string(),
     z.tuple([z.number(), z.number(), z.number(), z.number()]),
@@ -102,7 +108,13 @@
     );
     const digest = load.digest();
     const busy = options.busy();
-    const text = JSON.stringify({ n: name, v: versions, b: busy, l: digest });
+    const text = JSON.stringify({
+      n: name,
+      v: versions,
+      b: busy,
+      s: options.silent(),
+      l: digest,
+    });
     const now = clock.monotonic();
     if (text === lastSent && now - lastSentAt < LONGEST_SILENCE) return;
     lastSent = text;
@@ -124,6 +136,7 @@
         continue;
       }
       if (parsed.b.length > 0) options.onBusy(parsed.b);
+      if (parsed.s.length > 0) options.onSilent(parsed.s);
       load.takeDigest(peer.name, parsed.l as LoadDigest);
       for (const [table, version] of Object.entries(parsed.v)) {
         compare(peer, table, version);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -327,6 +327,7 @@
         fetched: choice.fetched,
         remaining: Math.round(left),
       }, { ...subject, upstream: entry.id });
+      replicas.noteSent(entry.id);
       const watch = watchAttempt(opened, {
         clock,
         caller,
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -46,9 +46,9 @@
 
 /** Daemons contend at different times, to spare calls to the store. */
 const CONTEND_SPREAD: Milliseconds = 200;
-const CONTEND_AGAIN: Milliseconds = 800;
+const CONTEND_AGAIN: Milliseconds = 400;
 
-const RENEWAL: Milliseconds = 350;
+const RENEWAL: Milliseconds = 300;
 
 /** Time until a report shows an order that was accepted. */
 const REPORT_LAG: Milliseconds = 350;
