Fetch long parts from the other region, weigh tokens read again; test the whole path

Cause: parts that only the other region kept were read again; a read token costs ten times the price of its transfer.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -82,6 +82,12 @@
 const DELAY_SHARE = 0.05;
 const MAX_DELAYED = 40;
 
+/**
+ * Tokens read again that are kept elsewhere cost the time of a replica that
+ * new prompts need.
+ */
+const AGAIN_COST = 1.5;
+
 /** A stream pauses where many prompts are read. */
 const PAUSE_SHARE = 0.1;
 
@@ -173,6 +179,7 @@
       const far = distance(zone);
       const cost = present.unread + unread +
         plan.cost +
+        plan.again * AGAIN_COST +
         present.requests * RUNNING_COST +
         unread * Math.min(MAX_DELAYED, present.requests) * DELAY_SHARE +
         present.recent * PAUSE_SHARE +
--- a/packages/dispatch/src/transfers.ts
+++ b/packages/dispatch/src/transfers.ts
@@ -22,6 +22,8 @@
   /** One for each shared part, in order; absent when nothing is asked. */
   readonly parts?: readonly PartPlan[];
   readonly fetched: Tokens;
+  /** Shared tokens that are to be read though they are kept somewhere. */
+  readonly again: Tokens;
   /** In prompt tokens that the replica could read meanwhile. */
   readonly cost: number;
 }
@@ -61,8 +63,12 @@
 /** Tokens of 18 KB that the link of a replica carries in a millisecond. */
 const REPLICA_LINK = 600;
 
-/** Transfers between zones take twice as long. */
+/** Transfers between zones take twice as long, between regions ten times. */
 const ZONE_FACTOR = 2;
+const REGION_FACTOR = 10;
+
+/** A smaller part of another region is read sooner than it is fetched. */
+const LEAST_FAR_FETCH: Tokens = 1_000;
 
 /** A smaller part is read sooner than its transfer is arranged. */
 const LEAST_FETCH: Tokens = 256;
@@ -93,35 +99,50 @@
   }
 
   function factor(zone: string, replica: Replica): number {
-    return zone === replica.entry.zone ? 1 : ZONE_FACTOR;
+    if (zone === replica.entry.zone) return 1;
+    return isNear(zone, replica) ? ZONE_FACTOR : REGION_FACTOR;
   }
 
+  /** The nearest holder of the part; a store before a replica. */
   function findSource(
     part: PromptPart,
     question: TransferQuestion,
-    near: readonly StoreTraits[],
   ): Source | undefined {
-    const { replica, salt, peers } = question;
-    let best: Source | undefined;
-    for (const store of near) {
-      if (!cache.keeps(store.address, salt, part)) continue;
-      const time = store.startDelay +
-        part.tokens / store.tokensPerMillisecond * factor(store.zone, replica);
-      const cost = time * READING_SPEED;
-      if (best === undefined || cost < best.cost) {
-        best = { address: store.address, cost };
-      }
+    const { replica, salt, peers, mayUseStores } = question;
+    const keptBy = (holder: string) => cache.keeps(holder, salt, part);
+    const kept = mayUseStores
+      ? stores().filter(({ address }) => keptBy(address))
+      : [];
+    const near = kept.filter(({ zone }) => isNear(zone, replica));
+    if (near.length > 0) return findLeast(near.map(fromStore));
+    const replicas = peers.filter((peer) =>
+      peer !== replica && isNear(peer.entry.zone, replica) &&
+      keptBy(peer.entry.id)
+    );
+    if (replicas.length > 0) return findLeast(replicas.map(fromReplica));
+    if (part.tokens < LEAST_FAR_FETCH) return undefined;
+    return findLeast(kept.map(fromStore));
+
+    function fromStore(store: StoreTraits): Source {
+      const { address, zone, startDelay, tokensPerMillisecond } = store;
+      const transfer = part.tokens / tokensPerMillisecond;
+      const time = startDelay + transfer * factor(zone, replica);
+      return { address, cost: time * READING_SPEED };
     }
-    if (best !== undefined) return best;
-    for (const peer of peers) {
-      const { id, address, zone } = peer.entry;
-      if (peer === replica || !isNear(zone, replica)) continue;
-      if (!cache.keeps(id, salt, part)) continue;
+
+    function fromReplica({ entry: { address, zone } }: Replica): Source {
       const time = part.tokens / REPLICA_LINK * factor(zone, replica);
-      const cost = time * READING_SPEED;
-      if (best === undefined || cost < best.cost) best = { address, cost };
+      return { address, cost: time * READING_SPEED };
     }
-    return best;
+  }
+
+  /** True when any replica or store keeps the part, near or far. */
+  function isKept(
+    part: PromptPart,
+    { salt, peers }: TransferQuestion,
+  ): boolean {
+    return stores().some(({ address }) => cache.keeps(address, salt, part)) ||
+      peers.some(({ entry }) => cache.keeps(entry.id, salt, part));
   }
 
   function usedOf(address: string): Tokens {
@@ -168,18 +189,22 @@
         : [];
       const plans: PartPlan[] = [];
       let fetched: Tokens = 0;
+      let again: Tokens = 0;
       let cost = 0;
       let isContiguous = true;
       for (const part of shared) {
         const isHeld = cache.keeps(replica.entry.id, salt, part);
         const source = isHeld || !isContiguous
           ? undefined
-          : findSource(part, question, near);
+          : findSource(part, question);
         const saveTo = findSaver(part, question, near);
         if (source !== undefined) {
           fetched += part.tokens;
           cost += source.cost;
-        } else if (!isHeld) isContiguous = false;
+        } else if (!isHeld) {
+          isContiguous = false;
+          if (isKept(part, question)) again += part.tokens;
+        }
         plans.push({
           ...(source === undefined ? {} : { fetchFrom: source.address }),
           ...(saveTo === undefined ? {} : { saveTo }),
@@ -195,6 +220,7 @@
       return {
         ...(isEmpty ? {} : { parts }),
         fetched: isWorthwhile ? fetched : 0,
+        again,
         cost: isWorthwhile ? cost : 0,
       };
     }
@@ -215,3 +241,11 @@
     }
   })();
 }
+
+function findLeast(sources: readonly Source[]): Source | undefined {
+  let best: Source | undefined;
+  for (const source of sources) {
+    if (best === undefined || source.cost < best.cost) best = source;
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/standins/src/fleet/mod.ts
@@ -0,0 +1,5 @@
+/**
+ * Stand-ins that speak the protocol of the users' platform.
+ */
+export * from "./replica.ts";
+export * from "./tables.ts";
--- /dev/null
+++ b/packages/standins/src/fleet/replica.ts
@@ -0,0 +1,233 @@
+/**
+ * Stand-in of a replica on the users' platform: a model engine that streams
+ * events, or a plain service. It records what it was asked.
+ */
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+export interface ReplicaFaults {
+  /** Takes requests and never answers. */
+  readonly dark: boolean;
+  /** Refuses every request as not run. */
+  readonly full: boolean;
+  /** Breaks a stream off in the middle of the event with this number. */
+  readonly breakAt: number;
+  /** Answers plain requests with this status. */
+  readonly status: number;
+  /** Closes the connection after a plain request has run. */
+  readonly loseAnswers: boolean;
+  /** Answers with the id of another request. */
+  readonly wrongId: boolean;
+  /** Orders are carried out and not answered. */
+  readonly loseOrders: boolean;
+}
+
+export interface ReceivedRequest {
+  readonly id: string;
+  readonly method: string;
+  readonly path: string;
+  readonly body: string;
+  readonly headers: IncomingHttpHeaders;
+  /** True once the connection closed before the answer was complete. */
+  readonly isDropped: () => boolean;
+}
+
+export interface ReceivedOrder {
+  readonly version: number;
+  readonly holder: string;
+  readonly fence: number;
+  readonly expected_rev: number;
+}
+
+export interface ReplicaStandin {
+  readonly id: string;
+  readonly address: string;
+  readonly requests: readonly ReceivedRequest[];
+  readonly orders: readonly ReceivedOrder[];
+  /** The entry as the replica writes it to the list. */
+  entry(state?: string): Record<string, unknown>;
+  setFaults(faults: Partial<ReplicaFaults>): void;
+  close(): Promise<void>;
+}
+
+export interface ReplicaOptions {
+  readonly id: string;
+  readonly service: string;
+  readonly zone: string;
+  /** Present for model engines. */
+  readonly model?: string;
+  /** Events of a stream, and the time between them in milliseconds. */
+  readonly events?: number;
+  readonly pause?: number;
+}
+
+const NO_FAULTS: ReplicaFaults = {
+  dark: false,
+  full: false,
+  breakAt: 0,
+  status: 200,
+  loseAnswers: false,
+  wrongId: false,
+  loseOrders: false,
+};
+
+const EVENTS = 5;
+const PAUSE = 5;
+
+export async function startReplicaStandin(
+  options: ReplicaOptions,
+): Promise<ReplicaStandin> {
+  const { id, service, zone, model, events = EVENTS, pause = PAUSE } = options;
+  const requests: ReceivedRequest[] = [];
+  const orders: ReceivedOrder[] = [];
+  let faults = NO_FAULTS;
+  let version = 1;
+
+  function answerJson(response: ServerResponse, status: number, body = {}) {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+  }
+
+  function headersFor(request: IncomingMessage): Record<string, string> {
+    const requestId = String(request.headers["request-id"] ?? "");
+    return {
+      "Request-Id": faults.wrongId ? "another" : requestId,
+      "Response-Seal": `seal-${id}-${requestId}`,
+      "Replica-Load": "1,0,8",
+      ...(model === undefined ? {} : { "Weight-Versions": String(version) }),
+    };
+  }
+
+  function refuse(response: ServerResponse, status: number): void {
+    response.writeHead(status, { "Not-Executed": "1", "Replica-Id": id }).end();
+  }
+
+  async function stream(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+    response.writeHead(200, {
+      ...headersFor(request),
+      "content-type": "text/event-stream",
+    });
+    for (let number = first; number <= events; number += 1) {
+      if (number === faults.breakAt) {
+        response.write(`id: ${number}\nda`);
+        await new Promise((resolve) => setTimeout(resolve, pause));
+        response.destroy();
+        return;
+      }
+      response.write(`id: ${number}\ndata: token-${number}\n\n`);
+      await new Promise((resolve) => setTimeout(resolve, pause));
+    }
+    response.end();
+  }
+
+  async function run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+  ): Promise<void> {
+    const expected = request.headers["expect-instance"];
+    if (expected !== undefined && expected !== id) return refuse(response, 421);
+    const weights = request.headers["expect-version"];
+    if (weights !== undefined && Number(weights) !== version) {
+      return refuse(response, 421);
+    }
+    if (faults.full) return refuse(response, 503);
+    let isDropped = false;
+    response.once("close", () => isDropped = !response.writableFinished);
+    requests.push({
+      id: String(request.headers["request-id"]),
+      method: request.method ?? "",
+      path: request.url ?? "",
+      body,
+      headers: request.headers,
+      isDropped: () => isDropped,
+    });
+    if (faults.dark) return;
+    if (model !== undefined) return await stream(request, response);
+    if (faults.loseAnswers) {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(faults.status, headersFor(request));
+    response.end(`answer of ${id}`);
+  }
+
+  function takeOrder(body: string, response: ServerResponse): void {
+    const order = JSON.parse(body) as ReceivedOrder;
+    if (order.expected_rev !== orders.length) return answerJson(response, 409);
+    orders.push(order);
+    version = order.version;
+    if (faults.loseOrders) response.destroy();
+    else answerJson(response, 202);
+  }
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of request) chunks.push(chunk as Uint8Array);
+    const body = Buffer.concat(chunks).toString();
+    const path = (request.url ?? "/").split("?")[0];
+    if (path === "/peridotvalve/report") {
+      const models = [{ name: model, version, adapters: [] }];
+      return answerJson(response, 200, {
+        models,
+        busy: false,
+        seq: orders.length,
+      });
+    }
+    if (path === "/peridotvalve/order") return takeOrder(body, response);
+    if (path === "/peridotvalve/kv-events") {
+      const wait = Number(request.headers["wait-ms"] ?? 0);
+      await new Promise((resolve) => setTimeout(resolve, wait));
+      const page = { boot_epoch: 1, next: 0, lost: false, events: [] };
+      return answerJson(response, 200, page);
+    }
+    await run(request, response, body);
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+
+  return {
+    id,
+    address,
+    requests,
+    orders,
+    entry: (state = "ready") => ({
+      service,
+      address,
+      zone,
+      version: "v1",
+      slots: 8,
+      state,
+      cold_remaining_ms: 0,
+      models: model === undefined
+        ? []
+        : [{ name: model, version, adapters: [] }],
+      seq: 1,
+    }),
+    setFaults(change) {
+      faults = { ...faults, ...change };
+    },
+    async close() {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
--- /dev/null
+++ b/packages/standins/src/fleet/tables.ts
@@ -0,0 +1,186 @@
+/**
+ * Stand-in of the users' table service: rows with versions of one counter,
+ * conditional transactions, and feeds that wait for a change.
+ */
+import { once } from "node:events";
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
+
+export interface TableFaults {
+  /** Answers every call with 503. */
+  readonly outage: boolean;
+  /** Takes calls and never answers. */
+  readonly silent: boolean;
+  /** Applies transactions and closes the connection without an answer. */
+  readonly loseAnswers: boolean;
+}
+
+interface StoredRow {
+  readonly table: string;
+  readonly part: string;
+  readonly key: string;
+  readonly value?: string;
+  readonly ver: number;
+  readonly tombstone?: true;
+}
+
+interface Transaction {
+  readonly expected_rev?: readonly (Omit<StoredRow, "value">)[];
+  readonly writes?: readonly Omit<StoredRow, "ver">[];
+  readonly remove?: readonly Omit<StoredRow, "ver" | "value">[];
+}
+
+export interface TablesStandin {
+  readonly address: string;
+  /** Writes a row as the operator or a replica does. */
+  put(table: string, key: string, value: unknown): void;
+  remove(table: string, key: string): void;
+  read(table: string, key: string): unknown;
+  setFaults(faults: Partial<TableFaults>): void;
+  /** Forgets the changes, so that feeds behind them get 410. */
+  compact(): void;
+  close(): Promise<void>;
+}
+
+export async function startTablesStandin(): Promise<TablesStandin> {
+  const rows = new Map<string, StoredRow>();
+  let version = 0;
+  let oldest = 0;
+  let faults: TableFaults = {
+    outage: false,
+    silent: false,
+    loseAnswers: false,
+  };
+  const waiting = new Set<() => void>();
+
+  const idOf = (table: string, key: string) => `${table}\n${key}`;
+
+  function set(table: string, key: string, value: string | undefined): void {
+    const row = { table, part: "", key, ver: version };
+    rows.set(
+      idOf(table, key),
+      value === undefined
+        ? { ...row, tombstone: true as const }
+        : { ...row, value },
+    );
+  }
+
+  function wake(): void {
+    for (const look of [...waiting]) look();
+  }
+
+  function transact(
+    { expected_rev = [], writes = [], remove = [] }: Transaction,
+  ) {
+    const isHeld = expected_rev.every(({ table, key, ver }) => {
+      const row = rows.get(idOf(table, key));
+      return (row?.tombstone === true ? 0 : row?.ver ?? 0) === ver;
+    });
+    if (!isHeld) return false;
+    version += 1;
+    for (const { table, key, value } of writes) set(table, key, value);
+    for (const { table, key } of remove) set(table, key, undefined);
+    wake();
+    return true;
+  }
+
+  function answer(
+    response: ServerResponse,
+    status: number,
+    body: Record<string, unknown> = {},
+  ): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify({ ...body, ver: version, now_ms: 0 }));
+  }
+
+  function changesAfter(table: string, after: number): readonly StoredRow[] {
+    return [...rows.values()]
+      .filter((row) => row.table === table && row.ver > after)
+      .sort((left, right) => left.ver - right.ver);
+  }
+
+  function follow(parameters: URLSearchParams, response: ServerResponse): void {
+    const table = parameters.get("table") ?? "";
+    const after = Number(parameters.get("after"));
+    if (after < oldest) return answer(response, 410);
+    const end = () => {
+      clearTimeout(timer);
+      waiting.delete(look);
+      answer(response, 200, { rows: changesAfter(table, after) });
+    };
+    const look = () => {
+      if (changesAfter(table, after).length > 0) end();
+    };
+    const timer = setTimeout(end, Number(parameters.get("wait_ms") ?? 0));
+    waiting.add(look);
+    look();
+  }
+
+  async function handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const chunks: Uint8Array[] = [];
+    for await (const chunk of request) chunks.push(chunk as Uint8Array);
+    if (faults.silent) return;
+    if (faults.outage) return answer(response, 503);
+    const url = new URL(request.url ?? "/", "http://tables");
+    if (url.pathname === "/peridotvalve/rows-tx") {
+      const body = JSON.parse(Buffer.concat(chunks).toString());
+      const isDone = transact(body);
+      if (faults.loseAnswers) request.socket.destroy();
+      else answer(response, isDone ? 200 : 412, { rows: [] });
+    } else if (url.pathname === "/peridotvalve/rows-get") {
+      const table = url.searchParams.get("table") ?? "";
+      const from = url.searchParams.get("from") ?? "";
+      const to = url.searchParams.get("to");
+      const found = [...rows.values()]
+        .filter((row) => row.table === table && row.tombstone !== true)
+        .filter(({ key }) => key >= from && (to === null || key < to))
+        .sort((left, right) => (left.key < right.key ? -1 : 1));
+      answer(response, 200, { rows: found, more_pages: false });
+    } else if (url.pathname === "/peridotvalve/rows-feed") {
+      follow(url.searchParams, response);
+    } else answer(response, 404);
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+
+  return {
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    put(table, key, value) {
+      version += 1;
+      set(table, key, Buffer.from(JSON.stringify(value)).toString("base64"));
+      wake();
+    },
+    remove(table, key) {
+      version += 1;
+      set(table, key, undefined);
+      wake();
+    },
+    read(table, key) {
+      const value = rows.get(idOf(table, key))?.value;
+      if (value === undefined) return undefined;
+      return JSON.parse(Buffer.from(value, "base64").toString());
+    },
+    setFaults(change) {
+      faults = { ...faults, ...change };
+    },
+    compact() {
+      oldest = version;
+      for (const [id, row] of rows) if (row.tombstone) rows.delete(id);
+    },
+    async close() {
+      server.closeAllConnections();
+      await new Promise((resolve) => server.close(resolve));
+    },
+  };
+}
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./platform/mod.ts";
 export * from "./engine/mod.ts";
+export * from "./fleet/mod.ts";
 export * from "./legacy/mod.ts";
 export type { Standin } from "./server.ts";
 export * from "./service/mod.ts";
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -13,6 +13,8 @@
 const KNOWN_RED_FILE = "KNOWN-RED.txt";
 const ENTRY = /^test: (.+)$/;
 
+const TEST_FOLDERS = ["packages", "platform"];
+
 // End-to-end tests start up to a dozen processes each on a ten-core machine.
 const PARALLEL_FILES = 3;
 
@@ -34,12 +36,13 @@
 }
 
 function findTestFiles(): readonly string[] {
-  const entries = readdirSync("packages", { recursive: true }) as string[];
-  return entries
-    .filter((entry) => !entry.includes("node_modules"))
-    .filter((entry) => entry.endsWith(".test.ts"))
-    .map((entry) => join("packages", entry))
-    .sort();
+  return TEST_FOLDERS.flatMap((folder) => {
+    const entries = readdirSync(folder, { recursive: true }) as string[];
+    return entries
+      .filter((entry) => !entry.includes("node_modules"))
+      .filter((entry) => entry.endsWith(".test.ts"))
+      .map((entry) => join(folder, entry));
+  }).sort();
 }
 
 async function* runFiles(files: readonly string[]): AsyncGenerator<Outcome> {
