--- /dev/null
+++ b/packages/dispatch/src/waiting_room.test.ts
@@ -0,0 +1,86 @@
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { createWaitingRoom } from "./waiting_room.ts";
+
+function createRoom() {
+  const clock = createManualClock();
+  const room = createWaitingRoom(clock);
+  const placed: string[] = [];
+  let places = 0;
+  const enter = (name: string, rank: number, until = 1_000) =>
+    room.wait({
+      rank,
+      until,
+      isAbandoned: () => false,
+      place() {
+        if (places === 0) return undefined;
+        places -= 1;
+        placed.push(name);
+        return name;
+      },
+    });
+  const open = (count: number) => {
+    places += count;
+    room.poke();
+  };
+  return { clock, room, placed, enter, open };
+}
+
+// Failure: short prompts stood behind long ones in a burst.
+test("urgent requests go first, and earlier ones among equals", async () => {
+  const { placed, enter, open } = createRoom();
+  const all = [
+    enter("long-1", 2),
+    enter("long-2", 2),
+    enter("short", 0),
+    enter("middle", 1),
+  ];
+  open(2);
+  expect(placed).toEqual(["short", "middle"]);
+  open(2);
+  expect(placed).toEqual(["short", "middle", "long-1", "long-2"]);
+  await Promise.all(all);
+});
+
+test("a request that cannot be placed in time is told so", async () => {
+  const { clock, room, enter } = createRoom();
+  const waiting = enter("late", 1, 50);
+  await clock.advance(60);
+  expect(await waiting).toEqual(undefined);
+  expect(room.size()).toEqual(0);
+});
+
+// Failure: requests behind those that are looked at never ended.
+test("requests far behind end in time too", async () => {
+  const { clock, room, enter } = createRoom();
+  const waiting = Array.from(
+    { length: 40 },
+    (_, at) => enter(`r-${at}`, 1, 50),
+  );
+  await clock.advance(60);
+  await Promise.all(waiting);
+  expect(room.size()).toEqual(0);
+});
+
+test("a request is placed at once when there is room", async () => {
+  const { enter, open } = createRoom();
+  open(1);
+  expect(await enter("first", 2)).toEqual("first");
+});
+
+test("an abandoned request leaves", async () => {
+  const clock = createManualClock();
+  const room = createWaitingRoom(clock);
+  let isAbandoned = false;
+  const waiting = room.wait({
+    rank: 1,
+    until: Infinity,
+    isAbandoned: () => isAbandoned,
+    place: () => undefined,
+  });
+  isAbandoned = true;
+  await sleep(30);
+  expect(await waiting).toEqual(undefined);
+});
--- /dev/null
+++ b/packages/gateway/src/follower.test.ts
@@ -0,0 +1,111 @@
+import { test } from "node:test";
+import { createSystemClock } from "@peridotvalve/clock";
+import {
+  type ChangeQuery,
+  type Changes,
+  type HistoryLost,
+  type Snapshot,
+  TableFeed,
+  type Unavailable,
+} from "@peridotvalve/tables";
+import { EventLogger, type EventName } from "@peridotvalve/events";
+import { expect } from "earl";
+import { Err, Ok, type Result } from "ts-results-es";
+import { createFollower } from "./follower.ts";
+
+type Answer = Result<Changes, Unavailable | HistoryLost>;
+
+/** Gives the answers in order, and nothing more afterwards. */
+function createFeed(snapshots: Snapshot[], answers: Answer[]) {
+  const queries: ChangeQuery[] = [];
+  const feed = new (class extends TableFeed {
+    override snapshot(): Promise<Result<Snapshot, Unavailable>> {
+      const next = snapshots.shift();
+      return Promise.resolve(
+        next === undefined
+          ? Err({ kind: "unavailable" as const, reason: "away" })
+          : Ok(next),
+      );
+    }
+
+    override changes(query: ChangeQuery): Promise<Answer> {
+      queries.push(query);
+      const next = answers.shift();
+      return next === undefined ? new Promise(() => {}) : Promise.resolve(next);
+    }
+  })();
+  return { feed, queries };
+}
+
+const row = (key: string, version: number) => ({ key, value: key, version });
+
+function follow(snapshots: Snapshot[], answers: Answer[]) {
+  const { feed, queries } = createFeed(snapshots, answers);
+  const taken: string[] = [];
+  const names: EventName[] = [];
+  const logger = new (class extends EventLogger {
+    override log(name: EventName): void {
+      names.push(name);
+    }
+  })();
+  const follower = createFollower({
+    clock: createSystemClock(),
+    logger,
+    feed,
+    table: "t",
+    wait: 0,
+    pause: 0,
+    onSnapshot: (rows) => taken.push(`all ${rows.map(({ key }) => key)}`),
+    onChange: (rows, removed) =>
+      taken.push(`${rows.map(({ key }) => key)} -${removed}`),
+  });
+  const stop = new AbortController();
+  follower.run(stop.signal);
+  return { follower, queries, taken, names, stop };
+}
+
+const settle = () => new Promise((resolve) => setTimeout(resolve, 20));
+
+test("changes follow a snapshot from its version", async () => {
+  const { taken, queries, follower, stop } = follow(
+    [{ rows: [row("a", 3)], version: 5 }],
+    [Ok({ rows: [row("b", 6)], removed: ["a"], version: 7 })],
+  );
+  await settle();
+  stop.abort();
+  expect(taken).toEqual(["all a", "b -a"]);
+  expect(queries.map(({ after }) => after)).toEqual([5, 7]);
+  expect(follower.rows().map(({ key }) => key)).toEqual(["b"]);
+  expect(follower.contentVersion()).toEqual(6);
+});
+
+// Failure: changes made while the history was dropped are never seen.
+test("a lost history leads to a new snapshot", async () => {
+  const { taken, stop } = follow(
+    [{ rows: [row("a", 3)], version: 5 }, { rows: [row("b", 8)], version: 9 }],
+    [Err({ kind: "history lost" })],
+  );
+  await settle();
+  stop.abort();
+  expect(taken).toEqual(["all a", "all b"]);
+});
+
+// Failure: rows of a peer that is behind replace newer ones.
+test("rows are taken from a peer only when they are newer", async () => {
+  const { follower, taken, stop } = follow(
+    [{ rows: [row("a", 3)], version: 5 }],
+    [],
+  );
+  await settle();
+  expect(follower.lend([row("old", 2)], 4)).toEqual(false);
+  expect(follower.lend([row("new", 8)], 9)).toEqual(true);
+  stop.abort();
+  expect(taken).toEqual(["all a", "all new"]);
+});
+
+test("a store that is away is told of once", async () => {
+  const { names, stop } = follow([], []);
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  stop.abort();
+  expect(names).toEqual(["table_lost"]);
+});
--- /dev/null
+++ b/packages/gateway/src/retry_budget.test.ts
@@ -0,0 +1,51 @@
+import { test } from "node:test";
+import { createManualClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { createRetryBudget } from "./retry_budget.ts";
+
+const RATIO = 0.2;
+const WINDOW = 10_000;
+
+function createBudget(clock = createManualClock(), allowance = 2) {
+  const budget = createRetryBudget({
+    clock,
+    ratio: RATIO,
+    window: WINDOW,
+    allowance: () => allowance,
+  });
+  const takeAll = () => {
+    let taken = 0;
+    while (budget.take("s")) taken += 1;
+    return taken;
+  };
+  return { clock, budget, takeAll };
+}
+
+// Failure: an outage of a service turns into a multiple of its load.
+test("extra attempts keep to a share of the requests", () => {
+  const { budget, takeAll } = createBudget();
+  for (let count = 0; count < 1_000; count += 1) budget.recordRequest("s");
+  const taken = takeAll();
+  expect(taken <= 1_000 * RATIO + 2).toEqual(true);
+  expect(taken > 100).toEqual(true);
+});
+
+test("the bound holds in every window of the length", async () => {
+  const { clock, budget, takeAll } = createBudget();
+  let inWindow: readonly (readonly [at: number, taken: number])[] = [];
+  for (let second = 0; second < 40; second += 1) {
+    for (let count = 0; count < 20; count += 1) budget.recordRequest("s");
+    const entry = [second, takeAll()] as const;
+    inWindow = [...inWindow, entry].filter(([at]) => second - at < 10);
+    const sum = inWindow.reduce((total, [, taken]) => total + taken, 0);
+    expect(sum <= 20 * 10 * RATIO + 2).toEqual(true);
+    await clock.advance(1_000);
+  }
+});
+
+test("services have budgets of their own", () => {
+  const { budget, takeAll } = createBudget();
+  takeAll();
+  expect(budget.left("s")).toEqual(0);
+  expect(budget.take("other")).toEqual(true);
+});
