--- a/packages/dispatch/src/waiting_room.test.ts
+++ b/packages/dispatch/src/waiting_room.test.ts
@@ -70,6 +70,23 @@
   expect(await enter("first", 2)).toEqual("first");
 });
 
+// Failure: a request that could not be placed in time was held to its end
+// before it was refused.
+test("the wait is told from the pace of the last placements", async () => {
+  const { clock, room, enter, open } = createRoom();
+  expect(room.estimateWait(2)).toEqual(0);
+  open(5);
+  for (let turn = 0; turn < 5; turn += 1) await enter(`placed-${turn}`, 2);
+  const waiting = [enter("a", 2, 10_000), enter("b", 1, 10_000)];
+  expect(room.estimateWait(2)).toEqual(2 * 1_500 / 5);
+  expect(room.estimateWait(1)).toEqual(1 * 1_500 / 5);
+  expect(room.estimateWait(0)).toEqual(0);
+  open(2);
+  await Promise.all(waiting);
+  await clock.advance(2_000);
+  expect(room.estimateWait(2)).toEqual(0);
+});
+
 test("an abandoned request leaves", async () => {
   const clock = createManualClock();
   const room = createWaitingRoom(clock);
--- a/packages/dispatch/src/waiting_room.ts
+++ b/packages/dispatch/src/waiting_room.ts
@@ -20,6 +20,11 @@
   /** Looks again, because a replica may have room. */
   abstract poke(): void;
   abstract size(): number;
+  /**
+   * Time that a request would wait behind those that go before it, at the
+   * pace at which requests were placed lately; 0 while nobody waits.
+   */
+  abstract estimateWait(rank: number): Milliseconds;
 }
 
 export interface WaitRequest<Placed> {
@@ -42,6 +47,9 @@
 /** Looks are made this far apart while nothing else causes one. */
 const PERIOD: Milliseconds = 15;
 
+/** Placements are counted over this time to tell their pace. */
+const PACE_WINDOW: Milliseconds = 1_500;
+
 /** Requests looked at in one go; those behind would not fit either. */
 const LOOKS = 8;
 
@@ -49,6 +57,13 @@
   let waiting: readonly Waiting[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isLooking = false;
+  let placements: readonly Milliseconds[] = [];
+
+  function notePlacement(): void {
+    const now = clock.monotonic();
+    const recent = placements.filter((at) => at > now - PACE_WINDOW);
+    placements = [...recent, now];
+  }
 
   function look(): void {
     if (isLooking) return;
@@ -101,6 +116,7 @@
             if (expire()) return true;
             const placed = place();
             if (placed === undefined) return false;
+            notePlacement();
             resolve(placed);
             return true;
           },
@@ -117,6 +133,14 @@
       if (waiting.length > 0) look();
     }
 
+    override estimateWait(rank: number): Milliseconds {
+      const ahead = waiting.filter((entry) => entry.rank <= rank).length;
+      if (ahead === 0) return 0;
+      const oldest = clock.monotonic() - PACE_WINDOW;
+      const placed = placements.filter((at) => at > oldest).length;
+      return ahead * PACE_WINDOW / Math.max(1, placed);
+    }
+
     override size(): number {
       return waiting.length;
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -99,6 +99,8 @@
 }
 
 export abstract class Gateway {
+  /** Counts a call of the platform's store in the metrics. */
+  abstract recordStoreCall(kind: string, outcome: string): void;
   abstract start(): Promise<Result<void, string>>;
   /** Finishes what is in flight and closes; resolves when all is done. */
   abstract stop(reason: string): Promise<void>;
@@ -277,6 +279,7 @@
       gauges.set("peridotvalve_state_version", version);
       const age = clock.monotonic() - entries.lastContact();
       gauges.set("peridotvalve_list_age_ms", Math.min(age, 1e9));
+      gauges.set("peridotvalve_peers", peerCount() - 1);
       gauges.set("peridotvalve_memory_bytes", process.memoryUsage.rss());
     },
   });
@@ -508,6 +511,10 @@
   }
 
   return new (class extends Gateway {
+    override recordStoreCall(kind: string, outcome: string): void {
+      meters.recordStoreCall(kind, outcome);
+    }
+
     override async start(): Promise<Result<void, string>> {
       const opened = await openPeers();
       if (opened.isErr()) return opened;
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -33,7 +33,7 @@
   peridotvalve_state_version: "Version of the desired state in force.",
   peridotvalve_list_age_ms: "Time since the list of replicas was read.",
   peridotvalve_memory_bytes: "Resident memory of the process.",
-  peridotvalve_peers: "Peers that were heard lately.",
+  peridotvalve_peers: "Other daemons that are registered.",
 } as const;
 
 export type GaugeName = keyof typeof GAUGES;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -208,6 +208,12 @@
         logger.log("retry_budget_spent", { kind: work.service }, subject);
         return giveUp(`${lastReason}, no retries left`, 502);
       }
+      const wait = work.terms === undefined
+        ? 0
+        : room.estimateWait(priorityOf(work));
+      if (clock.monotonic() + wait > Math.min(work.due, waitEnd())) {
+        return giveUp(`${lastReason}, too many wait`, 502, wait);
+      }
       // Plain services queue a few requests themselves and do not wait here.
       const placed = work.terms === undefined ? place() : await room.wait({
         rank: priorityOf(work),
@@ -270,13 +276,18 @@
     }
 
     /** The final answer of a request that no replica answers. */
-    function giveUp(reason: string, status: 502 | 504): RelayResult {
+    function giveUp(
+      reason: string,
+      status: 502 | 504,
+      wait: Milliseconds = RETRY_AFTER,
+    ): RelayResult {
       if (caller.hasBegun()) {
         caller.breakOff();
         return end({ kind: "lost", reason, status: 0 });
       }
       if (runs === 0 && status !== 504) {
-        const retryAfter = RETRY_AFTER + Math.random() * RETRY_SPREAD;
+        const spread = Math.max(RETRY_SPREAD, wait / 2);
+        const retryAfter = wait + Math.random() * spread;
         caller.refuse({ status: 503, reason, retryAfter });
         return end({ kind: "refused", reason, status: 503, retryAfter });
       }
