--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,6 @@
  * One daemon between callers and replicas: puts the parts together, starts
  * them, and stops them in order.
  */
-import type { Clock } from "@peridotvalve/clock";
 import {
   createCacheView,
   createLoadView,
@@ -11,93 +10,32 @@
   createTransferPlanner,
   createWaitingRoom,
   createWeightTargets,
-  type DesiredState,
   isOutdatedSalt,
-  type Origin,
   type ReplicaEntry,
   type StoreTraits,
 } from "@peridotvalve/dispatch";
-import type { EventLogger } from "@peridotvalve/events";
 import { createLease } from "@peridotvalve/lease";
 import { createUdpTransport } from "@peridotvalve/membership";
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
-import type { FollowedRow, Platform, TableFeed } from "@peridotvalve/tables";
+import type { FollowedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { createServer, type Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createCacheCleaner } from "./cache_cleaner.ts";
 import { type CacheHolder, createCacheFeed } from "./cache_feed.ts";
 import { createChannels } from "./channels.ts";
-import type { Dialect } from "./dialect.ts";
 import { createFollower } from "./follower.ts";
 import { createFront } from "./front.ts";
 import { createMeters } from "./meters.ts";
+import type { Address, GatewayParts } from "./parts.ts";
 import { createPeers } from "./peers.ts";
 import { createRegistration } from "./registration.ts";
 import { createReplicaClock } from "./replica_clock.ts";
 import { createRelay } from "./relay.ts";
-import type { ReplicaControl } from "./replica_control.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createRollouts } from "./rollouts.ts";
 import { createStateHolder } from "./state_holder.ts";
 
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
-export interface GatewaySettings {
-  readonly name: string;
-  readonly origin: Origin;
-  readonly front: Address;
-  readonly ready: Address;
-  /** Where peers call this daemon. */
-  readonly peers: Address;
-  /** Port of the datagrams between peers. */
-  readonly datagrams: Address;
-  readonly metrics?: Address & { readonly path: string };
-  /** Peers to ask before the store tells of any. */
-  readonly seeds: readonly Address[];
-  readonly grace: Milliseconds;
-  readonly leaseDuration: Milliseconds;
-  /** Time from the name of a weight version until only it may begin. */
-  readonly weightPatience: Milliseconds;
-  readonly retryRatio: number;
-  readonly retryWindow: Milliseconds;
-  /** Extra attempts of all daemons in one window beside the ratio. */
-  readonly retrySlack: number;
-}
-
-/** Decodes what the platform's tables hold. */
-export interface TableCodec {
-  /** Table and keys of what the operator writes. */
-  readonly operatorTable: string;
-  readonly replicaTable: string;
-  isState(key: string): boolean;
-  readState(value: unknown): Result<DesiredState, string>;
-  /** A named weight version; undefined when the row is something else. */
-  readWeights(
-    key: string,
-    value: unknown,
-  ): { readonly model: string; readonly version: number } | undefined;
-  readEntry(key: string, value: unknown): Result<ReplicaEntry, string>;
-}
-
-export interface GatewayParts {
-  readonly settings: GatewaySettings;
-  readonly clock: Clock;
-  /** Counts the time in which the machine was suspended. */
-  readonly leaseClock: Clock;
-  readonly logger: EventLogger;
-  readonly dialect: Dialect;
-  readonly requestIdHeader: string;
-  readonly readyPath: string;
-  readonly codec: TableCodec;
-  readonly store: Platform;
-  readonly feed: TableFeed;
-  readonly control: ReplicaControl;
-}
-
 export abstract class Gateway {
   /** Counts a call of the platform's store in the metrics. */
   abstract recordStoreCall(kind: string, outcome: string): void;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -5,5 +5,6 @@
 export * from "./bounded_log.ts";
 export * from "./dialect.ts";
 export * from "./gateway.ts";
+export * from "./parts.ts";
 export * from "./replica_control.ts";
 export { passOn } from "./caller.ts";
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -17,7 +17,6 @@
   type Placement,
   priorityOf,
   type ReplicaTable,
-  type Route,
   type TransferPlanner,
   type WaitingRoom,
   type WeightTargets,
@@ -25,6 +24,12 @@
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
+import {
+  type AttemptEnd,
+  SILENT,
+  type Watch,
+  watchAttempt,
+} from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
 import type {
   AnswerHead,
@@ -34,6 +39,7 @@
 } from "./channels.ts";
 import type { AnswerTerms, Dialect } from "./dialect.ts";
 import { createEventSplitter } from "./events.ts";
+import { callSilence, DEAD_SILENCE, longestGap } from "./patience.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
@@ -94,26 +100,6 @@
   readonly flight: Flight;
 }
 
-/** What one attempt came to. */
-type AttemptEnd =
-  | { readonly kind: "done"; readonly status: number }
-  /** The replica says that it did not run the request. */
-  | {
-    readonly kind: "not run";
-    readonly reason: string;
-    readonly misdirected: boolean;
-    readonly terms: AnswerTerms;
-  }
-  | { readonly kind: "unsent"; readonly reason: string }
-  /** It may have run; nothing of its answer has been passed on. */
-  | { readonly kind: "lost"; readonly reason: string }
-  /** The replica ran it and failed; the answer can be passed on or dropped. */
-  | { readonly kind: "failed"; readonly status: number }
-  /** The answer broke off behind the caller's last event. */
-  | { readonly kind: "broken"; readonly reason: string }
-  | { readonly kind: "left" }
-  | { readonly kind: "overdue" };
-
 /** Connections refused in a row that are answered with another replica. */
 const MAX_UNSENT = 4;
 
@@ -129,30 +115,6 @@
 /** A request with less time left is not worth a further attempt. */
 const LEAST_REMAINING: Milliseconds = 60;
 
-/**
- * Silence, in latency targets of the route, after which a call that may be
- * repeated goes to another replica.
- */
-const SILENT_TARGETS = 2.4;
-const LEAST_SILENCE: Milliseconds = 400;
-
-/**
- * A replica that says nothing at all for so long is taken as dead; one that
- * only lets this request wait is busy, and another would have to start anew.
- */
-const DEAD_SILENCE: Milliseconds = 900;
-
-/**
- * Callers give a stream up after a gap of two seconds, four latency targets or
- * eight of its longest pauses, whichever is longest.
- */
-const LEAST_GAP: Milliseconds = 2_000;
-const GAP_TARGETS = 4;
-const GAP_PAUSES = 8;
-
-/** Part of the caller's gap after which a busy replica is given up. */
-const GAP_SHARE = 0.7;
-
 /** A replica that changes its weights or is full is left alone so long. */
 const BUSY_AVOIDANCE: Milliseconds = 250;
 /** One with other weights than believed can be asked for those at once. */
@@ -371,13 +333,10 @@
     }): Promise<AttemptEnd> {
       const { choice, watch, flight } = context;
       const isStream = work.route.kind === "stream";
-      const { latencyTarget } = work.route;
       if (repeatable && runs + 1 < work.route.maxRuns) {
         if (isStream) watch.limitSilence(DEAD_SILENCE, longestGap(work.route));
         else {
-          watch.limitSilence(
-            Math.max(LEAST_SILENCE, latencyTarget * SILENT_TARGETS),
-          );
+          watch.limitSilence(callSilence(work.route));
         }
       }
       const result = await opened.head;
@@ -521,84 +480,6 @@
   };
 }
 
-const SILENT = "silent";
-
-function longestGap(route: Route): Milliseconds {
-  const { latencyTarget, longestPause } = route;
-  const gap = Math.max(
-    LEAST_GAP,
-    latencyTarget * GAP_TARGETS,
-    longestPause * GAP_PAUSES,
-  );
-  return gap * GAP_SHARE;
-}
-
-interface Watch {
-  /**
-   * Ends the attempt when nothing arrives for so long from now on; up to the
-   * second limit while other requests hear from the replica.
-   */
-  limitSilence(limit: Milliseconds, busyLimit?: Milliseconds): void;
-  /** Why the attempt was ended from here. */
-  cause(): AttemptEnd | undefined;
-  stop(): void;
-}
-
-/** Ends an attempt when its caller leaves, its time is over or it is silent. */
-function watchAttempt(opened: Attempt, options: {
-  readonly clock: Clock;
-  readonly caller: Caller;
-  readonly due: Milliseconds;
-  /** Time since anything arrived from the replica. */
-  readonly silence: () => Milliseconds;
-}): Watch {
-  const { clock, caller, due, silence } = options;
-  let cause: AttemptEnd | undefined;
-  let isStopped = false;
-  let silenceTimer: NodeJS.Timeout | undefined;
-
-  function stopFor(end: AttemptEnd, reason: string): void {
-    if (isStopped || cause !== undefined) return;
-    cause = end;
-    opened.cancel(reason);
-  }
-
-  const overdue = setTimeout(
-    () => stopFor({ kind: "overdue" }, "timeout"),
-    Math.max(0, due - clock.monotonic()),
-  );
-  caller.onLeave(() => stopFor({ kind: "left" }, "caller left"));
-
-  return {
-    limitSilence(limit, busyLimit = limit) {
-      clearTimeout(silenceTimer);
-      if (limit === Infinity) return;
-      const timer = setTimeout(() => {
-        // Input that arrived during a pause of the process is read first.
-        setImmediate(() => {
-          if (silenceTimer !== timer) return;
-          const isBusy = silence() < limit;
-          if (isBusy && busyLimit > limit) {
-            this.limitSilence(
-              Math.min(limit, busyLimit - limit),
-              busyLimit - limit,
-            );
-            return;
-          }
-          stopFor({ kind: "lost", reason: SILENT }, SILENT);
-        });
-      }, limit);
-      silenceTimer = timer;
-    },
-    cause: () => cause,
-    stop() {
-      isStopped = true;
-      clearTimeout(overdue);
-      clearTimeout(silenceTimer);
-    },
-  };
-}
-
 function ended({ kind, reason }: AttemptFailure): AttemptEnd {
   return { kind, reason };
 }
