Free parts only some time after their own replacement

A part is now freed 5 s after a newer version was named and when no replica has its version or an older one. cache_cleaner.test.ts fails without the age.

--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -5,7 +5,7 @@
  * still holds their parts, bursts that fill one replica while others idle, and
  * replicas that change their weights.
  */
-import type { Tokens } from "@peridotvalve/types";
+import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { findRendezvousHome } from "@peridotvalve/rendezvous";
 import type { CacheView } from "./cache_view.ts";
 import type { LoadView, ReplicaLoad } from "./load.ts";
@@ -254,11 +254,25 @@
 /**
  * True when the salt is of a version below the one named for its model. A
  * model of which no version was named has only its first one, so that none of
- * its salts is outdated.
+ * its salts is outdated. With an age, the newer version was named that long ago.
  */
-export function isOutdatedSalt(salt: string, weights: WeightTargets): boolean {
-  const [, model = "", version = ""] = SALT.exec(salt) ?? [];
-  return version !== "" && Number(version) < weights.target(model);
+export function isOutdatedSalt(
+  salt: string,
+  weights: WeightTargets,
+  age: Milliseconds = 0,
+): boolean {
+  const known = readSalt(salt);
+  return known !== undefined &&
+    known.version < weights.target(known.model, age);
+}
+
+/** The model and version of a salt; undefined when it is not of this project. */
+export function readSalt(
+  salt: string,
+): { readonly model: string; readonly version: number } | undefined {
+  const [, model, version] = SALT.exec(salt) ?? [];
+  if (model === undefined || version === undefined) return undefined;
+  return { model, version: Number(version) };
 }
 
 function leastCost<Option extends { readonly cost: number }>(
--- a/packages/dispatch/src/weights.ts
+++ b/packages/dispatch/src/weights.ts
@@ -23,8 +23,8 @@
     version: number,
     options?: { readonly isOld: boolean },
   ): void;
-  /** The newest version named, or 0. */
-  abstract target(model: string): number;
+  /** The newest version named at least so long ago, or 0. */
+  abstract target(model: string, age?: Milliseconds): number;
   /** Time since the newest version was named. */
   abstract age(model: string): Milliseconds;
   /** False when the version is so old that no request may begin on it. */
@@ -65,8 +65,10 @@
       targets.set(model, [...named(model), target].slice(-MAX_TARGETS));
     }
 
-    override target(model: string): number {
-      return named(model).at(-1)?.version ?? 0;
+    override target(model: string, age: Milliseconds = 0): number {
+      const latest = clock.monotonic() - age;
+      const settled = named(model).filter(({ since }) => since <= latest);
+      return settled.at(-1)?.version ?? 0;
     }
 
     override age(model: string): Milliseconds {
--- a/packages/gateway/src/cache_cleaner.ts
+++ b/packages/gateway/src/cache_cleaner.ts
@@ -19,8 +19,11 @@
   readonly control: ReplicaControl;
   readonly stores: () => readonly StoreTraits[];
   readonly epochOf: (store: string) => number | undefined;
-  /** False for the salts of replaced weights. */
-  readonly isCurrent: (salt: string) => boolean;
+  /**
+   * True when no request can fetch parts of the salt any more: newer weights
+   * were named `age` ago and no replica has the salt's version or an older one.
+   */
+  readonly isUnused: (salt: string, age: Milliseconds) => boolean;
   /** Place of this daemon among those that would free; 0 is first. */
   readonly turn: () => number;
 }
@@ -35,8 +38,8 @@
 /** Time between two looks through the parts of all stores. */
 const LOOK: Milliseconds = 1_000;
 
-/** Stale parts must be known for so long: fetches of them have ended. */
-const STALE_FOR: Milliseconds = 4_000;
+/** Newer weights were named so long ago: fetches of older parts have ended. */
+const UNUSED_FOR: Milliseconds = 5_000;
 
 /** Each daemon waits so much longer than the one before it. */
 const TURN: Milliseconds = 2_000;
@@ -47,7 +50,7 @@
   const { clock, logger, cache, control, stores, epochOf } = options;
 
   const listStale = (address: string) =>
-    cache.listStale(address, options.isCurrent);
+    cache.listStale(address, (salt) => !options.isUnused(salt, UNUSED_FOR));
 
   const isNeeded = () =>
     stores().some(({ address }) =>
@@ -80,7 +83,7 @@
         }
         const now = clock.monotonic();
         since ??= now;
-        if (now - since < STALE_FOR + options.turn() * TURN) continue;
+        if (now - since < options.turn() * TURN) continue;
         await clean();
       }
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   createWaitingRoom,
   createWeightTargets,
   isOutdatedSalt,
+  readSalt,
   type ReplicaEntry,
   type StoreTraits,
 } from "@peridotvalve/dispatch";
@@ -261,7 +262,15 @@
     control,
     stores: listStores,
     epochOf: (store) => cacheFeed.epochOf(store),
-    isCurrent: (salt) => !isOutdatedSalt(salt, weights),
+    isUnused(salt, age) {
+      const known = readSalt(salt);
+      if (known === undefined) return false;
+      const { model, version } = known;
+      return isOutdatedSalt(salt, weights, age) &&
+        replicas.all().every((replica) =>
+          (replica.weights.get(model) ?? Infinity) > version
+        );
+    },
     turn() {
       const names = registration.peers().map(({ name }) => ({
         name,
