--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -18,7 +18,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type Caller, createCaller, readBody, type Refusal } from "./caller.ts";
+import { createCaller, readBody, type Refusal } from "./caller.ts";
 import type { Dialect, RequestTerms } from "./dialect.ts";
 import type { Meters } from "./meters.ts";
 import type { createRelay } from "./relay.ts";
@@ -241,5 +241,3 @@
   if (found !== undefined) return found;
   return customers === undefined || route.isPublic ? undefined : "unknown";
 }
-
-export type { Caller };
