Ask a replica before it gets work after a pause of the daemon

The daemon's own timers and datagrams are read too late to help.

Change: the fleet knows when the process resumed, and asks a replica that has sent no report since for one (500 ms at most, one question for all waiting requests) before an attempt goes there. A replica that does not answer is tried all the same, with a line in the log.

Found beside it: the log named a load report as the source of a leaving mark that had come from the VM list, when the first report came after the list (a run of leaving.test.ts beside load).

--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -34,6 +34,13 @@
 // Ends the attempt at the engine when the stream was given up here.
 const CANCEL_TIMEOUT_MILLISECONDS = 1_000;
 
+/** The replica was told to leave between the choice and the attempt. */
+const LEAVING: AttemptFailure = {
+  sent: "not sent",
+  reason: "leaving",
+  message: "the replica leaves",
+};
+
 interface AttemptEnd {
   readonly choice: Choice;
   readonly record: RelayRecord;
@@ -180,8 +187,12 @@
   return runtime.hedgeBudget.take(work.identity.name) ? second : undefined;
 }
 
-/** A refusal by a replica put no load on it, so it costs no retry budget. */
+/**
+ * A refusal by a replica put no load on it, so it costs no retry budget; nor
+ * does an attempt that was not sent because its replica leaves.
+ */
 function isFree(failure: AttemptFailure): boolean {
+  if (failure.reason === "leaving") return true;
   return failure.sent === "refused" && failure.reason !== "busy";
 }
 
@@ -227,6 +238,10 @@
     tokens: choice.tokens,
   });
   const expected = await prepareBlocks(runtime, work, choice);
+  if (!await runtime.fleet.confirm(choice.replica)) {
+    dispatch.end();
+    return { choice, record, failure: LEAVING, answerBegan };
+  }
   noteDispatch(runtime, choice);
   const begun = runtime.clock.monotonic();
   const stream = choice.replica.engine.generate({
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -35,6 +35,7 @@
   readBootstrap,
 } from "./configuration_source.ts";
 import { createFleet } from "./fleet/fleet.ts";
+import { createPauseWatch } from "./fleet/pause_watch.ts";
 import { pollFleet } from "./fleet/report_polling.ts";
 import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { createGauges } from "./gauges.ts";
@@ -175,6 +176,7 @@
   const slowness = createSlownessByKind(() =>
     createSlownessDetector({ clock })
   );
+  const pauses = createPauseWatch(clock);
   const fleet = createFleet({
     clock,
     board,
@@ -183,6 +185,7 @@
     availabilityZone: settings.availabilityZone,
     regionOf,
     onLeaving: (leaving) => membership.reportUpstreamLeaving(leaving),
+    resumedAt: pauses.resumedAt,
     createHeaders: stamps.headers,
   });
   const beliefs = createBeliefs({ clock, capacity: BELIEF_CAPACITY });
@@ -313,6 +316,7 @@
   log("process_started", { version: options.version ?? "unknown" });
   neighbours.start();
   void followVmList();
+  void pauses.run(stopped.signal);
   void pollFleet({
     clock,
     board,
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -24,6 +24,9 @@
 /** Reports missed in a row after which a replica counts as dead. */
 const MISSED_REPORTS = 4;
 
+/** Time for a report that is asked for after a pause. */
+const ASK_TIMEOUT: Milliseconds = 500;
+
 /** Time between reports of a replica of the own availability zone. */
 const REPORT_INTERVAL: Milliseconds = 1_000;
 
@@ -64,6 +67,11 @@
   find(replica: string): Replica | undefined;
   list(): readonly Replica[];
   readyCount(group: string): number;
+  /**
+   * True when the replica may get work now. After a pause of this process the
+   * replica is asked first.
+   */
+  confirm(replica: Replica): Promise<boolean>;
   /** Notes that an attempt was dispatched. */
   begin(replica: Replica, work: DispatchedWork): Dispatch;
   observe(
@@ -91,6 +99,8 @@
   readonly availabilityZone: string;
   readonly regionOf: (availabilityZone: string) => string;
   readonly onLeaving: (incarnation: string) => void;
+  /** Monotonic time at which this process last resumed after a pause. */
+  readonly resumedAt: () => Milliseconds;
   /** Headers of every request to an engine, made anew for each. */
   readonly createHeaders: () => Readonly<Record<string, string>>;
 }
@@ -104,6 +114,10 @@
   isLogged: boolean;
   /** True when the peers know it; that needs the incarnation's name. */
   isAnnounced: boolean;
+  /** When the replica was last asked after a pause. */
+  askedAt: Milliseconds;
+  /** The question that is under way. */
+  asking: Promise<void> | undefined;
 }
 
 export function createFleet(options: FleetOptions): Fleet {
@@ -131,6 +145,8 @@
       incarnation: undefined,
       isLogged: false,
       isAnnounced: false,
+      askedAt: -Infinity,
+      asking: undefined,
     });
   }
 
@@ -146,7 +162,8 @@
         options.log("upstream_restarted", { previous }, subject);
       }
       member.incarnation = now;
-      member.isLogged = false;
+      // A first report only names the incarnation that was marked before it.
+      if (!replica.isLeaving()) member.isLogged = false;
       member.isAnnounced = false;
     }
     if (replica.isLeaving()) announceLeaving(member, "load report");
@@ -164,6 +181,27 @@
     options.onLeaving(incarnation);
   }
 
+  function isHeardSince(member: Member, since: Milliseconds): boolean {
+    const { age = Infinity } = board.estimate(member.replica.name);
+    return member.askedAt >= since || clock.monotonic() - age >= since;
+  }
+
+  /** A replica that does not answer is tried all the same. */
+  async function ask(member: Member): Promise<void> {
+    const { replica } = member;
+    const { name } = replica;
+    const answer = await replica.engine.readLoad(ASK_TIMEOUT);
+    member.askedAt = clock.monotonic();
+    member.asking = undefined;
+    if (answer.isOk()) {
+      board.takeReport(name, answer.value);
+      refresh(member);
+    } else {
+      const reason = answer.error;
+      options.log("load_report_missing", { reason }, { upstream: name });
+    }
+  }
+
   function remove(member: Member): void {
     members.delete(member.replica.name);
     slowness.forget(member.replica.name);
@@ -261,6 +299,14 @@
     list: () => [...members.values()].map((member) => member.replica),
     readyCount: (group) =>
       candidates(group).filter((one) => one.state === "ready").length,
+    async confirm(replica) {
+      const member = members.get(replica.name);
+      if (member !== undefined && !isHeardSince(member, options.resumedAt())) {
+        member.asking ??= ask(member);
+        await member.asking;
+      }
+      return !replica.isLeaving();
+    },
     begin(replica, { attempt, tokens }) {
       const member = members.get(replica.name);
       if (member !== undefined) member.streams += 1;
--- a/packages/daemon/src/fleet/measure_fleet.ts
+++ b/packages/daemon/src/fleet/measure_fleet.ts
@@ -52,6 +52,7 @@
     availabilityZone: "z0",
     regionOf: () => "a",
     onLeaving: () => {},
+    resumedAt: () => -Infinity,
     createHeaders: () => ({}),
   });
   fleet.apply(configuration);
--- a/packages/daemon/src/lifecycle/leaving.test.ts
+++ b/packages/daemon/src/lifecycle/leaving.test.ts
@@ -189,6 +189,25 @@
   await askUntilReceived("espoo-2");
 });
 
+// Guards against beliefs from before a pause: work that waited for the daemon
+// went to a replica that was told to leave while nobody listened.
+test("a daemon that was paused asks a replica before it sends work", async () => {
+  await askUntilReceived("espoo-1");
+  const daemons = ["espoo-1", "espoo-2"]
+    .map((name) => deployment.processes.get(name));
+  for (const daemon of daemons) daemon?.signal("SIGSTOP");
+  const told = await leave({ refuses: false, reports: true });
+  const waiting = askMany("espoo-1", 16);
+  await pause(TARGET_MILLISECONDS + 200);
+  for (const daemon of daemons) daemon?.signal("SIGCONT");
+  await waiting;
+  const late = (await listReceived())
+    .filter(({ at }) => at > told + TARGET_MILLISECONDS);
+  expect(late).toEqual([]);
+  await returnEngine();
+  await askUntilReceived("espoo-1");
+});
+
 // Guards against queued work that keeps the terms under which it was queued.
 test("a configuration change reaches queued work", async () => {
   const customers = ["savo-kennel", "agility-hall", "hound-owners"] as const;
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -167,6 +167,10 @@
     fields: { age: N },
     sentence: "The load report of a replica is old.",
   }),
+  load_report_missing: event(3015, "warn", {
+    fields: { reason: S },
+    sentence: "A replica that was asked after a pause sent no load report.",
+  }),
   retry_budget_spent: event(3013, "warn", {
     fields: { kind: S },
     sentence: "No further retry or hedge is allowed at present.",
