Show attempts, waits, retries and ages in the metrics; bound plain answers

Cause: on-call engineers have only logs and metrics, and the page showed neither attempts, queue waits, pauses, retries, replicas by state and version, ages of what was read from the store nor the delay of the event loop. Reasons were labels as they stood, with addresses in them. Plain answers were held whole, whatever their size, and max_header_bytes of the desired state was not enforced.

The cases of long headers and of long answers fail without the change (502 instead of 431; a whole 502 instead of a visibly broken answer).

--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -11,7 +11,7 @@
   type Work,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import {
   createServer,
   type IncomingMessage,
@@ -21,7 +21,7 @@
 import { createCaller, readBody, type Refusal } from "./caller.ts";
 import type { Dialect, RequestTerms } from "./dialect.ts";
 import type { Meters } from "./meters.ts";
-import type { createRelay } from "./relay.ts";
+import type { createRelay, Ending } from "./relay.ts";
 import type { InForce, StateHolder } from "./state_holder.ts";
 
 export interface FrontOptions {
@@ -99,6 +99,10 @@
       return decline({ status: 503, reason: "no desired state", retryAfter });
     }
     applyLimits(inForce);
+    const { maxHeader } = inForce.state.limits;
+    if (maxHeader > 0 && measureHeader(request) > maxHeader) {
+      return decline({ status: 431, reason: "header too long" });
+    }
     const path = request.url ?? "/";
     const route = inForce.routes.find(
       request.headers.host ?? "",
@@ -153,12 +157,18 @@
         retryAfter: refusal.retryAfter ?? 0,
         state: inForce?.state.version ?? 0,
       }, { request: terms.id });
-      meters.recordRequest(found?.name ?? "", refusal.reason, 0);
+      const { reason } = refusal;
+      meters.recordRequest({
+        route: found?.name ?? "",
+        outcome: "refused",
+        reason,
+      });
       caller.refuse(refusal);
     }
 
     function finish(found: Route, reason: string): void {
-      meters.recordRequest(found.name, reason, 0);
+      const outcome = "abandoned";
+      meters.recordRequest({ route: found.name, outcome, reason });
       logger.log("request_abandoned", {
         route: found.name,
         elapsed: clock.monotonic() - arrived,
@@ -167,7 +177,7 @@
     }
 
     function record(
-      ending: Awaited<ReturnType<typeof relay>>["ending"],
+      ending: Ending,
       sends: number,
     ): void {
       const elapsed = clock.monotonic() - arrived;
@@ -176,9 +186,12 @@
         route: route?.name ?? "",
         state: inForce?.state.version ?? 0,
       };
-      const label = "reason" in ending ? ending.reason : ending.kind;
-      const first = ending.kind === "answered" ? ending.firstEvent : 0;
-      meters.recordRequest(common.route, label, first);
+      meters.recordRequest({
+        ...ending,
+        route: common.route,
+        outcome: ending.kind,
+        reason: reasonOf(ending),
+      });
       switch (ending.kind) {
         case "answered":
           return logger.log("request_ended", {
@@ -227,6 +240,23 @@
   })();
 }
 
+/** Bytes that a name and its value take beside themselves: `: ` and CRLF. */
+const HEADER_LINE: Bytes = 4;
+
+/** The size of the request line and the headers as they were sent. */
+function measureHeader({ url = "", method = "", rawHeaders }: IncomingMessage) {
+  // Node reads headers as Latin-1, so that a character is a byte.
+  const texts = rawHeaders.reduce((sum, text) => sum + text.length, 0);
+  const line = `${method} ${url} HTTP/1.1\r\n`.length;
+  return line + texts + rawHeaders.length / 2 * HEADER_LINE;
+}
+
+/** The status of an answer, or why there was none. */
+function reasonOf(ending: Ending): string {
+  if (ending.kind === "answered") return String(ending.status);
+  return "reason" in ending ? ending.reason : "";
+}
+
 function pathOf(url: string): string {
   const query = url.indexOf("?");
   return query < 0 ? url : url.slice(0, query);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
 import type { FollowedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
-import { createServer, type Server } from "node:http";
+import type { Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createCacheCleaner } from "./cache_cleaner.ts";
 import { type CacheHolder, createCacheFeed } from "./cache_feed.ts";
@@ -35,6 +35,7 @@
 import { createRelay } from "./relay.ts";
 import { createRetryBudget } from "./retry_budget.ts";
 import { createRollouts } from "./rollouts.ts";
+import { createStatusServer, listen } from "./status_server.ts";
 import { createStateHolder } from "./state_holder.ts";
 
 export abstract class Gateway {
@@ -209,19 +210,24 @@
     allowance: () =>
       Math.max(1, settings.retrySlack * SLACK_SHARE / (peerCount() + SPARES)),
   });
-  const meters = createMeters({
-    clock,
-    refresh(gauges) {
-      gauges.set("peridotvalve_requests_in_flight", front.inFlight());
-      gauges.set("peridotvalve_replicas", replicas.all().length);
-      const version = holder.current()?.state.version ?? 0;
-      gauges.set("peridotvalve_state_version", version);
-      const age = clock.monotonic() - entries.lastContact();
-      gauges.set("peridotvalve_list_age_ms", Math.min(age, 1e9));
-      gauges.set("peridotvalve_peers", peerCount() - 1);
-      gauges.set("peridotvalve_memory_bytes", process.memoryUsage.rss());
-    },
-  });
+  const room = createWaitingRoom(clock);
+  const meters = createMeters(clock, () => ({
+    inFlight: front.inFlight(),
+    peers: peerCount() - 1,
+    waiting: room.size(),
+    stateVersion: holder.current()?.state.version ?? 0,
+    stateAge: clock.monotonic() - operator.lastContact(),
+    listAge: clock.monotonic() - entries.lastContact(),
+    replicas: replicas.all().map(({ entry, weights: known }) => ({
+      service: entry.service,
+      state: entry.state,
+      weights: [...known].map((pair) => pair.join("@")).join(" "),
+    })),
+    retriesLeft: new Map(
+      [...holder.current()?.state.services.keys() ?? []]
+        .map((service) => [service, budget.left(service)]),
+    ),
+  }));
   const relay = createRelay({
     clock,
     logger,
@@ -232,7 +238,8 @@
     cache,
     weights,
     placement,
-    room: createWaitingRoom(clock),
+    room,
+    meters,
     budget,
     transfers,
     replicaClock,
@@ -375,30 +382,25 @@
   const isReady = () =>
     !isDraining && holder.current() !== undefined && replicasKnown;
 
-  function createReadyServer(): Server {
-    return createServer((request, response) => {
-      const path = request.url ?? "/";
-      const { metrics } = settings;
-      if (metrics !== undefined && path === metrics.path) {
-        response.writeHead(200, { "content-type": "text/plain" });
-        response.end(meters.render());
-        return;
-      }
-      const isKnown = path === parts.readyPath;
-      response.writeHead(!isKnown ? 404 : isReady() ? 200 : 503).end();
+  function openStatusServer(): Server {
+    return createStatusServer({
+      readyPath: parts.readyPath,
+      isReady,
+      metricsPath: settings.metrics?.path,
+      renderMetrics: () => meters.render(),
     });
   }
 
   async function openServers(): Promise<Result<void, string>> {
     const peerServer = peers?.server;
-    const ready = createReadyServer();
+    const ready = openStatusServer();
     const wanted: (readonly [Server, Address])[] = [
       [front.server, settings.front],
       [ready, settings.ready],
     ];
     if (peerServer !== undefined) wanted.push([peerServer, settings.peers]);
     if (settings.metrics !== undefined) {
-      wanted.push([createReadyServer(), settings.metrics]);
+      wanted.push([openStatusServer(), settings.metrics]);
     }
     for (const [server, address] of wanted) {
       const opened = await listen(server, address);
@@ -448,6 +450,7 @@
       registration.run(signal),
       rollouts.run(signal),
       cleaner.run(signal),
+      meters.watchEventLoop(signal),
       ...(peers === undefined ? [] : [peers.run(signal)]),
     ];
     for (const task of tasks) {
@@ -497,13 +500,3 @@
 function textOf({ host, port }: Address): string {
   return `${host}:${port}`;
 }
-
-function listen(
-  server: Server,
-  { host, port }: Address,
-): Promise<Result<void, string>> {
-  return new Promise((resolve) => {
-    server.once("error", (error) => resolve(Err(error.message)));
-    server.listen({ host, port, backlog: 1_024 }, () => resolve(Ok(undefined)));
-  });
-}
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -1,81 +1,213 @@
 /**
- * The gateway's counters and latency histograms.
+ * The gateway's counters, gauges and latency histograms. Every label takes its
+ * values from a small set, so that the page stays short.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { createRegistry, type Registry } from "@peridotvalve/metrics";
+import { createRegistry } from "@peridotvalve/metrics";
 import type { Milliseconds } from "@peridotvalve/types";
 
+/** How a request ended. */
+export interface RequestRecord {
+  /** Name of the route; empty when none was found. */
+  readonly route: string;
+  readonly outcome: "answered" | "refused" | "lost" | "abandoned";
+  /** The status of an answer, or why there was none. */
+  readonly reason: string;
+  /** Time to the answer or its first event; 0 when there was none. */
+  readonly firstEvent?: Milliseconds;
+  /** Longest time between two events of a stream; 0 for one event. */
+  readonly longestPause?: Milliseconds;
+}
+
+export interface ReplicaCount {
+  readonly service: string;
+  readonly state: string;
+  /** Weight versions by model, as `model@version`. */
+  readonly weights: string;
+}
+
+/** What is read just before the page is written. */
+export interface Readings {
+  readonly inFlight: number;
+  readonly peers: number;
+  readonly stateVersion: number;
+  readonly stateAge: Milliseconds;
+  readonly listAge: Milliseconds;
+  readonly waiting: number;
+  readonly replicas: readonly ReplicaCount[];
+  /** Retries that may be made now, by service. */
+  readonly retriesLeft: ReadonlyMap<string, number>;
+}
+
 export abstract class Meters {
-  abstract readonly registry: Registry;
-  /** Counts a request by how it ended; 0 as time to its first event is none. */
-  abstract recordRequest(
-    route: string,
-    outcome: string,
-    firstEvent: Milliseconds,
-  ): void;
+  abstract recordRequest(request: RequestRecord): void;
+  abstract recordAttempt(service: string, outcome: string): void;
+  /** Time for which a request waited for a replica with room. */
+  abstract recordWait(route: string, wait: Milliseconds): void;
+  abstract recordRetry(service: string): void;
   abstract recordStoreCall(kind: string, outcome: string): void;
+  /** Samples how late timers run, until the signal aborts. */
+  abstract watchEventLoop(signal: AbortSignal): Promise<void>;
+  /** The page in the text format of Prometheus. */
   abstract render(): string;
 }
 
-export interface MetersOptions {
-  readonly clock: Clock;
-  /** Sets gauges just before they are read. */
-  readonly refresh: (registry: Gauges) => void;
-}
+/** Time between two samples of the event loop. */
+const LOOP_PERIOD: Milliseconds = 500;
 
-export interface Gauges {
-  set(name: GaugeName, value: number): void;
-}
+/** An age that was never reached: nothing has been read yet. */
+const NEVER: Milliseconds = 1e9;
 
 const GAUGES = {
   peridotvalve_requests_in_flight: "Requests that have no final answer yet.",
-  peridotvalve_replicas: "Replicas that take requests.",
+  peridotvalve_requests_waiting: "Prompts that wait for a replica with room.",
   peridotvalve_state_version: "Version of the desired state in force.",
+  peridotvalve_state_age_ms: "Time since the operator's table was read.",
   peridotvalve_list_age_ms: "Time since the list of replicas was read.",
   peridotvalve_memory_bytes: "Resident memory of the process.",
   peridotvalve_peers: "Other daemons that are registered.",
 } as const;
 
-export type GaugeName = keyof typeof GAUGES;
+/**
+ * Words of reasons, by the label that they get. The first that is found in a
+ * reason counts; the ends of connections have many texts and go last.
+ */
+const REASONS: readonly (readonly [word: string, label: string])[] = [
+  ["no retries left", "retry budget"],
+  ["too many wait", "too many wait"],
+  ["no room", "no room"],
+  ["no replica", "no replica"],
+  ["timeout", "timeout"],
+  ["silent", "silent"],
+  ["refused with", "replica refused"],
+  ["replica answered", "replica failed"],
+  ["another request", "wrong answer"],
+  ["within an event", "broken off"],
+  ["resumed with", "not resumed"],
+  ["no route", "no route"],
+  ["unknown key", "unknown key"],
+  ["too long", "too long"],
+  ["broken off", "broken off"],
+  ["no desired state", "no desired state"],
+  ["no service", "no service"],
+];
+
+/** The label of a reason; statuses stay, and other texts are connections. */
+export function classifyReason(reason: string): string {
+  if (reason === "" || /^\d{3}$/.test(reason)) return reason;
+  const found = REASONS.find(([word]) => reason.includes(word));
+  return found?.[1] ?? "connection";
+}
 
-export function createMeters({ clock, refresh }: MetersOptions): Meters {
+export function createMeters(
+  clock: Clock,
+  read: () => Readings,
+): Meters {
   const registry = createRegistry(clock);
   const requests = registry.counter("peridotvalve_requests_total", {
-    help: "Requests by route and outcome.",
-    labels: ["route", "outcome"],
+    help: "Requests by route, outcome and reason.",
+    labels: ["route", "outcome", "reason"],
+  });
+  const attempts = registry.counter("peridotvalve_attempts_total", {
+    help: "Attempts at replicas by service and outcome.",
+    labels: ["service", "outcome"],
+  });
+  const retries = registry.counter("peridotvalve_retries_total", {
+    help: "Attempts after the first, taken from the retry budget.",
+    labels: ["service"],
+  });
+  const retriesLeft = registry.gauge("peridotvalve_retries_left", {
+    help: "Attempts after the first that the budget allows now.",
+    labels: ["service"],
   });
   const firstEvents = registry.histogram("peridotvalve_first_event_ms", {
     help: "Time from a request to its answer or first event.",
     labels: ["route"],
   });
+  const pauses = registry.histogram("peridotvalve_longest_pause_ms", {
+    help: "Longest time between two events of a stream.",
+    labels: ["route"],
+  });
+  const waits = registry.histogram("peridotvalve_queue_wait_ms", {
+    help: "Time for which a prompt waited for a replica with room.",
+    labels: ["route"],
+  });
   const storeCalls = registry.counter("peridotvalve_store_calls_total", {
     help: "Calls of the platform's store by kind and outcome.",
     labels: ["kind", "outcome"],
   });
+  const replicas = registry.gauge("peridotvalve_replicas", {
+    help: "Replicas of the list by service, state and weight versions.",
+    labels: ["service", "state", "weights"],
+  });
+  const loopDelays = registry.histogram("peridotvalve_event_loop_delay_ms", {
+    help: "Time by which timers run late.",
+  });
   const gauges = new Map(
     Object.entries(GAUGES).map((
       [name, help],
     ) => [name, registry.gauge(name, { help })]),
   );
 
+  function set(name: keyof typeof GAUGES, value: number): void {
+    gauges.get(name)?.set(value);
+  }
+
+  function refresh(readings: Readings): void {
+    set("peridotvalve_requests_in_flight", readings.inFlight);
+    set("peridotvalve_requests_waiting", readings.waiting);
+    set("peridotvalve_state_version", readings.stateVersion);
+    set("peridotvalve_state_age_ms", Math.min(readings.stateAge, NEVER));
+    set("peridotvalve_list_age_ms", Math.min(readings.listAge, NEVER));
+    set("peridotvalve_memory_bytes", process.memoryUsage.rss());
+    set("peridotvalve_peers", readings.peers);
+    replicas.clear();
+    for (const { service, state, weights } of readings.replicas) {
+      replicas.add(1, { service, state, weights });
+    }
+    retriesLeft.clear();
+    for (const [service, left] of readings.retriesLeft) {
+      retriesLeft.set(left, { service });
+    }
+  }
+
   return new (class extends Meters {
-    override readonly registry = registry;
-
-    override recordRequest(
-      route: string,
-      outcome: string,
-      firstEvent: Milliseconds,
-    ): void {
-      requests.add(1, { route, outcome });
+    override recordRequest(request: RequestRecord): void {
+      const { route, outcome, firstEvent = 0, longestPause = 0 } = request;
+      const reason = classifyReason(request.reason);
+      requests.add(1, { route, outcome, reason });
       if (firstEvent > 0) firstEvents.record(firstEvent, { route });
+      if (longestPause > 0) pauses.record(longestPause, { route });
+    }
+
+    override recordAttempt(service: string, outcome: string): void {
+      attempts.add(1, { service, outcome });
+    }
+
+    override recordWait(route: string, wait: Milliseconds): void {
+      waits.record(wait, { route });
+    }
+
+    override recordRetry(service: string): void {
+      retries.add(1, { service });
     }
 
     override recordStoreCall(kind: string, outcome: string): void {
       storeCalls.add(1, { kind, outcome });
     }
 
+    override async watchEventLoop(signal: AbortSignal): Promise<void> {
+      while (!signal.aborted) {
+        const due = clock.monotonic() + LOOP_PERIOD;
+        await clock.sleep(LOOP_PERIOD, signal);
+        if (!signal.aborted) {
+          loopDelays.record(Math.max(0, clock.monotonic() - due));
+        }
+      }
+    }
+
     override render(): string {
-      refresh({ set: (name, value) => gauges.get(name)?.set(value) });
+      refresh(read());
       return registry.render();
     }
   })();
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -24,23 +24,15 @@
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
-import {
-  type AttemptEnd,
-  SILENT,
-  type Watch,
-  watchAttempt,
-} from "./attempt_watch.ts";
+import { drain, passAnswer, passStream, type Progress } from "./answer_pass.ts";
+import { type AttemptEnd, type Watch, watchAttempt } from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
-import type {
-  AnswerHead,
-  Attempt,
-  AttemptFailure,
-  Channels,
-} from "./channels.ts";
-import type { AnswerTerms, Dialect } from "./dialect.ts";
-import { createEventSplitter } from "./events.ts";
+import type { Attempt, AttemptFailure, Channels } from "./channels.ts";
+import type { Dialect } from "./dialect.ts";
+import type { Meters } from "./meters.ts";
 import { callSilence, DEAD_SILENCE, longestGap } from "./patience.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
+import { createReplicaBeliefs } from "./replica_beliefs.ts";
 import type { RetryBudget } from "./retry_budget.ts";
 
 export interface RelayOptions {
@@ -59,6 +51,7 @@
   readonly replicaClock: ReplicaClock;
   /** Connections that this daemon may hold to one replica of a service. */
   readonly connectionsOf: (service: string) => number;
+  readonly meters: Meters;
 }
 
 /** The request as it goes to a replica. */
@@ -79,6 +72,8 @@
     readonly kind: "answered";
     readonly status: number;
     readonly firstEvent: Milliseconds;
+    /** Longest time between two events of a stream. */
+    readonly longestPause: Milliseconds;
   }
   | {
     readonly kind: "refused";
@@ -115,11 +110,6 @@
 /** A request with less time left is not worth a further attempt. */
 const LEAST_REMAINING: Milliseconds = 60;
 
-/** A replica that changes its weights or is full is left alone so long. */
-const BUSY_AVOIDANCE: Milliseconds = 250;
-/** One with other weights than believed can be asked for those at once. */
-const MOVED_AVOIDANCE: Milliseconds = 5;
-
 const RETRY_AFTER: Milliseconds = 250;
 /** Returns are spread, so that refused callers do not come back as one. */
 const RETRY_SPREAD: Milliseconds = 500;
@@ -127,7 +117,8 @@
 export function createRelay(options: RelayOptions) {
   const { clock, logger, dialect, channels, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
-  const { room } = options;
+  const { room, meters } = options;
+  const beliefs = createReplicaBeliefs({ replicas, weights, channels });
 
   function fetchTerms(): { readonly fetchEnd?: Timestamp } {
     const now = replicaClock.now();
@@ -151,8 +142,13 @@
     let runs = 0;
     let unsent = 0;
     let refusals = 0;
-    let firstEvent: Milliseconds = 0;
-    let lastEvent = message.lastEvent ?? 0;
+    const progress: Progress = {
+      firstEvent: 0,
+      lastEvent: message.lastEvent ?? 0,
+      lastEventAt: 0,
+      longestPause: 0,
+      isPlain: false,
+    };
     let lastReason = "no replica";
     budget.recordRequest(work.service);
 
@@ -176,6 +172,8 @@
       if (clock.monotonic() + wait > Math.min(work.due, waitEnd())) {
         return giveUp(`${lastReason}, too many wait`, 502, wait);
       }
+      if (sends > 0) meters.recordRetry(work.service);
+      const asked = clock.monotonic();
       // Plain services queue a few requests themselves and do not wait here.
       const placed = work.terms === undefined ? place() : await room.wait({
         rank: priorityOf(work),
@@ -187,11 +185,14 @@
         if (caller.hasLeft()) return end({ kind: "abandoned" });
         return giveUp(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
       }
+      if (work.terms !== undefined) {
+        meters.recordWait(work.route.name, clock.monotonic() - asked);
+      }
       const { choice } = placed;
       const outcome = await attempt(placed);
       switch (outcome.kind) {
         case "done":
-          return end({ kind: "answered", status: outcome.status, firstEvent });
+          return end({ ...progress, kind: "answered", status: outcome.status });
         case "left":
           return end({ kind: "abandoned" });
         case "overdue":
@@ -207,14 +208,16 @@
           break;
         case "lost":
         case "broken":
-        case "failed":
+        case "failed": {
           runs += 1;
-          if (!repeatable || runs >= work.route.maxRuns) {
+          const mayGoOn = repeatable && !progress.isPlain;
+          if (!mayGoOn || runs >= work.route.maxRuns) {
             const reason = outcome.kind === "failed"
               ? `replica answered ${outcome.status}`
               : outcome.reason;
             return giveUp(reason, 502);
           }
+        }
       }
       lastReason = outcome.kind === "failed"
         ? `replica answered ${outcome.status}`
@@ -233,7 +236,8 @@
 
     /** A caller that has no event by then leaves, or finds no use in it. */
     function waitEnd(): Milliseconds {
-      const start = firstEvent === 0 ? work.arrived : clock.monotonic();
+      const isNew = progress.firstEvent === 0;
+      const start = isNew ? work.arrived : clock.monotonic();
       return start + longestGap(work.route);
     }
 
@@ -279,7 +283,7 @@
           ...(salt === undefined ? {} : { salt }),
           ...(parts === undefined ? {} : { parts }),
           ...(choice.fetched === 0 ? {} : fetchTerms()),
-          ...(lastEvent > 0 ? { lastEvent } : {}),
+          ...(progress.lastEvent > 0 ? { lastEvent: progress.lastEvent } : {}),
         }),
       });
       if (salt !== undefined && work.terms !== undefined) {
@@ -309,7 +313,9 @@
       });
       try {
         const outcome = await follow(opened, { choice, watch, flight });
-        note(choice, outcome);
+        beliefs.noteEnd(choice, work.terms?.model, outcome);
+        const { kind } = outcome;
+        meters.recordAttempt(work.service, kind === "done" ? "answered" : kind);
         if (outcome.kind !== "done") {
           logger.log("attempt_ended", {
             number,
@@ -349,133 +355,40 @@
         opened.cancel("answer to another request");
         return { kind: "lost", reason: "answer to another request" };
       }
-      learnWeights(choice, terms);
+      beliefs.learnWeights(choice, work.terms?.model, terms);
       if (terms.isRefusal) {
         await drain(opened);
         const reason = `replica refused with ${head.status}`;
         const misdirected = terms.isMisdirected;
         return { kind: "not run", reason, misdirected, terms };
       }
+      const passing = {
+        clock,
+        opened,
+        head,
+        caller,
+        watch,
+        progress,
+        arrived: work.arrived,
+      };
       if (isStream && head.status === 200) {
-        return await passStream(opened, head, { choice, watch, flight });
-      }
-      return await passAnswer(opened, head, watch);
-    }
-
-    async function passStream(
-      opened: Attempt,
-      head: AnswerHead,
-      { choice, watch, flight }: {
-        readonly choice: Choice;
-        readonly watch: Watch;
-        readonly flight: Flight;
-      },
-    ): Promise<AttemptEnd> {
-      const splitter = createEventSplitter();
-      const mayMove = repeatable && runs + 1 < work.route.maxRuns;
-      const body = opened.body();
-      for (;;) {
-        const next = await body.next();
-        if (next.done) {
-          const failure = next.value;
-          if (failure === undefined && !splitter.hasRest()) break;
-          return watch.cause() ?? {
-            kind: "broken",
-            reason: failure?.reason ?? "ended within an event",
-          };
-        }
-        flight.noteFirstToken();
-        if (firstEvent === 0) room.poke();
-        replicas.noteHeard(choice.replica.entry.id);
-        // The time in which a slow caller takes the events is not silence.
-        watch.limitSilence(Infinity);
-        const whole = splitter.push(next.value, lastEvent);
-        if (whole !== undefined) {
-          if (firstEvent === 0) firstEvent = clock.monotonic() - work.arrived;
-          if (!caller.hasBegun()) caller.begin(head.status, head.rawHeaders);
-          if (whole.lastId !== undefined) lastEvent = whole.lastId;
-          await caller.write(whole.bytes);
-        }
-        if (mayMove) watch.limitSilence(DEAD_SILENCE, longestGap(work.route));
-      }
-      if (!caller.hasBegun()) caller.begin(head.status, head.rawHeaders);
-      caller.finish();
-      return { kind: "done", status: head.status };
-    }
-
-    async function passAnswer(
-      opened: Attempt,
-      head: AnswerHead,
-      watch: Watch,
-    ): Promise<AttemptEnd> {
-      const chunks: Uint8Array[] = [];
-      for (const body = opened.body();;) {
-        const next = await body.next();
-        if (!next.done) {
-          chunks.push(next.value);
-          continue;
-        }
-        if (next.value === undefined) break;
-        return watch.cause() ?? { kind: "lost", reason: next.value.reason };
-      }
-      const isLast = runs + 1 >= work.route.maxRuns;
-      if (head.status >= 500 && repeatable && !isLast && !caller.hasBegun()) {
-        if (budget.left(work.service) >= 1) {
-          return { kind: "failed", status: head.status };
-        }
-      }
-      if (caller.hasBegun()) {
-        return { kind: "broken", reason: `resumed with ${head.status}` };
-      }
-      firstEvent = clock.monotonic() - work.arrived;
-      caller.begin(head.status, withLength(head.rawHeaders, chunks));
-      for (const chunk of chunks) await caller.write(chunk);
-      caller.finish();
-      return { kind: "done", status: head.status };
-    }
-
-    function learnWeights({ replica }: Choice, terms: AnswerTerms): void {
-      const model = work.terms?.model;
-      if (model === undefined || terms.weights === undefined) return;
-      replicas.recordWeights(replica.entry.id, model, terms.weights);
-    }
-
-    /** A replica refused because it is not what it was believed to be. */
-    function correctWeights(choice: Choice, terms: AnswerTerms): void {
-      const { replica, version = 0 } = choice;
-      const { id } = replica.entry;
-      const model = work.terms?.model;
-      const isOther = terms.replica !== undefined && terms.replica !== id;
-      if (model === undefined || isOther) return replicas.recordFailure(id);
-      const target = weights.target(model);
-      if (terms.weights !== undefined) {
-        replicas.correctWeights(id, model, terms.weights);
-      } else if (version < target) {
-        replicas.correctWeights(id, model, target);
-      } else {
-        const listed = replica.entry.weights.get(model) ?? 0;
-        replicas.correctWeights(id, model, Math.min(listed, target - 1));
-      }
-      replicas.avoid(id, MOVED_AVOIDANCE);
-    }
-
-    function note(choice: Choice, outcome: AttemptEnd): void {
-      const { id, address } = choice.replica.entry;
-      switch (outcome.kind) {
-        case "done":
-          return replicas.recordSuccess(id);
-        case "unsent":
-        case "lost":
-        case "broken":
-          if (outcome.reason === SILENT) channels.renew(address);
-          return replicas.recordFailure(id);
-        case "not run": {
-          if (outcome.kind === "not run" && outcome.misdirected) {
-            return correctWeights(choice, outcome.terms);
-          }
-          return replicas.avoid(id, BUSY_AVOIDANCE);
-        }
+        const mayMove = repeatable && runs + 1 < work.route.maxRuns;
+        return await passStream({
+          ...passing,
+          longestGap: mayMove ? longestGap(work.route) : undefined,
+          onHeard() {
+            flight.noteFirstToken();
+            if (progress.firstEvent === 0) room.poke();
+            replicas.noteHeard(choice.replica.entry.id);
+          },
+        });
       }
+      return await passAnswer({
+        ...passing,
+        mayRepeat: () =>
+          repeatable && runs + 1 < work.route.maxRuns &&
+          budget.left(work.service) >= 1,
+      });
     }
   };
 }
@@ -484,25 +397,6 @@
   return { kind, reason };
 }
 
-async function drain(opened: Attempt): Promise<void> {
-  const body = opened.body();
-  while (!(await body.next()).done);
-}
-
-/** A whole body is sent with its length, whatever framing the replica used. */
-function withLength(
-  headers: readonly string[],
-  chunks: readonly Uint8Array[],
-): readonly string[] {
-  const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
-  const others: string[] = [];
-  for (let at = 0; at + 1 < headers.length; at += 2) {
-    if (headers[at]?.toLowerCase() === "content-length") continue;
-    others.push(headers[at] ?? "", headers[at + 1] ?? "");
-  }
-  return [...others, "content-length", String(length)];
-}
-
 function customerOf({ customer }: Work): { readonly customer?: string } {
   return customer === undefined ? {} : { customer: customer.name };
 }
--- /dev/null
+++ b/packages/gateway/src/status_server.ts
@@ -0,0 +1,43 @@
+/**
+ * The listeners that tell whether this daemon is ready, and its metrics.
+ */
+import { createServer, type Server } from "node:http";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { Address } from "./parts.ts";
+
+export interface StatusServerOptions {
+  readonly readyPath: string;
+  readonly isReady: () => boolean;
+  readonly metricsPath: string | undefined;
+  readonly renderMetrics: () => string;
+}
+
+export function createStatusServer(options: StatusServerOptions): Server {
+  return createServer((request, response) => {
+    const path = request.url ?? "/";
+    if (path === options.metricsPath) {
+      response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+      response.end(options.renderMetrics());
+      return;
+    }
+    const isKnown = path === options.readyPath;
+    const status = !isKnown ? 404 : options.isReady() ? 200 : 503;
+    response.writeHead(status).end();
+  });
+}
+
+/** Connections that wait to be accepted; a crest brings many at once. */
+const BACKLOG = 1_024;
+
+export function listen(
+  server: Server,
+  { host, port }: Address,
+): Promise<Result<void, string>> {
+  return new Promise((resolve) => {
+    server.once("error", (error) => resolve(Err(error.message)));
+    server.listen(
+      { host, port, backlog: BACKLOG },
+      () => resolve(Ok(undefined)),
+    );
+  });
+}
--- a/packages/metrics/src/registry.ts
+++ b/packages/metrics/src/registry.ts
@@ -35,6 +35,8 @@
   abstract set(value: number, labels?: Labels): void;
   abstract add(amount: number, labels?: Labels): void;
   abstract value(labels?: Labels): number;
+  /** Drops all series, so that those no longer set are not shown. */
+  abstract clear(): void;
 }
 
 export abstract class HistogramMetric {
@@ -110,6 +112,9 @@
         override value(labels: Labels = {}): number {
           return series.find(labels)?.value ?? 0;
         }
+        override clear(): void {
+          series.clear();
+        }
       })();
     }
 
@@ -137,6 +142,7 @@
   open(labels: Labels): Value;
   find(labels: Labels): Value | undefined;
   entries(): Iterable<readonly [Labels, Value]>;
+  clear(): void;
 }
 
 function createSeriesMap<Value>(names: readonly string[], options: {
@@ -171,5 +177,6 @@
     open,
     find: (labels) => series.get(keyOf(labels))?.[1],
     entries: () => series.values(),
+    clear: () => series.clear(),
   };
 }
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -20,6 +20,10 @@
   readonly breakAt: number;
   /** Answers plain requests with this status. */
   readonly status: number;
+  /** Length of plain answers in bytes; 0 for a short text. */
+  readonly length: number;
+  /** Breaks plain answers off after their first half. */
+  readonly cutAnswers: boolean;
   /** Closes the connection after a plain request has run. */
   readonly loseAnswers: boolean;
   /** Answers with the id of another request. */
@@ -72,6 +76,8 @@
   full: false,
   breakAt: 0,
   status: 200,
+  length: 0,
+  cutAnswers: false,
   loseAnswers: false,
   wrongId: false,
   loseOrders: false,
@@ -130,6 +136,14 @@
     response.end();
   }
 
+  async function answerAtLength(response: ServerResponse): Promise<void> {
+    const half = "a".repeat(faults.length / 2);
+    response.write(half);
+    await new Promise((resolve) => setTimeout(resolve, pause));
+    if (faults.cutAnswers) response.destroy();
+    else response.end(half);
+  }
+
   async function run(
     request: IncomingMessage,
     response: ServerResponse,
@@ -159,6 +173,7 @@
       return;
     }
     response.writeHead(faults.status, headersFor(request));
+    if (faults.length > 0) return await answerAtLength(response);
     response.end(`answer of ${id}`);
   }
 
