Send nothing after the grace time; give the first readings up early

Cause 1: streams that outlast the grace time lost their connections to the daemon's own close, and the relay took that for failures of the replicas. Change: the relay sends nothing once the daemon ends, and the reason is "the daemon stops".

Change: the first readings are given up after 300 ms, then 600 ms. Test: follower.test.ts.

--- a/packages/gateway/src/channels.test.ts
+++ b/packages/gateway/src/channels.test.ts
@@ -50,7 +50,7 @@
 // a complete answer (koiratakki trouble-2, MIXED).
 test("a body without a length is broken off when it is reset", async (t) => {
   const channels = createChannels();
-  t.after(() => channels.close());
+  t.after(() => channels.close("the test ends"));
   const origin = await listen(t, (socket) => {
     socket.once("data", () => {
       socket.write("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst half");
@@ -66,7 +66,7 @@
 
 test("a body without a length is complete when its end arrives", async (t) => {
   const channels = createChannels();
-  t.after(() => channels.close());
+  t.after(() => channels.close("the test ends"));
   const origin = await listen(t, (socket) => {
     socket.once("data", () => {
       socket.end("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nall of it");
@@ -82,7 +82,7 @@
 
 test("a request that was never written is unsent", async (t) => {
   const channels = createChannels();
-  t.after(() => channels.close());
+  t.after(() => channels.close("the test ends"));
   const server = createServer();
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -95,7 +95,7 @@
 
 test("a request without an answer may have run", async (t) => {
   const channels = createChannels();
-  t.after(() => channels.close());
+  t.after(() => channels.close("the test ends"));
   const origin = await listen(t, (socket) => {
     socket.once("data", () => socket.destroy());
   });
--- a/packages/gateway/src/channels.ts
+++ b/packages/gateway/src/channels.ts
@@ -47,7 +47,8 @@
   abstract renew(origin: string): void;
   /** Closes the connections to a replica that is gone. */
   abstract forget(origin: string): void;
-  abstract close(): Promise<void>;
+  /** Ends all attempts for the reason. */
+  abstract close(reason: string): Promise<void>;
 }
 
 /**
@@ -112,8 +113,9 @@
       drop(origin);
     }
 
-    override async close(): Promise<void> {
-      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    override async close(reason: string): Promise<void> {
+      const error = new Error(reason);
+      await Promise.all([...pools.values()].map((pool) => pool.destroy(error)));
     }
   })();
 }
--- a/packages/gateway/src/follower.test.ts
+++ b/packages/gateway/src/follower.test.ts
@@ -18,8 +18,13 @@
 /** Gives the answers in order, and nothing more afterwards. */
 function createFeed(snapshots: Snapshot[], answers: Answer[]) {
   const queries: ChangeQuery[] = [];
+  const timeouts: number[] = [];
   const feed = new (class extends TableFeed {
-    override snapshot(): Promise<Result<Snapshot, Unavailable>> {
+    override snapshot(
+      _table: string,
+      timeout: number,
+    ): Promise<Result<Snapshot, Unavailable>> {
+      timeouts.push(timeout);
       const next = snapshots.shift();
       return Promise.resolve(
         next === undefined
@@ -34,13 +39,13 @@
       return next === undefined ? new Promise(() => {}) : Promise.resolve(next);
     }
   })();
-  return { feed, queries };
+  return { feed, queries, timeouts };
 }
 
 const row = (key: string, version: number) => ({ key, value: key, version });
 
 function follow(snapshots: Snapshot[], answers: Answer[]) {
-  const { feed, queries } = createFeed(snapshots, answers);
+  const { feed, queries, timeouts } = createFeed(snapshots, answers);
   const taken: string[] = [];
   const names: EventName[] = [];
   const logger = new (class extends EventLogger {
@@ -61,7 +66,7 @@
   });
   const stop = new AbortController();
   follower.run(stop.signal);
-  return { follower, queries, taken, names, stop };
+  return { follower, queries, timeouts, taken, names, stop };
 }
 
 const settle = () => new Promise((resolve) => setTimeout(resolve, 20));
@@ -109,3 +114,12 @@
   stop.abort();
   expect(names).toEqual(["table_lost"]);
 });
+
+// Guards against a start that waits 1.2 s for a silent store although the store
+// has returned in the meantime (five of eight daemons in incident inc-15fb).
+test("the first readings are given up early, later ones are not", async () => {
+  const { timeouts, stop } = follow([], []);
+  await new Promise((resolve) => setTimeout(resolve, 1_500));
+  stop.abort();
+  expect(timeouts.slice(0, 4)).toEqual([300, 600, 1_200, 1_200]);
+});
--- a/packages/gateway/src/follower.ts
+++ b/packages/gateway/src/follower.ts
@@ -43,6 +43,12 @@
 /** Time for an answer beyond the wait that was asked for. */
 const CALL_TIMEOUT: Milliseconds = 1_200;
 
+/**
+ * Time for the first reading, which doubles with each failure: the calls of a
+ * daemon that starts while the store is silent would be missed by its return.
+ */
+const FIRST_TIMEOUT: Milliseconds = 300;
+
 /** Silence of the store beyond a usual call after which rows are stale. */
 const STALE_AFTER: Milliseconds = 700;
 
@@ -58,6 +64,7 @@
   let needsSnapshot = true;
   let contact = -Infinity;
   let lostSince: Milliseconds | undefined;
+  let timeout = FIRST_TIMEOUT;
 
   function noteContact(): void {
     contact = clock.monotonic();
@@ -88,11 +95,13 @@
   }
 
   async function readSnapshot(): Promise<boolean> {
-    const read = await feed.snapshot(table, CALL_TIMEOUT);
+    const read = await feed.snapshot(table, timeout);
     if (read.isErr()) {
+      timeout = Math.min(CALL_TIMEOUT, timeout * 2);
       noteLoss(read.error.reason);
       return false;
     }
+    timeout = CALL_TIMEOUT;
     noteContact();
     needsSnapshot = false;
     takeSnapshot(read.value.rows, read.value.version);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,6 +91,9 @@
 
 const DAEMON_TABLE = "daemons";
 
+/** Why attempts end that are still open at the end of the grace time. */
+const STOPPING = "the daemon stops";
+
 export function createGateway(parts: GatewayParts): Gateway {
   const { settings, clock, logger, dialect, codec, control } = parts;
   const stopping = new AbortController();
@@ -244,6 +247,7 @@
     transfers,
     replicaClock,
     connectionsOf,
+    stopped: stopping.signal,
   });
   const front = createFront({
     clock,
@@ -492,7 +496,7 @@
       stopping.abort();
       cacheFeed.stop();
       for (const server of servers) server.close();
-      await Promise.race([channels.close(), clock.sleep(DRAIN_LOOK)]);
+      await Promise.race([channels.close(STOPPING), clock.sleep(DRAIN_LOOK)]);
     }
   })();
 }
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -77,6 +77,7 @@
   ["too many wait", "too many wait"],
   ["no room", "no room"],
   ["no replica", "no replica"],
+  ["daemon stops", "stopping"],
   ["timeout", "timeout"],
   ["silent", "silent"],
   ["refused with", "replica refused"],
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -52,6 +52,8 @@
   /** Connections that this daemon may hold to one replica of a service. */
   readonly connectionsOf: (service: string) => number;
   readonly meters: Meters;
+  /** Aborts when the daemon ends; nothing is sent afterwards. */
+  readonly stopped: AbortSignal;
 }
 
 /** The request as it goes to a replica. */
@@ -158,6 +160,7 @@
     for (;;) {
       if (caller.hasLeft()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return giveUp("timeout", 504);
+      if (options.stopped.aborted) return giveUp(lastReason, 502);
       const mayRetry = sends === 0 || remaining() > LEAST_REMAINING;
       if (!mayRetry || !placement.hasCandidates(work, excluded)) {
         return giveUp(lastReason, 502);
