Resolve the five import cycles

Cause: modules imported types from the modules that use them (status, handlers and neighbours of the daemon; exposition and registry of the metrics; derivation and page, run and page of the replay; exchange and client of the upstreams), so that none could be read or changed alone.

Change: the types move to modules of their own; no behaviour changes.

--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -21,6 +21,7 @@
 import { hasToken } from "../peers/rpc.ts";
 import type { Runtime } from "../runtime.ts";
 import type { DaemonStatus } from "../status.ts";
+import type { DaemonVersion } from "./daemon_version.ts";
 
 const PLATFORM_TIMEOUT: Milliseconds = 2_000;
 const CONFIGURATION_BYTES = 16 * 1024 * 1024;
@@ -38,12 +39,6 @@
   readonly readVersions: () => Promise<readonly DaemonVersion[]>;
 }
 
-export interface DaemonVersion {
-  readonly name: string;
-  readonly address: string;
-  readonly version: number | undefined;
-}
-
 export function createOperatorHandlers(
   parts: OperatorParts,
 ): Readonly<Record<string, Handler>> {
--- a/packages/daemon/src/peers/neighbours.ts
+++ b/packages/daemon/src/peers/neighbours.ts
@@ -18,7 +18,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { z } from "zod";
-import type { DaemonVersion } from "../operators/handlers.ts";
+import type { DaemonVersion } from "../operators/daemon_version.ts";
 import { createRpcClient } from "./rpc.ts";
 import type { Stamps } from "./stamps.ts";
 
--- a/packages/metrics/src/exposition.ts
+++ b/packages/metrics/src/exposition.ts
@@ -2,7 +2,7 @@
  * The text format of Prometheus, version 0.0.4.
  */
 import type { WindowedHistogram } from "./histogram.ts";
-import type { Labels, SeriesMap } from "./registry.ts";
+import type { Labels, SeriesMap } from "./series.ts";
 
 export type Family =
   & { readonly name: string; readonly help: string }
--- a/packages/metrics/src/mod.ts
+++ b/packages/metrics/src/mod.ts
@@ -3,3 +3,4 @@
  */
 export * from "./histogram.ts";
 export * from "./registry.ts";
+export { type Labels, OVERFLOW_LABEL } from "./series.ts";
--- a/packages/metrics/src/registry.ts
+++ b/packages/metrics/src/registry.ts
@@ -8,18 +8,14 @@
   type WindowedHistogram,
 } from "./histogram.ts";
 import { type Family, renderFamilies } from "./exposition.ts";
+import { createSeriesMap, type Labels } from "./series.ts";
 
 /** 300 customers in the two-year target, with room for a second label. */
 const DEFAULT_MAX_SERIES = 1_000;
 const DEFAULT_WINDOW: Milliseconds = 60_000;
 
-/** Value of every label of the series that takes what is over the bound. */
-export const OVERFLOW_LABEL = "other";
-
 const NAME_PATTERN = /^[a-zA-Z_][a-zA-Z0-9_]*$/;
 
-export type Labels = Readonly<Record<string, string>>;
-
 export interface MetricOptions {
   readonly help: string;
   readonly labels?: readonly string[];
@@ -137,46 +133,3 @@
     }
   })();
 }
-
-export interface SeriesMap<Value> {
-  open(labels: Labels): Value;
-  find(labels: Labels): Value | undefined;
-  entries(): Iterable<readonly [Labels, Value]>;
-  clear(): void;
-}
-
-function createSeriesMap<Value>(names: readonly string[], options: {
-  readonly maxSeries: number;
-  readonly create: () => Value;
-}): SeriesMap<Value> {
-  const series = new Map<string, readonly [Labels, Value]>();
-  const overflow = Object.fromEntries(
-    names.map((name) => [name, OVERFLOW_LABEL]),
-  );
-
-  function keyOf(labels: Labels): string {
-    return JSON.stringify(names.map((name) => labels[name] ?? ""));
-  }
-
-  function insert(labels: Labels): Value {
-    const value = options.create();
-    const known = names.map((name) => [name, labels[name] ?? ""]);
-    series.set(keyOf(labels), [Object.fromEntries(known), value]);
-    return value;
-  }
-
-  function open(labels: Labels): Value {
-    const present = series.get(keyOf(labels));
-    if (present !== undefined) return present[1];
-    const isFull = series.size >= options.maxSeries - 1;
-    if (!isFull || names.length === 0) return insert(labels);
-    return series.get(keyOf(overflow))?.[1] ?? insert(overflow);
-  }
-
-  return {
-    open,
-    find: (labels) => series.get(keyOf(labels))?.[1],
-    entries: () => series.values(),
-    clear: () => series.clear(),
-  };
-}
--- a/packages/replay/src/capacity/derivation.ts
+++ b/packages/replay/src/capacity/derivation.ts
@@ -4,7 +4,7 @@
 import { RETENTION } from "@peridotvalve/claims";
 import { SECOND } from "@peridotvalve/types";
 import { fitLine } from "./fit.ts";
-import type { Slopes } from "./page.ts";
+import type { Slopes } from "./slopes.ts";
 
 export type Line = Readonly<Record<string, string>>;
 
--- a/packages/replay/src/capacity/fit.test.ts
+++ b/packages/replay/src/capacity/fit.test.ts
@@ -2,7 +2,8 @@
 import { readFileSync } from "node:fs";
 import { test } from "node:test";
 import { fitLine } from "./fit.ts";
-import { createPage, type Slopes } from "./page.ts";
+import { createPage } from "./page.ts";
+import type { Slopes } from "./slopes.ts";
 
 function readSlopes(): Slopes {
   const file = new URL(
--- a/packages/replay/src/capacity/page.ts
+++ b/packages/replay/src/capacity/page.ts
@@ -3,19 +3,7 @@
  * two-year size is worked out here, so that a new measurement changes the page.
  */
 import { deriveLines, type Line } from "./derivation.ts";
-
-export interface Slope {
-  readonly command: string;
-  readonly sizes: string;
-  readonly seed: number | null;
-  readonly commit: string;
-  readonly node: string;
-  // The scripts' output; `derivation.ts` reads the figures that it needs.
-  // deno-lint-ignore no-explicit-any
-  readonly figures: Readonly<Record<string, any>>;
-}
-
-export type Slopes = Readonly<Record<string, Slope>>;
+import type { Slopes } from "./slopes.ts";
 
 const HEAD = `# Capacity at the two-year size
 
--- a/packages/replay/src/capacity/run.ts
+++ b/packages/replay/src/capacity/run.ts
@@ -7,7 +7,8 @@
  */
 import { execFileSync } from "node:child_process";
 import { readFileSync, writeFileSync } from "node:fs";
-import { createPage, type Slope, type Slopes } from "./page.ts";
+import { createPage } from "./page.ts";
+import type { Slope, Slopes } from "./slopes.ts";
 
 const FILE = "docs/capacity_slopes.json";
 const PAGE = "docs/CAPACITY.md";
--- a/packages/replay/src/measurements/page.ts
+++ b/packages/replay/src/measurements/page.ts
@@ -4,7 +4,7 @@
  */
 import { medianOf } from "../capacity/measuring.ts";
 import type { Measures } from "../run/measures.ts";
-import type { Measurements, Run } from "./run.ts";
+import type { Measurements, Run } from "./measurements.ts";
 import { POLICIES, SCENARIOS, SETTINGS } from "./scenarios.ts";
 
 const BEGIN = "<!-- begin: placement policies, from npm run measure -->";
--- a/packages/replay/src/measurements/run.ts
+++ b/packages/replay/src/measurements/run.ts
@@ -8,8 +8,9 @@
 import { execFileSync } from "node:child_process";
 import { existsSync, readFileSync, writeFileSync } from "node:fs";
 import { type Deployment, startDeployment } from "@peridotvalve/testbed";
-import { measure, type Measures } from "../run/measures.ts";
+import { measure } from "../run/measures.ts";
 import { countOrders, replayTrace } from "../run/replay.ts";
+import type { Measurements, Run } from "./measurements.ts";
 import { createSection, replaceSection } from "./page.ts";
 import { countLinkBytes, markLogs } from "./link_bytes.ts";
 import {
@@ -29,24 +30,6 @@
 const FILE = "docs/measurements.json";
 const PAGE = "docs/measurements.md";
 
-export interface Run {
-  readonly deployment: string;
-  readonly scenario: string;
-  readonly policy: Policy;
-  readonly seed: number;
-  readonly measures: Measures;
-  /** Orders that ran more than once. */
-  readonly repeatedOrders: number;
-}
-
-export interface Measurements {
-  readonly command: string;
-  readonly commit: string;
-  readonly node: string;
-  readonly seeds: readonly number[];
-  readonly runs: readonly Run[];
-}
-
 async function measurePolicy(
   deployment: Deployment,
   setting: Setting,
--- a/packages/upstreams/src/generation_stream.ts
+++ b/packages/upstreams/src/generation_stream.ts
@@ -12,7 +12,8 @@
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import type { AttemptFailure, StreamDeadlines } from "./engine.ts";
 import { createEventCheck } from "./event_check.ts";
-import type { HttpClient, HttpFailure } from "./http_client.ts";
+import type { HttpClient } from "./http_client.ts";
+import type { HttpFailure } from "./http_failure.ts";
 import type { HttpExchange } from "./http_exchange.ts";
 import { parseJson, refusalSchema } from "./http_formats.ts";
 
--- a/packages/upstreams/src/http_client.test.ts
+++ b/packages/upstreams/src/http_client.test.ts
@@ -9,8 +9,8 @@
   createHttpClient,
   type HttpClient,
   type HttpClientOptions,
-  type HttpFailure,
 } from "./http_client.ts";
+import type { HttpFailure } from "./http_failure.ts";
 
 const LIMITS = { timeout: 5_000 };
 const ORDER = { method: "POST", path: "/orders", body: "{}" };
--- a/packages/upstreams/src/http_client.ts
+++ b/packages/upstreams/src/http_client.ts
@@ -8,6 +8,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { Pool } from "undici";
 import { createHttpExchange, type HttpExchange } from "./http_exchange.ts";
+import type { HttpFailure } from "./http_failure.ts";
 
 export interface HttpRequest {
   readonly method: string;
@@ -22,13 +23,6 @@
   readonly body: Uint8Array;
 }
 
-export interface HttpFailure {
-  /** False only if no byte of the request was written to a connection. */
-  readonly sent: boolean;
-  readonly reason: "unreachable" | "timeout" | "cut" | "protocol" | "cancelled";
-  readonly message: string;
-}
-
 export interface HttpLimits {
   readonly timeout: Milliseconds;
   readonly signal?: AbortSignal;
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -9,7 +9,7 @@
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "undici";
-import type { HttpFailure } from "./http_client.ts";
+import type { HttpFailure } from "./http_failure.ts";
 
 export interface HttpExchange {
   readonly handler: Dispatcher.DispatchHandler;
--- /dev/null
+++ b/packages/upstreams/src/http_failure.ts
@@ -0,0 +1,9 @@
+/**
+ * Why an exchange has no response.
+ */
+export interface HttpFailure {
+  /** False only if no byte of the request was written to a connection. */
+  readonly sent: boolean;
+  readonly reason: "unreachable" | "timeout" | "cut" | "protocol" | "cancelled";
+  readonly message: string;
+}
