Share the connector that sees resets with the clients of upstreams

Cause: the clients of engines and services use undici too, and took an answer without a length as complete when its connection was reset, at once or later.

Change: the connector moves from the gateway to a package of its own, which both use; the gateway's behaviour is the same as before.

--- a/packages/gateway/src/channels.ts
+++ b/packages/gateway/src/channels.ts
@@ -3,9 +3,10 @@
  * attempt says whether its request was written, because only a request that
  * was never written surely has not run.
  */
+import { createConnector, isEndedByReset } from "@peridotvalve/connections";
 import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 
 export interface AttemptRequest {
   readonly origin: string;
@@ -120,37 +121,11 @@
   })();
 }
 
-const connectSocket = buildConnector({
+const connect = createConnector({
   timeout: CONNECT_TIMEOUT,
-  keepAlive: true,
-  keepAliveInitialDelay: KEEP_ALIVE_DELAY,
+  keepAliveDelay: KEEP_ALIVE_DELAY,
 });
 
-/** True while the end of a connection that was reset is handled. */
-let isResetEnd = false;
-
-/**
- * Connects so that a reset is an error. `undici` takes a body without a length
- * as complete when its connection is reset; such a body may be cut. When the
- * last bytes and the reset arrive together, libuv reports a regular end; the
- * socket then has no peer any more. The address of the peer is kept once it was
- * read, so nothing may read it before the end.
- */
-const connect: buildConnector.connector = (options, callback) => {
-  connectSocket(options, (...[error, socket]) => {
-    if (error !== null) return callback(error, null);
-    socket.prependListener("error", (failure: NodeJS.ErrnoException) => {
-      if (failure.code === "ECONNRESET") failure.code = "UND_ERR_SOCKET";
-    });
-    // The listener of `undici` runs next and completes the answer.
-    socket.prependListener("end", () => {
-      isResetEnd = socket.remoteAddress === undefined;
-      queueMicrotask(() => isResetEnd = false);
-    });
-    callback(null, socket);
-  });
-};
-
 function openAttempt(pool: Pool, request: AttemptRequest): Attempt {
   const waiting: Uint8Array[] = [];
   let waitingBytes = 0;
@@ -192,7 +167,7 @@
       wake();
     },
     onResponseEnd() {
-      if (isResetEnd) return fail("connection reset");
+      if (isEndedByReset()) return fail("connection reset");
       ended ??= {};
       wake();
     },
--- a/packages/upstreams/src/http_client.test.ts
+++ b/packages/upstreams/src/http_client.test.ts
@@ -182,3 +182,29 @@
     expect(server.requests.length).toEqual(2);
   }, { connections: 1 });
 });
+
+// Guards against a cut answer that passes as whole: undici completes an answer
+// without a length when its connection is reset.
+test("an answer without a length is cut when its connection is reset", async () => {
+  const head = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
+  const resets = [
+    (socket: Socket) => socket.resetAndDestroy(),
+    (socket: Socket) => setTimeout(() => socket.resetAndDestroy(), 20),
+  ];
+  for (const reset of resets) {
+    await withRawServer(
+      (socket) => socket.write(`${head}half`, () => reset(socket)),
+      async (client) => {
+        const failure = await sendFailing(client);
+        expect([failure.sent, failure.reason]).toEqual([true, "cut"]);
+      },
+    );
+  }
+  await withRawServer(
+    (socket) => socket.end(`${head}whole`),
+    async (client) => {
+      const answer = await client.send(ORDER, LIMITS);
+      expect(answer.isOk()).toEqual(true);
+    },
+  );
+});
--- a/packages/upstreams/src/http_client.ts
+++ b/packages/upstreams/src/http_client.ts
@@ -4,6 +4,7 @@
  * write a second time is aborted.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { createConnector } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { Pool } from "undici";
@@ -81,11 +82,10 @@
     keepAliveTimeout: IDLE_TIMEOUT,
     keepAliveMaxTimeout: IDLE_TIMEOUT,
     maxHeaderSize: options.headerBytes ?? DEFAULT_HEADER_BYTES,
-    connect: {
+    connect: createConnector({
       timeout: options.connectTimeout ?? DEFAULT_CONNECT_TIMEOUT,
-      keepAlive: true,
-      keepAliveInitialDelay: KEEP_ALIVE_DELAY,
-    },
+      keepAliveDelay: KEEP_ALIVE_DELAY,
+    }),
   });
 }
 
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -6,6 +6,7 @@
  * request counts as sent, whatever happens to the connection.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { isEndedByReset } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "undici";
@@ -105,6 +106,10 @@
       wake();
     },
     onResponseEnd() {
+      if (isEndedByReset()) {
+        fail("cut", "the connection was reset");
+        return;
+      }
       ended = true;
       settle();
     },
