Split the derivation of the capacity page by its tables

Cause: derivation.ts held the three tables, the sizes and the formatting in 468 lines, and its note on placement named a remedy that is in place.

--- /dev/null
+++ b/packages/replay/src/capacity/data_path.ts
@@ -0,0 +1,68 @@
+/**
+ * What requests and streams cost in one daemon.
+ */
+import { fitLine } from "./fit.ts";
+import { largest, type Line, megabytes, type Part, verdict } from "./lines.ts";
+import { REQUESTS, STREAM_SECONDS, TOKENS } from "./sizes.ts";
+import type { Slopes } from "./slopes.ts";
+
+export function deriveDataPath(slopes: Slopes): Part {
+  const { loads, streams, delays } = slopes["relay"]?.figures ?? {};
+  const { slope, intercept } = fitLine(
+    loads.map((one: Record<string, number>) => [
+      one["tokensForEachRequest"],
+      one["processorMillisecondsForEachRequest"],
+    ]),
+  );
+  const cost = REQUESTS * intercept + TOKENS * slope;
+  const open = REQUESTS * STREAM_SECONDS;
+  const bytes = largest(streams, "bytesForEach");
+  return {
+    section: {
+      title: "Data path of one daemon",
+      text:
+        "One daemon process against engine stand-ins that answer at once. " +
+        "Processor time is from /proc; memory is heap and buffers.",
+      lines: [
+        ...loads.map((one: Record<string, number>): Line => ({
+          what: `${one["tokensForEachRequest"]} tokens for each request`,
+          measured: `${one["processorMillisecondsForEachRequest"]} ms each: ` +
+            `${one["requestsPerCoreSecond"]?.toFixed(0)} requests/s and ` +
+            `${one["tokensPerCoreSecond"]?.toFixed(0)} tokens/s on one core`,
+          "two-year size": "",
+        })),
+        {
+          what: "fit: ms for each request, for each token",
+          measured: `${intercept.toFixed(2)} + ${slope.toFixed(4)} n`,
+          "two-year size": `${cost.toFixed(0)} ms/s: ` +
+            verdict(cost, 1_000) + " one core",
+        },
+        ...streams.map((one: Record<string, number>): Line => ({
+          what: `${one["streams"]} open streams (${one["running"]} running)`,
+          measured: `${one["bytesForEach"]} B for each`,
+          "two-year size": "",
+        })),
+        {
+          what: "open streams at the two-year size",
+          measured: `${open.toFixed(0)} streams of 30 s`,
+          "two-year size": `${megabytes(open * bytes)} MB`,
+        },
+        ...delays.map((one: Record<string, number>): Line => ({
+          what: `added delay, ${one["callers"]} callers, ${one["pairs"]} pairs`,
+          measured: `median ratio ${one["medianRatio"]} ` +
+            `(+${one["addedMedianMilliseconds"]} ms), 99th percentile ratio ` +
+            `${one["p99Ratio"]} (+${one["addedP99Milliseconds"]} ms)`,
+          "two-year size": "bound of first token: 300 ms",
+        })),
+      ],
+    },
+    notes: [
+      "Added delay under 32 closed-loop callers is queueing in a saturated " +
+      "process, far above the two-year load of a daemon.",
+      "Memory of streams is the growth of heap and buffers after a garbage " +
+      "collection. Buffers of the kernel's sockets are not in it. The first " +
+      "size begins with what the load before it left in the heap, so its " +
+      "figure is not usable; the derivation uses the greatest size.",
+    ],
+  };
+}
--- /dev/null
+++ b/packages/replay/src/capacity/lines.ts
@@ -0,0 +1,42 @@
+/**
+ * The parts of the capacity page and how figures are written in them.
+ */
+export type Line = Readonly<Record<string, string>>;
+
+export interface Section {
+  readonly title: string;
+  readonly text: string;
+  readonly lines: readonly Line[];
+}
+
+export interface Part {
+  readonly section: Section;
+  readonly notes: readonly string[];
+}
+
+/** The figures of the greatest measured size. */
+export function largest(
+  figures: readonly Record<string, number>[],
+  key: string,
+) {
+  return figures.at(-1)?.[key] ?? NaN;
+}
+
+export function mark(
+  text: string,
+  { value, bound }: { readonly value: number; readonly bound: number },
+): string {
+  return value <= bound ? text : `${text}, does not fit`;
+}
+
+export function verdict(value: number, bound: number): string {
+  return value <= bound ? "fits" : "does not fit";
+}
+
+export function megabytes(bytes: number): string {
+  return (Math.max(0, bytes) / 1e6).toFixed(1);
+}
+
+export function kilobytes(bytes: number): string {
+  return (bytes / 1e3).toFixed(1);
+}
--- a/packages/replay/src/capacity/page.ts
+++ b/packages/replay/src/capacity/page.ts
@@ -2,7 +2,8 @@
  * Derives the capacity page from the measured slopes. Every figure at the
  * two-year size is worked out here, so that a new measurement changes the page.
  */
-import { deriveLines, type Line } from "./derivation.ts";
+import { deriveLines } from "./derivation.ts";
+import type { Line } from "./lines.ts";
 import type { Slopes } from "./slopes.ts";
 
 const HEAD = `# Capacity at the two-year size
