Withdraw attempts that waited for a connection through a pause

Change: the exchange asks just before the first byte whether the attempt may begin; one that was begun before a pause is withdrawn, costs no retry and is planned anew. Tests: http_client.test.ts and fleet.test.ts.

--- a/packages/daemon/src/chat/relay.ts
+++ b/packages/daemon/src/chat/relay.ts
@@ -193,22 +193,24 @@
  */
 function isFree(failure: AttemptFailure): boolean {
   if (failure.reason === "leaving") return true;
+  if (failure.reason === "withdrawn") return true;
   return failure.sent === "refused" && failure.reason !== "busy";
 }
 
 /**
- * True when the replica has swapped its weights and may take the request when
- * it is planned anew for them; once for each replica, so that it ends.
+ * True when the replica may take the request when it is planned anew: it has
+ * swapped its weights, or the attempt was withdrawn; once for each replica, so
+ * that it ends.
  */
 function isReplanned(
   failure: AttemptFailure,
   { replica }: Choice,
   replanned: Set<string>,
 ): boolean {
-  if (failure.reason !== "weights mismatch") return false;
-  if (failure.weights === undefined || replanned.has(replica.name)) {
-    return false;
-  }
+  const isMoved = failure.reason === "weights mismatch" &&
+    failure.weights !== undefined;
+  if (!isMoved && failure.reason !== "withdrawn") return false;
+  if (replanned.has(replica.name)) return false;
   replanned.add(replica.name);
   return true;
 }
@@ -260,6 +262,8 @@
     ),
     betweenTokens: limits.betweenTokensTimeout,
     signal: work.signal,
+    // It may have waited for a connection through a pause.
+    mayBegin: () => runtime.fleet.ranSince(begun),
   });
   runtime.log("attempt_started", {
     attempt: record.attempt,
--- a/packages/daemon/src/fleet/fleet.test.ts
+++ b/packages/daemon/src/fleet/fleet.test.ts
@@ -107,8 +107,11 @@
   const replica = fleet.find("a")!;
   expect(await fleet.confirm(replica)).toEqual(true);
   expect(engine.asked()).toEqual(0);
+  const begun = clock.monotonic();
+  expect(fleet.ranSince(begun)).toEqual(true);
   await clock.advance(5_000);
   noteResumed();
+  expect(fleet.ranSince(begun)).toEqual(false);
   const confirmed = await Promise.all([
     fleet.confirm(replica),
     fleet.confirm(replica),
--- a/packages/daemon/src/fleet/fleet.ts
+++ b/packages/daemon/src/fleet/fleet.ts
@@ -72,6 +72,8 @@
    * replica is asked first.
    */
   confirm(replica: Replica): Promise<boolean>;
+  /** True when this process was not paused since a monotonic time. */
+  ranSince(time: Milliseconds): boolean;
   /** Notes that an attempt was dispatched. */
   begin(replica: Replica, work: DispatchedWork): Dispatch;
   observe(
@@ -307,6 +309,7 @@
       }
       return !replica.isLeaving();
     },
+    ranSince: (time) => options.resumedAt() <= time,
     begin(replica, { attempt, tokens }) {
       const member = members.get(replica.name);
       if (member !== undefined) member.streams += 1;
--- a/packages/upstreams/src/engine.ts
+++ b/packages/upstreams/src/engine.ts
@@ -26,7 +26,8 @@
     | "timeout"
     | "cut"
     | "protocol"
-    | "cancelled";
+    | "cancelled"
+    | "withdrawn";
   readonly message: string;
   /** The engine's weight version, where it told it. */
   readonly weights?: string;
@@ -37,6 +38,8 @@
   readonly firstToken: Milliseconds;
   readonly betweenTokens: Milliseconds;
   readonly signal: AbortSignal;
+  /** Asked before the first byte is written; false withdraws the attempt. */
+  readonly mayBegin?: () => boolean;
 }
 
 export interface CacheEvent {
--- a/packages/upstreams/src/generation_stream.ts
+++ b/packages/upstreams/src/generation_stream.ts
@@ -45,7 +45,13 @@
     path: "/generate",
     headers: { "content-type": "application/json", accept: EVENT_STREAM },
     body: JSON.stringify(generation),
-  }, { timeout: deadlines.firstToken, signal: deadlines.signal });
+  }, {
+    timeout: deadlines.firstToken,
+    signal: deadlines.signal,
+    ...(deadlines.mayBegin === undefined
+      ? {}
+      : { mayBegin: deadlines.mayBegin }),
+  });
   if (opened.isErr()) return describeFailure(opened.error);
   const exchange = opened.value;
   if (exchange.status !== 200) return await readRefusal(exchange, due);
--- a/packages/upstreams/src/http_client.test.ts
+++ b/packages/upstreams/src/http_client.test.ts
@@ -208,3 +208,26 @@
     },
   );
 });
+
+// Guards against work that waited for a connection through a pause of the
+// process and reaches an upstream that has left.
+test("a withdrawn request is never written", async () => {
+  await withRawServer(
+    (socket) => socket.write(OK),
+    async (client, { requests }) => {
+      const withdrawn = await client.send(ORDER, {
+        ...LIMITS,
+        mayBegin: () => false,
+      });
+      const { sent, reason } = withdrawn.unwrapErr();
+      expect([sent, reason]).toEqual([false, "withdrawn"]);
+      expect(requests).toEqual([]);
+      const next = await client.send(ORDER, {
+        ...LIMITS,
+        mayBegin: () => true,
+      });
+      expect(next.isOk()).toEqual(true);
+      expect(requests.length).toEqual(1);
+    },
+  );
+});
--- a/packages/upstreams/src/http_client.ts
+++ b/packages/upstreams/src/http_client.ts
@@ -27,6 +27,8 @@
 export interface HttpLimits {
   readonly timeout: Milliseconds;
   readonly signal?: AbortSignal;
+  /** Asked before the first byte is written; false withdraws the request. */
+  readonly mayBegin?: () => boolean;
 }
 
 export interface HttpClientOptions {
@@ -116,6 +118,7 @@
     const exchange = createHttpExchange(clock, {
       onTimeout: () => renewPool(used),
       ...(limits.signal === undefined ? {} : { signal: limits.signal }),
+      ...(limits.mayBegin === undefined ? {} : { mayBegin: limits.mayBegin }),
     });
     if (!limits.signal?.aborted) {
       try {
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -34,6 +34,8 @@
 
 interface ExchangeOptions {
   readonly signal?: AbortSignal;
+  /** Asked before the first byte is written; false withdraws the request. */
+  readonly mayBegin?: () => boolean;
   /** Called when the request was sent and missed a deadline. */
   readonly onTimeout: () => void;
 }
@@ -87,6 +89,9 @@
       } else if (controller !== undefined) {
         started.abort(new Error("the exchange must not be sent again"));
         fail("cut", "the connection ended before the response");
+      } else if (options.mayBegin?.() === false) {
+        fail("withdrawn", "the request waited too long for a connection");
+        started.abort(new Error("the request was withdrawn"));
       } else {
         controller = started;
       }
--- a/packages/upstreams/src/http_failure.ts
+++ b/packages/upstreams/src/http_failure.ts
@@ -4,6 +4,12 @@
 export interface HttpFailure {
   /** False only if no byte of the request was written to a connection. */
   readonly sent: boolean;
-  readonly reason: "unreachable" | "timeout" | "cut" | "protocol" | "cancelled";
+  readonly reason:
+    | "unreachable"
+    | "timeout"
+    | "cut"
+    | "protocol"
+    | "cancelled"
+    | "withdrawn";
   readonly message: string;
 }
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -21,7 +21,13 @@
 
 export interface ServiceFailure {
   readonly sent: Sent;
-  readonly reason: "unreachable" | "timeout" | "cut" | "protocol" | "cancelled";
+  readonly reason:
+    | "unreachable"
+    | "timeout"
+    | "cut"
+    | "protocol"
+    | "cancelled"
+    | "withdrawn";
   readonly message: string;
 }
 
