Confirm replicas after a start, and hold faults until their calls end

Cause: a daemon that restarts has no report of any replica, and only a pause made it confirm one. A start now counts as the end of a pause.

--- a/packages/daemon/src/fleet/fleet.test.ts
+++ b/packages/daemon/src/fleet/fleet.test.ts
@@ -10,6 +10,7 @@
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
 import { createFleet } from "./fleet.ts";
+import { createPauseDetector } from "./pause_detector.ts";
 
 const UNREACHABLE: AttemptFailure = {
   sent: "not sent",
@@ -29,11 +30,11 @@
   const clock = createManualClock(1_000_000);
   const tracker = createLoadTracker(clock);
   const events: (readonly [name: string, fields: unknown])[] = [];
-  let resumedAt = -Infinity;
+  let resumedAt = () => -Infinity;
   const fleet = createFleet({
     clock,
     tracker,
-    resumedAt: () => resumedAt,
+    resumedAt: () => resumedAt(),
     slowness: createSlownessDetector({ clock }),
     log: (...[name, fields]) => events.push([name, fields]),
     availabilityZone: "espoo",
@@ -54,8 +55,15 @@
   );
   const states = () =>
     fleet.candidates("sizing-llm").map(({ name, state }) => [name, state]);
-  const recordResume = () => resumedAt = clock.monotonic();
-  return { fleet, states, clock, tracker, events, recordResume };
+  const setResumedAt = (next: () => number) => resumedAt = next;
+  function recordResume(): void {
+    const at = clock.monotonic();
+    setResumedAt(() => at);
+  }
+  return {
+    ...{ fleet, states, clock, tracker, events },
+    ...{ setResumedAt, recordResume },
+  };
 }
 
 // Without this, missing load reports would make a daemon refuse all requests.
@@ -122,6 +130,20 @@
   await fleet.close();
 });
 
+// A daemon that restarts has no report of a replica that began to leave before
+// (soak, seed 12041).
+test("after a start a replica is confirmed before it gets work", async (context) => {
+  const engine = await startEngine(
+    context,
+    () => createReport("leaving", clock.now()),
+  );
+  const { fleet, clock, setResumedAt } = setUp({ port: engine.port });
+  setResumedAt(createPauseDetector(clock).resumedAt);
+  expect(await fleet.confirm(fleet.find("a")!)).toEqual(false);
+  expect(engine.readCount()).toEqual(1);
+  await fleet.close();
+});
+
 // A failure of the load reports must not stop all work after a pause.
 test("a replica without a report is tried after a pause", async (context) => {
   const engine = await startEngine(context, () => undefined);
--- a/packages/daemon/src/fleet/pause_detector.ts
+++ b/packages/daemon/src/fleet/pause_detector.ts
@@ -1,16 +1,14 @@
 /**
  * Detects pauses of this process. After a pause, the known state of the
  * replicas is as old as the pause, and a replica that started to leave in the
- * meantime must not receive work that waited in this process.
+ * meantime must not receive work that waited in this process. A start counts as
+ * the end of a pause, because nothing is known of the replicas then.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
 
 export interface PauseDetector {
-  /**
-   * Monotonic time at which the process last resumed; -Infinity if it has not
-   * been paused.
-   */
+  /** Monotonic time at which the process started or last resumed. */
   resumedAt(): Milliseconds;
   /** Checks for pauses periodically until the signal aborts. */
   run(signal: AbortSignal): Promise<void>;
@@ -27,7 +25,7 @@
 
 export function createPauseDetector(clock: Clock): PauseDetector {
   let checkedAt = clock.monotonic();
-  let resumedAt: Milliseconds = -Infinity;
+  let resumedAt: Milliseconds = checkedAt;
 
   /**
    * Also called by `resumedAt`: after a pause, other code may run before the
--- a/packages/history/src/faults.ts
+++ b/packages/history/src/faults.ts
@@ -83,14 +83,45 @@
     default:
       await postControl(context, target, { path: "faults", body: change });
       await sleep(duration);
-      await postControl(context, target, {
-        path: "faults",
-        body: defaultsOf(change),
-      });
+      await revert(context, { target, change });
       return end();
   }
 }
 
+export type HeldFault = Required<
+  Pick<PlannedFault, "fault" | "target" | "change">
+>;
+
+/**
+ * Changes the fault settings of stand-ins and keeps them until `run` has ended,
+ * so that its calls meet the faults however slow the machine is.
+ */
+export async function holdFaults(
+  context: RunContext,
+  faults: readonly HeldFault[],
+  run: () => Promise<unknown>,
+): Promise<void> {
+  const ends = await Promise.all(
+    faults.map(async ({ fault, target, change }) => {
+      const detail = JSON.stringify(change);
+      const end = context.recorder.beginFault(fault, target, detail);
+      await postControl(context, target, { path: "faults", body: change });
+      return end;
+    }),
+  );
+  await run();
+  await Promise.all(faults.map((fault) => revert(context, fault)));
+  for (const end of ends) end();
+}
+
+async function revert(
+  context: RunContext,
+  { target, change }: Pick<HeldFault, "target" | "change">,
+): Promise<void> {
+  const body = defaultsOf(change);
+  await postControl(context, target, { path: "faults", body });
+}
+
 function defaultsOf(
   change: Readonly<Record<string, unknown>>,
 ): Readonly<Record<string, unknown>> {
--- a/packages/history/src/scenarios.ts
+++ b/packages/history/src/scenarios.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { sendChat, sendOrder } from "./calls.ts";
-import { injectFault } from "./faults.ts";
+import { holdFaults, injectFault } from "./faults.ts";
 import { applyChange, observe } from "./operators.ts";
 import type { ChatOperation, OrderOperation } from "./records.ts";
 import { listTargets } from "./run.ts";
@@ -76,18 +76,16 @@
 export async function loseServiceResponses(context: RunContext): Promise<void> {
   const { services } = listTargets(context);
   const faults = services.filter((name) => name.startsWith("bookings"))
-    .map((target) =>
-      injectFault(context, {
-        after: 0,
-        fault: "service fault",
-        target,
-        duration: 1_000,
-        change: { loseAnswers: true },
-      })
-    );
-  await sleep(200);
-  await sendOrder(context, orderOf(context, {}));
-  await Promise.all(faults);
+    .map((target) => ({
+      fault: "service fault" as const,
+      target,
+      change: { loseAnswers: true },
+    }));
+  await holdFaults(
+    context,
+    faults,
+    () => sendOrder(context, orderOf(context, {})),
+  );
 }
 
 /**
@@ -98,21 +96,16 @@
   const changes = [{ crossStreams: true }, { streamFault: "repeat" }];
   for (const change of changes) {
     const { engines } = listTargets(context);
-    const faults = engines.map((target) =>
-      injectFault(context, {
-        after: 0,
-        fault: "engine fault",
-        target,
-        duration: 1_200,
-        change,
-      })
-    );
-    await sleep(200);
-    await Promise.all([
-      sendChat(context, chatOf(context, {})),
-      sendChat(context, chatOf(context, { streamed: false })),
-    ]);
-    await Promise.all(faults);
+    const faults = engines.map((target) => ({
+      fault: "engine fault" as const,
+      target,
+      change,
+    }));
+    await holdFaults(context, faults, () =>
+      Promise.all([
+        sendChat(context, chatOf(context, {})),
+        sendChat(context, chatOf(context, { streamed: false })),
+      ]));
   }
 }
 
