--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -8,9 +8,9 @@
 import {
   createMembership,
   createUdpTransport,
+  logPeerChange,
   type Membership,
   type NewerVersion,
-  type PeerChange,
 } from "@peridotvalve/membership";
 import type { LoadTracker } from "@peridotvalve/load";
 import type { ListedVm } from "@peridotvalve/tables";
@@ -134,7 +134,7 @@
       const isGone = change.kind === "dead" || change.kind === "restarted" ||
         change.kind === "forgotten";
       if (isGone) tracker.removePeer(change.peer.name);
-      logChange(options.log, change);
+      logPeerChange(options.log, change);
     },
     onDatagramRejected: (reason, from) =>
       options.log("datagram_rejected", { reason, from }),
@@ -212,27 +212,6 @@
   });
 }
 
-function logChange(log: EventLogger["log"], change: PeerChange): void {
-  const { name, incarnation, silence } = change.peer;
-  switch (change.kind) {
-    case "live":
-      return log("peer_live", { peer: name, peerIncarnation: incarnation });
-    case "restarted":
-      return log("peer_restarted", {
-        peer: name,
-        peerIncarnation: incarnation,
-      });
-    case "suspect":
-      return log("peer_suspect", { peer: name, silence });
-    case "dead":
-      return log("peer_dead", { peer: name, silence });
-    case "leaving":
-      return log("peer_leaving", { peer: name });
-    case "forgotten":
-      return log("peer_forgotten", { peer: name });
-  }
-}
-
 function splitAddress(address: string): readonly [string, number] {
   const separator = address.lastIndexOf(":");
   return [address.slice(0, separator), Number(address.slice(separator + 1))];
--- a/packages/dispatch/src/cache_view.ts
+++ b/packages/dispatch/src/cache_view.ts
@@ -31,6 +31,10 @@
   ): Tokens;
   /** True when the holder has cached the whole part. */
   abstract hasPart(holder: string, salt: string, part: PromptPart): boolean;
+  /** Holders that have cached the whole part. */
+  abstract holdersOf(salt: string, part: PromptPart): readonly string[];
+  /** The cached parts of a holder. */
+  abstract list(holder: string): readonly CacheEvent[];
   /** Total number of tokens cached by a holder. */
   abstract totalTokens(holder: string): Tokens;
   /**
@@ -49,31 +53,71 @@
  */
 const MAX_PARTS = 4_000;
 
-export function createCacheView(): CacheView {
-  const holders = new Map<string, Map<string, Tokens>>();
+interface Holder {
+  /** Tokens by key, in order of their last use. */
+  readonly parts: Map<string, Tokens>;
+  tokens: Tokens;
+}
+
+export interface CacheViewOptions {
+  /**
+   * Memory of a holder that evicts the least recently used parts. Parts beyond
+   * it are dropped from the view, because not every eviction is reported.
+   */
+  readonly memoryOf?: (holder: string) => Tokens;
+}
 
-  function partsOf(holder: string): Map<string, Tokens> {
-    const known = holders.get(holder);
+export function createCacheView(
+  { memoryOf = () => Infinity }: CacheViewOptions = {},
+): CacheView {
+  const holders = new Map<string, Holder>();
+  /** Names of the holders by part, so that a look does not visit all holders. */
+  const holdersByPart = new Map<string, Set<string>>();
+
+  function holderOf(name: string): Holder {
+    const known = holders.get(name);
     if (known !== undefined) return known;
-    const parts = new Map<string, Tokens>();
-    holders.set(holder, parts);
-    return parts;
+    const holder: Holder = { parts: new Map(), tokens: 0 };
+    holders.set(name, holder);
+    return holder;
+  }
+
+  function remove(name: string, key: string): void {
+    const holder = holders.get(name);
+    const tokens = holder?.parts.get(key);
+    if (holder === undefined || tokens === undefined) return;
+    holder.parts.delete(key);
+    holder.tokens -= tokens;
+    const names = holdersByPart.get(key);
+    names?.delete(name);
+    if (names?.size === 0) holdersByPart.delete(key);
+  }
+
+  function set(name: string, key: string, tokens: Tokens): void {
+    remove(name, key);
+    const holder = holderOf(name);
+    holder.parts.set(key, tokens);
+    holder.tokens += tokens;
+    const names = holdersByPart.get(key);
+    if (names === undefined) holdersByPart.set(key, new Set([name]));
+    else names.add(name);
+    const memory = memoryOf(name);
+    while (holder.parts.size > MAX_PARTS || holder.tokens > memory) {
+      const oldest = holder.parts.keys().next();
+      if (oldest.done || oldest.value === key) return;
+      remove(name, oldest.value);
+    }
   }
 
-  function set(holder: string, key: string, tokens: Tokens): void {
-    const parts = partsOf(holder);
-    parts.delete(key);
-    parts.set(key, tokens);
-    if (parts.size <= MAX_PARTS) return;
-    const oldest = parts.keys().next();
-    if (!oldest.done) parts.delete(oldest.value);
+  function tokensOf(name: string, key: string): Tokens {
+    return holders.get(name)?.parts.get(key) ?? 0;
   }
 
   return new (class extends CacheView {
     override apply(holder: string, { salt, part, tokens }: CacheEvent): void {
       const key = composeKey(salt, part);
       if (tokens > 0) set(holder, key, tokens);
-      else partsOf(holder).delete(key);
+      else remove(holder, key);
     }
 
     override expect(
@@ -91,7 +135,7 @@
       salt: string,
       parts: readonly PromptPart[],
     ): Tokens {
-      const known = holders.get(holder);
+      const known = holders.get(holder)?.parts;
       if (known === undefined) return 0;
       let total: Tokens = 0;
       for (const { id, tokens } of parts) {
@@ -103,25 +147,39 @@
     }
 
     override clear(holder: string): void {
+      for (const key of [...holders.get(holder)?.parts.keys() ?? []]) {
+        remove(holder, key);
+      }
       holders.delete(holder);
     }
 
     override hasPart(holder: string, salt: string, part: PromptPart): boolean {
-      const held = holders.get(holder)?.get(composeKey(salt, part.id)) ?? 0;
-      return held >= part.tokens;
+      return tokensOf(holder, composeKey(salt, part.id)) >= part.tokens;
+    }
+
+    override holdersOf(salt: string, part: PromptPart): readonly string[] {
+      const key = composeKey(salt, part.id);
+      return [...holdersByPart.get(key) ?? []].filter((name) =>
+        tokensOf(name, key) >= part.tokens
+      );
+    }
+
+    override list(holder: string): readonly CacheEvent[] {
+      return [...holders.get(holder)?.parts ?? []].map(([key, tokens]) => {
+        const [salt, part] = splitKey(key);
+        return { salt, part, tokens };
+      });
     }
 
     override totalTokens(holder: string): Tokens {
-      let total: Tokens = 0;
-      for (const tokens of holders.get(holder)?.values() ?? []) total += tokens;
-      return total;
+      return holders.get(holder)?.tokens ?? 0;
     }
 
     override listStale(
       holder: string,
       isCurrent: (salt: string) => boolean,
     ): readonly (readonly [salt: string, part: string])[] {
-      const keys = [...holders.get(holder)?.keys() ?? []];
+      const keys = [...holders.get(holder)?.parts.keys() ?? []];
       return keys.map(splitKey).filter(([salt]) => !isCurrent(salt));
     }
   })();
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -1,10 +1,11 @@
 /**
  * Scheduling decisions about requests and replicas, without input or output.
  */
+export * from "./cache_journal.ts";
 export * from "./cache_view.ts";
 export * from "./desired_state.ts";
-export * from "./load.ts";
 export * from "./placement.ts";
+export * from "./prefill_rates.ts";
 export * from "./replica.ts";
 export * from "./transfers.ts";
 export * from "./placement_queue.ts";
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -7,24 +7,23 @@
  * others are idle, and replicas that change their weights.
  */
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
-import { findRendezvousHome } from "@peridotvalve/rendezvous";
+import {
+  findRendezvousHome,
+  type RendezvousMember,
+} from "@peridotvalve/rendezvous";
+import type { LoadView, ReplicaLoad } from "@peridotvalve/load";
 import type { CacheView } from "./cache_view.ts";
-import type { LoadView, ReplicaLoad } from "./load.ts";
-import type { Replica, ReplicaTable } from "./replica.ts";
+import { createCandidateSample } from "./candidate_sample.ts";
+import type { Replica, ReplicaTable, Topology } from "./replica.ts";
 import {
   type DispatchRequest,
   priorityOf,
   type PromptMetadata,
+  type PromptPart,
 } from "./dispatch_request.ts";
 import type { PartPlan, TransferPlanner } from "./transfers.ts";
 import type { WeightTargets } from "./weights.ts";
 
-export interface Topology {
-  readonly zone: string;
-  /** Region of each zone. */
-  readonly regions: ReadonlyMap<string, string>;
-}
-
 export interface Choice {
   readonly replica: Replica;
   /** Weight version required by the request; undefined for plain services. */
@@ -71,8 +70,13 @@
   readonly topology: Topology;
   readonly memoryOf: (service: string) => Tokens;
   readonly transfers: TransferPlanner;
+  /** Source of random numbers in [0, 1). */
+  readonly random?: () => number;
 }
 
+/** Twice the planned replicas. */
+const MAX_MEMBERS = 1_500;
+
 // Costs are in prompt tokens that a replica could prefill instead.
 
 /** Each running request slows down every step of the batch. */
@@ -117,6 +121,12 @@
 /** Share of the memory that running requests may use. */
 const USABLE_MEMORY_SHARE = 0.92;
 
+/**
+ * A request beyond the slots of a replica waits until another one ends. The
+ * cost is the prefill time that passes meanwhile.
+ */
+const QUEUED_REQUEST_COST = 3_000;
+
 /** Costs for plain services, in requests in flight. */
 const PLAIN_REQUEST_COST = 1;
 const PLAIN_OTHER_ZONE_COST = 0.6;
@@ -124,7 +134,19 @@
 
 export function createPlacement(options: PlacementOptions): Placement {
   const { replicas, load, cache, weights, topology, memoryOf } = options;
-  const { transfers } = options;
+  const { transfers, random = Math.random } = options;
+  const sample = createCandidateSample({ topology, random });
+  const members = new Map<string, RendezvousMember>();
+
+  /** Returns the same object each time, because its hash is kept with it. */
+  function memberOf({ entry: { id } }: Replica): RendezvousMember {
+    const known = members.get(id);
+    if (known !== undefined) return known;
+    if (members.size >= MAX_MEMBERS) members.clear();
+    const member = { name: id, weight: 1 };
+    members.set(id, member);
+    return member;
+  }
 
   function classifyDistance(zone: string): "zone" | "region" | "other" {
     if (zone === topology.zone) return "zone";
@@ -132,18 +154,29 @@
     return topology.regions.get(zone) === own ? "region" : "other";
   }
 
+  /** Replicas that hold the session's part on the newest weights. */
+  function findHolders(
+    request: DispatchRequest,
+    { model }: PromptMetadata,
+    part: PromptPart | undefined,
+  ): ReadonlySet<string> {
+    if (part === undefined) return new Set();
+    const salt = saltOf(request, model, Math.max(1, weights.target(model)));
+    return new Set(cache.holdersOf(salt, part));
+  }
+
   function choosePlain(usable: readonly Replica[]): Choice | undefined {
-    const choices = usable.map((replica) => {
-      const { requests } = load.totalLoad(replica.entry.id);
+    const choices = sample.choose(usable, () => false).map((replica) => {
+      const current = load.totalLoad(replica.entry.id);
       const distance = classifyDistance(replica.entry.zone);
       const distanceCost = distance === "zone"
         ? 0
         : distance === "region"
         ? PLAIN_OTHER_ZONE_COST
         : PLAIN_OTHER_REGION_COST;
-      const cost = requests * PLAIN_REQUEST_COST + distanceCost +
-        Math.random() / 4;
-      return { replica, cost, load: load.totalLoad(replica.entry.id) };
+      const cost = current.requests * PLAIN_REQUEST_COST + distanceCost +
+        random() / 4;
+      return { replica, cost, load: current };
     });
     const cheapest = findCheapest(choices);
     if (cheapest === undefined) return undefined;
@@ -165,25 +198,35 @@
   ): Choice | undefined {
     const shared = prompt.parts.slice(0, -1);
     const session = shared.at(-1)?.id ?? request.id;
-    const members = usable.map(({ entry }) => ({ name: entry.id, weight: 1 }));
-    const preferred = findRendezvousHome(session, members)?.name;
+    const homes = sample.homes(usable);
+    const preferred = findRendezvousHome(session, homes.map(memberOf))?.name;
     const usableMemory = memoryOf(request.service) * USABLE_MEMORY_SHARE;
     const rank = Math.min(MAX_PENDING_PREFILL.length - 1, priorityOf(request));
     const maxPending = MAX_PENDING_PREFILL[rank] ?? 0;
-    const choices = usable.flatMap((replica) => {
+    const holders = findHolders(request, prompt, shared.at(-1));
+    const candidates = sample.choose(
+      usable,
+      (id) => id === preferred || holders.has(id),
+    );
+    const choices = candidates.flatMap((replica) => {
       const version = replica.weights.get(prompt.model) ?? 1;
       if (!weights.mayStart(prompt.model, version)) return [];
-      const { requests, unread, memory } = load.totalLoad(replica.entry.id);
+      const current = load.totalLoad(replica.entry.id);
+      const { requests, unread, memory } = current;
       if (unread > maxPending) return [];
       const needed = prompt.promptTokens + prompt.outputTokens;
       // An idle replica is not skipped: it refuses a prompt that exceeds its
       // memory itself.
       if (rank > 0 && requests > 0 && memory + needed > usableMemory) return [];
-      return evaluate(replica, version);
+      return evaluate(replica, version, current);
     });
     return findCheapest(choices);
 
-    function evaluate(replica: Replica, version: number): Choice {
+    function evaluate(
+      replica: Replica,
+      version: number,
+      current: ReplicaLoad,
+    ): Choice {
       const { id, zone } = replica.entry;
       const salt = saltOf(request, prompt.model, version);
       const held = cache.held(id, salt, prompt.parts);
@@ -198,12 +241,12 @@
       const fetched = plan.fetched;
       const unread = Math.max(1, prompt.promptTokens - held - fetched);
       const memory = prompt.promptTokens + prompt.outputTokens;
-      const current = load.totalLoad(id);
       const distance = classifyDistance(zone);
       const cost = current.unread + unread +
         plan.cost +
         plan.recomputed * RECOMPUTED_TOKEN_COST +
         current.requests * RUNNING_REQUEST_COST +
+        countQueued(replica, current) * QUEUED_REQUEST_COST +
         unread * Math.min(MAX_DELAYED_REQUESTS, current.requests) *
           PREFILL_DELAY_SHARE +
         current.recentTokens * RECENT_PREFILL_SHARE +
@@ -260,6 +303,11 @@
   })();
 }
 
+/** Requests that would wait for a slot of the replica, with one more. */
+function countQueued({ entry }: Replica, { requests }: ReplicaLoad): number {
+  return entry.slots === 0 ? 0 : Math.max(0, requests + 1 - entry.slots);
+}
+
 /**
  * Composes the salt under which replicas cache the parts of a prompt. It
  * differs between weight versions, and between isolated customers and all
--- a/packages/dispatch/src/replica.test.ts
+++ b/packages/dispatch/src/replica.test.ts
@@ -98,6 +98,20 @@
   expect(usable()).toEqual(["a", "b"]);
 });
 
+// Guards against taking a long prefill for a failure: the prompt was sent to
+// another replica and read again, and all neighbors avoided the first one
+// (ghanta further-grown quiet-1, 63 requests).
+test("a replica that prefills a long prompt is not unresponsive", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  table.recordSent("a");
+  table.recordSent("a", 1_100);
+  await clock.advance(1_900);
+  expect(usable()).toEqual(["a", "b"]);
+  await clock.advance(100);
+  expect(usable()).toEqual(["b"]);
+});
+
 test("a silent replica is tried again when no other is left", async () => {
   const { clock, table, usable } = createTable();
   table.replaceAll([entry("a")]);
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -5,6 +5,12 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 
+export interface Topology {
+  readonly zone: string;
+  /** Region of each zone. */
+  readonly regions: ReadonlyMap<string, string>;
+}
+
 /** An entry in the platform's list of replicas. */
 export interface ReplicaEntry {
   /** Identifies one incarnation, unless `born` differs. */
@@ -58,11 +64,12 @@
 const REMOVAL_GRACE: Milliseconds = 2_500;
 
 /**
- * A replica that has sent nothing for `MAX_SILENCE` since a request was sent to
- * it gets no more requests. It is tried again after `SILENCE_RETRY_AFTER`.
+ * A replica that has sent nothing for `MAX_SILENCE` beyond the expected time
+ * since a request was sent to it gets no more requests. It is tried again
+ * `SILENCE_RETRY_AFTER` later.
  */
 const MAX_SILENCE: Milliseconds = 900;
-const SILENCE_RETRY_AFTER: Milliseconds = 4_000;
+const SILENCE_RETRY_AFTER: Milliseconds = 3_100;
 
 /**
  * Minimum outage of the list after which missing entries get a grace period. No
@@ -85,8 +92,11 @@
   abstract find(id: string): Replica | undefined;
   abstract all(): readonly Replica[];
   abstract recordSuccess(id: string): void;
-  /** Records that a request has been sent to the replica. */
-  abstract recordSent(id: string): void;
+  /**
+   * Records that a request has been sent to the replica, which is expected to
+   * send nothing for a time, because it prefills a prompt.
+   */
+  abstract recordSent(id: string, expected?: Milliseconds): void;
   /**
    * Ids of the replicas that have sent nothing since a request was sent to
    * them.
@@ -115,15 +125,18 @@
 ): ReplicaTable {
   const replicas = new Map<string, ReplicaRecord>();
   const lastReceived = new Map<string, Milliseconds>();
-  /** Time at which the first request was sent since data was last received. */
+  /**
+   * Time at which a replica becomes unresponsive that has received requests and
+   * sent nothing since.
+   */
   const unanswered = new Map<string, Milliseconds>();
 
   function isUnresponsive(id: string): boolean {
-    const since = unanswered.get(id);
-    if (since === undefined) return false;
-    const silence = clock.monotonic() - since;
-    if (silence >= SILENCE_RETRY_AFTER) unanswered.delete(id);
-    return silence >= MAX_SILENCE && silence < SILENCE_RETRY_AFTER;
+    const limit = unanswered.get(id);
+    if (limit === undefined) return false;
+    const excess = clock.monotonic() - limit;
+    if (excess >= SILENCE_RETRY_AFTER) unanswered.delete(id);
+    return excess >= 0 && excess < SILENCE_RETRY_AFTER;
   }
   /** End of the grace period of removed entries, by replica id. */
   const removals = new Map<string, Milliseconds>();
@@ -230,9 +243,13 @@
       return [...replicas.values()];
     }
 
-    override recordSent(id: string): void {
-      if (!replicas.has(id) || unanswered.has(id)) return;
-      unanswered.set(id, clock.monotonic());
+    override recordSent(id: string, expected: Milliseconds = 0): void {
+      if (!replicas.has(id) || isUnresponsive(id)) return;
+      const limit = clock.monotonic() + MAX_SILENCE + expected;
+      const known = unanswered.get(id);
+      if (known === undefined) unanswered.set(id, limit);
+      // A replica answers short requests only after the prefill of a long one.
+      else if (expected > 0) unanswered.set(id, Math.max(known, limit));
     }
 
     override silent(): readonly string[] {
--- a/packages/dispatch/src/transfers.test.ts
+++ b/packages/dispatch/src/transfers.test.ts
@@ -44,6 +44,7 @@
     cache,
     stores: () => stores,
     regions: REGIONS,
+    prefillRate: () => 100,
   });
   const plan = (target: Replica, peers: readonly Replica[] = []) =>
     planner.plan({
--- a/packages/dispatch/src/transfers.ts
+++ b/packages/dispatch/src/transfers.ts
@@ -5,6 +5,10 @@
  * theirs is busy.
  */
 import type { Clock } from "@peridotvalve/clock";
+import {
+  findRendezvousHome,
+  type RendezvousMember,
+} from "@peridotvalve/rendezvous";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import type { CacheView } from "./cache_view.ts";
 import type { StoreTraits } from "./desired_state.ts";
@@ -63,12 +67,13 @@
   readonly cache: CacheView;
   /** Stores that are reachable. */
   readonly stores: () => readonly StoreTraits[];
+  /** False while a store that has just started must not be written to. */
+  readonly maySave?: (address: string) => boolean;
   readonly regions: ReadonlyMap<string, string>;
+  /** Prompt tokens that a replica of a service prefills per millisecond. */
+  readonly prefillRate: (service: string) => number;
 }
 
-/** Approximate number of tokens that a replica prefills per millisecond. */
-const PREFILL_TOKENS_PER_MILLISECOND = 100;
-
 /** Speed of a replica's link, in tokens of 18 KB. */
 const REPLICA_LINK_TOKENS_PER_MILLISECOND = 600;
 
@@ -95,8 +100,21 @@
  */
 const USABLE_CAPACITY_SHARE = 0.96;
 
-/** Maximum age of the cached totals of the stores. */
-const TOTAL_AGE: Milliseconds = 500;
+/** Where a part of the prompt is cached. */
+interface PartLocation {
+  readonly stores: readonly StoreTraits[];
+  readonly replicas: readonly Replica[];
+  /** Store to which the part is saved, by region. */
+  readonly saveTargets: Map<string, string | undefined>;
+}
+
+/** Locations of the parts of one request, for all of its candidates. */
+interface Locations {
+  readonly salt: string;
+  readonly shared: readonly PromptPart[];
+  readonly peers: readonly Replica[];
+  readonly parts: readonly PartLocation[];
+}
 
 interface TransferSource {
   readonly address: string;
@@ -106,9 +124,10 @@
 export function createTransferPlanner(
   options: TransferPlannerOptions,
 ): TransferPlanner {
-  const { clock, cache, stores, regions } = options;
+  const { clock, cache, stores, regions, maySave = () => true } = options;
   const requestedSaves = new Map<string, Milliseconds>();
-  const totals = new Map<string, { at: Milliseconds; tokens: Tokens }>();
+  const members = new Map<string, RendezvousMember>();
+  let lastLocations: Locations | undefined;
 
   function isSameRegion(zone: string, replica: Replica): boolean {
     return regions.get(zone) === regions.get(replica.entry.zone);
@@ -121,26 +140,47 @@
       : CROSS_REGION_FACTOR;
   }
 
+  /** Locates the parts once for all candidates of a placement. */
+  function locate({ salt, shared, peers }: TransferRequest): Locations {
+    const known = lastLocations;
+    if (
+      known !== undefined && known.salt === salt && known.shared === shared &&
+      known.peers === peers
+    ) return known;
+    const reachable = stores();
+    const parts = shared.map((part): PartLocation => {
+      const holders = new Set(cache.holdersOf(salt, part));
+      const saveTargets = new Map<string, string | undefined>();
+      if (holders.size === 0) return { stores: [], replicas: [], saveTargets };
+      return {
+        saveTargets,
+        stores: reachable.filter(({ address }) => holders.has(address)),
+        replicas: peers.filter(({ entry }) => holders.has(entry.id)),
+      };
+    });
+    lastLocations = { salt, shared, peers, parts };
+    return lastLocations;
+  }
+
   /**
    * Finds the nearest holder of the part. Within the region, stores are
    * preferred to replicas.
    */
   function findSource(
     part: PromptPart,
+    location: PartLocation,
     request: TransferRequest,
   ): TransferSource | undefined {
-    const { replica, salt, peers, mayUseStores } = request;
-    const isHeldBy = (holder: string) => cache.hasPart(holder, salt, part);
-    const holdingStores = mayUseStores
-      ? stores().filter(({ address }) => isHeldBy(address))
-      : [];
+    const { replica, mayUseStores } = request;
+    const rate = options.prefillRate(replica.entry.service);
+    const holdingStores = mayUseStores ? location.stores : [];
     const sameRegion = holdingStores.filter(({ zone }) =>
       isSameRegion(zone, replica)
     );
     if (sameRegion.length > 0) return findCheapest(sameRegion.map(fromStore));
-    const replicas = peers.filter((peer) =>
-      peer !== replica && isSameRegion(peer.entry.zone, replica) &&
-      isHeldBy(peer.entry.id)
+    const replicas = location.replicas.filter((peer) =>
+      peer.entry.id !== replica.entry.id &&
+      isSameRegion(peer.entry.zone, replica)
     );
     if (replicas.length > 0) return findCheapest(replicas.map(fromReplica));
     if (part.tokens < MIN_CROSS_REGION_FETCH) return undefined;
@@ -150,7 +190,7 @@
       const { address, zone, startDelay, tokensPerMillisecond } = store;
       const transfer = part.tokens / tokensPerMillisecond;
       const time = startDelay + transfer * distanceFactor(zone, replica);
-      return { address, cost: time * PREFILL_TOKENS_PER_MILLISECOND };
+      return { address, cost: time * rate };
     }
 
     function fromReplica(
@@ -158,49 +198,54 @@
     ): TransferSource {
       const time = part.tokens / REPLICA_LINK_TOKENS_PER_MILLISECOND *
         distanceFactor(zone, replica);
-      return { address, cost: time * PREFILL_TOKENS_PER_MILLISECOND };
+      return { address, cost: time * rate };
     }
   }
 
-  /** True when any replica or store has cached the part, in any region. */
-  function isHeldAnywhere(
-    part: PromptPart,
-    { salt, peers }: TransferRequest,
-  ): boolean {
-    return stores().some(({ address }) => cache.hasPart(address, salt, part)) ||
-      peers.some(({ entry }) => cache.hasPart(entry.id, salt, part));
-  }
-
-  function usedTokensOf(address: string): Tokens {
-    const now = clock.monotonic();
-    const known = totals.get(address);
-    if (known !== undefined && now - known.at < TOTAL_AGE) return known.tokens;
-    const tokens = cache.totalTokens(address);
-    totals.set(address, { at: now, tokens });
-    return tokens;
-  }
-
   /**
    * Chooses the store for a part that no store in the replica's region holds.
+   * All daemons choose the same one, so that the part is written once.
    */
   function findSaveTarget(
     part: PromptPart,
+    location: PartLocation,
     { replica, salt }: TransferRequest,
     sameRegionStores: readonly StoreTraits[],
   ): string | undefined {
-    if (
-      sameRegionStores.some((store) => cache.hasPart(store.address, salt, part))
-    ) return;
+    if (location.stores.some(({ zone }) => isSameRegion(zone, replica))) {
+      return undefined;
+    }
     const at = requestedSaves.get(`${salt} ${part.id}`) ?? -Infinity;
     if (clock.monotonic() - at < SAVE_RETRY_DELAY) return undefined;
-    let best: { readonly address: string; readonly share: number } | undefined;
-    for (const { address, zone, capacity } of sameRegionStores) {
-      const used = usedTokensOf(address) + part.tokens;
-      if (used > capacity * USABLE_CAPACITY_SHARE) continue;
-      const share = used / capacity * distanceFactor(zone, replica);
-      if (best === undefined || share < best.share) best = { address, share };
+    const region = regions.get(replica.entry.zone) ?? "";
+    if (!location.saveTargets.has(region)) {
+      const target = chooseStore(part, sameRegionStores);
+      location.saveTargets.set(region, target);
     }
-    return best?.address;
+    return location.saveTargets.get(region);
+  }
+
+  function chooseStore(
+    part: PromptPart,
+    candidates: readonly StoreTraits[],
+  ): string | undefined {
+    const members = candidates
+      .filter(({ address, capacity }) =>
+        maySave(address) &&
+        cache.totalTokens(address) + part.tokens <=
+          capacity * USABLE_CAPACITY_SHARE
+      )
+      .map(({ address, capacity }) => memberOf(address, capacity));
+    return findRendezvousHome(part.id, members)?.name;
+  }
+
+  /** Returns the same object each time, because its hash is kept with it. */
+  function memberOf(name: string, weight: number): RendezvousMember {
+    const known = members.get(name);
+    if (known?.weight === weight) return known;
+    const member = { name, weight };
+    members.set(name, member);
+    return member;
   }
 
   function dropExpiredSaves(): void {
@@ -222,18 +267,28 @@
       let recomputed: Tokens = 0;
       let cost = 0;
       let isContiguous = true;
-      for (const part of shared) {
+      const { parts: locations } = locate(request);
+      for (const [index, part] of shared.entries()) {
+        const location = locations[index];
+        if (location === undefined) break;
         const isHeld = cache.hasPart(replica.entry.id, salt, part);
         const source = isHeld || !isContiguous
           ? undefined
-          : findSource(part, request);
-        const saveTo = findSaveTarget(part, request, sameRegionStores);
+          : findSource(part, location, request);
+        const saveTo = findSaveTarget(
+          part,
+          location,
+          request,
+          sameRegionStores,
+        );
         if (source !== undefined) {
           fetched += part.tokens;
           cost += source.cost;
         } else if (!isHeld) {
           isContiguous = false;
-          if (isHeldAnywhere(part, request)) recomputed += part.tokens;
+          const isHeldElsewhere =
+            location.stores.length + location.replicas.length > 0;
+          if (isHeldElsewhere) recomputed += part.tokens;
         }
         plans.push({
           ...(source === undefined ? {} : { fetchFrom: source.address }),
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -460,6 +460,15 @@
     fields: { peer: S, reason: S },
     message: "A peer did not respond to a call.",
   }),
+  reader_changed: defineEvent(6016, "info", {
+    fields: { table: S, isReader: "boolean", age: N },
+    message:
+      "The daemon begins or ceases to read a table for its neighbors; age is the time since the newest known read.",
+  }),
+  store_copied: defineEvent(7011, "info", {
+    fields: { peer: S, store: S, parts: N },
+    message: "The contents of a store were taken from a peer.",
+  }),
   cache_unread: defineEvent(7009, "warn", {
     fields: { reason: S },
     message: "The cache events of a replica cannot be read.",
--- a/packages/gateway/src/cache_feed.ts
+++ b/packages/gateway/src/cache_feed.ts
@@ -4,7 +4,11 @@
  * several events.
  */
 import type { Clock } from "@peridotvalve/clock";
-import type { CacheView } from "@peridotvalve/dispatch";
+import type {
+  CacheJournal,
+  CacheView,
+  StoreCopies,
+} from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import type { Milliseconds } from "@peridotvalve/types";
 import type { ReplicaClock } from "./replica_clock.ts";
@@ -15,6 +19,9 @@
   readonly logger: EventLogger;
   readonly control: ReplicaControl;
   readonly cache: CacheView;
+  /** Passes the events of stores on to the neighbors. */
+  readonly journal: CacheJournal;
+  readonly copies: StoreCopies;
   readonly replicaClock: ReplicaClock;
   /** Holders whose events this daemon follows. */
   readonly holders: () => readonly CacheHolder[];
@@ -25,6 +32,7 @@
   /** Id in the cache view. */
   readonly id: string;
   readonly address: string;
+  readonly isStore: boolean;
 }
 
 export abstract class CacheFeed {
@@ -33,8 +41,6 @@
    * followed.
    */
   abstract refresh(): void;
-  /** Epoch of a reachable holder; undefined while it is unreachable. */
-  abstract epochOf(id: string): number | undefined;
   abstract stop(): void;
 }
 
@@ -44,11 +50,11 @@
 
 export function createCacheFeed(options: CacheFeedOptions): CacheFeed {
   const { clock, logger, control, cache, replicaClock, holders } = options;
-  const epochs = new Map<string, number>();
+  const { journal, copies } = options;
   const followed = new Map<string, AbortController>();
 
   async function follow(
-    { id, address }: CacheHolder,
+    { id, address, isStore }: CacheHolder,
     signal: AbortSignal,
   ): Promise<void> {
     let since = 0;
@@ -60,7 +66,7 @@
       });
       if (signal.aborted) return;
       if (read.isErr()) {
-        epochs.delete(id);
+        if (isStore) recordLoss(id);
         logger.log("cache_unread", { reason: read.error.reason }, {
           upstream: id,
         });
@@ -75,7 +81,7 @@
         continue;
       }
       epoch = page.epoch;
-      epochs.set(id, epoch);
+      if (isStore) copies.recordRead(id, epoch);
       if (page.time !== undefined) replicaClock.observe(page.time);
       if (page.hasGap && since > 0) {
         logger.log("cache_event_gap", { first: page.next, expected: since }, {
@@ -83,11 +89,17 @@
         });
       }
       for (const event of page.events) cache.apply(id, event);
+      if (isStore) journal.record(id, epoch, page.events);
       since = page.next;
       await clock.sleep(POLL_PAUSE, signal);
     }
   }
 
+  function recordLoss(id: string): void {
+    copies.recordLoss(id);
+    journal.forget(id);
+  }
+
   return new (class extends CacheFeed {
     override refresh(): void {
       const wanted = new Map(holders().map((holder) => [holder.id, holder]));
@@ -95,7 +107,7 @@
         if (wanted.has(id)) continue;
         controller.abort();
         followed.delete(id);
-        epochs.delete(id);
+        recordLoss(id);
       }
       for (const [id, holder] of wanted) {
         if (followed.has(id)) continue;
@@ -107,10 +119,6 @@
       }
     }
 
-    override epochOf(id: string): number | undefined {
-      return epochs.get(id);
-    }
-
     override stop(): void {
       for (const controller of followed.values()) controller.abort();
       followed.clear();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,11 +3,13 @@
  * and stops them in order.
  */
 import {
+  createCacheJournal,
   createCacheView,
-  createLoadView,
   createPlacement,
   createPlacementQueue,
+  createPrefillRates,
   createReplicaTable,
+  createStoreCopies,
   createTransferPlanner,
   createWeightTargets,
   isOutdatedSalt,
@@ -16,25 +18,32 @@
   type StoreTraits,
 } from "@peridotvalve/dispatch";
 import { createLease } from "@peridotvalve/lease";
-import { createUdpTransport } from "@peridotvalve/membership";
+import { createLoadView } from "@peridotvalve/load";
+import {
+  createReadingDuty,
+  createUdpTransport,
+} from "@peridotvalve/membership";
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
+import { createWindowBudget } from "@peridotvalve/retries";
 import type { FeedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
+import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createCacheCleaner } from "./cache_cleaner.ts";
 import { type CacheHolder, createCacheFeed } from "./cache_feed.ts";
 import { createConnectionPools } from "./connection_pools.ts";
-import { createTableFollower } from "./table_follower.ts";
+import { createTableFollower, type TableFollower } from "./table_follower.ts";
 import { createFrontend } from "./frontend.ts";
 import { createMeters } from "./meters.ts";
 import type { Address, GatewayOptions } from "./options.ts";
-import { createPeers } from "./peers.ts";
+import { createPeerClient, createPeerServer } from "./peer_calls.ts";
+import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
 import { createRegistration } from "./registration.ts";
 import { createReplicaClock } from "./replica_clock.ts";
 import { createRelay } from "./relay.ts";
-import { createRetryBudget } from "./retry_budget.ts";
 import { createRollouts } from "./rollouts.ts";
+import { createSentPartsQueue } from "./sent_parts.ts";
 import { createStatusServer, listen } from "./status_server.ts";
 import { createStateHolder } from "./state_holder.ts";
 
@@ -46,21 +55,32 @@
   abstract stop(reason: string): Promise<void>;
 }
 
-/** The store responds to a long poll after this time at the latest. */
-const STATE_LONG_POLL_WAIT: Milliseconds = 1_500;
-
 /**
- * Replica entries change with every heartbeat of every replica, so they are
- * polled at a fixed interval. It is short enough for the time limit on noticing
- * leaving replicas.
+ * Shares of the limits on the spread of a state and on leaving replicas after
+ * which a read is repeated. The rest is for the next reader to take over and to
+ * tell its neighbors.
  */
-const REPLICAS_PAUSE: Milliseconds = 900;
+const STATE_WAIT_SHARE = 0.4;
+const REPLICAS_PAUSE_SHARE = 0.36;
 const DAEMONS_LONG_POLL_WAIT: Milliseconds = 10_000;
 
+/** Collects the rows that daemons write at a common start. */
+const DAEMONS_PAUSE: Milliseconds = 300;
+
+/** Daemons of a group of neighbors that read the same table. */
+const TABLE_READERS = 1;
+
+/** Silence beyond the period of a reader after which the next one reads. */
+const READER_SILENCE: Milliseconds = 500;
+
 /**
- * Above this number of daemons, a daemon does not follow cache events itself.
+ * Cache event calls to one replica or store. It accepts 12; the rest is for
+ * followers that take over.
  */
-const MAX_CACHE_READERS = 10;
+const MAX_FOLLOWERS = 10;
+
+/** Time after a start in which the neighbors become known. */
+const DISCOVERY_TIME: Milliseconds = 1_500;
 
 /** Time within which the load balancer notices that a daemon is not ready. */
 const READINESS_NOTICE: Milliseconds = 3_000;
@@ -103,10 +123,15 @@
 export function createGateway(options: GatewayOptions): Gateway {
   const { settings, clock, logger, headerCodec, codec, control } = options;
   const stopController = new AbortController();
+  // Each task of the daemon waits for the signal.
+  setMaxListeners(0, stopController.signal);
   const holder = createStateHolder(logger);
   const pools = createConnectionPools();
-  const cache = createCacheView();
+  const cache = createCacheView({ memoryOf: memoryOfHolder });
   const load = createLoadView(clock);
+  const journal = createCacheJournal({ clock, cache });
+  const copies = createStoreCopies({ clock, cache });
+  const peerClient = createPeerClient();
   const weights = createWeightTargets({
     clock,
     patience: settings.weightGracePeriod,
@@ -114,12 +139,18 @@
   let isDraining = false;
   let hasReplicaList = false;
   let hasOperatorSnapshot = false;
+  let mesh: PeerMesh | undefined;
+  /** True when the live neighbors of this daemon should be known. */
+  let isDiscovered = false;
 
   const replicaClock = createReplicaClock(clock);
+  const prefillRates = createPrefillRates();
   const transfers = createTransferPlanner({
     clock,
     cache,
+    prefillRate: (service) => prefillRates.rateOf(service),
     stores: listReachableStores,
+    maySave: (address) => copies.isSettled(address),
     regions: settings.topology.regions,
   });
 
@@ -137,13 +168,35 @@
     },
   });
 
+  /**
+   * Decides whether this daemon reads a table itself, given the time since the
+   * newest read of a neighbor.
+   */
+  function createReaderCheck(table: string, period: Milliseconds) {
+    const duty = createReadingDuty({
+      readers: TABLE_READERS,
+      silenceLimit: period + READER_SILENCE,
+    });
+    let wasReader = true;
+    return (age: Milliseconds): boolean => {
+      const isReader = duty.isDue(mesh?.rank(`table ${table}`) ?? 0, age);
+      if (isReader !== wasReader) {
+        wasReader = isReader;
+        logger.log("reader_changed", { table, isReader, age });
+      }
+      return isReader;
+    };
+  }
+
+  const stateWait = settings.configurationLimit * STATE_WAIT_SHARE;
   const operatorFollower = createTableFollower({
     clock,
     logger,
     feed: options.feed,
     table: codec.operatorTable,
-    wait: STATE_LONG_POLL_WAIT,
+    wait: stateWait,
     pause: 0,
+    mayRead: createReaderCheck(codec.operatorTable, stateWait),
     onSnapshot(rows) {
       for (const row of rows) applyOperatorRow(row, !hasOperatorSnapshot);
       hasOperatorSnapshot = true;
@@ -152,13 +205,17 @@
       for (const row of rows) applyOperatorRow(row, false);
     },
   });
+  const replicasPause = settings.drainLimit * REPLICAS_PAUSE_SHARE;
   const replicaFollower = createTableFollower({
     clock,
     logger,
     feed: options.feed,
     table: codec.replicaTable,
     wait: 0,
-    pause: REPLICAS_PAUSE,
+    // Entries change with every heartbeat, so a long poll would not wait.
+    pause: replicasPause,
+    mayRead: createReaderCheck(codec.replicaTable, replicasPause),
+    fingerprintOf: ({ key, value }) => fingerprintEntry(key, value),
     onContact: () => replicas.recordListRead(),
     onSnapshot(rows) {
       hasReplicaList = true;
@@ -180,12 +237,15 @@
     table: DAEMON_TABLE,
     self: {
       name: settings.name,
+      zone: settings.topology.zone,
       host: settings.datagrams.host,
       datagrams: formatAddress(settings.datagrams),
       calls: formatAddress(settings.peers),
     },
     seeds: settings.seeds.map((seed) => ({
       name: formatAddress(seed),
+      // Not known before the daemon's own row has been read.
+      zone: "",
       host: seed.host,
       datagrams: formatAddress({
         host: seed.host,
@@ -200,10 +260,16 @@
     feed: options.feed,
     table: DAEMON_TABLE,
     wait: DAEMONS_LONG_POLL_WAIT,
-    pause: 0,
+    pause: DAEMONS_PAUSE,
+    mayRead: createReaderCheck(DAEMON_TABLE, DAEMONS_LONG_POLL_WAIT),
     onSnapshot: (rows) => registration.replaceAll(rows),
     onChange: (rows, removed) => registration.applyChanges(rows, removed),
   });
+  const tables: ReadonlyMap<string, TableFollower> = new Map([
+    [codec.operatorTable, operatorFollower],
+    [codec.replicaTable, replicaFollower],
+    [DAEMON_TABLE, daemonFollower],
+  ]);
   const peerCount = () => Math.max(1, registration.peers().length);
 
   const placement = createPlacement({
@@ -215,7 +281,7 @@
     memoryOf,
     transfers,
   });
-  const budget = createRetryBudget({
+  const budget = createWindowBudget({
     clock,
     ratio: settings.retryRatio,
     window: settings.retryWindow,
@@ -226,6 +292,10 @@
       ),
   });
   const queue = createPlacementQueue(clock);
+  const sentParts = createSentPartsQueue({
+    cache,
+    isNeeded: () => !followsReplicas(),
+  });
   const meters = createMeters(clock, () => ({
     inFlight: frontend.inFlight(),
     peers: peerCount() - 1,
@@ -257,6 +327,8 @@
     meters,
     budget,
     transfers,
+    sentParts,
+    prefillRates,
     replicaClock,
     maxConnectionsOf,
     stopped: stopController.signal,
@@ -275,6 +347,8 @@
     logger,
     control,
     cache,
+    journal,
+    copies,
     replicaClock,
     holders: listCacheHolders,
   });
@@ -284,7 +358,7 @@
     cache,
     control,
     stores: listStores,
-    epochOf: (store) => cacheFeed.epochOf(store),
+    epochOf: (store) => copies.epochOf(store),
     isUnused(salt, age) {
       const known = readSalt(salt);
       if (known === undefined) return false;
@@ -326,8 +400,9 @@
     handoverDelay: settings.leaseDuration + LEASE_HANDOVER_MARGIN,
     onLoading() {
       avoidBusy(rollouts.loading());
-      peers?.announce();
+      mesh?.announce();
     },
+    rank: () => mesh?.rank("rollouts") ?? 0,
     mayContend: () => !isDraining,
   });
   const servers: Server[] = [];
@@ -343,22 +418,39 @@
 
   function listReachableStores(): readonly StoreTraits[] {
     return listStores().filter(({ address }) =>
-      cacheFeed.epochOf(address) !== undefined
+      copies.epochOf(address) !== undefined
     );
   }
 
+  /** True when every daemon may follow the cache events of every replica. */
+  function followsReplicas(): boolean {
+    return peerCount() <= MAX_FOLLOWERS;
+  }
+
+  /** Each group of neighbors has its share of the followers of a store. */
   function listCacheHolders(): readonly CacheHolder[] {
-    if (peerCount() > MAX_CACHE_READERS) return [];
+    const group = mesh;
+    if (group === undefined || !isDiscovered) return [];
+    const followers = Math.max(
+      1,
+      Math.floor(MAX_FOLLOWERS / group.groupCount()),
+    );
+    const stores = listStores()
+      .filter(({ address }) => group.rank(`store ${address}`) < followers)
+      .map(({ address }) => ({ id: address, address, isStore: true }));
+    if (!followsReplicas()) return stores;
     const engines = replicas.all()
       .filter(({ entry }) => entry.weights.size > 0)
-      .map(({ entry: { id, address } }) => ({ id, address }));
-    const stores = listStores().map(({ address }) => ({
-      id: address,
-      address,
-    }));
+      .map(({ entry: { id, address } }) => ({ id, address, isStore: false }));
     return [...engines, ...stores];
   }
 
+  /** Stores keep all parts; a replica evicts what exceeds its memory. */
+  function memoryOfHolder(holder: string): Tokens {
+    const replica = replicas.find(holder);
+    return replica === undefined ? Infinity : memoryOf(replica.entry.service);
+  }
+
   function memoryOf(service: string): Tokens {
     const known = holder.current()?.state.services.get(service);
     return known?.engine?.memory ?? Infinity;
@@ -389,6 +481,16 @@
     logger.log("weights_named", { model, version });
   }
 
+  /** Text that differs when more than the heartbeat of an entry does. */
+  function fingerprintEntry(key: string, value: FeedRow["value"]): string {
+    const entry = codec.readEntry(key, value);
+    if (entry.isErr()) return "malformed";
+    return JSON.stringify({
+      ...entry.value,
+      weights: [...entry.value.weights],
+    });
+  }
+
   function decodeEntry({ key, value }: FeedRow): readonly ReplicaEntry[] {
     const entry = codec.readEntry(key, value);
     if (entry.isOk()) return [entry.value];
@@ -409,13 +511,16 @@
   }
 
   async function openServers(): Promise<Result<void, string>> {
-    const peerServer = peers?.server;
+    const peerServer = createPeerServer({
+      tables,
+      dumpStore: (store) => journal.dump(store),
+    });
     const ready = openStatusServer();
     const bindings: (readonly [Server, Address])[] = [
       [frontend.server, settings.front],
       [ready, settings.ready],
     ];
-    if (peerServer !== undefined) bindings.push([peerServer, settings.peers]);
+    bindings.push([peerServer, settings.peers]);
     if (settings.metrics !== undefined) {
       bindings.push([openStatusServer(), settings.metrics]);
     }
@@ -427,39 +532,48 @@
     return Ok(undefined);
   }
 
-  let peers: ReturnType<typeof createPeers> | undefined;
-
-  async function openPeers(): Promise<Result<void, string>> {
+  async function openMesh(): Promise<Result<void, string>> {
     const transport = await createUdpTransport(settings.datagrams);
     if (transport.isErr()) return Err(String(transport.error));
-    peers = createPeers({
+    mesh = createPeerMesh({
       clock,
       logger,
       name: settings.name,
+      zone: settings.topology.zone,
       transport: transport.value,
+      calls: peerClient,
+      registration,
+      tables,
       load,
-      tables: new Map([
-        [codec.operatorTable, operatorFollower],
-        [codec.replicaTable, replicaFollower],
-        [DAEMON_TABLE, daemonFollower],
-      ]),
-      peers: () => registration.peers(),
+      replicas,
+      cache,
+      journal,
+      copies,
+      sentParts,
       busy() {
         const loading = rollouts.loading();
         avoidBusy(loading);
         return loading;
       },
       onBusy: avoidBusy,
-      silent: () => replicas.silent(),
       // When this daemon still receives data from a replica, the network
       // between the peer and that replica has failed; the replica stays in use
       // here.
       onSilent: (ids) =>
         avoidBusy(ids.filter((id) => replicas.silence(id) > MAX_LOCAL_SILENCE)),
+      onChange: () => cacheFeed.refresh(),
     });
     return Ok(undefined);
   }
 
+  async function followCachesAfterDiscovery(
+    signal: AbortSignal,
+  ): Promise<void> {
+    await clock.sleep(DISCOVERY_TIME, signal);
+    isDiscovered = true;
+    if (!signal.aborted) cacheFeed.refresh();
+  }
+
   function startTasks(): void {
     const { signal } = stopController;
     const tasks: readonly Promise<void>[] = [
@@ -470,7 +584,8 @@
       rollouts.run(signal),
       cacheCleaner.run(signal),
       meters.watchEventLoop(signal),
-      ...(peers === undefined ? [] : [peers.run(signal)]),
+      followCachesAfterDiscovery(signal),
+      ...(mesh === undefined ? [] : [mesh.run(signal)]),
     ];
     for (const task of tasks) {
       task.catch((error: unknown) => {
@@ -485,7 +600,7 @@
     }
 
     override async start(): Promise<Result<void, string>> {
-      const opened = await openPeers();
+      const opened = await openMesh();
       if (opened.isErr()) return opened;
       startTasks();
       return await openServers();
@@ -498,6 +613,7 @@
       const inFlight = frontend.inFlight();
       logger.log("drain_started", { reason, inFlight });
       frontend.disableKeepAlive();
+      mesh?.setDraining();
       const end = started + settings.grace - GRACE_MARGIN;
       await clock.sleep(Math.min(READINESS_NOTICE, settings.grace / 2));
       frontend.server.close();
@@ -510,6 +626,7 @@
       logger.log("drain_finished", { elapsed });
       stopController.abort();
       cacheFeed.stop();
+      peerClient.close();
       for (const server of servers) server.close();
       await Promise.race([
         pools.close(STOPPING),
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -39,6 +39,10 @@
    * start on the version before it.
    */
   readonly weightGracePeriod: Milliseconds;
+  /** Time within which a desired state must be in force on every daemon. */
+  readonly configurationLimit: Milliseconds;
+  /** Time after which a leaving replica must get no requests. */
+  readonly drainLimit: Milliseconds;
   readonly retryRatio: number;
   readonly retryWindow: Milliseconds;
   /**
--- /dev/null
+++ b/packages/gateway/src/peer_digest.ts
@@ -0,0 +1,147 @@
+/**
+ * The digest in each heartbeat between daemons, and the content of an aggregate
+ * for another zone. Short field names keep a heartbeat within one packet.
+ */
+import type { CacheEvent, JournalPage } from "@peridotvalve/dispatch";
+import { type Delta, digestSchema } from "@peridotvalve/load";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
+import { z } from "zod";
+
+/** What a peer knows of a followed table. */
+export interface TableNews {
+  readonly table: string;
+  readonly contentVersion: number;
+  /** Time since the peer's own newest read; absent when it does not read. */
+  readonly age?: Milliseconds;
+}
+
+/** Parts that a replica is expected to cache after a request. */
+export interface SentParts {
+  readonly replica: string;
+  readonly salt: string;
+  readonly parts: readonly (readonly [id: string, tokens: number])[];
+}
+
+export interface PeerDigest {
+  readonly tables: readonly TableNews[];
+  /** Replicas that load weights. */
+  readonly busy: readonly string[];
+  /** Replicas that do not respond to the sender. */
+  readonly silent: readonly string[];
+  readonly load?: Delta;
+  /** Load of the replicas of another zone. */
+  readonly zoneLoad?: readonly [zone: string, load: Delta];
+  readonly sent: readonly SentParts[];
+  readonly pages: readonly JournalPage[];
+}
+
+/** What a zone tells another zone. */
+export interface ZoneDigest {
+  readonly busy: readonly string[];
+  readonly load?: Delta;
+}
+
+const name = z.string().max(200);
+const count = z.number().nonnegative();
+const names = z.array(name).max(64);
+const cacheEvent = z.tuple([name, name, count]);
+
+const PEER_DIGEST = z.object({
+  t: z.array(z.tuple([name, count, count.nullable()])).max(8),
+  b: names.optional(),
+  s: names.optional(),
+  l: digestSchema.optional(),
+  z: z.tuple([name, digestSchema]).optional(),
+  p: z.array(z.tuple([name, name, z.array(z.tuple([name, count])).max(16)]))
+    .max(64).optional(),
+  k: z.array(z.tuple([name, z.number(), count, count, z.array(cacheEvent)]))
+    .max(64).optional(),
+});
+
+const ZONE_DIGEST = z.object({
+  b: names.optional(),
+  l: digestSchema.optional(),
+});
+
+/** Returns undefined when the digest is malformed. */
+export function decodePeerDigest(wire: unknown): PeerDigest | undefined {
+  const { data } = PEER_DIGEST.safeParse(wire);
+  if (data === undefined) return undefined;
+  return {
+    tables: data.t.map(([table, contentVersion, age]) => ({
+      table,
+      contentVersion,
+      ...(age === null ? {} : { age }),
+    })),
+    busy: data.b ?? [],
+    silent: data.s ?? [],
+    ...(data.l === undefined ? {} : { load: data.l as Delta }),
+    ...(data.z === undefined
+      ? {}
+      : { zoneLoad: [data.z[0], data.z[1] as Delta] as const }),
+    sent: (data.p ?? []).map(([replica, salt, parts]) => ({
+      replica,
+      salt,
+      parts,
+    })),
+    pages: (data.k ?? []).map(([store, epoch, first, age, events]) => ({
+      ...{ store, epoch, first, age },
+      events: events.map(decodeCacheEvent),
+    })),
+  };
+}
+
+export function encodePeerDigest(digest: PeerDigest): unknown {
+  const { busy, silent, load, zoneLoad, sent, pages } = digest;
+  return {
+    t: digest.tables.map(({ table, contentVersion, age }) => [
+      table,
+      contentVersion,
+      age === undefined ? null : Math.round(age),
+    ]),
+    ...(busy.length > 0 && { b: busy }),
+    ...(silent.length > 0 && { s: silent }),
+    ...(load !== undefined && { l: load }),
+    ...(zoneLoad !== undefined && { z: zoneLoad }),
+    ...(sent.length > 0 && {
+      p: sent.map(({ replica, salt, parts }) => [replica, salt, parts]),
+    }),
+    ...(pages.length > 0 && {
+      k: pages.map(({ store, epoch, first, age, events }) => [
+        ...[store, epoch, first, Math.round(age)],
+        events.map(encodeCacheEvent),
+      ]),
+    }),
+  };
+}
+
+export function decodeZoneDigest(wire: unknown): ZoneDigest | undefined {
+  const { data } = ZONE_DIGEST.safeParse(wire);
+  if (data === undefined) return undefined;
+  return {
+    busy: data.b ?? [],
+    ...(data.l === undefined ? {} : { load: data.l as Delta }),
+  };
+}
+
+export function encodeZoneDigest({ busy, load }: ZoneDigest): unknown {
+  return {
+    ...(busy.length > 0 && { b: busy }),
+    ...(load !== undefined && { l: load }),
+  };
+}
+
+function encodeCacheEvent({ salt, part, tokens }: CacheEvent) {
+  return [salt, part, tokens];
+}
+
+function decodeCacheEvent(
+  [salt, part, tokens]: readonly [string, string, number],
+): CacheEvent {
+  return { salt, part, tokens };
+}
+
+/** Size of a value as JSON. */
+export function measureJson(value: unknown): Bytes {
+  return value === undefined ? 0 : JSON.stringify(value).length;
+}
--- /dev/null
+++ b/packages/gateway/src/peer_mesh.ts
@@ -0,0 +1,392 @@
+/**
+ * The exchange between daemons. Neighbors send each other heartbeats with their
+ * load, the versions of the tables and the parts of stores that they read; one
+ * daemon of each zone tells the other zones the load of its replicas. What a
+ * heartbeat only announces is fetched with a call.
+ *
+ * In a small fleet all daemons are neighbors. In a large one, those of a zone
+ * are, so that the cost of a daemon depends on the size of its zone only.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type {
+  CacheJournal,
+  CacheView,
+  ReplicaTable,
+  StoreCopies,
+} from "@peridotvalve/dispatch";
+import { createHybridClock, type EventLogger } from "@peridotvalve/events";
+import type { Delta, LoadView } from "@peridotvalve/load";
+import {
+  createMembership,
+  logPeerChange,
+  type Membership,
+  type Pace,
+  type PeerChange,
+  type Transport,
+} from "@peridotvalve/membership";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
+import type { PeerClient } from "./peer_calls.ts";
+import {
+  decodePeerDigest,
+  decodeZoneDigest,
+  encodePeerDigest,
+  encodeZoneDigest,
+  measureJson,
+  type PeerDigest,
+  type TableNews,
+} from "./peer_digest.ts";
+import type { Registration } from "./registration.ts";
+import type { SentPartsQueue } from "./sent_parts.ts";
+import type { TableFollower } from "./table_follower.ts";
+
+export interface PeerMeshOptions {
+  readonly clock: Clock;
+  readonly logger: EventLogger;
+  readonly name: string;
+  readonly zone: string;
+  readonly transport: Transport;
+  readonly calls: PeerClient;
+  readonly registration: Registration;
+  readonly tables: ReadonlyMap<string, TableFollower>;
+  readonly load: LoadView;
+  readonly replicas: ReplicaTable;
+  readonly cache: CacheView;
+  readonly journal: CacheJournal;
+  readonly copies: StoreCopies;
+  readonly sentParts: SentPartsQueue;
+  /** Ids of the replicas that load weights on this daemon's order. */
+  readonly busy: () => readonly string[];
+  /** Called when a peer reports that replicas are not responding to it. */
+  readonly onSilent: (replicas: readonly string[]) => void;
+  /** Called when a peer reports that replicas are busy loading weights. */
+  readonly onBusy: (replicas: readonly string[]) => void;
+  /** Called when the live neighbors have changed. */
+  readonly onChange: () => void;
+}
+
+export abstract class PeerMesh {
+  abstract run(signal: AbortSignal): Promise<void>;
+  /** Sends the present state to all zones without waiting for the next round. */
+  abstract announce(): void;
+  abstract setDraining(): void;
+  /** Place of this daemon among the live neighbors for a duty; 0 goes first. */
+  abstract rank(duty: string): number;
+  abstract liveCount(): number;
+  /** Number of groups of neighbors in the fleet. */
+  abstract groupCount(): number;
+}
+
+/** Fleets of at most this size have one group of neighbors. */
+const MAX_SINGLE_GROUP = 16;
+
+const PACE: Pace = {
+  bytesPerSecond: 48_000,
+  datagramsPerSecond: 100,
+  minInterval: 250,
+  minAnnouncedInterval: 600,
+};
+
+/** Age after which the load of another zone is dropped. */
+const ZONE_LOAD_EXPIRY: Milliseconds = 5_000;
+
+/** Time for which the busy replicas of another zone are passed on. */
+const BUSY_EXPIRY: Milliseconds = 1_000;
+
+const EXPIRY_CHECK_PERIOD: Milliseconds = 1_000;
+
+/** Minimum interval between calls while a table is still unknown. */
+const INITIAL_FETCH_PERIOD: Milliseconds = 300;
+
+/** Minimum interval between two requests for the contents of one store. */
+const STORE_FETCH_PERIOD: Milliseconds = 1_000;
+
+/** Share of a heartbeat's space that load may use. */
+const LOAD_SHARE = 0.5;
+
+const MAX_NAMES = 32;
+const MAX_UNKNOWN_SENDERS = 200;
+
+export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
+  const { clock, logger, name, zone, registration, tables, load } = options;
+  const { cache, journal, copies, sentParts, calls } = options;
+  const fetching = new Set<string>();
+  const unknownSenders = new Set<string>();
+  const storeFetches = new Map<string, Milliseconds>();
+  /** Load of other zones: passed on once, and dropped when it is old. */
+  const zoneLoads = new Map<
+    string,
+    { readonly load: Delta; readonly at: Milliseconds; isPassedOn: boolean }
+  >();
+  let zoneBusy: { readonly ids: readonly string[]; readonly at: Milliseconds } =
+    { ids: [], at: -Infinity };
+
+  const isSingleGroup = () => registration.peers().length <= MAX_SINGLE_GROUP;
+
+  const membership: Membership = createMembership({
+    ...{ name, zone, clock, transport: options.transport },
+    hybridClock: createHybridClock(clock),
+    seeds: [],
+    pace: PACE,
+    isNeighbor: (other) => other === zone || isSingleGroup(),
+    accepts: (address) => registration.hasHost(hostOf(address)),
+    createDigest: (limit) => encodePeerDigest(composeDigest(limit)),
+    onDigest: applyDigest,
+    createAggregate: (limit) => {
+      const busy = options.busy().slice(0, MAX_NAMES);
+      const summary = load.summarize(
+        listZoneReplicas(),
+        limit - measureJson(busy),
+      );
+      const loadField = summary === undefined ? {} : { load: summary };
+      return encodeZoneDigest({ busy, ...loadField });
+    },
+    onAggregate({ zone: from, content }) {
+      const digest = decodeZoneDigest(content);
+      if (digest === undefined) return reject(from);
+      if (digest.busy.length > 0) {
+        options.onBusy(digest.busy);
+        zoneBusy = { ids: digest.busy, at: clock.monotonic() };
+      }
+      if (digest.load !== undefined) {
+        applyZoneLoad(from, digest.load);
+        const at = clock.monotonic();
+        zoneLoads.set(from, { load: digest.load, at, isPassedOn: false });
+      }
+    },
+    onChange,
+    onDatagramRejected(reason, from) {
+      // Daemons know each other at different times, so one line is enough.
+      if (reason === "unknown sender") {
+        if (unknownSenders.has(from)) return;
+        if (unknownSenders.size < MAX_UNKNOWN_SENDERS) unknownSenders.add(from);
+      }
+      logger.log("datagram_rejected", { reason, from });
+    },
+    onClockDrift: (peer, ahead) => logger.log("clock_drift", { peer, ahead }),
+    onIncarnationRaised: (incarnation) =>
+      logger.log("incarnation_raised", { incarnation }),
+  });
+
+  function reject(from: string): void {
+    logger.log("datagram_rejected", { reason: "malformed", from });
+  }
+
+  function onChange(change: PeerChange): void {
+    logPeerChange(logger.log.bind(logger), change);
+    const { kind, peer } = change;
+    const isGone = kind === "dead" || kind === "restarted" ||
+      kind === "forgotten";
+    if (isGone) load.removePeer(peer.name);
+    options.onChange();
+  }
+
+  function listZoneReplicas(): readonly string[] {
+    return options.replicas.all()
+      .filter(({ entry }) => entry.zone === zone)
+      .map(({ entry }) => entry.id);
+  }
+
+  function listTableNews(): readonly TableNews[] {
+    const now = clock.monotonic();
+    return [...tables].map(([table, follower]) => ({
+      table,
+      contentVersion: follower.contentVersion(),
+      ...(follower.isReading() && follower.lastOwnRead() > -Infinity
+        ? { age: now - follower.lastOwnRead() }
+        : {}),
+    }));
+  }
+
+  function listBusy(): readonly string[] {
+    const isRecent = clock.monotonic() - zoneBusy.at < BUSY_EXPIRY;
+    const ids = [...options.busy(), ...isRecent ? zoneBusy.ids : []];
+    return [...new Set(ids)].slice(0, MAX_NAMES);
+  }
+
+  /** One zone's load that has not been passed on, the oldest first. */
+  function takeZoneLoad(): PeerDigest["zoneLoad"] {
+    for (const [from, entry] of zoneLoads) {
+      if (entry.isPassedOn) continue;
+      entry.isPassedOn = true;
+      return [from, entry.load];
+    }
+    return undefined;
+  }
+
+  function composeDigest(limit: Bytes): PeerDigest {
+    const base: PeerDigest = {
+      tables: listTableNews(),
+      busy: listBusy(),
+      silent: options.replicas.silent().slice(0, MAX_NAMES),
+      sent: [],
+      pages: [],
+    };
+    const loadDigest = load.composeDigest(limit * LOAD_SHARE);
+    const withLoad = loadDigest === undefined
+      ? base
+      : { ...base, load: loadDigest };
+    const left = () => limit - measureJson(encodePeerDigest(digest));
+    let digest: PeerDigest = withLoad;
+    const zoneLoad = takeZoneLoad();
+    if (zoneLoad !== undefined && measureJson(zoneLoad) < left()) {
+      digest = { ...digest, zoneLoad };
+    }
+    digest = { ...digest, pages: journal.compose(left() / 2) };
+    return { ...digest, sent: sentParts.take(left()) };
+  }
+
+  function applyDigest(peer: string, wire: unknown): void {
+    const digest = decodePeerDigest(wire);
+    if (digest === undefined) return reject(peer);
+    if (digest.busy.length > 0) options.onBusy(digest.busy);
+    if (digest.silent.length > 0) options.onSilent(digest.silent);
+    if (digest.load !== undefined) {
+      const applied = load.applyDigest(peer, digest.load);
+      if (applied.isErr()) reject(peer);
+    }
+    if (digest.zoneLoad !== undefined) applyZoneLoad(...digest.zoneLoad);
+    for (const { replica, salt, parts } of digest.sent) {
+      if (options.replicas.find(replica) === undefined) continue;
+      const shared = parts.map(([id, tokens]) => ({ id, tokens }));
+      cache.expect(replica, salt, shared);
+    }
+    for (const page of digest.pages) {
+      const isNeeded = copies.apply(peer, page);
+      if (isNeeded) void fetchStore(peer, page.store);
+    }
+    for (const news of digest.tables) applyTableNews(peer, news);
+  }
+
+  function applyZoneLoad(from: string, zoneLoad: Delta): void {
+    if (from === zone) return;
+    const applied = load.applyDigest(zoneKey(from), zoneLoad);
+    if (applied.isErr()) return reject(from);
+    const known = zoneLoads.get(from);
+    const at = clock.monotonic();
+    const isPassedOn = known?.isPassedOn ?? true;
+    zoneLoads.set(from, { load: known?.load ?? zoneLoad, at, isPassedOn });
+  }
+
+  function applyTableNews(peer: string, news: TableNews): void {
+    const follower = tables.get(news.table);
+    if (follower === undefined) return;
+    if (news.age !== undefined) follower.recordPeerRead(news.age);
+    if (news.contentVersion <= follower.contentVersion()) return;
+    if (follower.isReading() && !follower.isStale()) return;
+    void fetchRows(peer, news.table, follower);
+  }
+
+  async function fetchRows(
+    peer: string,
+    table: string,
+    follower: TableFollower,
+  ): Promise<void> {
+    const address = registration.find(peer)?.calls;
+    if (address === undefined || fetching.has(table)) return;
+    fetching.add(table);
+    const after = follower.contentVersion();
+    const read = await calls.readRows(address, { table, after });
+    fetching.delete(table);
+    if (read.isErr()) {
+      logger.log("peer_unreachable", { peer, reason: read.error });
+    } else if (follower.adopt(read.value)) {
+      const { version } = read.value;
+      logger.log("peer_rows_taken", { peer, table, version });
+    }
+  }
+
+  async function fetchStore(peer: string, store: string): Promise<void> {
+    const address = registration.find(peer)?.calls;
+    const last = storeFetches.get(store) ?? -Infinity;
+    const now = clock.monotonic();
+    if (address === undefined || now - last < STORE_FETCH_PERIOD) return;
+    storeFetches.set(store, now);
+    const read = await calls.readStore(address, store);
+    if (read.isErr()) {
+      logger.log("peer_unreachable", { peer, reason: read.error });
+      return;
+    }
+    copies.replace(peer, store, read.value);
+    const parts = read.value.parts.length;
+    logger.log("store_copied", { peer, store, parts });
+  }
+
+  /** Fetches tables of which nothing is known yet from peers, in turn. */
+  async function fetchInitialRows(signal: AbortSignal): Promise<void> {
+    for (let round = 0; !signal.aborted; round += 1) {
+      const unknown = [...tables].filter(([, follower]) =>
+        follower.version() === 0
+      );
+      if (unknown.length === 0) return;
+      await clock.sleep(INITIAL_FETCH_PERIOD * (1 + Math.random()), signal);
+      const others = registration.peers().filter((peer) => peer.name !== name);
+      const peer = others[round % Math.max(1, others.length)];
+      if (peer === undefined) continue;
+      for (const [table, follower] of unknown) {
+        if (follower.version() !== 0) continue;
+        await fetchRows(peer.name, table, follower);
+      }
+    }
+  }
+
+  async function dropExpiredLoads(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await clock.sleep(EXPIRY_CHECK_PERIOD, signal);
+      const oldest = clock.monotonic() - ZONE_LOAD_EXPIRY;
+      for (const [from, { at }] of zoneLoads) {
+        if (at >= oldest) continue;
+        zoneLoads.delete(from);
+        load.removePeer(zoneKey(from));
+      }
+    }
+  }
+
+  return new (class extends PeerMesh {
+    override async run(signal: AbortSignal): Promise<void> {
+      registration.onChange((listed) =>
+        membership.setVmList(
+          listed.map(({ name, datagrams, zone }) => ({
+            ...{ name, zone, address: datagrams },
+            state: "live" as const,
+          })),
+        )
+      );
+      await Promise.all([
+        membership.run(signal),
+        fetchInitialRows(signal),
+        dropExpiredLoads(signal),
+      ]);
+    }
+
+    override announce(): void {
+      membership.announce();
+      if (!isSingleGroup()) membership.announceToZones();
+    }
+
+    override setDraining(): void {
+      membership.setDraining(true);
+    }
+
+    override rank(duty: string): number {
+      const rank = membership.readers(duty, Infinity).indexOf(name);
+      return rank < 0 ? membership.live().length : rank;
+    }
+
+    override liveCount(): number {
+      return membership.live().length;
+    }
+
+    override groupCount(): number {
+      if (isSingleGroup()) return 1;
+      return new Set(registration.peers().map((peer) => peer.zone)).size;
+    }
+  })();
+}
+
+function zoneKey(zone: string): string {
+  return `zone ${zone}`;
+}
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(":"));
+}
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -7,7 +7,6 @@
 import type { FeedRow, Platform } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
-import type { PeerAddress } from "./peers.ts";
 
 export interface RegistrationOptions {
   readonly clock: Clock;
@@ -18,6 +17,15 @@
   readonly seeds: readonly PeerAddress[];
 }
 
+/** Addresses of a daemon, as its row has them. */
+export interface PeerAddress {
+  readonly name: string;
+  readonly zone: string;
+  readonly host: string;
+  readonly datagrams: string;
+  readonly calls: string;
+}
+
 export abstract class Registration {
   /**
    * Writes this daemon's row, with retries until the store has confirmed it.
@@ -30,10 +38,16 @@
   ): void;
   /** All known daemons including this one; the seeds while none is known. */
   abstract peers(): readonly PeerAddress[];
+  abstract find(name: string): PeerAddress | undefined;
+  /** Returns true when a known daemon has the host. */
+  abstract hasHost(host: string): boolean;
+  /** Calls the listener now and after each change with all known daemons. */
+  abstract onChange(listener: (peers: readonly PeerAddress[]) => void): void;
 }
 
 const ADDRESS = z.object({
   name: z.string(),
+  zone: z.string(),
   host: z.string(),
   datagrams: z.string(),
   calls: z.string(),
@@ -45,6 +59,15 @@
 export function createRegistration(options: RegistrationOptions): Registration {
   const { clock, logger, store, table, self, seeds } = options;
   const known = new Map<string, PeerAddress>();
+  const listeners: ((peers: readonly PeerAddress[]) => void)[] = [];
+  let listed: readonly PeerAddress[] = seeds;
+  let hosts: ReadonlySet<string> = new Set(seeds.map(({ host }) => host));
+
+  function update(): void {
+    listed = known.size > 0 ? [...known.values()] : seeds;
+    hosts = new Set(listed.map(({ host }) => host));
+    for (const listener of listeners) listener(listed);
+  }
 
   function addRow({ key, value }: FeedRow): void {
     const parsed = ADDRESS.safeParse(value);
@@ -67,6 +90,7 @@
     override replaceAll(rows: readonly FeedRow[]): void {
       known.clear();
       rows.forEach(addRow);
+      update();
     }
 
     override applyChanges(
@@ -75,10 +99,26 @@
     ): void {
       for (const key of removed) known.delete(key);
       rows.forEach(addRow);
+      update();
     }
 
     override peers(): readonly PeerAddress[] {
-      return known.size > 0 ? [...known.values()] : seeds;
+      return listed;
+    }
+
+    override find(name: string): PeerAddress | undefined {
+      return known.get(name) ?? seeds.find((seed) => seed.name === name);
+    }
+
+    override hasHost(host: string): boolean {
+      return hosts.has(host);
+    }
+
+    override onChange(
+      listener: (peers: readonly PeerAddress[]) => void,
+    ): void {
+      listeners.push(listener);
+      listener(listed);
     }
   })();
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -13,16 +13,18 @@
   type Choice,
   type DispatchRequest,
   isRetryable,
-  type LoadView,
+  MAX_FETCH,
   type Placement,
   type PlacementQueue,
+  type PrefillRates,
   priorityOf,
   type ReplicaTable,
-  type TrackedRequest,
   type TransferPlanner,
   type WeightTargets,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
+import type { LoadView, TrackedRequest } from "@peridotvalve/load";
+import type { WindowBudget } from "@peridotvalve/retries";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import {
   discardBody,
@@ -45,8 +47,8 @@
 import type { Meters } from "./meters.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
+import type { SentPartsQueue } from "./sent_parts.ts";
 import { createReplicaFeedback } from "./replica_feedback.ts";
-import type { RetryBudget } from "./retry_budget.ts";
 
 export interface RelayOptions {
   readonly clock: Clock;
@@ -59,8 +61,10 @@
   readonly weights: WeightTargets;
   readonly placement: Placement;
   readonly queue: PlacementQueue;
-  readonly budget: RetryBudget;
+  readonly budget: WindowBudget;
   readonly transfers: TransferPlanner;
+  readonly sentParts: SentPartsQueue;
+  readonly prefillRates: PrefillRates;
   readonly replicaClock: ReplicaClock;
   /**
    * Number of connections that this daemon may open to one replica of a
@@ -121,12 +125,6 @@
 /** Refusals by full or reloading replicas after which the request fails. */
 const MAX_REFUSALS = 3;
 
-/**
- * Time after which a replica stops a fetch and prefills the prompt instead.
- * Parts stay in the stores longer than this after their last use.
- */
-const MAX_FETCH: Milliseconds = 2_000;
-
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
@@ -139,9 +137,18 @@
 export function createRelay(options: RelayOptions) {
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
-  const { queue, meters } = options;
+  const { queue, meters, prefillRates } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
+  /** Time for which the replica prefills before it sends the first token. */
+  function prefillTimeOf(
+    { service, prompt }: DispatchRequest,
+    { load: { unread }, unread: own }: Choice,
+  ): Milliseconds {
+    if (prompt === undefined) return 0;
+    return prefillRates.timeOf(service, unread + own);
+  }
+
   function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
     const now = replicaClock.now();
     return now === undefined ? {} : { fetchEnd: now + MAX_FETCH };
@@ -172,7 +179,7 @@
       hasPlainResponse: false,
     };
     let lastReason = "no replica";
-    budget.recordRequest(request.service);
+    budget.recordFirstAttempt(request.service);
 
     const remaining = () => request.deadline - clock.monotonic();
     const end = (ending: Ending): RelayResult => ({ ending, sends });
@@ -185,7 +192,7 @@
       if (!mayRetry || !placement.hasCandidates(request, excluded)) {
         return fail(lastReason, 502);
       }
-      if (sends > 0 && !budget.take(request.service)) {
+      if (sends > 0 && !budget.tryTake(request.service)) {
         logger.log("retry_budget_spent", { kind: request.service }, subject);
         return fail(`${lastReason}, no retries left`, 502);
       }
@@ -325,8 +332,9 @@
         }),
       });
       if (salt !== undefined && request.prompt !== undefined) {
-        cache.expect(entry.id, salt, request.prompt.parts);
         const shared = request.prompt.parts.slice(0, -1);
+        options.sentParts.record(entry.id, salt, shared);
+        cache.expect(entry.id, salt, request.prompt.parts);
         if (parts !== undefined) transfers.recordSent(salt, shared, parts);
       }
       logger.log("attempt_placed", {
@@ -342,7 +350,7 @@
         fetched: choice.fetched,
         remaining: Math.round(timeLeft),
       }, { ...subject, upstream: entry.id });
-      replicas.recordSent(entry.id);
+      replicas.recordSent(entry.id, prefillTimeOf(request, choice));
       const watch = watchAttempt(attempt, {
         clock,
         caller,
@@ -354,6 +362,7 @@
           choice,
           watch,
           trackedRequest,
+          startedAt: started,
         });
         replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
         const { kind } = outcome;
@@ -381,12 +390,15 @@
       readonly choice: Choice;
       readonly watch: AttemptWatch;
       readonly trackedRequest: TrackedRequest;
+      readonly startedAt: Milliseconds;
     }): Promise<AttemptOutcome> {
-      const { choice, watch, trackedRequest } = context;
+      const { choice, watch, trackedRequest, startedAt } = context;
       const isStream = request.route.kind === "stream";
       if (retryable && executions + 1 < request.route.maxExecutions) {
-        if (isStream) watch.limitSilence(MAX_SILENCE, gapLimit(request.route));
-        else {
+        if (isStream) {
+          const limit = MAX_SILENCE + prefillTimeOf(request, choice);
+          watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
+        } else {
           watch.limitSilence(silenceLimit(request.route));
         }
       }
@@ -416,6 +428,14 @@
         progress,
         arrivedAt: request.arrivedAt,
       };
+      let hasFirstEvent = false;
+      const recordFirstEvent = () => {
+        hasFirstEvent = true;
+        queue.retry();
+        const elapsed = clock.monotonic() - startedAt;
+        const tokens = choice.load.unread + choice.unread;
+        prefillRates.recordFirstToken(request.service, { tokens, elapsed });
+      };
       if (isStream && head.status === 200) {
         const mayResume = retryable &&
           executions + 1 < request.route.maxExecutions;
@@ -424,7 +444,7 @@
           gapLimit: mayResume ? gapLimit(request.route) : undefined,
           onData() {
             trackedRequest.recordFirstToken();
-            if (progress.firstEvent === 0) queue.retry();
+            if (!hasFirstEvent) recordFirstEvent();
             replicas.recordReceived(choice.replica.entry.id);
           },
         });
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -30,6 +30,11 @@
   readonly handoverDelay: Milliseconds;
   /** Called when the set of loading replicas is about to grow. */
   readonly onLoading: () => void;
+  /**
+   * Place of this daemon among those that may do the rollout; 0 goes first. The
+   * others wait, so that a large fleet does not contend for the lease.
+   */
+  readonly rank: () => number;
   /** Returns false while this daemon is stopping. */
   readonly mayContend: () => boolean;
 }
@@ -51,6 +56,9 @@
 const CONTEND_JITTER: Milliseconds = 200;
 const CONTEND_RETRY_DELAY: Milliseconds = 400;
 
+/** Time for which a rollout has to be needed before the next rank contends. */
+const RANK_DELAY: Milliseconds = 1_500;
+
 const RENEWAL_PERIOD: Milliseconds = 300;
 
 /** Delay until a report shows an accepted order. */
@@ -200,8 +208,16 @@
 
   return new (class extends Rollouts {
     override async run(signal: AbortSignal): Promise<void> {
+      let neededSince: Milliseconds | undefined;
       while (!signal.aborted) {
         if (!isNeeded() || !options.mayContend()) {
+          neededSince = undefined;
+          await clock.sleep(CHECK_PERIOD, signal);
+          continue;
+        }
+        neededSince ??= clock.monotonic();
+        const delay = options.rank() * RANK_DELAY;
+        if (clock.monotonic() - neededSince < delay) {
           await clock.sleep(CHECK_PERIOD, signal);
           continue;
         }
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -44,7 +44,11 @@
 
 const row = (key: string, version: number) => ({ key, value: key, version });
 
-function follow(snapshots: Snapshot[], answers: Answer[]) {
+function follow(
+  snapshots: Snapshot[],
+  answers: Answer[],
+  mayRead: (age: number) => boolean = () => true,
+) {
   const { feed, queries, timeouts } = createFeed(snapshots, answers);
   const taken: string[] = [];
   const names: EventName[] = [];
@@ -60,6 +64,7 @@
     table: "t",
     wait: 0,
     pause: 0,
+    mayRead,
     onSnapshot: (rows) => taken.push(`all ${rows.map(({ key }) => key)}`),
     onChange: (rows, removed) =>
       taken.push(`${rows.map(({ key }) => key)} -${removed}`),
@@ -81,7 +86,8 @@
   expect(taken).toEqual(["all a", "b -a"]);
   expect(queries.map(({ after }) => after)).toEqual([5, 7]);
   expect(follower.rows().map(({ key }) => key)).toEqual(["b"]);
-  expect(follower.contentVersion()).toEqual(6);
+  // The removal of "a" is a change as of the newest version.
+  expect(follower.contentVersion()).toEqual(7);
 });
 
 // Guards against missing changes made while the store dropped its history.
@@ -102,8 +108,11 @@
     [],
   );
   await settle();
-  expect(follower.adoptNewer([row("old", 2)], 4)).toEqual(false);
-  expect(follower.adoptNewer([row("new", 8)], 9)).toEqual(true);
+  const whole = { isWhole: true, removed: [] };
+  expect(follower.adopt({ ...whole, rows: [row("old", 2)], version: 4 }))
+    .toEqual(false);
+  expect(follower.adopt({ ...whole, rows: [row("new", 8)], version: 9 }))
+    .toEqual(true);
   stop.abort();
   expect(taken).toEqual(["all a", "all new"]);
 });
@@ -124,3 +133,30 @@
   stop.abort();
   expect(timeouts.slice(0, 4)).toEqual([300, 600, 1_200, 1_200]);
 });
+
+// Guards against N copies of each read: a daemon whose peers read the table
+// does not call the store until it has to.
+test("a daemon reads only while it has to", async () => {
+  let isDue = false;
+  const { follower, timeouts, stop } = follow(
+    [{ rows: [row("a", 3)], version: 5 }],
+    [],
+    () => isDue,
+  );
+  await settle();
+  expect([timeouts.length, follower.isReading()]).toEqual([0, false]);
+  isDue = true;
+  await new Promise((resolve) => setTimeout(resolve, 400));
+  stop.abort();
+  expect([timeouts.length, follower.isReading()]).toEqual([1, true]);
+  expect(follower.rows().length).toEqual(1);
+});
+
+test("a read of a peer counts as contact", () => {
+  const { follower, stop } = follow([], [], () => false);
+  stop.abort();
+  expect(follower.isStale()).toEqual(true);
+  follower.recordPeerRead(100);
+  expect(follower.isStale()).toEqual(false);
+  expect(follower.lastOwnRead()).toEqual(-Infinity);
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -1,13 +1,14 @@
 /**
  * Follows a table of the store: first a snapshot, then changes, and a new
- * snapshot whenever the store no longer has the history. While the store is
- * unavailable, the newest known rows stay in use, and rows can be adopted from
- * peers.
+ * snapshot whenever the store no longer has the history. A daemon that does not
+ * read the table itself takes the rows from the peers that do. While the store
+ * is unavailable, the newest known rows stay in use.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
 import type { FeedRow, TableFeed } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
+import { createFollowedRows, type TableUpdate } from "./followed_rows.ts";
 
 export interface FollowerOptions {
   readonly clock: Clock;
@@ -18,12 +19,20 @@
   readonly wait: Milliseconds;
   /** Pause between two calls. */
   readonly pause: Milliseconds;
+  /**
+   * Whether this daemon reads the table from the store now, given the time
+   * since the newest read that it knows of. By default it always does.
+   */
+  readonly mayRead?: (age: Milliseconds) => boolean;
+  /** See `createFollowedRows`; by default each new version matters. */
+  readonly fingerprintOf?: (row: FeedRow) => string;
   /** Called with all rows of a snapshot. */
   readonly onSnapshot: (rows: readonly FeedRow[]) => void;
   readonly onChange: (
     changed: readonly FeedRow[],
     removed: readonly string[],
   ) => void;
+  /** Called when the table is known as of now. */
   readonly onContact?: () => void;
 }
 
@@ -31,17 +40,22 @@
   abstract run(signal: AbortSignal): Promise<void>;
   /** Version up to which the table is known; 0 before the first snapshot. */
   abstract version(): number;
-  /** Version of the newest row change. */
+  /** Version of the newest row change that matters. */
   abstract contentVersion(): number;
-  /**
-   * Returns true when the store has not responded within the usual time of a
-   * call.
-   */
+  /** Returns true when no read has been known of for longer than usual. */
   abstract isStale(): boolean;
+  /** Returns true while this daemon reads the table from the store. */
+  abstract isReading(): boolean;
   abstract rows(): readonly FeedRow[];
-  /** Replaces the rows by a peer's when those are newer; returns true if so. */
-  abstract adoptNewer(rows: readonly FeedRow[], version: number): boolean;
+  abstract changesSince(contentVersion: number): TableUpdate;
+  /** Takes rows from a peer; returns true if they were newer. */
+  abstract adopt(update: TableUpdate): boolean;
+  /** Records that a peer has read the table `age` ago. */
+  abstract recordPeerRead(age: Milliseconds): void;
+  /** Time of the newest read, by this daemon or a peer. */
   abstract lastContact(): Milliseconds;
+  /** Time of the newest read by this daemon. */
+  abstract lastOwnRead(): Milliseconds;
 }
 
 /** Timeout of a call, in addition to the requested wait. */
@@ -61,18 +75,28 @@
 const INITIAL_BACKOFF: Milliseconds = 100;
 const MAX_BACKOFF: Milliseconds = 500;
 
+/** Interval at which a daemon checks whether it has to read. */
+const DUTY_CHECK_PERIOD: Milliseconds = 150;
+
+/** A read of a peer older than this is no contact. */
+const MAX_CONTACT_AGE: Milliseconds = 1_500;
+
 export function createTableFollower(options: FollowerOptions): TableFollower {
   const { clock, logger, feed, table, wait, pause } = options;
-  const known = new Map<string, FeedRow>();
-  let version = 0;
-  let content = 0;
+  const mayRead = options.mayRead ?? (() => true);
+  const known = createFollowedRows(
+    options.fingerprintOf ?? (({ version }) => String(version)),
+  );
   let needsSnapshot = true;
+  let isReading = false;
   let lastContact = -Infinity;
+  let lastOwnRead = -Infinity;
   let lostSince: Milliseconds | undefined;
   let timeout = INITIAL_TIMEOUT;
 
   function recordContact(): void {
     lastContact = clock.monotonic();
+    lastOwnRead = lastContact;
     if (lostSince !== undefined) {
       logger.log("table_regained", { table, elapsed: lastContact - lostSince });
     }
@@ -86,19 +110,6 @@
     logger.log("table_lost", { table, reason });
   }
 
-  function raiseContentVersion(rows: readonly FeedRow[]): void {
-    for (const row of rows) content = Math.max(content, row.version);
-  }
-
-  function takeSnapshot(rows: readonly FeedRow[], newest: number): void {
-    if (newest < version) return;
-    known.clear();
-    for (const row of rows) known.set(row.key, row);
-    version = newest;
-    raiseContentVersion(rows);
-    options.onSnapshot(rows);
-  }
-
   async function readSnapshot(): Promise<boolean> {
     const read = await feed.snapshot(table, timeout);
     if (read.isErr()) {
@@ -109,13 +120,13 @@
     timeout = RESPONSE_TIMEOUT;
     recordContact();
     needsSnapshot = false;
-    takeSnapshot(read.value.rows, read.value.version);
+    const { rows, version } = read.value;
+    if (known.replaceAll(rows, version)) options.onSnapshot(known.list());
     return true;
   }
 
   async function readChanges(): Promise<boolean> {
-    const after = version;
-    const query = { table, after, wait };
+    const query = { table, after: known.version(), wait };
     const read = await feed.changes(query, wait + RESPONSE_TIMEOUT);
     if (read.isErr()) {
       if (read.error.kind === "history lost") {
@@ -126,14 +137,8 @@
       return false;
     }
     recordContact();
-    const { rows, removed, version: newest } = read.value;
-    // A peer's newer rows were adopted during the call.
-    if (newest < version) return true;
-    for (const row of rows) known.set(row.key, row);
-    for (const key of removed) known.delete(key);
-    version = newest;
-    raiseContentVersion(rows);
-    if (rows.length + removed.length > 0) options.onChange(rows, removed);
+    const { changed, removed } = known.applyChanges(read.value);
+    if (changed.length + removed.length > 0) options.onChange(changed, removed);
     return true;
   }
 
@@ -141,6 +146,12 @@
     override async run(signal: AbortSignal): Promise<void> {
       let backoff = INITIAL_BACKOFF;
       while (!signal.aborted) {
+        isReading = mayRead(clock.monotonic() - lastContact);
+        if (!isReading) {
+          lostSince = undefined;
+          await clock.sleep(DUTY_CHECK_PERIOD, signal);
+          continue;
+        }
         const isRead = needsSnapshot
           ? await readSnapshot()
           : await readChanges();
@@ -155,11 +166,11 @@
     }
 
     override version(): number {
-      return version;
+      return known.version();
     }
 
     override contentVersion(): number {
-      return content;
+      return known.contentVersion();
     }
 
     override isStale(): boolean {
@@ -167,18 +178,42 @@
       return clock.monotonic() - lastContact > allowed;
     }
 
+    override isReading(): boolean {
+      return isReading;
+    }
+
     override rows(): readonly FeedRow[] {
-      return [...known.values()];
+      return known.list();
+    }
+
+    override changesSince(contentVersion: number): TableUpdate {
+      return known.changesSince(contentVersion);
     }
 
-    override adoptNewer(rows: readonly FeedRow[], newest: number): boolean {
-      if (newest <= version) return false;
-      takeSnapshot(rows, newest);
+    override adopt(update: TableUpdate): boolean {
+      const change = known.adopt(update);
+      if (change === undefined) return false;
+      needsSnapshot = false;
+      if (update.isWhole) options.onSnapshot(known.list());
+      else if (change.changed.length + change.removed.length > 0) {
+        options.onChange(change.changed, change.removed);
+      }
       return true;
     }
 
+    override recordPeerRead(age: Milliseconds): void {
+      const at = clock.monotonic() - age;
+      if (at <= lastContact) return;
+      lastContact = at;
+      if (age <= MAX_CONTACT_AGE) options.onContact?.();
+    }
+
     override lastContact(): Milliseconds {
       return lastContact;
     }
+
+    override lastOwnRead(): Milliseconds {
+      return lastOwnRead;
+    }
   })();
 }
--- a/packages/load/src/delta_table.ts
+++ b/packages/load/src/delta_table.ts
@@ -47,7 +47,10 @@
     left.every((value, index) => value === right[index]);
 }
 
-export function createDeltaSource(clock: Clock): DeltaSource {
+export function createDeltaSource(
+  clock: Clock,
+  sweepPeriod: Milliseconds = SWEEP_PERIOD,
+): DeltaSource {
   const entries = new Map<string, Values>();
   // Insertion order sends the oldest changes first, so that no key is starved.
   const changed = new Set<string>();
@@ -90,7 +93,7 @@
   }
 
   function startSweepWhenDue(): void {
-    const isDue = clock.monotonic() - sweepStarted >= SWEEP_PERIOD;
+    const isDue = clock.monotonic() - sweepStarted >= sweepPeriod;
     if (sweepCursor !== undefined || !isDue) return;
     sweepCursor = "";
     sweepStarted = clock.monotonic();
@@ -147,13 +150,33 @@
 /** Maximum keys per peer: twice the planned replicas and customers. */
 const MAX_KEYS = 2_000;
 
-export function createDeltaCopy(clock: Clock): DeltaCopy {
+/** Called for each entry that changes; undefined stands for an absent one. */
+export type EntryListener = (
+  key: string,
+  previous: Values | undefined,
+  next: Values | undefined,
+) => void;
+
+export function createDeltaCopy(
+  clock: Clock,
+  onChange: EntryListener = () => {},
+): DeltaCopy {
   const entries = new Map<string, ReceivedEntry>();
 
-  function removeAbsent(above: string, upTo: string | null): void {
+  function remove(key: string): void {
+    const known = entries.get(key);
+    if (known === undefined) return;
+    entries.delete(key);
+    onChange(key, known.values, undefined);
+  }
+
+  function removeAbsent(
+    [above, upTo]: NonNullable<Delta["s"]>,
+    present: ReadonlyMap<string, unknown>,
+  ): void {
     for (const key of [...entries.keys()]) {
       const isInRange = key > above && (upTo === null || key <= upTo);
-      if (isInRange) entries.delete(key);
+      if (isInRange && !present.has(key)) remove(key);
     }
   }
 
@@ -162,11 +185,17 @@
     apply(delta) {
       const unpacked = unpackEntries(delta.c ?? "");
       if (unpacked.isErr()) return unpacked;
-      if (delta.s !== undefined) removeAbsent(...delta.s);
+      if (delta.s !== undefined) removeAbsent(delta.s, unpacked.value);
       const at = clock.monotonic();
       for (const [key, values] of unpacked.value) {
-        if (values === undefined) entries.delete(key);
-        else if (entries.size < MAX_KEYS) entries.set(key, { values, at });
+        if (values === undefined) {
+          remove(key);
+          continue;
+        }
+        const previous = entries.get(key)?.values;
+        if (previous === undefined && entries.size >= MAX_KEYS) continue;
+        entries.set(key, { values, at });
+        onChange(key, previous, values);
       }
       return Ok(undefined);
     },
--- a/packages/load/src/load_view.test.ts
+++ b/packages/load/src/load_view.test.ts
@@ -1,7 +1,20 @@
 import { test } from "node:test";
 import { createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
-import { createLoadView } from "./load.ts";
+import { createLoadView, type LoadView } from "./load_view.ts";
+
+const LIMIT = 400;
+
+/** Sends the next digest of each view to all others. */
+function exchange(views: ReadonlyMap<string, LoadView>): void {
+  for (const [name, view] of views) {
+    const digest = view.composeDigest(LIMIT);
+    if (digest === undefined) continue;
+    for (const [other, receiver] of views) {
+      if (other !== name) receiver.applyDigest(name, digest).unwrap();
+    }
+  }
+}
 
 test("a request counts until it ends, its prefill until the first token", () => {
   const view = createLoadView(createManualClock());
@@ -28,12 +41,63 @@
   expect(view.totalLoad("a").recentTokens).toEqual(500);
 });
 
+test("each daemon sees the sum of all requests in flight", () => {
+  const clock = createManualClock();
+  const names = Array.from({ length: 33 }, (_, index) => `front-${index}`);
+  const views = new Map(names.map((name) => [name, createLoadView(clock)]));
+  const tracked = [...views.values()].map((view) =>
+    view.trackRequest("a", { unread: 100, memory: 200 })
+  );
+  exchange(views);
+  for (const view of views.values()) {
+    expect(view.totalLoad("a").requests).toEqual(33);
+    expect(view.totalLoad("a").memory).toEqual(33 * 200);
+  }
+  for (const request of tracked) request.end();
+  exchange(views);
+  for (const view of views.values()) {
+    expect(view.totalLoad("a").requests).toEqual(0);
+  }
+});
+
 // Guards against counting the load of a dead peer for ever.
-test("the digest of a peer expires", async () => {
+test("the load of a removed peer no longer counts", () => {
   const clock = createManualClock();
-  const view = createLoadView(clock);
-  view.applyDigest("front-2", { a: [3, 900, 1_000, 50] });
-  expect(view.totalLoad("a").requests).toEqual(3);
-  await clock.advance(2_000);
+  const [here, there] = [createLoadView(clock), createLoadView(clock)];
+  there.trackRequest("a", { unread: 900, memory: 1_000 });
+  here.applyDigest("front-2", there.composeDigest(LIMIT)!).unwrap();
+  expect(here.totalLoad("a").requests).toEqual(1);
+  here.removePeer("front-2");
+  expect(here.totalLoad("a").requests).toEqual(0);
+});
+
+test("a lost digest is made up for within a second", async () => {
+  const clock = createManualClock();
+  const [here, there] = [createLoadView(clock), createLoadView(clock)];
+  const tracked = there.trackRequest("a", { unread: 900, memory: 1_000 });
+  here.applyDigest("front-2", there.composeDigest(LIMIT)!).unwrap();
+  tracked.end();
+  there.composeDigest(LIMIT);
+  await clock.advance(1_000);
+  here.applyDigest("front-2", there.composeDigest(LIMIT)!).unwrap();
+  expect(here.totalLoad("a").requests).toEqual(0);
+});
+
+test("a summary has the totals of the named replicas only", () => {
+  const clock = createManualClock();
+  const [here, there] = [createLoadView(clock), createLoadView(clock)];
+  here.trackRequest("a", { unread: 900, memory: 1_000 });
+  here.trackRequest("b", { unread: 10, memory: 20 });
+  there.applyDigest("zone vaasa", here.summarize(["a"], LIMIT)!).unwrap();
+  expect(there.totalLoad("a").unread).toEqual(900);
+  expect(there.totalLoad("b").requests).toEqual(0);
+  there.applyDigest("zone vaasa", here.summarize([], LIMIT)!).unwrap();
+  expect(there.totalLoad("a").requests).toEqual(0);
+});
+
+test("a malformed digest changes nothing", () => {
+  const view = createLoadView(createManualClock());
+  const applied = view.applyDigest("front-2", { c: "no entry;" });
+  expect(applied.isErr()).toEqual(true);
   expect(view.totalLoad("a").requests).toEqual(0);
 });
--- a/packages/load/src/load_view.ts
+++ b/packages/load/src/load_view.ts
@@ -1,9 +1,19 @@
 /**
- * Load in flight at each replica, from this daemon and from the digests of its
- * peers.
+ * Load in flight at each replica: of this daemon, and of its peers from their
+ * digests. Totals are updated with each digest, so that a look at a replica
+ * costs the same for any number of peers.
  */
 import type { Clock } from "@peridotvalve/clock";
-import type { Milliseconds, Tokens } from "@peridotvalve/types";
+import type { Bytes, Milliseconds, Tokens } from "@peridotvalve/types";
+import type { Result } from "ts-results-es";
+import {
+  createDeltaCopy,
+  createDeltaSource,
+  type Delta,
+  type DeltaCopy,
+  type DeltaSource,
+} from "./delta_table.ts";
+import { replicaKey, type Values } from "./packed.ts";
 
 export interface ReplicaLoad {
   readonly requests: number;
@@ -15,19 +25,6 @@
   readonly recentTokens: Tokens;
 }
 
-/** Load by replica, in the form in which a daemon sends it to its peers. */
-export type LoadDigest = Readonly<
-  Record<
-    string,
-    readonly [
-      requests: number,
-      unread: number,
-      memory: number,
-      recent: number,
-    ]
-  >
->;
-
 export interface TrackedRequest {
   /** Records that the replica has finished the prefill of the prompt. */
   recordFirstToken(): void;
@@ -41,16 +38,31 @@
   ): TrackedRequest;
   abstract totalLoad(replica: string): ReplicaLoad;
   abstract localLoad(replica: string): ReplicaLoad;
-  abstract digest(): LoadDigest;
-  abstract applyDigest(peer: string, digest: LoadDigest): void;
+  /** The next digest for the peers, of at most `limit` bytes of JSON. */
+  abstract composeDigest(limit: Bytes): Delta | undefined;
+  /** Returns an error and changes nothing if the digest is malformed. */
+  abstract applyDigest(peer: string, digest: Delta): Result<void, string>;
+  /**
+   * Total loads of the replicas in a form that `applyDigest` accepts, of at most
+   * `limit` bytes of JSON. Successive calls cover all replicas.
+   */
+  abstract summarize(
+    replicas: Iterable<string>,
+    limit: Bytes,
+  ): Delta | undefined;
+  /** Removes the load of a peer that no longer sends digests. */
+  abstract removePeer(peer: string): void;
 }
 
-/** The digest of a peer is ignored after this time without a new one. */
-const DIGEST_MAX_AGE: Milliseconds = 1_500;
-
 /** Half-life of the sum of recent prompt tokens. */
 const RECENT_HALF_LIFE: Milliseconds = 1_500;
 
+/** Step of the recent tokens in digests; a finer one would always change. */
+const RECENT_STEP: Tokens = 1_024;
+
+/** Bounds the time for which the load of a lost digest is missing. */
+const SWEEP_PERIOD: Milliseconds = 1_000;
+
 const NO_LOAD: ReplicaLoad = {
   requests: 0,
   unread: 0,
@@ -63,15 +75,15 @@
   readonly tokens: Tokens;
 }
 
-interface ReceivedDigest {
-  readonly at: Milliseconds;
-  readonly digest: LoadDigest;
-}
-
 export function createLoadView(clock: Clock): LoadView {
   const localLoads = new Map<string, ReplicaLoad>();
   const recentSums = new Map<string, DecayingSum>();
-  const peerDigests = new Map<string, ReceivedDigest>();
+  const digestSource = createDeltaSource(clock, SWEEP_PERIOD);
+  // The receivers change, so each summary is a part of a sweep.
+  const summarySource = createDeltaSource(clock, 0);
+  const peerCopies = new Map<string, DeltaCopy>();
+  /** Sum of the peers' entries by replica key. */
+  const peerTotals = new Map<string, ReplicaLoad>();
 
   function recentTokensOf(replica: string): Tokens {
     const known = recentSums.get(replica);
@@ -86,23 +98,40 @@
     else localLoads.set(replica, next);
   }
 
+  function replaceInTotal(
+    key: string,
+    previous: Values | undefined,
+    next: Values | undefined,
+  ): void {
+    const known = peerTotals.get(key) ?? NO_LOAD;
+    const total = sum(subtract(known, toLoad(previous)), toLoad(next));
+    // Without requests, the rest would be the rounding error of the sums.
+    if (total.requests <= 0) peerTotals.delete(key);
+    else peerTotals.set(key, total);
+  }
+
+  function copyOf(peer: string): DeltaCopy {
+    const known = peerCopies.get(peer);
+    if (known !== undefined) return known;
+    const copy = createDeltaCopy(clock, replaceInTotal);
+    peerCopies.set(peer, copy);
+    return copy;
+  }
+
+  function listLocalEntries(): readonly (readonly [string, Values])[] {
+    return [...localLoads].map(([replica, known]) => {
+      const recentTokens = recentTokensOf(replica);
+      return [replicaKey(replica), toValues({ ...known, recentTokens })];
+    });
+  }
+
   function computeTotal(replica: string): ReplicaLoad {
-    let total = {
+    const own = {
       ...localLoads.get(replica) ?? NO_LOAD,
       recentTokens: recentTokensOf(replica),
     };
-    const oldest = clock.monotonic() - DIGEST_MAX_AGE;
-    for (const [peer, { at, digest }] of peerDigests) {
-      if (at < oldest) {
-        peerDigests.delete(peer);
-        continue;
-      }
-      const entry = digest[replica];
-      if (entry === undefined) continue;
-      const [requests, unread, memory, recentTokens] = entry;
-      total = sum(total, { requests, unread, memory, recentTokens });
-    }
-    return total;
+    const peers = peerTotals.get(replicaKey(replica));
+    return peers === undefined ? own : sum(own, peers);
   }
 
   return new (class extends LoadView {
@@ -118,12 +147,7 @@
       const recordFirstToken = () => {
         if (hasFirstToken) return;
         hasFirstToken = true;
-        add(replica, {
-          requests: 0,
-          unread: -unread,
-          memory: 0,
-          recentTokens: 0,
-        });
+        add(replica, { ...NO_LOAD, unread: -unread });
       };
       return {
         recordFirstToken,
@@ -131,12 +155,7 @@
           if (hasEnded) return;
           hasEnded = true;
           recordFirstToken();
-          add(replica, {
-            requests: -1,
-            unread: 0,
-            memory: -memory,
-            recentTokens: 0,
-          });
+          add(replica, { ...NO_LOAD, requests: -1, memory: -memory });
         },
       };
     }
@@ -149,26 +168,63 @@
       return localLoads.get(replica) ?? NO_LOAD;
     }
 
-    override digest(): LoadDigest {
-      return Object.fromEntries(
-        [...localLoads].map(([replica, { requests, unread, memory }]) => [
-          replica,
-          [
-            requests,
-            unread,
-            memory,
-            Math.round(recentTokensOf(replica)),
-          ] as const,
-        ]),
+    override composeDigest(limit: Bytes): Delta | undefined {
+      replaceEntries(digestSource, listLocalEntries());
+      return digestSource.compose(limit);
+    }
+
+    override applyDigest(peer: string, digest: Delta): Result<void, string> {
+      return copyOf(peer).apply(digest);
+    }
+
+    override summarize(
+      replicas: Iterable<string>,
+      limit: Bytes,
+    ): Delta | undefined {
+      const loads = [...replicas].map((replica) =>
+        [replica, computeTotal(replica)] as const
+      ).filter(([, { requests }]) => requests > 0);
+      replaceEntries(
+        summarySource,
+        loads.map(([replica, total]) => [replicaKey(replica), toValues(total)]),
       );
+      return summarySource.compose(limit);
     }
 
-    override applyDigest(peer: string, digest: LoadDigest): void {
-      peerDigests.set(peer, { at: clock.monotonic(), digest });
+    override removePeer(peer: string): void {
+      const copy = peerCopies.get(peer);
+      if (copy === undefined) return;
+      for (const [key, { values }] of copy.entries()) {
+        replaceInTotal(key, values, undefined);
+      }
+      peerCopies.delete(peer);
     }
   })();
 }
 
+function replaceEntries(
+  source: DeltaSource,
+  entries: readonly (readonly [string, Values])[],
+): void {
+  const present = new Map(entries);
+  for (const key of [...source.entries().keys()]) {
+    if (!present.has(key)) source.remove(key);
+  }
+  for (const [key, values] of present) source.set(key, values);
+}
+
+function toValues(
+  { requests, unread, memory, recentTokens }: ReplicaLoad,
+): Values {
+  return [requests, unread, memory, Math.round(recentTokens / RECENT_STEP)];
+}
+
+function toLoad(values: Values | undefined): ReplicaLoad {
+  if (values === undefined) return NO_LOAD;
+  const [requests = 0, unread = 0, memory = 0, steps = 0] = values;
+  return { requests, unread, memory, recentTokens: steps * RECENT_STEP };
+}
+
 function sum(left: ReplicaLoad, right: ReplicaLoad): ReplicaLoad {
   return {
     requests: left.requests + right.requests,
@@ -177,3 +233,12 @@
     recentTokens: left.recentTokens + right.recentTokens,
   };
 }
+
+function subtract(left: ReplicaLoad, right: ReplicaLoad): ReplicaLoad {
+  return {
+    requests: left.requests - right.requests,
+    unread: left.unread - right.unread,
+    memory: left.memory - right.memory,
+    recentTokens: left.recentTokens - right.recentTokens,
+  };
+}
--- a/packages/load/src/mod.ts
+++ b/packages/load/src/mod.ts
@@ -3,7 +3,8 @@
  * digests that daemons exchange.
  */
 export * from "./load.ts";
-export { SWEEP_PERIOD } from "./delta_table.ts";
+export { type Delta, SWEEP_PERIOD } from "./delta_table.ts";
 export * from "./load_tracker.ts";
+export * from "./load_view.ts";
 export * from "./poller.ts";
-export type { Digest } from "./wire.ts";
+export { type Digest, digestSchema } from "./wire.ts";
--- a/packages/membership/src/candidates.ts
+++ b/packages/membership/src/candidates.ts
@@ -32,6 +32,8 @@
   /** Candidates of a zone, without addresses listed as leaving. */
   listZone(zone: string): readonly Seed[];
   zones(): readonly string[];
+  /** Zone of a candidate; undefined when the address is no candidate. */
+  zoneOf(address: string): string | undefined;
   /** True when all entries of the VM list with this address are leaving. */
   isLeaving(address: string): boolean;
   /** Whether a silent address is sent a heartbeat in this round. */
@@ -58,10 +60,18 @@
     return [...live, ...unlisted];
   }
 
+  function mapZones(): ReadonlyMap<string, string> {
+    return new Map(listAll().map(({ address, zone }) => [address, zone]));
+  }
+
+  let zones = mapZones();
+
   return {
     setList(next) {
       listed = next;
+      zones = mapZones();
     },
+    zoneOf: (address) => zones.get(address),
     listZone: (zone) => listAll().filter((seed) => seed.zone === zone),
     zones: () => [...new Set(listAll().map((seed) => seed.zone))],
     isLeaving,
--- a/packages/membership/src/codec.ts
+++ b/packages/membership/src/codec.ts
@@ -57,11 +57,16 @@
 
 export interface CodecOptions {
   readonly zone: string;
-  readonly secret: string;
+  readonly secret?: string;
+  /** True when daemons of several zones exchange heartbeats. */
+  readonly hasNeighborZones?: boolean;
 }
 
 export function createCodec(options: CodecOptions): Codec {
-  const { zone, secret } = options;
+  const { zone, secret = "" } = options;
+  const heartbeatScope = options.hasNeighborZones === true
+    ? "heartbeats of several zones"
+    : `zone ${zone}`;
 
   function sign(body: Uint8Array, scope: string): Uint8Array {
     const hmac = createHmac("sha256", secret);
@@ -77,7 +82,7 @@
   return {
     encode(datagram) {
       const body = encodeBody(datagram);
-      const scope = datagram.kind === "heartbeat" ? `zone ${zone}` : "all";
+      const scope = datagram.kind === "heartbeat" ? heartbeatScope : "all";
       const bytes = Buffer.concat([sign(body, scope), body]);
       return bytes.length > MAX_DATAGRAM ? Err("too long") : Ok(bytes);
     },
@@ -85,7 +90,7 @@
     decode(bytes) {
       if (bytes.length > MAX_DATAGRAM) return Err("too long");
       if (bytes.length <= SIGNATURE_BYTES) return Err("too short");
-      const kind = isSigned(bytes, `zone ${zone}`)
+      const kind = isSigned(bytes, heartbeatScope)
         ? "heartbeat"
         : isSigned(bytes, "all")
         ? "aggregate"
--- a/packages/membership/src/datagram.ts
+++ b/packages/membership/src/datagram.ts
@@ -57,5 +57,6 @@
   | "too short"
   | "bad signature"
   | "malformed"
+  | "unknown sender"
   | "replayed"
   | "old incarnation";
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -53,13 +53,16 @@
     draining: false,
   };
   const time = createRunningTime(clock);
-  const codec = createCodec(options);
+  const codec = createCodec({
+    ...options,
+    hasNeighborZones: options.isNeighbor !== undefined,
+  });
   const candidates = createCandidates(options.seeds);
   const table = createPeerTable(time, {
     isLeaving: (at) => candidates.isLeaving(at),
   });
   const aggregateGuard = createReplayGuard();
-  const pacer = createPacer(clock);
+  const pacer = createPacer(clock, options.pace);
   const leavingUpstreams = createLeavingUpstreams();
   const rankingCache = createRankingCache();
   const sender = createSender({
@@ -94,6 +97,9 @@
   function receive({ from, bytes }: Packet): void {
     receivedBytes += bytes.length + HEADER_BYTES;
     receivedDatagrams += 1;
+    if (options.accepts?.(from) === false) {
+      return reject("unknown sender", from);
+    }
     const decoded = codec.decode(bytes);
     if (decoded.isErr()) return reject(decoded.error, from);
     const datagram = decoded.value;
@@ -245,6 +251,14 @@
       requestEarlyRound();
     }
 
+    override announce(): void {
+      requestEarlyRound();
+    }
+
+    override announceToZones(): void {
+      sender.sendAggregates();
+    }
+
     override identity() {
       return { name, incarnation: self.incarnation };
     }
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -6,6 +6,7 @@
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { ListedPeer, Seed } from "./candidates.ts";
 import type { Aggregate, DatagramHeader, Rejection } from "./datagram.ts";
+import type { Pace } from "./pacer.ts";
 import type { Peer, PeerChange } from "./peer_table.ts";
 import type { Transport } from "./transport.ts";
 
@@ -37,19 +38,34 @@
 export interface MembershipOptions extends MembershipCallbacks {
   readonly name: string;
   readonly zone: string;
-  /** Signing key that all daemons share. */
-  readonly secret: string;
+  /**
+   * Signing key that all daemons share. Without one, the signature only detects
+   * damage, and `accepts` has to restrict the senders.
+   */
+  readonly secret?: string;
   readonly clock: Clock;
   readonly hybridClock: HybridClock;
   readonly transport: Transport;
   readonly seeds: readonly Seed[];
+  /** Limits of the heartbeats; the default fits zones of up to 45 daemons. */
+  readonly pace?: Pace;
+  /**
+   * Whether daemons of a zone exchange heartbeats with this one. By default
+   * those of the own zone do. May change while running.
+   */
+  readonly isNeighbor?: (zone: string) => boolean;
+  /** Whether datagrams from an address are accepted; all are by default. */
+  readonly accepts?: (address: string) => boolean;
   /**
    * Creates the load digest of the next heartbeat, at most `limit` bytes of
    * JSON. Called once per round; undefined omits the digest.
    */
   readonly createDigest?: (limit: Bytes) => unknown;
-  /** Creates the content of an aggregate; called each time one is sent. */
-  readonly createAggregate?: () => unknown;
+  /**
+   * Creates the content of an aggregate, at most `limit` bytes of JSON; called
+   * each time one is sent.
+   */
+  readonly createAggregate?: (limit: Bytes) => unknown;
 }
 
 /** Totals since the start. Bytes include UDP and IP headers. */
@@ -73,6 +89,10 @@
   abstract setVmList(listed: readonly ListedPeer[]): void;
   /** Announces a leaving upstream incarnation to the peers at once. */
   abstract announceUpstreamLeaving(incarnation: string): void;
+  /** Sends a heartbeat ahead of the next round if the pace allows it. */
+  abstract announce(): void;
+  /** Sends an aggregate to the other zones now. */
+  abstract announceToZones(): void;
 
   abstract identity(): Pick<DatagramHeader, "name" | "incarnation">;
   /** All peers heard from, without this daemon. */
--- a/packages/membership/src/pacer.ts
+++ b/packages/membership/src/pacer.ts
@@ -22,21 +22,47 @@
  */
 const MIN_HEARTBEAT: Bytes = 240;
 
-/** Bytes that early rounds may send ahead of the budget: 3 s of it. */
-const MAX_DEFICIT: Bytes = 3 * SEND_BUDGET;
+/** Time for which early rounds may send ahead of the budget, in seconds. */
+const MAX_DEFICIT_SECONDS = 3;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
+/** Limits of the heartbeats that a daemon sends. */
+export interface Pace {
+  /** Bytes per second, including UDP and IP headers. */
+  readonly bytesPerSecond: Bytes;
+  readonly datagramsPerSecond: number;
+  /** Least time between two regular rounds. */
+  readonly minInterval: Milliseconds;
+  /**
+   * Least interval that heartbeats announce, so that a VM that is short of
+   * processor time is not suspected after a few late rounds.
+   */
+  readonly minAnnouncedInterval: Milliseconds;
+}
+
+const DEFAULT_PACE: Pace = {
+  bytesPerSecond: SEND_BUDGET,
+  datagramsPerSecond: Infinity,
+  minInterval: MIN_INTERVAL,
+  minAnnouncedInterval: MIN_INTERVAL,
+};
+
 export interface Pacer {
   /** Charges sent bytes to the budget. */
   recordSent(bytes: Bytes): void;
-  /** Delay until the next round if `bytes` are sent now. */
-  delayAfter(bytes: Bytes): Milliseconds;
+  /** Delay until the next round if `bytes` are sent to `targets` now. */
+  delayAfter(bytes: Bytes, targets: number): Milliseconds;
   /** True when an early round may be sent ahead of the budget. */
   hasCredit(): boolean;
+  /** Interval to announce in a heartbeat with the delay until the next one. */
+  announcedInterval(delay: Milliseconds): Milliseconds;
+  /** Maximum length of a heartbeat that is sent to `targets` peers. */
+  maxHeartbeatLength(targets: number): Bytes;
 }
 
-export function createPacer(clock: Clock): Pacer {
+export function createPacer(clock: Clock, pace: Pace = DEFAULT_PACE): Pacer {
+  const { bytesPerSecond, datagramsPerSecond, minInterval } = pace;
   let deficit: Bytes = 0;
   let updated = clock.monotonic();
 
@@ -44,7 +70,7 @@
     const elapsed = clock.monotonic() - updated;
     return Math.max(
       0,
-      deficit - elapsed * SEND_BUDGET / MILLISECONDS_PER_SECOND,
+      deficit - elapsed * bytesPerSecond / MILLISECONDS_PER_SECOND,
     );
   }
 
@@ -53,17 +79,19 @@
       deficit = currentDeficit() + bytes;
       updated = clock.monotonic();
     },
-    delayAfter(bytes) {
+    delayAfter(bytes, targets) {
       const delay = (currentDeficit() + bytes) * MILLISECONDS_PER_SECOND /
-        SEND_BUDGET;
-      return Math.max(MIN_INTERVAL, delay);
+        bytesPerSecond;
+      const spacing = targets * MILLISECONDS_PER_SECOND / datagramsPerSecond;
+      return Math.max(minInterval, delay, spacing);
+    },
+    hasCredit: () => currentDeficit() < MAX_DEFICIT_SECONDS * bytesPerSecond,
+    announcedInterval: (delay) => Math.max(delay, pace.minAnnouncedInterval),
+    maxHeartbeatLength(targets) {
+      const evenShare = bytesPerSecond / Math.max(1, targets) - HEADER_BYTES;
+      return Math.floor(
+        Math.min(MAX_DATAGRAM, Math.max(MIN_HEARTBEAT, evenShare)),
+      );
     },
-    hasCredit: () => currentDeficit() < MAX_DEFICIT,
   };
 }
-
-/** Maximum length of a heartbeat that is sent to `targets` peers. */
-export function maxHeartbeatLength(targets: number): Bytes {
-  const evenShare = SEND_BUDGET / Math.max(1, targets) - HEADER_BYTES;
-  return Math.floor(Math.min(MAX_DATAGRAM, Math.max(MIN_HEARTBEAT, evenShare)));
-}
--- a/packages/membership/src/sender.ts
+++ b/packages/membership/src/sender.ts
@@ -11,10 +11,11 @@
   type DatagramHeader,
   HEADER_BYTES,
   type Heartbeat,
+  MAX_DATAGRAM,
 } from "./datagram.ts";
 import type { LeavingUpstreams } from "./leaving_upstreams.ts";
 import type { MembershipOptions } from "./options.ts";
-import { maxHeartbeatLength, type Pacer } from "./pacer.ts";
+import type { Pacer } from "./pacer.ts";
 import type { PeerTable } from "./peer_table.ts";
 import { rankNamesByRendezvous } from "./rendezvous.ts";
 
@@ -65,6 +66,7 @@
     self,
   } = senderOptions;
   const { name, zone, transport, hybridClock } = options;
+  const isNeighbor = options.isNeighbor ?? ((other) => other === zone);
   let sequence = 0;
   let aggregates = 0;
   let interval: Milliseconds = 0;
@@ -94,7 +96,10 @@
   /** Peers that are not dead, and silent addresses whose probe is due. */
   function chooseTargets(): readonly string[] {
     const own = transport.address();
-    const peers = table.list();
+    const peers = table.list().filter(({ address }) => {
+      const listedZone = candidates.zoneOf(address);
+      return listedZone === undefined || isNeighbor(listedZone);
+    });
     const answering = peers
       .filter((peer) => peer.state !== "dead")
       .map((peer) => peer.address);
@@ -102,7 +107,9 @@
       .filter((peer) => peer.state === "dead")
       .map((peer) => peer.address)
       .filter((address) => !candidates.isLeaving(address));
-    const listed = candidates.listZone(zone).map((seed) => seed.address);
+    const listed = candidates.zones().filter(isNeighbor)
+      .flatMap((neighbor) => candidates.listZone(neighbor))
+      .map((seed) => seed.address);
     const silent = [...new Set([...dead, ...listed])].filter((address) =>
       address !== own && !answering.includes(address)
     );
@@ -121,19 +128,21 @@
       ...(leaving.length > 0 && { leaving }),
     };
     // The longest interval has two more digits than the placeholder.
-    const digestLimit = maxHeartbeatLength(targets) - codec.measure(base) - 2;
+    const digestLimit = pacer.maxHeartbeatLength(targets) -
+      codec.measure(base) - 2;
     const digest = digestLimit > 0
       ? options.createDigest?.(digestLimit)
       : undefined;
     const full = digest === undefined ? base : { ...base, digest };
     const length = codec.measure(full) + 2 + HEADER_BYTES;
-    return { ...full, interval: pacer.delayAfter(length * targets) };
+    const delay = pacer.delayAfter(length * targets, targets);
+    interval = delay;
+    return { ...full, interval: pacer.announcedInterval(delay) };
   }
 
   function sendRound(): void {
     const targets = chooseTargets();
     const heartbeat = composeHeartbeat(targets.length);
-    interval = heartbeat.interval;
     const encoded = codec.encode(heartbeat);
     if (encoded.isErr()) return;
     for (const target of targets) sendBytes(target, encoded.value);
@@ -154,14 +163,12 @@
   function sendAggregates(): void {
     const pair = Math.floor(aggregates / AGGREGATES_PER_PAIR);
     aggregates += 1;
-    const content = options.createAggregate?.() ?? null;
-    const datagram = {
-      kind: "aggregate",
-      ...createHeader(),
-      zone,
-      content,
-    } as const;
-    const otherZones = candidates.zones().filter((other) => other !== zone);
+    const header = createHeader();
+    const base = { kind: "aggregate", ...header, zone, content: "" } as const;
+    const limit = MAX_DATAGRAM - codec.measure(base);
+    const content = options.createAggregate?.(limit) ?? null;
+    const datagram = { ...base, content };
+    const otherZones = candidates.zones().filter((other) => !isNeighbor(other));
     for (const other of otherZones) {
       const seeds = candidates.listZone(other).map((seed) => seed.address);
       const ranked = rankNamesByRendezvous(`${zone} ${pair}`, seeds);
--- a/packages/retries/src/budget.ts
+++ b/packages/retries/src/budget.ts
@@ -5,14 +5,14 @@
  */
 
 export abstract class AttemptBudget {
-  /** Adds the credit of one first attempt of the customer. */
-  abstract recordFirstAttempt(customer: string): void;
+  /** Adds the credit of one first attempt of the key, such as a customer. */
+  abstract recordFirstAttempt(key: string): void;
 
-  /** Whether the budget allows an extra attempt of the customer. */
-  abstract canTake(customer: string): boolean;
+  /** Whether the budget allows an extra attempt of the key. */
+  abstract canTake(key: string): boolean;
 
   /** Consumes one extra attempt if the budget allows it; false otherwise. */
-  abstract tryTake(customer: string): boolean;
+  abstract tryTake(key: string): boolean;
 }
 
 export interface AttemptBudgetOptions {
--- a/packages/retries/src/mod.ts
+++ b/packages/retries/src/mod.ts
@@ -10,3 +10,4 @@
 export * from "./hedge.ts";
 export * from "./latency_window.ts";
 export * from "./relay.ts";
+export * from "./window_budget.ts";
--- a/packages/retries/src/window_budget.ts
+++ b/packages/retries/src/window_budget.ts
@@ -1,28 +1,25 @@
 /**
- * Retry budget for each service. Each daemon may retry a fixed share of its own
- * requests, so the total over all daemons stays within the limit without
- * communication, also when they cannot reach each other.
+ * Attempt budget over a sliding window, for upstreams that limit retries in each
+ * window. Each daemon takes a fixed share of its own requests, so the total of
+ * all daemons stays within the limit without communication, also when they
+ * cannot reach each other.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
+import { AttemptBudget } from "./budget.ts";
 
-export abstract class RetryBudget {
-  abstract recordRequest(service: string): void;
-  /** Takes one retry from the budget; returns false when none is left. */
-  abstract take(service: string): boolean;
-  /** Number of retries left now. */
-  abstract left(service: string): number;
+export abstract class WindowBudget extends AttemptBudget {
+  /** Extra attempts left now. */
+  abstract left(key: string): number;
 }
 
-export interface RetryBudgetOptions {
+export interface WindowBudgetOptions {
   readonly clock: Clock;
-  /** Retries per request that all daemons together may make. */
+  /** Extra attempts per first attempt that all daemons together may make. */
   readonly ratio: number;
-  /**
-   * Length of the sliding window over which requests and retries are counted.
-   */
+  /** Length of the sliding window over which attempts are counted. */
   readonly window: Milliseconds;
-  /** Retries that this daemon may make in one window beyond the ratio. */
+  /** Extra attempts of this daemon in one window beyond the ratio. */
   readonly allowance: () => number;
 }
 
@@ -36,49 +33,54 @@
 
 interface Slice {
   readonly index: number;
-  requests: number;
-  retries: number;
+  firstAttempts: number;
+  extraAttempts: number;
 }
 
-export function createRetryBudget(options: RetryBudgetOptions): RetryBudget {
+/** Creates a budget with a window of its own for each key. */
+export function createWindowBudget(options: WindowBudgetOptions): WindowBudget {
   const { clock, ratio, window, allowance } = options;
-  const services = new Map<string, Slice[]>();
+  const slicesByKey = new Map<string, Slice[]>();
   const sliceLength = window / SLICE_COUNT;
 
-  function slicesOf(service: string): Slice[] {
+  function slicesOf(key: string): Slice[] {
     const index = Math.floor(clock.monotonic() / sliceLength);
-    const slices = (services.get(service) ?? []).filter((slice) =>
+    const slices = (slicesByKey.get(key) ?? []).filter((slice) =>
       slice.index > index - SLICE_COUNT - 1
     );
     if (slices.at(-1)?.index !== index) {
-      slices.push({ index, requests: 0, retries: 0 });
+      slices.push({ index, firstAttempts: 0, extraAttempts: 0 });
     }
-    services.set(service, slices);
+    slicesByKey.set(key, slices);
     return slices;
   }
 
-  function left(slices: readonly Slice[]): number {
-    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0);
-    const retries = slices.reduce((sum, slice) => sum + slice.retries, 0);
-    return allowance() + requests * ratio * USED_SHARE - retries;
+  function remaining(slices: readonly Slice[]): number {
+    const first = slices.reduce((sum, slice) => sum + slice.firstAttempts, 0);
+    const extra = slices.reduce((sum, slice) => sum + slice.extraAttempts, 0);
+    return allowance() + first * ratio * USED_SHARE - extra;
   }
 
-  return new (class extends RetryBudget {
-    override recordRequest(service: string): void {
-      const last = slicesOf(service).at(-1);
-      if (last !== undefined) last.requests += 1;
+  return new (class extends WindowBudget {
+    override recordFirstAttempt(key: string): void {
+      const last = slicesOf(key).at(-1);
+      if (last !== undefined) last.firstAttempts += 1;
     }
 
-    override take(service: string): boolean {
-      const slices = slicesOf(service);
+    override canTake(key: string): boolean {
+      return remaining(slicesOf(key)) >= 1;
+    }
+
+    override tryTake(key: string): boolean {
+      const slices = slicesOf(key);
       const last = slices.at(-1);
-      if (last === undefined || left(slices) < 1) return false;
-      last.retries += 1;
+      if (last === undefined || remaining(slices) < 1) return false;
+      last.extraAttempts += 1;
       return true;
     }
 
-    override left(service: string): number {
-      return Math.max(0, Math.floor(left(slicesOf(service))));
+    override left(key: string): number {
+      return Math.max(0, Math.floor(remaining(slicesOf(key))));
     }
   })();
 }
