Know which callers have left before a late process sends

Node also closes the response some turns after it has read the end of the socket.

Change: a lag detector; while the loop is late a request is sent only after the sockets were read once more, an attempt whose connection is ready late fails unsent, and waiting requests are placed after the sockets were read. The end of the caller's socket counts at once.

--- a/packages/dispatch/src/cache_journal.ts
+++ b/packages/dispatch/src/cache_journal.ts
@@ -131,8 +131,8 @@
 interface Copy {
   readonly follower: string;
   readonly epoch: number;
-  /** Time at which this daemon first knew of the epoch. */
-  readonly since: Milliseconds;
+  /** Time from which the store may be written to. */
+  readonly settledAt: Milliseconds;
   /** Number of the next event. */
   next: number;
   readAt: Milliseconds;
@@ -148,6 +148,12 @@
 /** Time after which no fetch from an earlier epoch can be under way. */
 const SETTLING_TIME: Milliseconds = MAX_READ_AGE + MAX_FETCH;
 
+/**
+ * Shorter time for the first epoch that a daemon knows of, which is seldom new:
+ * others have stopped using the one before.
+ */
+const FIRST_SETTLING_TIME: Milliseconds = MAX_READ_AGE;
+
 const SELF = "";
 
 export function createStoreCopies(
@@ -167,10 +173,10 @@
     const known = copies.get(store);
     const isKnown = known?.epoch === epoch;
     if (!isKnown) cache.clear(store);
-    const now = clock.monotonic();
+    const settling = known === undefined ? FIRST_SETTLING_TIME : SETTLING_TIME;
     const copy: Copy = {
       ...{ follower, epoch, next: 0, readAt: -Infinity, isComplete: false },
-      since: isKnown ? known.since : now,
+      settledAt: isKnown ? known.settledAt : clock.monotonic() + settling,
     };
     copies.set(store, copy);
     return copy;
@@ -223,8 +229,7 @@
     },
     isSettled(store) {
       const copy = copies.get(store);
-      return copy !== undefined &&
-        clock.monotonic() - copy.since >= SETTLING_TIME;
+      return copy !== undefined && clock.monotonic() >= copy.settledAt;
     },
   };
 }
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -60,7 +60,18 @@
  */
 const MAX_REFUSED_PER_PASS = 8;
 
-export function createPlacementQueue(clock: Clock): PlacementQueue {
+export interface PlacementQueueOptions {
+  /**
+   * Returns true when this process runs late. Waiting requests are then placed
+   * only after the process has read which callers have left.
+   */
+  readonly isLate?: () => boolean;
+}
+
+export function createPlacementQueue(
+  clock: Clock,
+  { isLate = () => false }: PlacementQueueOptions = {},
+): PlacementQueue {
   let waiting: readonly QueueEntry[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isPlacing = false;
@@ -91,9 +102,12 @@
   function schedule(): void {
     if (waiting.length === 0 || timer !== undefined) return;
     timer = setTimeout(() => {
-      timer = undefined;
-      dropExpired();
-      placeEntries();
+      // Timers run before the sockets are read.
+      setImmediate(() => {
+        timer = undefined;
+        dropExpired();
+        placeEntries();
+      });
     }, RETRY_PERIOD);
   }
 
@@ -137,7 +151,9 @@
     }
 
     override retry(): void {
-      if (waiting.length > 0) placeEntries();
+      if (waiting.length === 0) return;
+      if (isLate()) schedule();
+      else placeEntries();
     }
 
     override estimateWait(rank: number): Milliseconds {
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -57,13 +57,21 @@
 }
 
 export function createCaller(options: CallerOptions): Caller {
-  const { response, requestId, shouldCloseConnection } = options;
+  const { request, response, requestId, shouldCloseConnection } = options;
   const listeners: (() => void)[] = [];
   let isDisconnected = false;
-  response.once("close", () => {
-    if (response.writableFinished) return;
+  function recordDisconnect(): void {
+    if (isDisconnected || response.writableFinished) return;
     isDisconnected = true;
     for (const listener of listeners) listener();
+  }
+  // The end of the socket is read some turns of the event loop before the
+  // response closes.
+  const { socket } = request;
+  socket.once("end", recordDisconnect);
+  response.once("close", () => {
+    socket.off("end", recordDisconnect);
+    recordDisconnect();
   });
   // A connection reset is also followed by "close", which handles it.
   response.on("error", () => {});
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -16,8 +16,16 @@
   /** Flat list of names and values. */
   readonly headers: string[];
   readonly body: Uint8Array | undefined;
+  /**
+   * Asked before the first byte is written; when it returns false, the attempt
+   * fails unsent with the reason `LATE_START`.
+   */
+  readonly mayStart?: () => boolean;
 }
 
+/** Reason of an attempt whose connection was ready too late. */
+export const LATE_START = "the process runs late";
+
 export interface ResponseHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -163,6 +171,10 @@
         started.abort(new Error(cancelReason));
         return;
       }
+      if (request.mayStart?.() === false) {
+        started.abort(new Error(LATE_START));
+        return;
+      }
       controller = started;
     },
     onResponseStart(started, status, headers) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -35,6 +35,7 @@
 import { createConnectionPools } from "./connection_pools.ts";
 import { createTableFollower, type TableFollower } from "./table_follower.ts";
 import { createFrontend } from "./frontend.ts";
+import { createLoopLag } from "./loop_lag.ts";
 import { createMeters } from "./meters.ts";
 import type { Address, GatewayOptions } from "./options.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
@@ -262,7 +263,10 @@
     wait: DAEMONS_LONG_POLL_WAIT,
     pause: DAEMONS_PAUSE,
     mayRead: createReaderCheck(DAEMON_TABLE, DAEMONS_LONG_POLL_WAIT),
-    onSnapshot: (rows) => registration.replaceAll(rows),
+    onSnapshot(rows) {
+      registration.replaceAll(rows);
+      cacheFeed.refresh();
+    },
     onChange: (rows, removed) => registration.applyChanges(rows, removed),
   });
   const tables: ReadonlyMap<string, TableFollower> = new Map([
@@ -291,7 +295,8 @@
         settings.retrySlack * SLACK_SHARE / (peerCount() + SPARE_DAEMONS),
       ),
   });
-  const queue = createPlacementQueue(clock);
+  const loopLag = createLoopLag(clock);
+  const queue = createPlacementQueue(clock, { isLate: loopLag.isLate });
   const sentParts = createSentPartsQueue({
     cache,
     isNeeded: () => !followsReplicas(),
@@ -331,6 +336,7 @@
     prefillRates,
     replicaClock,
     maxConnectionsOf,
+    loopLag,
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -430,7 +436,9 @@
   /** Each group of neighbors has its share of the followers of a store. */
   function listCacheHolders(): readonly CacheHolder[] {
     const group = mesh;
-    if (group === undefined || !isDiscovered) return [];
+    if (group === undefined || daemonFollower.version() === 0) return [];
+    // In a small fleet every daemon follows all; elsewhere ranks decide.
+    if (!isDiscovered && !followsReplicas()) return [];
     const followers = Math.max(
       1,
       Math.floor(MAX_FOLLOWERS / group.groupCount()),
@@ -585,6 +593,7 @@
       cacheCleaner.run(signal),
       meters.watchEventLoop(signal),
       followCachesAfterDiscovery(signal),
+      loopLag.run(signal),
       ...(mesh === undefined ? [] : [mesh.run(signal)]),
     ];
     for (const task of tasks) {
--- /dev/null
+++ b/packages/gateway/src/loop_lag.ts
@@ -0,0 +1,58 @@
+/**
+ * Notices when the event loop runs late. A process that is short of processor
+ * time reads a request long after it arrived, and its caller may have left
+ * meanwhile: the close lies in the same socket behind the request and is read
+ * only in a later turn of the loop.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+
+export interface LoopLag {
+  /** Measures the lag until the signal aborts. */
+  run(signal: AbortSignal): Promise<void>;
+  /** Returns true when events may have waited for long. */
+  isLate(): boolean;
+  /** When the loop is late, resolves after it has read all sockets once more. */
+  settle(): Promise<void>;
+}
+
+const TICK_PERIOD: Milliseconds = 100;
+
+/** Callers notice nothing of a shorter lag. */
+const MAX_LAG: Milliseconds = 200;
+
+/** Time after a late tick in which the waiting connections are read. */
+const RECOVERY_TIME: Milliseconds = 300;
+
+export function createLoopLag(clock: Clock): LoopLag {
+  let lastTick = clock.monotonic();
+  /** Time until which the effects of a late tick are still being read. */
+  let lateUntil = -Infinity;
+
+  const isLate = () => isOverdue() || clock.monotonic() < lateUntil;
+  const isOverdue = () => clock.monotonic() - lastTick > TICK_PERIOD + MAX_LAG;
+
+  return {
+    async run(signal) {
+      while (!signal.aborted) {
+        lastTick = clock.monotonic();
+        await clock.sleep(TICK_PERIOD, signal);
+        if (!isOverdue()) continue;
+        // The timer of this tick ran before the sockets are read, and a
+        // connection, its request and its close are read one after the other.
+        lateUntil = clock.monotonic() + RECOVERY_TIME;
+      }
+    },
+    isLate,
+    async settle() {
+      if (isLate()) await readSockets();
+    },
+  };
+}
+
+/** Resolves when the loop has ended the present turn and read the sockets. */
+async function readSockets(): Promise<void> {
+  for (const _turn of [1, 2]) {
+    await new Promise<void>((resolve) => setImmediate(resolve));
+  }
+}
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -38,12 +38,14 @@
   watchAttempt,
 } from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
-import type {
-  Attempt,
-  AttemptFailure,
-  ConnectionPools,
+import {
+  type Attempt,
+  type AttemptFailure,
+  type ConnectionPools,
+  LATE_START,
 } from "./connection_pools.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
@@ -72,6 +74,7 @@
    */
   readonly maxConnectionsOf: (service: string) => number;
   readonly meters: Meters;
+  readonly loopLag: LoopLag;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -185,6 +188,7 @@
     const end = (ending: Ending): RelayResult => ({ ending, sends });
 
     for (;;) {
+      await options.loopLag.settle();
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
       if (options.stopped.aborted) return fail(lastReason, 502);
@@ -232,6 +236,8 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
+          // Another replica would start no earlier.
+          if (outcome.reason === LATE_START) continue;
           unsent += 1;
           if (unsent >= MAX_UNSENT) return fail(outcome.reason, 502);
           break;
@@ -312,6 +318,7 @@
       const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
         started;
       const attempt = pools.open({
+        mayStart: () => !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         method: forwarded.method,
