Take rows from neighbors when a daemon's own reads fail, and settle first requests

It was the reader of the table, its own calls failed, and it took nothing from its neighbors, since their reads counted as contact. The first request of a connection now waits until the sockets were read once more.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -18,8 +18,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import { createCaller, readBody, type Refusal } from "./caller.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
+import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import type { createRelay, Ending } from "./relay.ts";
 import type { ActiveState, StateHolder } from "./state_holder.ts";
@@ -32,6 +34,7 @@
   readonly relay: ReturnType<typeof createRelay>;
   readonly meters: Meters;
   readonly requestIdHeader: string;
+  readonly loopLag: LoopLag;
 }
 
 export abstract class Frontend {
@@ -61,8 +64,11 @@
 
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
+  const { loopLag } = options;
   let inFlight = 0;
   let isKeepAliveDisabled = false;
+  /** Connections on which a request has been read. */
+  const knownSockets = new WeakSet<Socket>();
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
@@ -125,6 +131,12 @@
     if (body.kind === "too long") {
       return decline({ status: 413, reason: "body too long" }, route);
     }
+    if (!knownSockets.has(request.socket)) {
+      knownSockets.add(request.socket);
+      // A connection that was accepted late may bring the close of its caller
+      // right behind the request.
+      await loopLag.readSockets();
+    }
     const service = chooseTarget(route, Math.random());
     if (service === undefined) {
       return decline({ status: 503, reason: "no service" }, route);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -354,6 +354,7 @@
     holder,
     relay,
     meters,
+    loopLag,
     requestIdHeader: options.requestIdHeader,
   });
   const cacheFeed = createCacheFeed({
--- a/packages/gateway/src/loop_lag.test.ts
+++ b/packages/gateway/src/loop_lag.test.ts
@@ -65,6 +65,43 @@
   server.close();
 });
 
+// Guards against the same fault in a process that runs in time: a connection
+// whose first packet was lost is accepted when its caller has already left
+// (further-grown trouble-1, request at 39.6 s read at 42.2 s).
+test("a close right behind the request is read before the request is sent", {
+  timeout: 20_000,
+}, async () => {
+  const lag = createLoopLag(createSystemClock());
+  const server = createServer();
+  const seen = new Promise<readonly boolean[]>((resolve) => {
+    server.on("request", async (request, response) => {
+      const caller = createCaller({
+        request,
+        response,
+        requestId: { name: "request-id", value: "r" },
+        shouldCloseConnection: () => false,
+      });
+      const before = caller.hasDisconnected();
+      await lag.readSockets();
+      resolve([before, caller.hasDisconnected()]);
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const script = IMPATIENT_CALLER.replace("100", "0");
+  const child = spawn(process.execPath, ["-e", script, `${port}`]);
+  await once(child.stdout, "data");
+  child.stdin.write("go");
+  // The request and the close are both in the socket when the loop reads it.
+  await new Promise((resolve) => setImmediate(resolve));
+  block(BLOCKED_MILLISECONDS);
+  expect(await seen).toEqual([false, true]);
+  child.kill();
+  server.closeAllConnections();
+  server.close();
+});
+
 test("a loop that runs in time is not late", async () => {
   const lag = createLoopLag(createSystemClock());
   const stop = new AbortController();
--- a/packages/gateway/src/loop_lag.ts
+++ b/packages/gateway/src/loop_lag.ts
@@ -14,6 +14,8 @@
   isLate(): boolean;
   /** When the loop is late, resolves after it has read all sockets once more. */
   settle(): Promise<void>;
+  /** Resolves after the loop has read all sockets once more. */
+  readSockets(): Promise<void>;
 }
 
 const TICK_PERIOD: Milliseconds = 100;
@@ -52,16 +54,23 @@
       }
     },
     isLate,
+    async readSockets() {
+      await shareReading();
+    },
     async settle() {
       for (let round = 0; round < MAX_ROUNDS && isLate(); round += 1) {
-        reading ??= readSockets().finally(() => reading = undefined);
-        const readAt = await reading;
+        const readAt = await shareReading();
         // Others that waited may have run before, and closes arrived meanwhile.
         if (clock.monotonic() - readAt < MAX_READ_AGE) return;
       }
     },
   };
 
+  function shareReading(): Promise<Milliseconds> {
+    reading ??= readSockets().finally(() => reading = undefined);
+    return reading;
+  }
+
   /** Resolves with the time at which the sockets were read. */
   async function readSockets(): Promise<Milliseconds> {
     await nextTurn();
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -272,7 +272,7 @@
     if (follower === undefined) return;
     if (news.age !== undefined) follower.recordPeerRead(news.age);
     if (news.contentVersion <= follower.contentVersion()) return;
-    if (follower.isReading() && !follower.isStale()) return;
+    if (!follower.needsPeers()) return;
     void fetchRows(peer, news.table, follower);
   }
 
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -152,11 +152,30 @@
   expect(follower.rows().length).toEqual(1);
 });
 
-test("a read of a peer counts as contact", () => {
+test("a read of a peer counts as contact, but not as an own read", () => {
   const { follower, stop } = follow([], [], () => false);
   stop.abort();
-  expect(follower.isStale()).toEqual(true);
+  expect(follower.lastContact()).toEqual(-Infinity);
   follower.recordPeerRead(100);
-  expect(follower.isStale()).toEqual(false);
+  expect(follower.lastContact() > -Infinity).toEqual(true);
   expect(follower.lastOwnRead()).toEqual(-Infinity);
 });
+
+// Guards against a reader whose own calls fail and that takes nothing from its
+// neighbors either, because it hears of their reads (further-grown trouble-1,
+// CONFIG: a daemon kept version 4 for the whole day).
+test("a reader whose reads fail takes rows from peers", async () => {
+  const { follower, stop } = follow([], []);
+  await settle();
+  follower.recordPeerRead(0);
+  expect(follower.isReading()).toEqual(true);
+  expect(follower.needsPeers()).toEqual(true);
+  stop.abort();
+});
+
+test("a reader whose reads succeed takes nothing from peers", async () => {
+  const { follower, stop } = follow([{ rows: [row("a", 3)], version: 5 }], []);
+  await settle();
+  expect(follower.needsPeers()).toEqual(false);
+  stop.abort();
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -42,8 +42,11 @@
   abstract version(): number;
   /** Version of the newest row change that matters. */
   abstract contentVersion(): number;
-  /** Returns true when no read has been known of for longer than usual. */
-  abstract isStale(): boolean;
+  /**
+   * Returns true when rows are to be taken from peers, because this daemon does
+   * not read the table or its own reads fail.
+   */
+  abstract needsPeers(): boolean;
   /** Returns true while this daemon reads the table from the store. */
   abstract isReading(): boolean;
   abstract rows(): readonly FeedRow[];
@@ -173,9 +176,11 @@
       return known.contentVersion();
     }
 
-    override isStale(): boolean {
+    override needsPeers(): boolean {
+      if (!isReading || lostSince !== undefined) return true;
+      // The reads of peers say nothing of this daemon's own.
       const allowed = wait + pause + STALE_AFTER;
-      return clock.monotonic() - lastContact > allowed;
+      return clock.monotonic() - lastOwnRead > allowed;
     }
 
     override isReading(): boolean {
