--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,27 +14,24 @@
   createWeightTargets,
   isOutdatedSalt,
   readSalt,
-  type ReplicaEntry,
   type StoreTraits,
 } from "@peridotvalve/dispatch";
 import { createLease } from "@peridotvalve/lease";
 import { createLoadView } from "@peridotvalve/load";
-import {
-  createReadingDuty,
-  createUdpTransport,
-} from "@peridotvalve/membership";
+import { createUdpTransport } from "@peridotvalve/membership";
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
 import { createWindowBudget } from "@peridotvalve/retries";
 import type { FeedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
-import { isDeepStrictEqual } from "node:util";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createCacheCleaner } from "./cache_cleaner.ts";
-import { type CacheHolder, createCacheFeed } from "./cache_feed.ts";
+import { createCacheFeed } from "./cache_feed.ts";
 import { createConnectionPools } from "./connection_pools.ts";
-import { createTableFollower, type TableFollower } from "./table_follower.ts";
+import { takeChangedSettings } from "./changed_settings.ts";
+import { createFollowedCaches } from "./followed_caches.ts";
+import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
 import { createFrontend } from "./frontend.ts";
 import { createLoopLag } from "./loop_lag.ts";
 import { createMeters } from "./meters.ts";
@@ -62,30 +59,6 @@
   abstract stop(reason: string): Promise<void>;
 }
 
-/**
- * Shares of the limits on the spread of a state and on leaving replicas after
- * which a read is repeated. The rest is for the next reader to take over and to
- * tell its neighbors.
- */
-const STATE_WAIT_SHARE = 0.4;
-const REPLICAS_PAUSE_SHARE = 0.36;
-const DAEMONS_LONG_POLL_WAIT: Milliseconds = 10_000;
-
-/** Collects the rows that daemons write at a common start. */
-const DAEMONS_PAUSE: Milliseconds = 300;
-
-/** Daemons of a group of neighbors that read the same table. */
-const TABLE_READERS = 1;
-
-/** Silence beyond the period of a reader after which the next one reads. */
-const READER_SILENCE: Milliseconds = 500;
-
-/**
- * Cache event calls to one replica or store. It accepts 12; the rest is for
- * followers that take over.
- */
-const MAX_FOLLOWERS = 10;
-
 /** Time after a start in which the neighbors become known. */
 const DISCOVERY_TIME: Milliseconds = 1_500;
 
@@ -122,8 +95,6 @@
 /** A replica that sent data within this time is not treated as silent here. */
 const MAX_LOCAL_SILENCE: Milliseconds = 900;
 
-const DAEMON_TABLE = "daemons";
-
 /** Reason of attempts that are still open at the end of the grace period. */
 const STOPPING = "the daemon stops";
 
@@ -146,7 +117,6 @@
   });
   let isDraining = false;
   let hasReplicaList = false;
-  let hasOperatorSnapshot = false;
   let mesh: PeerMesh | undefined;
   /** True when the live neighbors of this daemon should be known. */
   let isDiscovered = false;
@@ -176,68 +146,6 @@
     },
   });
 
-  /**
-   * Decides whether this daemon reads a table itself, given the time since the
-   * newest read of a neighbor.
-   */
-  function createReaderCheck(table: string, period: Milliseconds) {
-    const duty = createReadingDuty({
-      readers: TABLE_READERS,
-      silenceLimit: period + READER_SILENCE,
-    });
-    let wasReader = true;
-    return (age: Milliseconds): boolean => {
-      const isReader = duty.isDue(mesh?.rank(`table ${table}`) ?? 0, age);
-      if (isReader !== wasReader) {
-        wasReader = isReader;
-        logger.log("reader_changed", { table, isReader, age });
-      }
-      return isReader;
-    };
-  }
-
-  const stateWait = settings.configurationLimit * STATE_WAIT_SHARE;
-  const operatorFollower = createTableFollower({
-    clock,
-    logger,
-    feed: options.feed,
-    table: codec.operatorTable,
-    wait: stateWait,
-    pause: 0,
-    mayRead: createReaderCheck(codec.operatorTable, stateWait),
-    onSnapshot(rows) {
-      for (const row of rows) applyOperatorRow(row, !hasOperatorSnapshot);
-      hasOperatorSnapshot = true;
-    },
-    onChange(rows) {
-      for (const row of rows) applyOperatorRow(row, false);
-    },
-  });
-  const replicasPause = settings.drainLimit * REPLICAS_PAUSE_SHARE;
-  const replicaFollower = createTableFollower({
-    clock,
-    logger,
-    feed: options.feed,
-    table: codec.replicaTable,
-    wait: 0,
-    // Entries change with every heartbeat, so a long poll would not wait.
-    pause: replicasPause,
-    mayRead: createReaderCheck(codec.replicaTable, replicasPause),
-    fingerprintOf: ({ key, value }) => fingerprintEntry(key, value),
-    onContact: () => replicas.recordListRead(),
-    onSnapshot(rows) {
-      hasReplicaList = true;
-      replicas.replaceAll(rows.flatMap(decodeEntry));
-    },
-    onChange(rows, removed) {
-      for (const key of removed) replicas.remove(key);
-      for (const row of rows) {
-        const [entry] = decodeEntry(row);
-        if (entry === undefined) replicas.remove(row.key);
-        else replicas.put(entry);
-      }
-    },
-  });
   const registration = createRegistration({
     clock,
     logger,
@@ -262,27 +170,26 @@
       calls: formatAddress(seed),
     })),
   });
-  const daemonFollower = createTableFollower({
-    clock,
-    logger,
+  const rank = (duty: string) => mesh?.rank(duty) ?? 0;
+  const tables = createFollowedTables({
+    ...{ clock, logger, codec, settings, replicas, registration },
     feed: options.feed,
-    table: DAEMON_TABLE,
-    wait: DAEMONS_LONG_POLL_WAIT,
-    pause: DAEMONS_PAUSE,
-    mayRead: createReaderCheck(DAEMON_TABLE, DAEMONS_LONG_POLL_WAIT),
-    onSnapshot(rows) {
-      registration.replaceAll(rows);
-      cacheFeed.refresh();
-    },
-    onChange: (rows, removed) => registration.applyChanges(rows, removed),
+    rank,
+    onOperatorRow: applyOperatorRow,
+    onReplicasKnown: () => hasReplicaList = true,
+    onDaemonsRead: () => cacheFeed.refresh(),
   });
-  const tables: ReadonlyMap<string, TableFollower> = new Map([
-    [codec.operatorTable, operatorFollower],
-    [codec.replicaTable, replicaFollower],
-    [DAEMON_TABLE, daemonFollower],
-  ]);
   const peerCount = () => Math.max(1, registration.peers().length);
 
+  const followedCaches = createFollowedCaches({
+    replicas,
+    rank,
+    stores: listStores,
+    daemons: peerCount,
+    groups: () => mesh?.groupCount() ?? 1,
+    knowsDaemons: () => tables.daemons.version() > 0,
+    knowsNeighbors: () => isDiscovered,
+  });
   const placement = createPlacement({
     replicas,
     load,
@@ -291,7 +198,7 @@
     topology: settings.topology,
     memoryOf,
     transfers,
-    knowsCaches: followsReplicas,
+    knowsCaches: followedCaches.includesReplicas,
   });
   const budget = createWindowBudget({
     clock,
@@ -307,15 +214,15 @@
   const queue = createPlacementQueue(clock, { isLate: loopLag.isLate });
   const sentParts = createSentPartsQueue({
     cache,
-    isNeeded: () => !followsReplicas(),
+    isNeeded: () => !followedCaches.includesReplicas(),
   });
   const meters = createMeters(clock, () => ({
     inFlight: frontend.inFlight(),
     peers: peerCount() - 1,
     waiting: queue.size(),
     stateVersion: holder.current()?.state.version ?? 0,
-    stateAge: clock.monotonic() - operatorFollower.lastContact(),
-    listAge: clock.monotonic() - replicaFollower.lastContact(),
+    stateAge: clock.monotonic() - tables.operator.lastContact(),
+    listAge: clock.monotonic() - tables.replicas.lastContact(),
     replicas: replicas.all().map(({ entry, weights: known }) => ({
       service: entry.service,
       state: entry.state,
@@ -365,7 +272,7 @@
     journal,
     copies,
     replicaClock,
-    holders: listCacheHolders,
+    holders: followedCaches.list,
   });
   const cacheCleaner = createCacheCleaner({
     clock,
@@ -417,7 +324,7 @@
       avoidBusy(rollouts.loading());
       mesh?.announce();
     },
-    rank: () => mesh?.rank("rollouts") ?? 0,
+    rank: () => rank("rollouts"),
     mayContend: () => !isDraining,
   });
   const servers: Server[] = [];
@@ -437,31 +344,6 @@
     );
   }
 
-  /** True when every daemon may follow the cache events of every replica. */
-  function followsReplicas(): boolean {
-    return peerCount() <= MAX_FOLLOWERS;
-  }
-
-  /** Each group of neighbors has its share of the followers of a store. */
-  function listCacheHolders(): readonly CacheHolder[] {
-    const group = mesh;
-    if (group === undefined || daemonFollower.version() === 0) return [];
-    // In a small fleet every daemon follows all; elsewhere ranks decide.
-    if (!isDiscovered && !followsReplicas()) return [];
-    const followers = Math.max(
-      1,
-      Math.floor(MAX_FOLLOWERS / group.groupCount()),
-    );
-    const stores = listStores()
-      .filter(({ address }) => group.rank(`store ${address}`) < followers)
-      .map(({ address }) => ({ id: address, address, isStore: true }));
-    if (!followsReplicas()) return stores;
-    const engines = replicas.all()
-      .filter(({ entry }) => entry.weights.size > 0)
-      .map(({ entry: { id, address } }) => ({ id, address, isStore: false }));
-    return [...engines, ...stores];
-  }
-
   /** Stores keep all parts; a replica evicts what exceeds its memory. */
   function memoryOfHolder(holder: string): Tokens {
     const replica = replicas.find(holder);
@@ -498,23 +380,6 @@
     logger.log("weights_named", { model, version });
   }
 
-  /** Text that differs when more than the heartbeat of an entry does. */
-  function fingerprintEntry(key: string, value: FeedRow["value"]): string {
-    const entry = codec.readEntry(key, value);
-    if (entry.isErr()) return "malformed";
-    return JSON.stringify({
-      ...entry.value,
-      weights: [...entry.value.weights],
-    });
-  }
-
-  function decodeEntry({ key, value }: FeedRow): readonly ReplicaEntry[] {
-    const entry = codec.readEntry(key, value);
-    if (entry.isOk()) return [entry.value];
-    logger.log("entry_rejected", { key, reason: entry.error });
-    return [];
-  }
-
   const isReady = () =>
     !isDraining && holder.current() !== undefined && hasReplicaList;
 
@@ -529,7 +394,7 @@
 
   async function openServers(): Promise<Result<void, string>> {
     const peerServer = createPeerServer({
-      tables,
+      tables: tables.byName,
       dumpStore: (store) => journal.dump(store),
     });
     const ready = openStatusServer();
@@ -560,7 +425,7 @@
       transport: transport.value,
       calls: peerClient,
       registration,
-      tables,
+      tables: tables.byName,
       load,
       replicas,
       cache,
@@ -594,9 +459,7 @@
   function startTasks(): void {
     const { signal } = stopController;
     const tasks: readonly Promise<void>[] = [
-      operatorFollower.run(signal),
-      replicaFollower.run(signal),
-      daemonFollower.run(signal),
+      ...[...tables.byName.values()].map((table) => table.run(signal)),
       registration.run(signal),
       rollouts.run(signal),
       cacheCleaner.run(signal),
@@ -618,13 +481,9 @@
     }
 
     override applySettings(next: GatewaySettings): readonly string[] {
-      const needRestart = listFixedChanges(settings, next);
-      const { grace, weightGracePeriod, retryRatio, retrySlack } = next;
-      settings = {
-        ...settings,
-        ...{ grace, weightGracePeriod, retryRatio, retrySlack },
-      };
-      return needRestart;
+      const taken = takeChangedSettings(settings, next);
+      settings = taken.settings;
+      return taken.needRestart;
     }
 
     override async start(): Promise<Result<void, string>> {
@@ -664,24 +523,6 @@
   })();
 }
 
-/** Settings that take effect while the daemon runs. */
-const CHANGEABLE: ReadonlySet<string> = new Set<keyof GatewaySettings>([
-  "grace",
-  "weightGracePeriod",
-  "retryRatio",
-  "retrySlack",
-]);
-
-function listFixedChanges(
-  present: GatewaySettings,
-  next: GatewaySettings,
-): readonly string[] {
-  const names = Object.keys(present) as (keyof GatewaySettings)[];
-  return names.filter((name) =>
-    !CHANGEABLE.has(name) && !isDeepStrictEqual(present[name], next[name])
-  );
-}
-
 function formatAddress({ host, port }: Address): string {
   return `${host}:${port}`;
 }
