--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -432,6 +432,7 @@
       journal,
       copies,
       sentParts,
+      passesStoresOn: () => !followedCaches.includesReplicas(),
       busy() {
         const loading = rollouts.loading();
         avoidBusy(loading);
--- /dev/null
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -0,0 +1,219 @@
+import { createManualClock, type ManualClock } from "@peridotvalve/clock";
+import {
+  createCacheJournal,
+  createCacheView,
+  createReplicaTable,
+  createStoreCopies,
+} from "@peridotvalve/dispatch";
+import { EventLogger } from "@peridotvalve/events";
+import { createLoadView } from "@peridotvalve/load";
+import { createMemoryNetwork } from "@peridotvalve/membership";
+import {
+  type Changes,
+  type Snapshot,
+  TableFeed,
+  type Unavailable,
+} from "@peridotvalve/tables";
+import { expect } from "earl";
+import { test } from "node:test";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { PeerClient } from "./peer_calls.ts";
+import { createPeerMesh } from "./peer_mesh.ts";
+import { type PeerAddress, Registration } from "./registration.ts";
+import { createSentPartsQueue } from "./sent_parts.ts";
+import { createTableFollower, type TableFollower } from "./table_follower.ts";
+
+const TABLE = "op";
+const STORE = "10.9.0.1:80";
+const SALT = "m@1";
+const ZONES = ["espoo", "vaasa"];
+
+const silentLogger = new (class extends EventLogger {
+  override log(): void {}
+})();
+
+/** A store whose one row has the version that the test sets. */
+function createFeed() {
+  let version = 1;
+  let calls = 0;
+  const feed = new (class extends TableFeed {
+    override snapshot(): Promise<Result<Snapshot, Unavailable>> {
+      calls += 1;
+      const rows = [{ key: "state", value: version, version }];
+      return Promise.resolve(Ok({ rows, version }));
+    }
+    override changes(
+      { after }: { readonly after: number },
+    ): Promise<Result<Changes, Unavailable>> {
+      calls += 1;
+      const rows = version > after
+        ? [{ key: "state", value: version, version }]
+        : [];
+      return Promise.resolve(Ok({ rows, removed: [], version }));
+    }
+  })();
+  return {
+    feed,
+    calls: () => calls,
+    setVersion: (next: number) => version = next,
+  };
+}
+
+function createFleet(perZone: number) {
+  const clock = createManualClock(1_700_000_000_000);
+  const network = createMemoryNetwork(clock, 1);
+  const store = createFeed();
+  const peers = ZONES.flatMap((zone, index) =>
+    Array.from({ length: perZone }, (_, number): PeerAddress => {
+      const host = `10.${index}.0.${number}`;
+      return {
+        ...{ name: `${zone}-${number}`, zone, host },
+        ...{ datagrams: `${host}:7700`, calls: host },
+      };
+    })
+  );
+  const followers = new Map<string, TableFollower>();
+  const calls = new (class implements PeerClient {
+    readRows(
+      address: string,
+      { after }: { readonly after: number },
+    ): ReturnType<PeerClient["readRows"]> {
+      const follower = followers.get(address);
+      return Promise.resolve(
+        follower === undefined ? Err("gone") : Ok(follower.changesSince(after)),
+      );
+    }
+    readStore(): ReturnType<PeerClient["readStore"]> {
+      return Promise.resolve(Err("not asked in this test"));
+    }
+    close(): void {}
+  })();
+  const daemons = peers.map((peer) =>
+    startDaemon(peer, { clock, network, peers, followers, calls, store })
+  );
+  return { clock, store, daemons };
+}
+
+function startDaemon(peer: PeerAddress, fleet: {
+  readonly clock: ManualClock;
+  readonly network: ReturnType<typeof createMemoryNetwork>;
+  readonly peers: readonly PeerAddress[];
+  readonly followers: Map<string, TableFollower>;
+  readonly calls: PeerClient;
+  readonly store: ReturnType<typeof createFeed>;
+}) {
+  const { clock, peers, followers, calls, store } = fleet;
+  const stop = new AbortController();
+  const cache = createCacheView();
+  const journal = createCacheJournal({ clock, cache });
+  const copies = createStoreCopies({ clock, cache });
+  const load = createLoadView(clock);
+  const replicas = createReplicaTable({ clock, onChange: () => {} });
+  replicas.replaceAll(ZONES.map((zone) => ({
+    ...{ id: `i-${zone}`, service: "llm", address: "a:80", zone, slots: 8 },
+    state: "ready" as const,
+    weights: new Map(),
+  })));
+  const registration = new (class extends Registration {
+    override run = () => Promise.resolve();
+    override replaceAll(): void {}
+    override applyChanges(): void {}
+    override peers = () => peers;
+    override find = (name: string) => peers.find((one) => one.name === name);
+    override hasHost = (host: string) => peers.some((one) => one.host === host);
+    override onChange(listener: (all: readonly PeerAddress[]) => void): void {
+      listener(peers);
+    }
+  })();
+  const follower = createTableFollower({
+    ...{ clock, logger: silentLogger, feed: store.feed, table: TABLE },
+    ...{ wait: 0, pause: 500 },
+    mayRead: (age) => mesh.rank("table op") === 0 || age > 2_000,
+    onSnapshot: () => {},
+    onChange: () => {},
+  });
+  followers.set(peer.calls, follower);
+  const mesh = createPeerMesh({
+    ...{ clock, logger: silentLogger, name: peer.name, zone: peer.zone },
+    ...{ registration, load, replicas, cache, journal, copies, calls },
+    transport: fleet.network.attach(peer.datagrams),
+    tables: new Map([[TABLE, follower]]),
+    sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
+    passesStoresOn: () => true,
+    busy: () => [],
+    onSilent: () => {},
+    onBusy: () => {},
+    onChange: () => {},
+  });
+  void mesh.run(stop.signal);
+  void follower.run(stop.signal);
+  return { ...peer, mesh, follower, load, cache, journal, copies, stop };
+}
+
+async function advance(clock: ManualClock, milliseconds: number) {
+  for (let step = 0; step < milliseconds / 50; step += 1) {
+    await clock.advance(50);
+  }
+}
+
+test("a large fleet reads a table once a zone, and everyone has the change", async () => {
+  const { clock, store, daemons } = createFleet(10);
+  await advance(clock, 5_000);
+  const before = store.calls();
+  await advance(clock, 10_000);
+  // Two readers, each 500 ms.
+  expect(store.calls() - before <= 42).toEqual(true);
+  store.setVersion(7);
+  await advance(clock, 1_500);
+  const versions = daemons.map(({ follower }) => follower.contentVersion());
+  expect(new Set(versions)).toEqual(new Set([7]));
+  for (const { stop } of daemons) stop.abort();
+});
+
+// Guards against a zone that keeps an old state when its reader freezes.
+test("the next daemon reads when the reader of a zone stops", async () => {
+  const { clock, store, daemons } = createFleet(10);
+  await advance(clock, 5_000);
+  const reader = daemons.find(({ zone, mesh }) =>
+    zone === "espoo" && mesh.rank("table op") === 0
+  );
+  reader?.stop.abort();
+  store.setVersion(9);
+  await advance(clock, 4_000);
+  const versions = daemons.filter((one) => one !== reader)
+    .map(({ follower }) => follower.contentVersion());
+  expect(new Set(versions)).toEqual(new Set([9]));
+  for (const { stop } of daemons) stop.abort();
+});
+
+test("load is known in the zone at once and in other zones soon", async () => {
+  const { clock, daemons } = createFleet(10);
+  await advance(clock, 3_000);
+  const [first] = daemons;
+  first?.load.trackRequest("i-espoo", { unread: 500, memory: 900 });
+  await advance(clock, 700);
+  const seenIn = (zone: string) =>
+    daemons.filter((one) => one.zone === zone)
+      .map(({ load }) => load.totalLoad("i-espoo").requests);
+  expect(new Set(seenIn("espoo"))).toEqual(new Set([1]));
+  await advance(clock, 3_000);
+  expect(new Set(seenIn("vaasa"))).toEqual(new Set([1]));
+  for (const { stop } of daemons) stop.abort();
+});
+
+test("parts of a followed store reach the neighbors", async () => {
+  const { clock, daemons } = createFleet(10);
+  await advance(clock, 3_000);
+  const follower = daemons.find(({ zone }) => zone === "espoo")!;
+  const event = { salt: SALT, part: "p", tokens: 500 };
+  follower.copies.recordRead(STORE, 7);
+  follower.cache.apply(STORE, event);
+  follower.journal.record(STORE, 7, [event]);
+  await advance(clock, 1_000);
+  const part = { id: "p", tokens: 500 };
+  const known = daemons.filter(({ zone, cache }) =>
+    zone === "espoo" && cache.hasPart(STORE, SALT, part)
+  );
+  expect(known.length).toEqual(10);
+  for (const { stop } of daemons) stop.abort();
+});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -54,6 +54,8 @@
   readonly journal: CacheJournal;
   readonly copies: StoreCopies;
   readonly sentParts: SentPartsQueue;
+  /** False when all neighbors follow the stores themselves. */
+  readonly passesStoresOn: () => boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
   readonly busy: () => readonly string[];
   /** Called when a peer reports that replicas are not responding to it. */
@@ -231,7 +233,9 @@
     if (zoneLoad !== undefined && measureJson(zoneLoad) < left()) {
       digest = { ...digest, zoneLoad };
     }
-    digest = { ...digest, pages: journal.compose(left() / 2) };
+    if (options.passesStoresOn()) {
+      digest = { ...digest, pages: journal.compose(left() / 2) };
+    }
     return { ...digest, sent: sentParts.take(left()) };
   }
 
