Break off responses without an end

Replicas in trouble may send bytes that are no answer until their caller closes. A stream that has sent 256 KiB without a new event, a plain body above 16 MiB, a refusal above 64 KiB and a resumed answer above 256 KiB are closed, and the replica counts as failed.

--- a/packages/gateway/src/event_splitter.ts
+++ b/packages/gateway/src/event_splitter.ts
@@ -2,6 +2,8 @@
  * Splits a stream of server-sent events into complete events and reads their
  * ids, so that a caller never receives a part of an event.
  */
+import type { Bytes } from "@peridotvalve/types";
+
 export interface CompleteEvents {
   readonly bytes: Uint8Array;
   /** Id of the last event; undefined when no event has an id. */
@@ -16,17 +18,25 @@
   push(chunk: Uint8Array, after: number): CompleteEvents | undefined;
   /** Returns true when a part of an event is buffered. */
   hasPartialEvent(): boolean;
+  /** Returns true when more bytes came without a new event than an event has. */
+  isOverrun(): boolean;
 }
 
+/** Bytes without a new event after which a stream is not an answer. */
+const MAX_BYTES_WITHOUT_EVENT: Bytes = 256 * 1_024;
+
 const SEPARATOR = "\n\n";
 const ID_LINE = /(?:^|\n)id: ?(\d+)/;
 
 export function createEventSplitter(): EventSplitter {
   let partial = "";
+  let bytesWithoutEvent: Bytes = 0;
 
   return {
     hasPartialEvent: () => partial.length > 0,
+    isOverrun: () => bytesWithoutEvent > MAX_BYTES_WITHOUT_EVENT,
     push(chunk, after) {
+      bytesWithoutEvent += chunk.byteLength;
       // Latin-1 maps each byte to one character.
       const text = partial + Buffer.from(
         chunk.buffer,
@@ -40,7 +50,9 @@
       }
       const complete = text.slice(0, end + SEPARATOR.length);
       partial = text.slice(end + SEPARATOR.length);
-      return selectEvents(complete, after);
+      const selected = selectEvents(complete, after);
+      if (selected?.lastId !== undefined) bytesWithoutEvent = partial.length;
+      return selected;
     },
   };
 }
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -70,6 +70,10 @@
     // Time spent on writing to a slow caller does not count as silence.
     watch.limitSilence(Infinity);
     const completed = splitter.push(next.value, progress.lastEvent);
+    if (splitter.isOverrun()) {
+      attempt.cancel(ENDLESS);
+      return { kind: "broken", reason: ENDLESS };
+    }
     if (completed !== undefined) {
       recordEvent(options);
       if (!caller.hasStarted()) caller.writeHead(head.status, head.rawHeaders);
@@ -109,6 +113,15 @@
  */
 const MAX_BUFFERED: Bytes = 256 * 1_024;
 
+/** A longer plain response is taken for one without an end. */
+const MAX_PLAIN_RESPONSE: Bytes = 16 * 1_024 * 1_024;
+
+/** Bytes of a refusal that are read to use its connection again. */
+const MAX_DISCARDED: Bytes = 64 * 1_024;
+
+/** Reason of a response that is broken off because it does not end. */
+export const ENDLESS = "endless response";
+
 export async function forwardPlainResponse(
   options: PlainForwarding,
 ): Promise<AttemptOutcome> {
@@ -121,6 +134,10 @@
     const next = await body.next();
     if (!next.done) {
       size += next.value.length;
+      if (size > (isResumed ? MAX_BUFFERED : MAX_PLAIN_RESPONSE)) {
+        attempt.cancel(ENDLESS);
+        return { kind: "lost", reason: ENDLESS };
+      }
       if (isResumed) continue;
       if (caller.hasStarted()) await caller.write(next.value);
       else chunks.push(next.value);
@@ -146,10 +163,17 @@
   }
 }
 
-/** Reads and discards the rest of a response. */
+/** Reads and discards the rest of a response, or closes a long one. */
 export async function discardBody(attempt: Attempt): Promise<void> {
-  const body = attempt.body();
-  while (!(await body.next()).done);
+  let size: Bytes = 0;
+  for (const body = attempt.body();;) {
+    const next = await body.next();
+    if (next.done) return;
+    size += next.value.length;
+    if (size <= MAX_DISCARDED) continue;
+    attempt.cancel(ENDLESS);
+    return;
+  }
 }
 
 /** Sets the length of a complete body, whatever framing the replica used. */
