State the wait for a slot in time, and keep zone loads within a heartbeat

The cost of a request beyond a replica's slots is 35 ms at the measured prefill rate instead of a count of tokens. A zone's load is limited to 500 bytes, since larger ones did not fit into the heartbeats that pass them on; successive ones cover all replicas. 52 of 52 tests of dispatch and the mesh pass.

--- a/packages/dispatch/src/large_fleet.test.ts
+++ b/packages/dispatch/src/large_fleet.test.ts
@@ -72,6 +72,7 @@
     ...{ replicas, load, cache, weights, transfers, random },
     topology: { zone, regions: REGIONS },
     memoryOf: () => 99_653,
+    prefillRate: () => PREFILL_RATE,
     knowsCaches: () => false,
   });
   return { zone, load, placement };
--- a/packages/dispatch/src/measure_placement.ts
+++ b/packages/dispatch/src/measure_placement.ts
@@ -110,6 +110,7 @@
     ...{ replicas, load, cache, weights, transfers },
     topology: { zone: "a", regions: REGIONS },
     memoryOf: () => 99_653,
+    prefillRate: () => 80,
     knowsCaches: () => daemons <= 10,
   });
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -70,6 +70,8 @@
   readonly topology: Topology;
   readonly memoryOf: (service: string) => Tokens;
   readonly transfers: TransferPlanner;
+  /** Prompt tokens that a replica of a service prefills per millisecond. */
+  readonly prefillRate: (service: string) => number;
   /**
    * Returns false when this daemon knows of only a part of the requests that
    * fill the caches; by default it knows of all.
@@ -132,11 +134,8 @@
 /** Share of the memory that running requests may use. */
 const USABLE_MEMORY_SHARE = 0.92;
 
-/**
- * A request beyond the slots of a replica waits until another one ends. The
- * cost is the prefill time that passes meanwhile.
- */
-const QUEUED_REQUEST_COST = 3_000;
+/** A request beyond the slots of a replica waits until another one ends. */
+const QUEUED_REQUEST_WAIT: Milliseconds = 35;
 
 /** Costs for plain services, in requests in flight. */
 const PLAIN_REQUEST_COST = 1;
@@ -265,7 +264,8 @@
         plan.cost +
         plan.recomputed * RECOMPUTED_TOKEN_COST +
         current.requests * RUNNING_REQUEST_COST +
-        countQueued(replica, current) * QUEUED_REQUEST_COST +
+        countQueued(replica, current) * QUEUED_REQUEST_WAIT *
+          options.prefillRate(request.service) +
         unread * Math.min(MAX_DELAYED_REQUESTS, current.requests) *
           PREFILL_DELAY_SHARE +
         current.recentTokens * RECENT_PREFILL_SHARE +
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -126,7 +126,7 @@
   const transfers = createTransferPlanner({
     clock,
     cache,
-    prefillRate: (service) => prefillRates.rateOf(service),
+    prefillRate: prefillRates.rateOf,
     stores: listReachableStores,
     maySave: (address) => copies.isSettled(address),
     regions: settings.topology.regions,
@@ -198,6 +198,7 @@
     topology: settings.topology,
     memoryOf,
     transfers,
+    prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
   });
   const budget = createWindowBudget({
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -105,6 +105,9 @@
 /** Share of a heartbeat's space that load may use. */
 const LOAD_SHARE = 0.5;
 
+/** Fits into a heartbeat of the daemons that pass it on. */
+const MAX_ZONE_LOAD: Bytes = 500;
+
 const MAX_NAMES = 32;
 const MAX_UNKNOWN_SENDERS = 200;
 
@@ -137,7 +140,7 @@
       const busy = options.busy().slice(0, MAX_NAMES);
       const summary = load.summarize(
         listZoneReplicas(),
-        limit - measureJson(busy),
+        Math.min(MAX_ZONE_LOAD, limit - measureJson(busy)),
       );
       const loadField = summary === undefined ? {} : { load: summary };
       return encodeZoneDigest({ busy, ...loadField });
@@ -205,12 +208,13 @@
     return [...new Set(ids)].slice(0, MAX_NAMES);
   }
 
-  /** One zone's load that has not been passed on, the oldest first. */
-  function takeZoneLoad(): PeerDigest["zoneLoad"] {
+  /** One zone's load that has not been passed on, if it fits. */
+  function takeZoneLoad(limit: Bytes): PeerDigest["zoneLoad"] {
     for (const [from, entry] of zoneLoads) {
-      if (entry.isPassedOn) continue;
+      const zoneLoad = [from, entry.load] as const;
+      if (entry.isPassedOn || measureJson(zoneLoad) > limit) continue;
       entry.isPassedOn = true;
-      return [from, entry.load];
+      return zoneLoad;
     }
     return undefined;
   }
@@ -229,10 +233,8 @@
       : { ...base, load: loadDigest };
     const left = () => limit - measureJson(encodePeerDigest(digest));
     let digest: PeerDigest = withLoad;
-    const zoneLoad = takeZoneLoad();
-    if (zoneLoad !== undefined && measureJson(zoneLoad) < left()) {
-      digest = { ...digest, zoneLoad };
-    }
+    const zoneLoad = takeZoneLoad(left());
+    if (zoneLoad !== undefined) digest = { ...digest, zoneLoad };
     if (options.passesStoresOn()) {
       digest = { ...digest, pages: journal.compose(left() / 2) };
     }
