--- a/packages/gateway/src/replica_feedback.ts
+++ b/packages/gateway/src/replica_feedback.ts
@@ -9,7 +9,7 @@
 } from "@peridotvalve/dispatch";
 import type { Milliseconds } from "@peridotvalve/types";
 import { type AttemptOutcome, SILENT } from "./attempt_watch.ts";
-import type { ConnectionPools } from "./connection_pools.ts";
+import { type ConnectionPools, LATE_START } from "./connection_pools.ts";
 import type { ResponseMetadata } from "./header_codec.ts";
 
 /** Avoidance of a replica that loads weights or is full. */
@@ -75,6 +75,9 @@
         case "done":
           return replicas.recordSuccess(id);
         case "unsent":
+          // The delay was in this process.
+          if (end.reason === LATE_START) return;
+          return replicas.recordFailure(id);
         case "lost":
         case "broken":
           if (end.reason === SILENT) pools.replace(address);
