Let the late request of a test arrive on an accepted connection

Of three runs of loop_lag.test.ts beside 24 busy processes one failed: the connection was accepted only after the block, so request and close came in a loop that was no longer late.

--- a/packages/gateway/src/loop_lag.test.ts
+++ b/packages/gateway/src/loop_lag.test.ts
@@ -67,6 +67,7 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
+  const accepted = once(server, "connection");
   const child = spawn(process.execPath, [
     ...["-e", IMPATIENT_CALLER, `${port}`, `${delay}`, file],
   ]);
@@ -77,8 +78,7 @@
     rmSync(folder, { recursive: true, force: true });
   });
   await once(child.stdout, "data");
-  // The connection has been accepted here as well.
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  await accepted;
   child.stdin.write("go");
   await new Promise((resolve) => setImmediate(resolve));
   blockUntil(file);
