Refuse requests that arrive after the intake of a daemon has closed

Callers saw a request taken seconds after SIGTERM, and its connection closed without an answer when the process exited.

Cause: closeIdleConnections() of Node.js leaves a connection open on which no request was sent, and finds a connection whose response has just ended only at the next poll. A request on either was passed on to a replica, however late.

Change: connections without a byte are closed with the intake, and a request that is read afterwards is refused at once with 503.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -20,6 +20,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { createCaller, readBody, type Refusal } from "./caller.ts";
+import { trackCallerConnections } from "./caller_connections.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
@@ -42,6 +43,12 @@
   abstract inFlight(): number;
   /** Closes each connection after its current response. */
   abstract disableKeepAlive(): void;
+  /**
+   * Accepts no more connections, closes those without a request, and refuses
+   * each further request. May be called again, for connections that have become
+   * idle since.
+   */
+  abstract closeIntake(): void;
 }
 
 /** Maximum header size that any desired state may allow. */
@@ -62,11 +69,18 @@
  */
 const STARTING_RETRY_AFTER: Milliseconds = 500;
 
+/** Delay after which a caller may retry on another daemon. */
+const SHUTDOWN_RETRY_AFTER: Milliseconds = 100;
+
+/** Reason of requests that arrive too late during a shutdown. */
+const SHUTTING_DOWN = "shutting down";
+
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
   const { loopLag } = options;
   let inFlight = 0;
   let isKeepAliveDisabled = false;
+  let isIntakeClosed = false;
   /** Connections on which a request has been read. */
   const knownSockets = new WeakSet<Socket>();
   const server = createServer({
@@ -80,6 +94,7 @@
       response.destroy();
     });
   });
+  const connections = trackCallerConnections(server);
 
   function applyLimits({ state: { limits } }: ActiveState): void {
     server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
@@ -102,6 +117,10 @@
     // Emitted once, however the exchange ends.
     response.once("close", () => inFlight -= 1);
     const active = holder.current();
+    if (isIntakeClosed) {
+      const retryAfter = SHUTDOWN_RETRY_AFTER * (1 + Math.random());
+      return decline({ status: 503, reason: SHUTTING_DOWN, retryAfter });
+    }
     if (active === undefined) {
       const retryAfter = STARTING_RETRY_AFTER * (1 + Math.random());
       return decline({ status: 503, reason: "no desired state", retryAfter });
@@ -253,6 +272,12 @@
     override disableKeepAlive(): void {
       isKeepAliveDisabled = true;
     }
+
+    override closeIntake(): void {
+      if (!isIntakeClosed) server.close();
+      isIntakeClosed = true;
+      connections.closeIdle();
+    }
   })();
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -505,11 +505,10 @@
       mesh?.setDraining();
       const end = started + settings.grace - GRACE_MARGIN;
       await clock.sleep(Math.min(READINESS_NOTICE, settings.grace / 2));
-      frontend.server.close();
-      frontend.server.closeIdleConnections();
+      frontend.closeIntake();
       while (frontend.inFlight() > 0 && clock.monotonic() < end) {
         await clock.sleep(DRAIN_POLL_PERIOD);
-        frontend.server.closeIdleConnections();
+        frontend.closeIntake();
       }
       const elapsed = clock.monotonic() - started;
       logger.log("drain_finished", { elapsed });
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -19,6 +19,7 @@
     "broken off": "broken off",
     "no service": "no service",
     "the daemon stops": "stopping",
+    "shutting down": "stopping",
     "timeout": "timeout",
     "silent": "silent",
     "ended within an event": "broken off",
