Log a drain that reached its limit as such

The log said that all requests in flight had completed, and 5 ms later listed the requests that the exit cut off. The end of a drain with requests in flight is now the event drain_limit_reached with their number. Its test failed before (drain_finished was logged).

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -477,6 +477,12 @@
     }
   }
 
+  function logDrainEnd(elapsed: Milliseconds): void {
+    const requests = frontend.inFlight();
+    if (requests === 0) return logger.log("drain_finished", { elapsed });
+    logger.log("drain_limit_reached", { requests, outcomes: 0, claimRows: 0 });
+  }
+
   return new (class extends Gateway {
     override recordStoreCall(kind: string, outcome: string): void {
       meters.recordStoreCall(kind, outcome);
@@ -510,8 +516,7 @@
         await clock.sleep(DRAIN_POLL_PERIOD);
         frontend.closeIntake();
       }
-      const elapsed = clock.monotonic() - started;
-      logger.log("drain_finished", { elapsed });
+      logDrainEnd(clock.monotonic() - started);
       stopController.abort();
       cacheFeed.stop();
       peerClient.close();
