Refuse requests that a stopping daemon cannot complete in time

Callers of streams got nothing: a daemon took requests for 3 s after SIGTERM, placed them up to 3.9 s after it, and cut at 7.3 s those that still ran.

Cause: nothing compared what a request needs with what is left, although the tokens of its answer and the pace of the engines are known.

Change: admission has a part for shutdowns. From SIGTERM on a request is sent to a replica only if the wait, the prefill and the answer (0.95 quantile of the measured time per output token) end before the exit, or its deadline does.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -7,3 +7,4 @@
 export * from "./concurrency_limit.ts";
 export * from "./customer_limits.ts";
 export * from "./request.ts";
+export * from "./shutdown_admission.ts";
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -1,6 +1,7 @@
 /**
  * Scheduling decisions about requests and replicas, without input or output.
  */
+export * from "./answer_times.ts";
 export * from "./cache_journal.ts";
 export * from "./cache_view.ts";
 export * from "./desired_state.ts";
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -19,6 +19,12 @@
   "upgrade",
 ]);
 
+/** Reason of requests that the daemon does not take because it shuts down. */
+export const SHUTTING_DOWN = "shutting down";
+
+/** Delay after which a caller may retry on another daemon. */
+export const SHUTDOWN_RETRY_AFTER: Milliseconds = 100;
+
 export interface Refusal {
   readonly status: number;
   readonly reason: string;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -19,7 +19,13 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import { createCaller, readBody, type Refusal } from "./caller.ts";
+import {
+  createCaller,
+  readBody,
+  type Refusal,
+  SHUTDOWN_RETRY_AFTER,
+  SHUTTING_DOWN,
+} from "./caller.ts";
 import { trackCallerConnections } from "./caller_connections.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
@@ -69,12 +75,6 @@
  */
 const STARTING_RETRY_AFTER: Milliseconds = 500;
 
-/** Delay after which a caller may retry on another daemon. */
-const SHUTDOWN_RETRY_AFTER: Milliseconds = 100;
-
-/** Reason of requests that arrive too late during a shutdown. */
-const SHUTTING_DOWN = "shutting down";
-
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
   const { loopLag } = options;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,9 @@
  * A daemon between callers and replicas: creates its components, starts them,
  * and stops them in order.
  */
+import { createShutdownAdmission } from "@peridotvalve/admission";
 import {
+  createAnswerTimes,
   createCacheJournal,
   createCacheView,
   createPlacement,
@@ -123,6 +125,7 @@
 
   const replicaClock = createReplicaClock(clock);
   const prefillRates = createPrefillRates();
+  const shutdown = createShutdownAdmission(clock);
   const transfers = createTransferPlanner({
     clock,
     cache,
@@ -250,6 +253,8 @@
     transfers,
     sentParts,
     prefillRates,
+    answerTimes: createAnswerTimes(clock),
+    shutdown,
     replicaClock,
     maxConnectionsOf,
     loopLag,
@@ -510,6 +515,7 @@
       frontend.disableKeepAlive();
       mesh?.setDraining();
       const end = started + settings.grace - GRACE_MARGIN;
+      shutdown.begin(end);
       await clock.sleep(Math.min(READINESS_NOTICE, settings.grace / 2));
       frontend.closeIntake();
       while (frontend.inFlight() > 0 && clock.monotonic() < end) {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -7,8 +7,10 @@
  * continues on another replica after the last complete event sent to the
  * caller.
  */
+import type { ShutdownAdmission } from "@peridotvalve/admission";
 import type { Clock } from "@peridotvalve/clock";
 import {
+  type AnswerTimes,
   type CacheView,
   type Choice,
   type DispatchRequest,
@@ -37,7 +39,7 @@
   type AttemptWatch,
   watchAttempt,
 } from "./attempt_watch.ts";
-import type { Caller } from "./caller.ts";
+import { type Caller, SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN } from "./caller.ts";
 import {
   type Attempt,
   type AttemptFailure,
@@ -67,6 +69,8 @@
   readonly transfers: TransferPlanner;
   readonly sentParts: SentPartsQueue;
   readonly prefillRates: PrefillRates;
+  readonly answerTimes: AnswerTimes;
+  readonly shutdown: ShutdownAdmission;
   readonly replicaClock: ReplicaClock;
   /**
    * Number of connections that this daemon may open to one replica of a
@@ -140,7 +144,7 @@
 export function createRelay(options: RelayOptions) {
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
-  const { queue, meters, prefillRates } = options;
+  const { queue, meters, prefillRates, answerTimes } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -209,6 +213,7 @@
       ) {
         return fail(`${lastReason}, too many wait`, 502, wait);
       }
+      if (!endsBeforeExit(wait)) return refuseAtShutdown();
       if (sends > 0) meters.recordRetry(request.service);
       const queuedAt = clock.monotonic();
       // Plain services have a short queue of their own, so their requests do
@@ -227,9 +232,17 @@
         meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
       }
       const { choice } = placed;
+      if (!endsBeforeExit(prefillTimeOf(request, choice))) {
+        placed.trackedRequest.end();
+        queue.retry();
+        return refuseAtShutdown();
+      }
       const outcome = await runAttempt(placed);
       switch (outcome.kind) {
         case "done":
+          if (sends === 1 && forwarded.lastEvent === undefined) {
+            recordAnswerTime();
+          }
           return end({ ...progress, kind: "answered", status: outcome.status });
         case "left":
           return end({ kind: "abandoned" });
@@ -282,6 +295,28 @@
       };
     }
 
+    /** True unless the daemon shuts down before the request can be complete. */
+    function endsBeforeExit(timeToFirstEvent: Milliseconds): boolean {
+      const { shutdown } = options;
+      // A started stream goes on for as long as possible.
+      if (!shutdown.hasBegun() || caller.hasStarted()) return true;
+      return shutdown.admits({
+        duration: timeToFirstEvent + answerTimes.estimate(request),
+        deadline: request.deadline,
+      });
+    }
+
+    function refuseAtShutdown(): RelayResult {
+      return fail(SHUTTING_DOWN, 502, SHUTDOWN_RETRY_AFTER);
+    }
+
+    function recordAnswerTime(): void {
+      const elapsed = clock.monotonic() - request.arrivedAt;
+      const { firstEvent } = progress;
+      const before = request.prompt === undefined ? 0 : firstEvent;
+      answerTimes.record(request, elapsed - before);
+    }
+
     /**
      * Returns the time after which a caller without a further event has left or
      * has no use for it.
