Keep a request at a silent replica until another has room

Cause: a request was cancelled at a replica that had sent nothing for some time, and only then looked for another one. In a peak none has room: the request waited 2.24 s in the queue and was given up, while the replica, busy with prompts, would have gone on.

Change: at the end of the silence limit the request is moved only if the retry budget, the queue and a replica allow it now; otherwise it stays, and looks again every 200 ms until data arrives.

--- a/packages/gateway/src/attempt_watch.ts
+++ b/packages/gateway/src/attempt_watch.ts
@@ -39,7 +39,8 @@
 export interface AttemptWatch {
   /**
    * Cancels the attempt when the replica sends nothing for `limit` from now on,
-   * or for `busyLimit` while other requests receive data from it.
+   * or for `busyLimit` while other requests receive data from it. The attempt
+   * goes on while no other replica can take the request.
    */
   limitSilence(limit: Milliseconds, busyLimit?: Milliseconds): void;
   /**
@@ -49,6 +50,9 @@
   stop(): void;
 }
 
+/** Interval between looks for another replica when the present one is silent. */
+const ALTERNATIVE_POLL_PERIOD: Milliseconds = 200;
+
 /** Watches an attempt until `stop` is called. */
 export function watchAttempt(attempt: Attempt, options: {
   readonly clock: Clock;
@@ -56,6 +60,8 @@
   readonly deadline: Milliseconds;
   /** Time since data was last received from the replica. */
   readonly silence: () => Milliseconds;
+  /** Returns true when another replica can take the request now. */
+  readonly hasAlternative: () => boolean;
 }): AttemptWatch {
   const { clock, caller, deadline, silence } = options;
   let cause: AttemptOutcome | undefined;
@@ -91,6 +97,10 @@
             );
             return;
           }
+          if (!options.hasAlternative()) {
+            this.limitSilence(ALTERNATIVE_POLL_PERIOD);
+            return;
+          }
           cancelAttempt({ kind: "lost", reason: SILENT }, SILENT);
         });
       }, limit);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -306,6 +306,14 @@
       });
     }
 
+    /** True when another replica than the given one has room now. */
+    function hasAlternative(id: string): boolean {
+      if (budget.left(request.service) < 1) return false;
+      if (queue.estimateWait(priorityOf(request)) > 0) return false;
+      return placement.choose(request, new Set([...excluded, id])) !==
+        undefined;
+    }
+
     function refuseAtShutdown(): RelayResult {
       return fail(SHUTTING_DOWN, 502, SHUTDOWN_RETRY_AFTER);
     }
@@ -403,6 +411,7 @@
         caller,
         deadline: request.deadline,
         silence: () => replicas.silence(entry.id),
+        hasAlternative: () => hasAlternative(entry.id),
       });
       try {
         const outcome = await awaitOutcome(attempt, {
