Refuse requests with a prompt part that crashes replicas

A prompt part on which every replica crashes was sent to one replica after the other: each request with it was tried and repeated, and ended the other requests of these replicas.

The gateway's daemons now record which parts stood in requests that a replica broke off before the first event, and on which parts answers began. A part with three crashes and no answer since is condemned, unless other parts explain its crashes better; requests with it are refused with the reason "a prompt part crashes replicas" for 30 s at first, then one is tried. Heartbeats and aggregates carry crash records, proofs and verdicts between daemons.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -440,6 +440,21 @@
     fields: { service: S, change: S, address: S },
     message: "The known state of a replica has changed.",
   }),
+  replica_ended: defineEvent(3024, "warn", {
+    fields: { beforeEvent: N, afterEvent: N, isCrash: "boolean" },
+    message:
+      "A replica broke off attempts, counted by whether an event had arrived; isCrash is false when data from it followed.",
+  }),
+  part_condemned: defineEvent(3025, "error", {
+    fields: { part: S, crashes: N, strikes: N, hold: N },
+    message:
+      "Requests with a prompt part that crashes replicas are refused; crashes is 0 when a peer decided it.",
+  }),
+  part_released: defineEvent(3026, "warn", {
+    fields: { part: S },
+    message:
+      "Requests with a prompt part are served again, because an answer on it began.",
+  }),
   entry_rejected: defineEvent(3023, "warn", {
     fields: { key: S, reason: S },
     message: "An entry of the replica list cannot be parsed.",
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -48,6 +48,11 @@
   abstract body(): AsyncGenerator<Uint8Array, AttemptFailure | undefined>;
   /** Closes the connection, upon which the replica drops the request. */
   abstract cancel(reason: string): void;
+  /**
+   * Returns true when the connection of a written request ended before its
+   * response was complete, and not because the attempt was cancelled.
+   */
+  abstract wasBrokenOff(): boolean;
 }
 
 export abstract class ConnectionPools {
@@ -240,6 +245,10 @@
       controller?.abort(new Error(reason));
       fail(reason);
     }
+
+    override wasBrokenOff(): boolean {
+      return end?.failure?.kind === "lost" && cancelReason === undefined;
+    }
   })();
 }
 
--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -137,6 +137,7 @@
       ...{ head: head.unwrap(), progress: createProgress(), arrivedAt: 0 },
       gapLimit: undefined,
       onData: () => {},
+      onEvent: () => {},
     });
     expect(outcome).toEqual({ kind: "broken", reason: ENDLESS });
     expect(received() < MEBIBYTE).toEqual(true);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 import { createLoadView } from "@peridotvalve/load";
 import { createUdpTransport } from "@peridotvalve/membership";
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
-import { createWindowBudget } from "@peridotvalve/retries";
+import { createCrashEvidence, createWindowBudget } from "@peridotvalve/retries";
 import type { FeedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { setMaxListeners } from "node:events";
@@ -29,6 +29,7 @@
 import { createCacheCleaner } from "./cache_cleaner.ts";
 import { createCacheFeed } from "./cache_feed.ts";
 import { createConnectionPools } from "./connection_pools.ts";
+import { createCrashGuard } from "./crash_guard.ts";
 import { takeChangedSettings } from "./changed_settings.ts";
 import { createFollowedCaches } from "./followed_caches.ts";
 import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
@@ -234,6 +235,20 @@
         .map((service) => [service, budget.left(service)]),
     ),
   }));
+  const crashes = createCrashEvidence({
+    clock,
+    random: Math.random,
+    onCondemned: (verdict) => crashGuard.recordVerdict(verdict),
+    onLifted: (part) => logger.log("part_released", { part }),
+  });
+  const crashGuard = createCrashGuard({
+    clock,
+    logger,
+    crashes,
+    replicas,
+    announce: () => mesh?.announce(),
+    stopped: stopController.signal,
+  });
   const relay = createRelay({
     clock,
     logger,
@@ -253,6 +268,7 @@
     replicaClock,
     maxConnectionsOf,
     loopLag,
+    crashGuard,
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -433,6 +449,7 @@
       journal,
       copies,
       sentParts,
+      crashes,
       passesStoresOn: () => !followedCaches.includesReplicas(),
       busy() {
         const loading = rollouts.loading();
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -73,6 +73,7 @@
  * match counts; connection errors have many texts and are the default.
  */
 const REASON_LABELS: readonly (readonly [word: string, label: string])[] = [
+  ["prompt part", "crashing part"],
   ["no retries left", "retry budget"],
   ["too many wait", "too many wait"],
   ["no room", "no room"],
--- a/packages/gateway/src/peer_digest.test.ts
+++ b/packages/gateway/src/peer_digest.test.ts
@@ -1,3 +1,4 @@
+import type { CrashNews } from "@peridotvalve/retries";
 import { expect } from "earl";
 import fc from "fast-check";
 import { test } from "node:test";
@@ -9,6 +10,12 @@
   type PeerDigest,
 } from "./peer_digest.ts";
 
+const CRASHES: CrashNews = {
+  verdicts: [["p", 100, 29_000, 1]],
+  records: [["a@1", 400, ["p", "q"]]],
+  proofs: [["q", 30]],
+};
+
 const DIGEST: PeerDigest = {
   tables: [
     { table: "op", contentVersion: 12, age: 40 },
@@ -23,12 +30,17 @@
     ...{ store: "10.0.0.1:80", epoch: 7, first: 3, age: 20 },
     events: [{ salt: "m@1", part: "p", tokens: 500 }],
   }],
+  crashes: CRASHES,
 };
 
 test("a digest is the same after encoding and decoding", () => {
   const wire = JSON.parse(JSON.stringify(encodePeerDigest(DIGEST)));
   expect(decodePeerDigest(wire)).toEqual(DIGEST);
-  const zone = { busy: ["a"], load: { c: "abcde1,2,3,4;" } };
+  const zone = {
+    busy: ["a"],
+    load: { c: "abcde1,2,3,4;" },
+    crashes: CRASHES,
+  };
   const zoneWire = JSON.parse(JSON.stringify(encodeZoneDigest(zone)));
   expect(decodeZoneDigest(zoneWire)).toEqual(zone);
 });
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -4,6 +4,7 @@
  */
 import type { CacheEvent, JournalPage } from "@peridotvalve/dispatch";
 import { type Delta, digestSchema } from "@peridotvalve/load";
+import { type CrashNews, MAX_PART_LENGTH } from "@peridotvalve/retries";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 
@@ -33,18 +34,28 @@
   readonly zoneLoad?: readonly [zone: string, load: Delta];
   readonly sent: readonly SentParts[];
   readonly pages: readonly JournalPage[];
+  readonly crashes?: CrashNews;
 }
 
 /** What a zone tells another zone. */
 export interface ZoneDigest {
   readonly busy: readonly string[];
   readonly load?: Delta;
+  readonly crashes?: CrashNews;
 }
 
 const name = z.string().max(200);
 const count = z.number().nonnegative();
 const names = z.array(name).max(64);
 const cacheEvent = z.tuple([name, name, count]);
+const part = z.string().max(MAX_PART_LENGTH);
+/** Verdicts, crash records and proofs. */
+const crashes = z.tuple([
+  z.array(z.tuple([part, count, count, z.number().int().min(1).max(64)]))
+    .max(16),
+  z.array(z.tuple([name, count, z.array(part).max(64)])).max(32),
+  z.array(z.tuple([part, count])).max(32),
+]);
 
 const PEER_DIGEST = z.object({
   t: z.array(z.tuple([name, count, count.nullable()])).max(8),
@@ -56,11 +67,13 @@
     .max(64).optional(),
   k: z.array(z.tuple([name, z.number(), count, count, z.array(cacheEvent)]))
     .max(64).optional(),
+  c: crashes.optional(),
 });
 
 const ZONE_DIGEST = z.object({
   b: names.optional(),
   l: digestSchema.optional(),
+  c: crashes.optional(),
 });
 
 /** Returns undefined when the digest is malformed. */
@@ -88,11 +101,13 @@
       ...{ store, epoch, first, age },
       events: events.map(decodeCacheEvent),
     })),
+    ...decodeCrashes(data.c),
   };
 }
 
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
+  const { crashes } = digest;
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
@@ -112,6 +127,7 @@
         events.map(encodeCacheEvent),
       ]),
     }),
+    ...encodeCrashes(crashes),
   };
 }
 
@@ -121,16 +137,33 @@
   return {
     busy: data.b ?? [],
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
+    ...decodeCrashes(data.c),
   };
 }
 
-export function encodeZoneDigest({ busy, load }: ZoneDigest): unknown {
+export function encodeZoneDigest(
+  { busy, load, crashes }: ZoneDigest,
+): unknown {
   return {
     ...(busy.length > 0 && { b: busy }),
     ...(load !== undefined && { l: load }),
+    ...encodeCrashes(crashes),
   };
 }
 
+function encodeCrashes(news: CrashNews | undefined) {
+  if (news === undefined) return {};
+  return { c: [news.verdicts, news.records, news.proofs] };
+}
+
+function decodeCrashes(
+  wire: z.infer<typeof crashes> | undefined,
+): { readonly crashes?: CrashNews } {
+  if (wire === undefined) return {};
+  const [verdicts, records, proofs] = wire;
+  return { crashes: { verdicts, records, proofs } };
+}
+
 function encodeCacheEvent({ salt, part, tokens }: CacheEvent) {
   return [salt, part, tokens];
 }
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -8,6 +8,7 @@
 import { EventLogger } from "@peridotvalve/events";
 import { createLoadView } from "@peridotvalve/load";
 import { createMemoryNetwork } from "@peridotvalve/membership";
+import { createCrashEvidence } from "@peridotvalve/retries";
 import {
   type Changes,
   type Snapshot,
@@ -108,6 +109,11 @@
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const load = createLoadView(clock);
+  const crashes = createCrashEvidence({
+    clock,
+    random: () => 0,
+    onCondemned: () => mesh.announce(),
+  });
   const replicas = createReplicaTable({ clock, onChange: () => {} });
   replicas.replaceAll(ZONES.map((zone) => ({
     ...{ id: `i-${zone}`, service: "llm", address: "a:80", zone, slots: 8 },
@@ -135,7 +141,7 @@
   followers.set(peer.calls, follower);
   const mesh = createPeerMesh({
     ...{ clock, logger: silentLogger, name: peer.name, zone: peer.zone },
-    ...{ registration, load, replicas, cache, journal, copies, calls },
+    ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
     transport: fleet.network.attach(peer.datagrams),
     tables: new Map([[TABLE, follower]]),
     sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
@@ -147,7 +153,10 @@
   });
   void mesh.run(stop.signal);
   void follower.run(stop.signal);
-  return { ...peer, mesh, follower, load, cache, journal, copies, stop };
+  return {
+    ...{ ...peer, mesh, follower, load, cache, journal, copies, crashes },
+    stop,
+  };
 }
 
 async function advance(clock: ManualClock, milliseconds: number) {
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -24,6 +24,7 @@
   type PeerChange,
   type Transport,
 } from "@peridotvalve/membership";
+import type { CrashEvidence } from "@peridotvalve/retries";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { PeerClient } from "./peer_calls.ts";
 import {
@@ -54,6 +55,7 @@
   readonly journal: CacheJournal;
   readonly copies: StoreCopies;
   readonly sentParts: SentPartsQueue;
+  readonly crashes: Pick<CrashEvidence, "compose" | "apply">;
   /** False when all neighbors follow the stores themselves. */
   readonly passesStoresOn: () => boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
@@ -105,6 +107,12 @@
 /** Share of a heartbeat's space that load may use. */
 const LOAD_SHARE = 0.5;
 
+/** Share of a heartbeat's space that crashes of replicas may use. */
+const CRASH_SHARE = 0.35;
+
+/** Bytes of a digest around the news of crashes: the field's name and commas. */
+const CRASH_FIELD: Bytes = 8;
+
 /** Fits into a heartbeat of the daemons that pass it on. */
 const MAX_ZONE_LOAD: Bytes = 500;
 
@@ -113,7 +121,7 @@
 
 export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
   const { clock, logger, name, zone, registration, tables, load } = options;
-  const { cache, journal, copies, sentParts, calls } = options;
+  const { cache, journal, copies, sentParts, calls, crashes } = options;
   const fetching = new Set<string>();
   const unknownSenders = new Set<string>();
   const storeFetches = new Map<string, Milliseconds>();
@@ -143,7 +151,11 @@
         Math.min(MAX_ZONE_LOAD, limit - measureJson(busy)),
       );
       const loadField = summary === undefined ? {} : { load: summary };
-      return encodeZoneDigest({ busy, ...loadField });
+      const digest = { busy, ...loadField };
+      const left = limit - measureJson(encodeZoneDigest(digest)) - CRASH_FIELD;
+      const news = crashes.compose(left, "zones");
+      const crashField = news === undefined ? {} : { crashes: news };
+      return encodeZoneDigest({ ...digest, ...crashField });
     },
     onAggregate({ zone: from, content }) {
       const digest = decodeZoneDigest(content);
@@ -152,6 +164,7 @@
         options.onBusy(digest.busy);
         zoneBusy = { ids: digest.busy, at: clock.monotonic() };
       }
+      if (digest.crashes !== undefined) crashes.apply(digest.crashes);
       if (digest.load !== undefined) {
         applyZoneLoad(from, digest.load);
         const at = clock.monotonic();
@@ -233,6 +246,11 @@
       : { ...base, load: loadDigest };
     const left = () => limit - measureJson(encodePeerDigest(digest));
     let digest: PeerDigest = withLoad;
+    const crashNews = crashes.compose(
+      Math.min(left() - CRASH_FIELD, limit * CRASH_SHARE),
+      "neighbors",
+    );
+    if (crashNews !== undefined) digest = { ...digest, crashes: crashNews };
     const zoneLoad = takeZoneLoad(left());
     if (zoneLoad !== undefined) digest = { ...digest, zoneLoad };
     if (options.passesStoresOn()) {
@@ -250,6 +268,7 @@
       const applied = load.applyDigest(peer, digest.load);
       if (applied.isErr()) reject(peer);
     }
+    if (digest.crashes !== undefined) crashes.apply(digest.crashes);
     if (digest.zoneLoad !== undefined) applyZoneLoad(...digest.zoneLoad);
     for (const { replica, salt, parts } of digest.sent) {
       if (options.replicas.find(replica) === undefined) continue;
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -37,6 +37,8 @@
     "replica refused with 503, no room": "no room",
     "replica refused with 503, too many wait": "too many wait",
     "connection reset, no retries left": "retry budget",
+    "a prompt part crashes replicas": "crashing part",
+    "a prompt part may crash replicas": "crashing part",
     "Connect Timeout Error (attempted address: 10.0.0.1:80, timeout: 1500ms)":
       "timeout",
     "Body Timeout Error": "connection",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -38,6 +38,7 @@
   watchAttempt,
 } from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
+import type { CrashGuard, GuardedAttempt } from "./crash_guard.ts";
 import {
   type Attempt,
   type AttemptFailure,
@@ -75,6 +76,7 @@
   readonly maxConnectionsOf: (service: string) => number;
   readonly meters: Meters;
   readonly loopLag: LoopLag;
+  readonly crashGuard: CrashGuard;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -140,7 +142,7 @@
 export function createRelay(options: RelayOptions) {
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
-  const { queue, meters, prefillRates } = options;
+  const { queue, meters, prefillRates, crashGuard } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -172,6 +174,7 @@
     const retryable = isRetryable(request);
     let sends = 0;
     let executions = 0;
+    let hasCrashed = false;
     let unsent = 0;
     let mayStartLate = false;
     let refusals = 0;
@@ -193,6 +196,8 @@
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
       if (options.stopped.aborted) return fail(lastReason, 502);
+      const barred = crashGuard.check(request, hasCrashed);
+      if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
       if (!mayRetry || !placement.hasCandidates(request, excluded)) {
         return fail(lastReason, 502);
@@ -216,18 +221,29 @@
       const placed = request.prompt === undefined ? place() : await queue.wait({
         rank: priorityOf(request),
         deadline: Math.min(request.deadline, waitDeadline()),
-        isAbandoned: () => caller.hasDisconnected(),
+        isAbandoned: () =>
+          caller.hasDisconnected() ||
+          crashGuard.check(request, hasCrashed) !== undefined,
         place,
       });
       if (placed === undefined) {
         if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+        const late = crashGuard.check(request, hasCrashed);
+        if (late !== undefined) return fail(late.reason, 502, late.wait);
         return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
       }
       if (request.prompt !== undefined) {
         meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
       }
       const { choice } = placed;
-      const outcome = await runAttempt(placed);
+      // Another daemon may have condemned a part since the check.
+      const guarded = crashGuard.admit(request, choice.replica.entry);
+      if (guarded.kind === "refused") {
+        placed.trackedRequest.end();
+        queue.retry();
+        return fail(guarded.reason, 502, guarded.wait);
+      }
+      const outcome = await runAttempt(placed, guarded.attempt);
       switch (outcome.kind) {
         case "done":
           return end({ ...progress, kind: "answered", status: outcome.status });
@@ -314,6 +330,7 @@
 
     async function runAttempt(
       { choice, trackedRequest }: Placed,
+      guarded: GuardedAttempt,
     ): Promise<AttemptOutcome> {
       const { replica, version, salt, parts } = choice;
       const { entry } = replica;
@@ -374,8 +391,12 @@
           choice,
           watch,
           trackedRequest,
+          guarded,
           startedAt: started,
         });
+        const wasBrokenOff = attempt.wasBrokenOff();
+        if (wasBrokenOff) hasCrashed = true;
+        guarded.recordEnd(outcome, wasBrokenOff);
         replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
         const { kind } = outcome;
         meters.recordAttempt(
@@ -393,6 +414,7 @@
         return outcome;
       } finally {
         watch.stop();
+        guarded.release();
         trackedRequest.end();
         queue.retry();
       }
@@ -402,9 +424,10 @@
       readonly choice: Choice;
       readonly watch: AttemptWatch;
       readonly trackedRequest: TrackedRequest;
+      readonly guarded: GuardedAttempt;
       readonly startedAt: Milliseconds;
     }): Promise<AttemptOutcome> {
-      const { choice, watch, trackedRequest, startedAt } = context;
+      const { choice, watch, trackedRequest, guarded, startedAt } = context;
       const isStream = request.route.kind === "stream";
       if (retryable && executions + 1 < request.route.maxExecutions) {
         if (isStream) {
@@ -415,7 +438,10 @@
         }
       }
       const result = await attempt.head;
-      if (result.isOk()) replicas.recordReceived(choice.replica.entry.id);
+      if (result.isOk()) {
+        replicas.recordReceived(choice.replica.entry.id);
+        guarded.recordReceived();
+      }
       if (result.isErr()) return watch.cause() ?? toOutcome(result.error);
       const head = result.value;
       const metadata = headerCodec.readResponse(head.status, head.headers);
@@ -458,7 +484,9 @@
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
             replicas.recordReceived(choice.replica.entry.id);
+            guarded.recordReceived();
           },
+          onEvent: guarded.recordEvent,
         });
       }
       return await forwardPlainResponse({
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -48,6 +48,11 @@
   readonly gapLimit: Milliseconds | undefined;
   /** Called when data has been received from the replica. */
   readonly onData: () => void;
+  /**
+   * Called when a complete event has arrived. Comments and other text without
+   * an id do not show that the replica has begun its answer.
+   */
+  readonly onEvent: () => void;
 }
 
 export async function forwardStream(
@@ -77,7 +82,10 @@
     if (completed !== undefined) {
       recordEvent(options);
       if (!caller.hasStarted()) caller.writeHead(head.status, head.rawHeaders);
-      if (completed.lastId !== undefined) progress.lastEvent = completed.lastId;
+      if (completed.lastId !== undefined) {
+        progress.lastEvent = completed.lastId;
+        options.onEvent();
+      }
       await caller.write(completed.bytes);
     }
     if (gapLimit !== undefined) {
--- a/packages/retries/src/mod.ts
+++ b/packages/retries/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./attempt.ts";
 export * from "./backoff.ts";
 export * from "./budget.ts";
+export * from "./crash_evidence.ts";
 export * from "./decision.ts";
 export * from "./hedge.ts";
 export * from "./latency_window.ts";
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -30,6 +30,11 @@
   readonly wrongRequestId: boolean;
   /** Executes orders, but closes the connection without a response. */
   readonly loseOrderAnswers: boolean;
+  /**
+   * Prompt part on which the engine crashes when it would begin the answer;
+   * empty for none.
+   */
+  readonly crashOnPart: string;
 }
 
 export interface ReceivedRequest {
@@ -55,6 +60,8 @@
   readonly address: string;
   readonly requests: readonly ReceivedRequest[];
   readonly orders: readonly ReceivedOrder[];
+  /** Number of times that the engine crashed. */
+  crashes(): number;
   /** The entry that the replica writes to the list of replicas. */
   entry(state?: string): Record<string, unknown>;
   setFaults(faults: Partial<ReplicaFaults>): void;
@@ -83,8 +90,15 @@
   loseAnswers: false,
   wrongRequestId: false,
   loseOrderAnswers: false,
+  crashOnPart: "",
 };
 
+/** Time from a request to the first event, or to the crash. */
+const PREFILL_MILLISECONDS = 150;
+
+/** Time after which a crashed engine accepts connections again. */
+const RESTART_MILLISECONDS = 2_500;
+
 const DEFAULT_EVENT_COUNT = 5;
 const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 5;
 
@@ -104,6 +118,21 @@
   const orders: ReceivedOrder[] = [];
   let faults = NO_FAULTS;
   let version = 1;
+  let crashes = 0;
+  let restart: NodeJS.Timeout | undefined;
+
+  /** Ends all connections, and accepts new ones after the restart. */
+  function crash(): void {
+    if (restart !== undefined) return;
+    crashes += 1;
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    server.closeAllConnections();
+    restart = setTimeout(() => {
+      restart = undefined;
+      server.listen(port, "127.0.0.1");
+    }, RESTART_MILLISECONDS);
+  }
 
   function sendJson(response: ServerResponse, status: number, body = {}) {
     response.writeHead(status, { "content-type": "application/json" });
@@ -128,6 +157,12 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    if (faults.crashOnPart !== "") {
+      await new Promise((resolve) => setTimeout(resolve, PREFILL_MILLISECONDS));
+      const prompt = String(request.headers["prompt-prefix"] ?? "");
+      const parts = prompt.split(",").map((part) => part.split(":")[0]);
+      if (parts.includes(faults.crashOnPart)) return crash();
+    }
     const first = Number(request.headers["last-event-id"] ?? 0) + 1;
     response.writeHead(200, {
       ...createHeaders(request),
@@ -234,6 +269,7 @@
     address,
     requests,
     orders,
+    crashes: () => crashes,
     entry: (state = "ready") => ({
       service,
       address,
@@ -251,6 +287,8 @@
       faults = { ...faults, ...change };
     },
     async close() {
+      clearTimeout(restart);
+      if (!server.listening) return;
       server.closeAllConnections();
       await new Promise((resolve) => server.close(resolve));
     },
