--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -4,7 +4,11 @@
  */
 import type { CacheEvent, JournalPage } from "@peridotvalve/dispatch";
 import { type Delta, digestSchema } from "@peridotvalve/load";
-import { type CrashNews, MAX_PART_LENGTH } from "@peridotvalve/retries";
+import {
+  type CrashNews,
+  MAX_PART_LENGTH,
+  MAX_TOLD_PARTS,
+} from "@peridotvalve/retries";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 
@@ -53,7 +57,7 @@
 const crashes = z.tuple([
   z.array(z.tuple([part, count, count, z.number().int().min(1).max(64)]))
     .max(16),
-  z.array(z.tuple([name, count, z.array(part).max(64)])).max(32),
+  z.array(z.tuple([name, count, z.array(part).max(MAX_TOLD_PARTS)])).max(32),
   z.array(z.tuple([part, count])).max(32),
 ]);
 
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -92,7 +92,7 @@
   const daemons = peers.map((peer) =>
     startDaemon(peer, { clock, network, peers, followers, calls, store })
   );
-  return { clock, store, daemons };
+  return { clock, network, store, daemons };
 }
 
 function startDaemon(peer: PeerAddress, fleet: {
@@ -226,3 +226,26 @@
   expect(known.length).toEqual(10);
   for (const { stop } of daemons) stop.abort();
 });
+
+// Guards against a part that crashes more replicas because the daemons of
+// another zone, or those that missed datagrams, do not hear of its crashes.
+test("crashes at daemons of different zones condemn a part everywhere", async () => {
+  const { clock, network, daemons } = createFleet(10);
+  await advance(clock, 5_000);
+  network.setFaults({ loss: 0.3, delay: 20 });
+  const [first, second] = daemons;
+  const third = daemons.find(({ zone }) => zone === "vaasa");
+  for (const [index, daemon] of [first, second, third].entries()) {
+    daemon?.crashes.recordLoss({ replica: `i-${index}`, parts: ["s", "p"] });
+    await advance(clock, 300);
+    daemon?.mesh.announce();
+  }
+  daemons.at(-1)?.crashes.recordSuccess(["s"]);
+  await advance(clock, 3_000);
+  const refusing = daemons.filter(({ crashes }) =>
+    crashes.check(["s", "p"])?.part === "p"
+  );
+  expect(refusing.length).toEqual(daemons.length);
+  expect(daemons.filter(({ crashes }) => crashes.check(["s"]))).toEqual([]);
+  for (const { stop } of daemons) stop.abort();
+});
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -19,7 +19,7 @@
  *
  * Memory is bounded whatever parts callers invent: `MAX_RECORDS` crash records
  * of at most `MAX_PARTS` parts, `MAX_VERDICTS` verdicts and `MAX_PROOFS` times
- * of proofs, about 0.6 MB with ids of 64 characters. Work for one request is
+ * of proofs, about 1 MB with ids of 64 characters. Work for one request is
  * bounded by the parts of the request and the crash records, and does not
  * depend on the numbers of daemons and replicas.
  */
@@ -186,6 +186,12 @@
  */
 const MAX_RETOLD_CHANGES = 8;
 
+/**
+ * Times of one verdict differ by less between daemons. Without this tolerance,
+ * the delays of datagrams would add up while daemons adopt it from each other.
+ */
+const SAME_TIME: Milliseconds = 500;
+
 /** Minimum interval between two reports of the same part's proof. */
 const PROOF_INTERVAL: Milliseconds = 1_000;
 
@@ -195,8 +201,13 @@
  */
 const PROOF_STEP: Milliseconds = 100;
 
+/** Reports of a proof that no newer one replaces, as datagrams can be lost. */
+const PROOF_ROUNDS = 3;
+
 const MAX_RECORDS = 32;
-const MAX_PARTS = 48;
+const MAX_PARTS = 128;
+/** Parts of one crash record in a datagram. */
+export const MAX_TOLD_PARTS = 64;
 const MAX_VERDICTS = 64;
 const MAX_PROOFS = 4_096;
 const MAX_TOLD_VERDICTS = 8;
@@ -232,8 +243,13 @@
 
 interface Proof {
   at: Milliseconds;
-  /** Time of the last report and the proof that it told, by audience. */
-  readonly told: Record<Audience, { at: Milliseconds; proof: Milliseconds }>;
+  /**
+   * Time of the last report, the proof that it told and how often, by audience.
+   */
+  readonly told: Record<
+    Audience,
+    { at: Milliseconds; proof: Milliseconds; rounds: number }
+  >;
 }
 
 export function createCrashEvidence(
@@ -382,7 +398,7 @@
   function recordProof(part: string, at: Milliseconds): void {
     const known = proofs.get(part);
     if (known === undefined) {
-      const none = { at: -Infinity, proof: -Infinity };
+      const none = { at: -Infinity, proof: -Infinity, rounds: 0 };
       const told = { neighbors: { ...none }, zones: { ...none } };
       proofs.set(part, { at, told });
     } else {
@@ -524,7 +540,8 @@
       if (proof === undefined) continue;
       const told = proof.told[audience];
       if (now - told.at < PROOF_INTERVAL) continue;
-      if (proof.at - told.proof >= PROOF_STEP) due.push([part, proof]);
+      const isNew = proof.at - told.proof >= PROOF_STEP;
+      if (isNew || told.rounds < PROOF_ROUNDS) due.push([part, proof]);
     }
     due.sort(([part, a], [other, b]) =>
       Number(verdicts.has(other)) - Number(verdicts.has(part)) ||
@@ -644,7 +661,7 @@
         const base = measure([record.replica, age, []]) + 1;
         if (base >= left) return undefined;
         left -= base;
-        const parts = take(rankParts(record.parts));
+        const parts = take(rankParts(record.parts).slice(0, MAX_TOLD_PARTS));
         if (parts.length > 0) return [record.replica, age, parts] as const;
         left += base;
         return undefined;
@@ -653,8 +670,11 @@
       for (const [part] of toldProofs) {
         const proof = proofs.get(part);
         if (proof === undefined) continue;
-        proof.told[audience].at = now;
-        proof.told[audience].proof = proof.at;
+        const { proof: last, rounds } = proof.told[audience];
+        const isNew = proof.at - last >= PROOF_STEP;
+        proof.told[audience] = isNew
+          ? { at: now, proof: proof.at, rounds: 1 }
+          : { at: now, proof: last, rounds: rounds + 1 };
       }
       if (toldVerdicts.length + told.length + toldProofs.length === 0) {
         return undefined;
@@ -702,10 +722,10 @@
     const { part, strikes, since, until } = offered;
     if (isContradicted(offered)) return;
     const known = verdicts.get(part);
-    if (known !== undefined && known.strikes > strikes) return;
+    if (known !== undefined && !isLater(offered, known)) return;
     if (known !== undefined && known.strikes === strikes) {
-      known.since = Math.min(known.since, since);
-      known.until = Math.max(known.until, until);
+      known.since = since;
+      known.until = until;
       return;
     }
     putVerdict(offered);
@@ -714,6 +734,20 @@
   }
 }
 
+/**
+ * Orders the verdicts on one part. That of the latest crash prevails, so that an
+ * answer that contradicts it contradicts all.
+ */
+function isLater(
+  offered: Pick<ActiveVerdict, "since" | "until" | "strikes">,
+  known: Pick<ActiveVerdict, "since" | "until" | "strikes">,
+): boolean {
+  const difference = offered.since - known.since;
+  if (Math.abs(difference) > SAME_TIME) return difference > 0;
+  if (offered.strikes !== known.strikes) return offered.strikes > known.strikes;
+  return offered.until - known.until > SAME_TIME;
+}
+
 function holdOf(strikes: number): Milliseconds {
   return Math.min(MAX_HOLD, INITIAL_HOLD * 2 ** (strikes - 1));
 }
