--- /dev/null
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -0,0 +1,176 @@
+/**
+ * Which ends of attempts count as crashes, and what is logged and refused.
+ */
+import { createManualClock } from "@peridotvalve/clock";
+import {
+  createReplicaTable,
+  type DispatchRequest,
+  type ReplicaEntry,
+} from "@peridotvalve/dispatch";
+import { EventLogger } from "@peridotvalve/events";
+import { createCrashEvidence } from "@peridotvalve/retries";
+import { expect } from "earl";
+import { test } from "node:test";
+import type { AttemptOutcome } from "./attempt_watch.ts";
+import { CONDEMNED, createCrashGuard, SUSPECT } from "./crash_guard.ts";
+
+const BROKEN: AttemptOutcome = { kind: "lost", reason: "other side closed" };
+const GAP = 400;
+
+function createRequest(...parts: readonly string[]): DispatchRequest {
+  return {
+    ...{ id: "q", service: "llm", arrivedAt: 0, deadline: 5_000 },
+    route: {
+      ...{ name: "advice", kind: "stream", service: "llm", timeout: 5_000 },
+    } as unknown as DispatchRequest["route"],
+    prompt: {
+      ...{ model: "m", promptTokens: 9, outputTokens: 9 },
+      parts: [...parts, "own"].map((id) => ({ id, tokens: 3 })),
+    },
+  };
+}
+
+function createSetup() {
+  const clock = createManualClock();
+  const stopped = new AbortController();
+  const logged: (readonly [name: string, fields: unknown])[] = [];
+  const logger = new (class extends EventLogger {
+    override log(name: string, fields: unknown): void {
+      logged.push([name, fields]);
+    }
+  })();
+  const replicas = createReplicaTable({ clock, onChange: () => {} });
+  const entryOf = (number: number): ReplicaEntry => ({
+    ...{ id: `r${number}`, service: "llm", address: "a:80", zone: "espoo" },
+    ...{ slots: 8, state: "ready", weights: new Map(), born: 5 },
+  });
+  for (let number = 0; number < 9; number += 1) replicas.put(entryOf(number));
+  let announced = 0;
+  const crashes = createCrashEvidence({
+    clock,
+    random: () => 0,
+    onCondemned: (verdict) => guard.recordVerdict(verdict),
+  });
+  const guard = createCrashGuard({
+    ...{ clock, logger, crashes, replicas, stopped: stopped.signal },
+    announce: () => announced += 1,
+  });
+
+  /** Ends an attempt on a replica before or after its first event. */
+  async function end(
+    number: number,
+    parts: readonly string[],
+    options: { hasEvent?: boolean; wasBrokenOff?: boolean } = {},
+  ): Promise<void> {
+    const admission = guard.admit(createRequest(...parts), entryOf(number));
+    if (admission.kind === "refused") throw new Error(admission.reason);
+    const { attempt } = admission;
+    if (options.hasEvent === true) attempt.recordEvent();
+    attempt.recordEnd(BROKEN, options.wasBrokenOff ?? true);
+    attempt.release();
+    await clock.advance(GAP);
+  }
+
+  return {
+    ...{ clock, replicas, guard, crashes, logged, stopped, entryOf, end },
+    announced: () => announced,
+    check: (hasCrashed: boolean, ...parts: readonly string[]) =>
+      guard.check(createRequest(...parts), hasCrashed)?.reason,
+  };
+}
+
+// Guards against requests that are sent or repeated although each crash so far
+// had their part, and against other requests that are refused with them.
+test("a request is not repeated after two crashes and not sent after three", async () => {
+  const { check, end, guard, logged, announced, entryOf } = createSetup();
+  await end(0, ["s"], { hasEvent: true, wasBrokenOff: false });
+  await end(1, ["s", "p"]);
+  expect(check(true, "s", "p")).toEqual(undefined);
+  await end(2, ["s", "p"]);
+  expect(check(false, "s", "p")).toEqual(undefined);
+  expect(check(true, "s", "p")).toEqual(SUSPECT);
+  await end(3, ["s", "p"]);
+  expect(check(false, "s", "p")).toEqual(CONDEMNED);
+  expect(check(true, "s")).toEqual(undefined);
+  const late = guard.admit(createRequest("s", "p"), entryOf(4));
+  expect(late.kind).toEqual("refused");
+  // Two for the first crashes, one for the third and one for the verdict.
+  expect(announced()).toEqual(4);
+  const names = logged.map(([name]) => name);
+  expect(names.filter((name) => name === "part_condemned").length).toEqual(1);
+  expect(logged[0]).toEqual([
+    "replica_ended",
+    { beforeEvent: 1, afterEvent: 0, isCrash: true },
+  ]);
+});
+
+// Guards against the last part of a prompt, which no other request has, that
+// fills the evidence, and against refusals of requests without prompts.
+test("the last part of a prompt and requests without one are not judged", async () => {
+  const { check, end, guard } = createSetup();
+  for (const number of [0, 1, 2, 3]) await end(number, []);
+  expect(check(true)).toEqual(undefined);
+  const { prompt: _prompt, ...plain } = createRequest("p");
+  expect(guard.check(plain, true)).toEqual(undefined);
+});
+
+const HARMLESS: Readonly<
+  Record<string, (setup: ReturnType<typeof createSetup>) => Promise<void>>
+> = {
+  // The platform takes replicas away under requests, each with a notice or by
+  // the removal of its entry.
+  async "replicas that are leaving or no longer listed"(setup) {
+    const { replicas, end, entryOf } = setup;
+    for (const number of [0, 1, 2]) {
+      replicas.put({ ...entryOf(number), state: "leaving" });
+    }
+    for (const number of [3, 4, 5]) replicas.remove(`r${number}`);
+    for (const number of [0, 1, 2, 3, 4, 5]) await end(number, ["p"]);
+  },
+  // Cut links and callers that leave.
+  async "attempts that are cancelled here"({ end }) {
+    for (const number of [0, 1, 2, 3]) {
+      await end(number, ["p"], { wasBrokenOff: false });
+    }
+  },
+  async "attempts that delivered an event"({ end }) {
+    for (const number of [0, 1, 2, 3]) {
+      await end(number, ["p"], { hasEvent: true });
+    }
+  },
+  async "attempts that end with the daemon"({ end, stopped }) {
+    stopped.abort();
+    for (const number of [0, 1, 2, 3]) await end(number, ["p"]);
+  },
+};
+
+for (const [name, run] of Object.entries(HARMLESS)) {
+  // Guards against refusals because of ends that say nothing about a part.
+  test(`no part is condemned for ${name}`, async () => {
+    const setup = createSetup();
+    await run(setup);
+    expect(setup.check(true, "p")).toEqual(undefined);
+    const condemned = setup.logged.filter(([one]) => one === "part_condemned");
+    expect(condemned).toEqual([]);
+  });
+}
+
+// Guards against a reset connection that is told and logged as a crash.
+test("a replica that sends data after a reset has not crashed", async () => {
+  const { guard, clock, logged, announced, entryOf } = createSetup();
+  const open = () => {
+    const admission = guard.admit(createRequest("p"), entryOf(0));
+    if (admission.kind === "refused") throw new Error(admission.reason);
+    return admission.attempt;
+  };
+  const [reset, live] = [open(), open()];
+  reset.recordEnd(BROKEN, true);
+  await clock.advance(200);
+  live.recordReceived();
+  await clock.advance(GAP);
+  expect(announced()).toEqual(0);
+  expect(logged).toEqual([[
+    "replica_ended",
+    { beforeEvent: 1, afterEvent: 0, isCrash: false },
+  ]]);
+});
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -210,6 +210,7 @@
 export const MAX_TOLD_PARTS = 64;
 const MAX_VERDICTS = 64;
 const MAX_PROOFS = 4_096;
+const PROOFS_DROPPED = 512;
 const MAX_TOLD_VERDICTS = 8;
 const MAX_TOLD_PROOFS = 16;
 
@@ -258,7 +259,7 @@
   const { clock, random } = options;
   /** Ordered by time; void ones are kept until their reports stop. */
   let records: CrashRecord[] = [];
-  /** Number of records by part; undefined after the records have changed. */
+  /** Number of records by part; undefined after records were dropped. */
   let recordCounts: Map<string, number> | undefined;
   const verdicts = new Map<string, ActiveVerdict>();
   /** Least recently proven parts first. */
@@ -407,16 +408,26 @@
       proofs.delete(part);
       proofs.set(part, known);
     }
-    for (const oldest of proofs.keys()) {
-      if (proofs.size <= MAX_PROOFS) break;
-      proofs.delete(oldest);
-    }
+    if (proofs.size >= MAX_PROOFS) dropOldestProofs();
     const verdict = verdicts.get(part);
     if (verdict === undefined || !isContradicted(verdict)) return;
     verdicts.delete(part);
     options.onLifted?.(part);
   }
 
+  /**
+   * Drops many at once, because a map finds its first entry only after a pass
+   * over those that were deleted before.
+   */
+  function dropOldestProofs(): void {
+    let excess = PROOFS_DROPPED;
+    for (const part of proofs.keys()) {
+      if (excess <= 0) return;
+      proofs.delete(part);
+      excess -= 1;
+    }
+  }
+
   /**
    * Returns true when an answer on the part began after its crashes, or when
    * the crashes known here have a more likely cause: the daemon that condemned
@@ -464,14 +475,18 @@
     };
     if (known === undefined) records.push(record);
     record.at = Math.min(record.at, at);
-    const before = new Set(record.parts);
-    for (const part of parts) if (isUsable(part)) record.parts.add(part);
+    const added = parts.filter((part) =>
+      isUsable(part) && !record.parts.has(part)
+    );
+    for (const part of added) changeParts(record, part, 1);
     trimParts(record);
-    recordCounts = undefined;
     const isChanged = known === undefined ||
-      [...record.parts].some((part) => !before.has(part));
+      added.some((part) => record.parts.has(part));
     records.sort((a, b) => a.at - b.at);
-    if (records.length > MAX_RECORDS) records.shift();
+    if (records.length > MAX_RECORDS) {
+      records.shift();
+      recordCounts = undefined;
+    }
     if (isChanged && record.changes < MAX_RETOLD_CHANGES) {
       record.changes += 1;
       record.roundsLeft.neighbors = TOLD_ROUNDS;
@@ -483,10 +498,23 @@
   function trimParts(record: CrashRecord): void {
     if (record.parts.size <= MAX_PARTS) return;
     for (const part of rankParts(record.parts).slice(MAX_PARTS)) {
-      record.parts.delete(part);
+      changeParts(record, part, -1);
     }
   }
 
+  /** Adds a part to a record or removes it, and counts it. */
+  function changeParts(
+    { parts, voidedAt }: CrashRecord,
+    part: string,
+    change: 1 | -1,
+  ): void {
+    if (change > 0 === parts.has(part)) return;
+    if (change > 0) parts.add(part);
+    else parts.delete(part);
+    if (recordCounts === undefined || voidedAt !== undefined) return;
+    recordCounts.set(part, (recordCounts.get(part) ?? 0) + change);
+  }
+
   /** Parts of several records first, then those proven sound least recently. */
   function rankParts(parts: Iterable<string>): string[] {
     const ranked = [...parts].map((part) => ({
