--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -74,6 +74,7 @@
  */
 const REASON_LABELS: readonly (readonly [word: string, label: string])[] = [
   ["shutting down", "stopping"],
+  ["prompt part", "crashing part"],
   ["no retries left", "retry budget"],
   ["too many wait", "too many wait"],
   ["no room", "no room"],
