--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -62,6 +62,8 @@
   readonly orders: readonly ReceivedOrder[];
   /** Number of times that the engine crashed. */
   crashes(): number;
+  /** False from a crash until the engine accepts connections again. */
+  isRunning(): boolean;
   /** The entry that the replica writes to the list of replicas. */
   entry(state?: string): Record<string, unknown>;
   setFaults(faults: Partial<ReplicaFaults>): void;
@@ -270,6 +272,7 @@
     requests,
     orders,
     crashes: () => crashes,
+    isRunning: () => server.listening,
     entry: (state = "ready") => ({
       service,
       address,
