Let a request that leaves a silent replica be placed

Change: after an attempt, a request may look for a place for 100 ms at least. platform/src/silent_replica.test.ts failed before with 502.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -137,6 +137,12 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
+/**
+ * Time for which a request that leaves a silent replica may look for the other
+ * one that had room, however long it has waited before.
+ */
+const MOVE_TIME: Milliseconds = 100;
+
 const RETRY_AFTER: Milliseconds = 250;
 /**
  * Spreads the retries of refused callers, so that they do not arrive together.
@@ -350,9 +356,11 @@
      * has no use for it.
      */
     function waitDeadline(): Milliseconds {
+      const now = clock.monotonic();
       const isNew = progress.firstEvent === 0;
-      const start = isNew ? request.arrivedAt : clock.monotonic();
-      return start + gapLimit(request.route);
+      const start = isNew ? request.arrivedAt : now;
+      const moveDeadline = sends > 0 ? now + MOVE_TIME : -Infinity;
+      return Math.max(start + gapLimit(request.route), moveDeadline);
     }
 
     /** Sends the final response of a request that no replica has served. */
