Condemn no part for crashes that are mostly those of an outage

A part must now have at least half of the crashes of their time, and a part that was sound within 2 s before its last crash is condemned after five crashes only, however long no answers begin afterwards.

--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -9,17 +9,18 @@
  *   soon afterwards shows that only connections were reset, and voids it.
  * - An answer that begins proves the parts of its request sound at that time:
  *   only crashes after it count against them.
- * - A part is condemned after three crashes, unless other parts explain them:
- *   those that stand in the same crash records and were proven sound less
+ * - A part is condemned after three crashes that are most of those in their
+ *   time, or after five if it was sound just before, unless other parts explain
+ *   them: those that stand in the same crash records and were proven sound less
  *   recently, or never.
  *
- * Daemons exchange crash records, proofs and verdicts. Times travel as ages,
- * rounded so that they never become earlier crashes or later proofs. Merging
- * news is idempotent, and its order does not matter.
+ * Daemons exchange crash records, proofs and verdicts. Times travel as ages and
+ * appear later by the delays on the way, which the tolerances below allow for.
+ * Merging news is idempotent, and its order does not matter.
  *
  * Memory is bounded whatever parts callers invent: `MAX_RECORDS` crash records
  * of at most `MAX_PARTS` parts, `MAX_VERDICTS` verdicts and `MAX_PROOFS` times
- * of proofs, about 1 MB with ids of 64 characters. Work for one request is
+ * of proofs, 1.6 MB as measured with ids of 64 characters. Work for one request is
  * bounded by the parts of the request and the crash records, and does not
  * depend on the numbers of daemons and replicas.
  */
@@ -126,13 +127,27 @@
 /** Crashes after which a request with the part is not repeated. */
 export const CRASHES_TO_SUSPECT = 2;
 
+/** In an outage, few crashes follow each other this often before an answer. */
+export const CRASHES_DESPITE_PROOF = 5;
+
+/**
+ * Share of all crashes during its own that a part must have. A deadly part is
+ * the cause of almost all crashes, while in an outage any one conversation is on
+ * few of the replicas.
+ */
+const MIN_SHARE = 0.5;
+
 /**
  * Crashes within this time count once against a part, because an outage ends
  * many replicas at once.
  */
 const CRASH_SPACING: Milliseconds = 100;
 
-/** A part that was sound within this time is not condemned. */
+/**
+ * A part on which an answer began less than this before its last crash is
+ * condemned only after `CRASHES_DESPITE_PROOF` crashes. An outage ends replicas
+ * under all parts in use, and no answers begin while it lasts.
+ */
 export const PROOF_VALIDITY: Milliseconds = 2_000;
 
 /** Age after which a crash record is dropped. */
@@ -242,17 +257,21 @@
   isTried: boolean;
 }
 
+interface ProofReport {
+  readonly at: Milliseconds;
+  readonly proof: Milliseconds;
+  /** Number of reports of this proof. */
+  readonly rounds: number;
+}
+
 interface Proof {
   at: Milliseconds;
-  /**
-   * Time of the last report, the proof that it told and how often, by audience.
-   */
-  readonly told: Record<
-    Audience,
-    { at: Milliseconds; proof: Milliseconds; rounds: number }
-  >;
+  /** The last report to each audience; absent before the first. */
+  told?: Partial<Record<Audience, ProofReport>>;
 }
 
+const UNTOLD: ProofReport = { at: -Infinity, proof: -Infinity, rounds: 0 };
+
 export function createCrashEvidence(
   options: CrashEvidenceOptions,
 ): CrashEvidence {
@@ -339,17 +358,35 @@
     return counted.every(({ parts }) => [...parts].some(explains));
   }
 
+  /**
+   * Returns true when the records are at least the stated share of all records
+   * of their time.
+   */
+  function isCommon(
+    counted: readonly CrashRecord[],
+    start: Milliseconds,
+  ): boolean {
+    const end = counted.at(-1)?.at ?? start;
+    const isWithin = ({ at, voidedAt }: CrashRecord) =>
+      voidedAt === undefined && at >= start && at <= end;
+    return counted.filter(isWithin).length >=
+      records.filter(isWithin).length * MIN_SHARE;
+  }
+
   /** The crashes that count against a part, if they reach the number needed. */
   function findCrashes(
     part: string,
     needed: number,
   ): readonly Milliseconds[] | undefined {
     if (countRecords(part) < needed) return undefined;
-    if (clock.monotonic() - lastProof(part) < PROOF_VALIDITY) return undefined;
     const counted = countedRecords(part);
     if (counted.length < needed) return undefined;
     const crashes = listCrashes(counted);
     if (crashes.length < needed) return undefined;
+    const last = crashes.at(-1) ?? -Infinity;
+    const isProven = last - lastProof(part) < PROOF_VALIDITY;
+    if (isProven && crashes.length < CRASHES_DESPITE_PROOF) return undefined;
+    if (!isCommon(counted, crashes.at(-needed) ?? last)) return undefined;
     if (isExplained(part, counted, crashes.length, needed)) return undefined;
     return crashes;
   }
@@ -399,9 +436,7 @@
   function recordProof(part: string, at: Milliseconds): void {
     const known = proofs.get(part);
     if (known === undefined) {
-      const none = { at: -Infinity, proof: -Infinity, rounds: 0 };
-      const told = { neighbors: { ...none }, zones: { ...none } };
-      proofs.set(part, { at, told });
+      proofs.set(part, { at });
     } else {
       if (at <= known.at) return;
       known.at = at;
@@ -546,7 +581,7 @@
     const now = clock.monotonic();
     let worst: CondemnedPart | undefined;
     for (const part of parts) {
-      // The last proof may have become too old since the last crash.
+      // A proof may have cleared the part that explained the crashes.
       condemn(part);
       const verdict = verdicts.get(part);
       if (verdict === undefined) continue;
@@ -566,7 +601,7 @@
     for (const part of named) {
       const proof = proofs.get(part);
       if (proof === undefined) continue;
-      const told = proof.told[audience];
+      const told = proof.told?.[audience] ?? UNTOLD;
       if (now - told.at < PROOF_INTERVAL) continue;
       const isNew = proof.at - told.proof >= PROOF_STEP;
       if (isNew || told.rounds < PROOF_ROUNDS) due.push([part, proof]);
@@ -574,7 +609,10 @@
     due.sort(([part, a], [other, b]) =>
       Number(verdicts.has(other)) - Number(verdicts.has(part)) ||
       countRecords(other) - countRecords(part) ||
-      compare(a.told[audience].at, b.told[audience].at)
+      compare(
+        (a.told?.[audience] ?? UNTOLD).at,
+        (b.told?.[audience] ?? UNTOLD).at,
+      )
     );
     return due.slice(0, MAX_TOLD_PROOFS)
       .map(([part, { at }]) => [part, Math.ceil(now - at)] as const);
@@ -698,11 +736,12 @@
       for (const [part] of toldProofs) {
         const proof = proofs.get(part);
         if (proof === undefined) continue;
-        const { proof: last, rounds } = proof.told[audience];
+        const { proof: last, rounds } = proof.told?.[audience] ?? UNTOLD;
         const isNew = proof.at - last >= PROOF_STEP;
-        proof.told[audience] = isNew
+        const report = isNew
           ? { at: now, proof: proof.at, rounds: 1 }
           : { at: now, proof: last, rounds: rounds + 1 };
+        proof.told = { ...proof.told, [audience]: report };
       }
       if (toldVerdicts.length + told.length + toldProofs.length === 0) {
         return undefined;
