Answer requests that were read behind each other during a drain

A caller that sent two requests in a row after SIGTERM got one answer, although both ran: each response announced the close of the connection, and Node.js drops what stands behind the first one. The dropped response emits no event, so the number of requests in flight stayed above zero, and the drain went on to its limit and was logged as cut.

Change: only the last response of a connection announces the close, a request that is read after it is refused, and the end of a connection ends all its requests, also for the watch of their callers. The tracking moves to the connections package.

--- /dev/null
+++ b/packages/connections/src/server_connections.ts
@@ -0,0 +1,68 @@
+/**
+ * The open connections of a server and the responses that they still owe.
+ *
+ * Node.js does not count a connection on which no request was sent as idle, so
+ * `closeIdleConnections` leaves it open. It emits no "close" for a response that
+ * waits behind another one when the connection closes.
+ */
+import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+
+export interface ServerConnections {
+  /** Records a request until its response or its connection has closed. */
+  begin(socket: Socket, response: ServerResponse): void;
+  /** Number of requests whose responses are not complete. */
+  inFlight(): number;
+  /**
+   * Returns true when a response may be the last one of its connection, because
+   * no other request was read behind it. No request is to be served that is read
+   * on the connection afterwards.
+   */
+  endAfterResponse(socket: Socket): boolean;
+  /** Returns true after `endAfterResponse` has returned true. */
+  isEnding(socket: Socket): boolean;
+  /** Closes the connections that carry no request. */
+  closeIdle(): void;
+}
+
+export function trackServerConnections(server: Server): ServerConnections {
+  /** Number of open exchanges by connection. */
+  const exchanges = new Map<Socket, number>();
+  const ending = new WeakSet<Socket>();
+  let inFlight = 0;
+
+  server.on("connection", (socket: Socket) => {
+    exchanges.set(socket, 0);
+    socket.once("close", () => {
+      inFlight -= exchanges.get(socket) ?? 0;
+      exchanges.delete(socket);
+    });
+  });
+
+  return {
+    begin(socket, response) {
+      if (!exchanges.has(socket)) return;
+      inFlight += 1;
+      exchanges.set(socket, (exchanges.get(socket) ?? 0) + 1);
+      response.once("close", () => {
+        const open = exchanges.get(socket);
+        if (open === undefined) return;
+        inFlight -= 1;
+        exchanges.set(socket, open - 1);
+      });
+    },
+    inFlight: () => inFlight,
+    endAfterResponse(socket) {
+      if ((exchanges.get(socket) ?? 0) > 1) return false;
+      ending.add(socket);
+      return true;
+    },
+    isEnding: (socket) => ending.has(socket),
+    closeIdle() {
+      server.closeIdleConnections();
+      for (const socket of exchanges.keys()) {
+        if (socket.bytesRead === 0) socket.destroy();
+      }
+    },
+  };
+}
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -72,11 +72,13 @@
     for (const listener of listeners) listener();
   }
   // The end of the socket is read some turns of the event loop before the
-  // response closes.
+  // response closes, and a response that waits behind another one never closes.
   const { socket } = request;
   socket.once("end", recordDisconnect);
+  socket.once("close", recordDisconnect);
   response.once("close", () => {
     socket.off("end", recordDisconnect);
+    socket.off("close", recordDisconnect);
     recordDisconnect();
   });
   // A connection reset is also followed by "close", which handles it.
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -4,6 +4,7 @@
  * are refused at once.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { trackServerConnections } from "@peridotvalve/connections";
 import {
   chooseTarget,
   type Customer,
@@ -26,7 +27,6 @@
   SHUTDOWN_RETRY_AFTER,
   SHUTTING_DOWN,
 } from "./caller.ts";
-import { trackCallerConnections } from "./caller_connections.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
@@ -78,7 +78,6 @@
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
   const { loopLag } = options;
-  let inFlight = 0;
   let isKeepAliveDisabled = false;
   let isIntakeClosed = false;
   /** Connections on which a request has been read. */
@@ -94,7 +93,7 @@
       response.destroy();
     });
   });
-  const connections = trackCallerConnections(server);
+  const connections = trackServerConnections(server);
 
   function applyLimits({ state: { limits } }: ActiveState): void {
     server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
@@ -107,17 +106,18 @@
   ): Promise<void> {
     const arrivedAt = clock.monotonic();
     const metadata = headerCodec.readRequest(request.headers);
+    const { socket } = request;
+    const isRefused = isIntakeClosed || connections.isEnding(socket);
+    connections.begin(socket, response);
     const caller = createCaller({
       request,
       response,
       requestId: { name: options.requestIdHeader, value: metadata.id },
-      shouldCloseConnection: () => isKeepAliveDisabled,
+      shouldCloseConnection: () =>
+        isKeepAliveDisabled && connections.endAfterResponse(socket),
     });
-    inFlight += 1;
-    // Emitted once, however the exchange ends.
-    response.once("close", () => inFlight -= 1);
     const active = holder.current();
-    if (isIntakeClosed) {
+    if (isRefused) {
       const retryAfter = SHUTDOWN_RETRY_AFTER * (1 + Math.random());
       return decline({ status: 503, reason: SHUTTING_DOWN, retryAfter });
     }
@@ -150,8 +150,8 @@
     if (body.kind === "too long") {
       return decline({ status: 413, reason: "body too long" }, route);
     }
-    if (!knownSockets.has(request.socket)) {
-      knownSockets.add(request.socket);
+    if (!knownSockets.has(socket)) {
+      knownSockets.add(socket);
       // A connection that was accepted late may bring the close of its caller
       // right behind the request.
       await loopLag.readSockets();
@@ -266,7 +266,7 @@
     override readonly server = server;
 
     override inFlight(): number {
-      return inFlight;
+      return connections.inFlight();
     }
 
     override disableKeepAlive(): void {
