--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -13,6 +13,10 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "@peridotvalve/clock";
+import {
+  type ServerConnections,
+  trackServerConnections,
+} from "@peridotvalve/connections";
 import { toErrorResponse } from "@peridotvalve/errors";
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Context, Service, ServiceBroker } from "moleculer";
@@ -115,6 +119,7 @@
   }
   await broker.waitForServices(`${options.name}-gateway`);
   configureServer(server);
+  const connections = trackServerConnections(server);
   return Ok({
     setHeadersTimeout(timeout) {
       server.headersTimeout = timeout;
@@ -122,7 +127,7 @@
     address: () => formatAddress(server),
     async close() {
       const ended = new AbortController();
-      const sweeping = closeIdleUntil(ended.signal, server, options.clock);
+      const sweeping = closeIdleUntil(ended.signal, connections, options.clock);
       await broker.destroyService(service);
       ended.abort();
       await sweeping;
@@ -149,12 +154,12 @@
  */
 async function closeIdleUntil(
   signal: AbortSignal,
-  server: Server,
+  connections: ServerConnections,
   clock: Clock,
 ): Promise<void> {
   while (!signal.aborted) {
+    connections.closeIdle();
     await clock.sleep(IDLE_SWEEP_INTERVAL, signal);
-    server.closeIdleConnections();
   }
 }
 
