Let no late report of an older answer lift a verdict

In a trial in which a part turned deadly between answers, one daemon lifted its verdict and adopted it again from a peer three times: the proof from just before the first crash seemed newer than it by the delay of the heartbeat. A proof now contradicts a verdict when it is 100 ms newer. The new test fails without it.

--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -232,6 +232,20 @@
   expect([one.lifted, other.lifted]).toEqual([["wrong"], ["wrong"]]);
 });
 
+// Guards against a verdict that a delayed heartbeat lifts, with the proof of a
+// part that was sound just before its first crash (seen three times in a run).
+test("a proof from just before the crashes that arrives late lifts nothing", async () => {
+  const { clock, evidence, lifted, crash } = createDaemon();
+  const first = clock.monotonic();
+  for (let round = 0; round < 3; round += 1) await crash(DEADLY);
+  expect(isCondemned(evidence, DEADLY)).toEqual(true);
+  const age = clock.monotonic() - first;
+  const late: CrashNews["proofs"] = [[DEADLY, age - 50]];
+  evidence.apply({ verdicts: [], records: [], proofs: late });
+  expect(lifted).toEqual([]);
+  expect(isCondemned(evidence, DEADLY)).toEqual(true);
+});
+
 // Guards against a daemon that started a moment ago, knows no answers and has
 // its peers refuse a sound part.
 test("a verdict is rejected and lifted by proofs from before the crashes", async () => {
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -207,6 +207,13 @@
  */
 const SAME_TIME: Milliseconds = 500;
 
+/**
+ * Delay by which the reported proof of a peer appears later than it was. A part
+ * that was sound just before its first crash would otherwise seem sound after
+ * it, and its verdict would be lifted and adopted again with each heartbeat.
+ */
+const MAX_NEWS_DELAY: Milliseconds = 100;
+
 /** Minimum interval between two reports of the same part's proof. */
 const PROOF_INTERVAL: Milliseconds = 1_000;
 
@@ -474,7 +481,7 @@
       "part" | "since" | "strikes"
     >,
   ): boolean {
-    if (lastProof(part) > since) return true;
+    if (lastProof(part) - since > MAX_NEWS_DELAY) return true;
     if (strikes > 1) return false;
     const counted = countedRecords(part);
     const crashes = listCrashes(counted).length;
