Reserve the other replica before a request leaves a silent one

The reviewer brought about a request that left a replica which would have answered in time, and was then refused because of the shutdown; by reading, several requests could leave for the same free place, and none could leave while others waited in the queue.

Change: the place is reserved first, under the same conditions as an attempt: time left, retry budget, shutdown and crash guard. Requests that wait for a place are woken when the shutdown leaves them no time.

--- a/packages/gateway/src/attempt_watch.ts
+++ b/packages/gateway/src/attempt_watch.ts
@@ -50,8 +50,8 @@
   stop(): void;
 }
 
-/** Interval between looks for another replica when the present one is silent. */
-const ALTERNATIVE_POLL_PERIOD: Milliseconds = 200;
+/** Interval between tries to reserve another replica than the silent one. */
+const RESERVATION_PERIOD: Milliseconds = 200;
 
 /** Watches an attempt until `stop` is called. */
 export function watchAttempt(attempt: Attempt, options: {
@@ -60,8 +60,10 @@
   readonly deadline: Milliseconds;
   /** Time since data was last received from the replica. */
   readonly silence: () => Milliseconds;
-  /** Returns true when another replica can take the request now. */
-  readonly hasAlternative: () => boolean;
+  /**
+   * Reserves a place at another replica; returns false when none has room now.
+   */
+  readonly reserveOther: () => boolean;
 }): AttemptWatch {
   const { clock, caller, deadline, silence } = options;
   let cause: AttemptOutcome | undefined;
@@ -97,8 +99,8 @@
             );
             return;
           }
-          if (!options.hasAlternative()) {
-            this.limitSilence(ALTERNATIVE_POLL_PERIOD);
+          if (!options.reserveOther()) {
+            this.limitSilence(RESERVATION_PERIOD);
             return;
           }
           cancelAttempt({ kind: "lost", reason: SILENT }, SILENT);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -137,12 +137,6 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
-/**
- * Time for which a request that leaves a silent replica may look for the other
- * one that had room, however long it has waited before.
- */
-const MOVE_TIME: Milliseconds = 100;
-
 const RETRY_AFTER: Milliseconds = 250;
 /**
  * Spreads the retries of refused callers, so that they do not arrive together.
@@ -199,7 +193,18 @@
     budget.recordFirstAttempt(request.service);
 
     const remaining = () => request.deadline - clock.monotonic();
-    const end = (ending: Ending): RelayResult => ({ ending, sends });
+    /** The other replica for a request that leaves a silent one. */
+    let reserved: Placed | undefined;
+    const takeReserved = () => {
+      const taken = reserved;
+      reserved = undefined;
+      return taken;
+    };
+    const end = (ending: Ending): RelayResult => {
+      const unused = takeReserved();
+      if (unused !== undefined) release(unused);
+      return { ending, sends };
+    };
 
     for (;;) {
       await options.loopLag.settle();
@@ -216,29 +221,20 @@
         logger.log("retry_budget_spent", { kind: request.service }, subject);
         return fail(`${lastReason}, no retries left`, 502);
       }
-      const wait = request.prompt === undefined
+      const wait = request.prompt === undefined || reserved !== undefined
         ? 0
         : queue.estimateWait(priorityOf(request));
-      if (
-        clock.monotonic() + wait > Math.min(request.deadline, waitDeadline())
-      ) {
+      const lastStart = Math.min(request.deadline, waitDeadline());
+      if (reserved === undefined && clock.monotonic() + wait > lastStart) {
         return fail(`${lastReason}, too many wait`, 502, wait);
       }
       if (!endsBeforeExit(wait)) return refuseAtShutdown();
       if (sends > 0) meters.recordRetry(request.service);
       const queuedAt = clock.monotonic();
-      // Plain services have a short queue of their own, so their requests do
-      // not wait here.
-      const placed = request.prompt === undefined ? place() : await queue.wait({
-        rank: priorityOf(request),
-        deadline: Math.min(request.deadline, waitDeadline()),
-        isAbandoned: () =>
-          caller.hasDisconnected() ||
-          crashGuard.check(request, hasCrashed) !== undefined,
-        place,
-      });
+      const placed = takeReserved() ?? await waitForPlace(lastStart);
       if (placed === undefined) {
         if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+        if (!endsBeforeExit(0)) return refuseAtShutdown();
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
         return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
@@ -305,6 +301,23 @@
       if (!hasOtherWeights) excluded.add(choice.replica.entry.id);
     }
 
+    async function waitForPlace(
+      deadline: Milliseconds,
+    ): Promise<Placed | undefined> {
+      // Plain services have a short queue of their own, so their requests do
+      // not wait here.
+      if (request.prompt === undefined) return place();
+      return await queue.wait({
+        rank: priorityOf(request),
+        deadline,
+        isAbandoned: () =>
+          caller.hasDisconnected() || options.stopped.aborted ||
+          !endsBeforeExit(0) ||
+          crashGuard.check(request, hasCrashed) !== undefined,
+        place,
+      });
+    }
+
     function place(): Placed | undefined {
       const choice = placement.choose(request, excluded);
       if (choice === undefined) return undefined;
@@ -332,12 +345,19 @@
       });
     }
 
-    /** True when another replica than the given one has room now. */
-    function hasAlternative(id: string): boolean {
-      if (budget.left(request.service) < 1) return false;
-      if (queue.estimateWait(priorityOf(request)) > 0) return false;
-      return placement.choose(request, new Set([...excluded, id])) !==
-        undefined;
+    /**
+     * Reserves a place at another replica than the given one, if the request may
+     * move now.
+     */
+    function reserveOther(id: string): boolean {
+      const mayMove = remaining() > MIN_REMAINING && endsBeforeExit(0) &&
+        budget.left(request.service) >= 1 &&
+        crashGuard.check(request, hasCrashed) === undefined;
+      if (!mayMove) return false;
+      excluded.add(id);
+      reserved ??= place();
+      if (reserved === undefined) excluded.delete(id);
+      return reserved !== undefined;
     }
 
     function refuseAtShutdown(): RelayResult {
@@ -356,11 +376,9 @@
      * has no use for it.
      */
     function waitDeadline(): Milliseconds {
-      const now = clock.monotonic();
       const isNew = progress.firstEvent === 0;
-      const start = isNew ? request.arrivedAt : now;
-      const moveDeadline = sends > 0 ? now + MOVE_TIME : -Infinity;
-      return Math.max(start + gapLimit(request.route), moveDeadline);
+      const start = isNew ? request.arrivedAt : clock.monotonic();
+      return start + gapLimit(request.route);
     }
 
     /** Sends the final response of a request that no replica has served. */
@@ -440,7 +458,7 @@
         caller,
         deadline: request.deadline,
         silence: () => replicas.silence(entry.id),
-        hasAlternative: () => hasAlternative(entry.id),
+        reserveOther: () => reserveOther(entry.id),
       });
       try {
         const outcome = await awaitOutcome(attempt, {
