Count the bytes of a plain response as data from its replica

Callers of long look-ups got a cut response: the silence limit that was set when the attempt started was never renewed, so a response of 1.5 MB over 1.5 s was cancelled after 0.4 s while its bytes arrived. Above 256 KB its head had been sent, so that no other replica could continue it.

--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -157,6 +157,7 @@
       ...{ head: opened.head.unwrap(), progress: createProgress() },
       arrivedAt: 0,
       mayRetry: () => false,
+      onData: () => {},
     });
     expect(outcome).toEqual({ kind: "lost", reason: ENDLESS });
     expectBounded(server.sent(), before);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -503,14 +503,14 @@
     }): Promise<AttemptOutcome> {
       const { choice, watch, trackedRequest, guarded, startedAt } = context;
       const isStream = request.route.kind === "stream";
-      if (retryable && executions + 1 < request.route.maxExecutions) {
-        if (isStream) {
-          const limit = MAX_SILENCE + prefillTimeOf(request, choice);
-          watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
-        } else {
-          watch.limitSilence(silenceLimit(request.route));
-        }
-      }
+      const mayReplace = retryable &&
+        executions + 1 < request.route.maxExecutions;
+      const limitPlainSilence = () =>
+        watch.limitSilence(silenceLimit(request.route));
+      if (mayReplace && isStream) {
+        const limit = MAX_SILENCE + prefillTimeOf(request, choice);
+        watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
+      } else if (mayReplace) limitPlainSilence();
       const result = await attempt.head;
       if (result.isOk()) {
         replicas.recordReceived(choice.replica.entry.id);
@@ -549,11 +549,9 @@
         prefillRates.recordFirstToken(request.service, { tokens, elapsed });
       };
       if (isStream && head.status === 200) {
-        const mayResume = retryable &&
-          executions + 1 < request.route.maxExecutions;
         return await forwardStream({
           ...common,
-          gapLimit: mayResume ? gapLimit(request.route) : undefined,
+          gapLimit: mayReplace ? gapLimit(request.route) : undefined,
           onData() {
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
@@ -565,9 +563,12 @@
       }
       return await forwardPlainResponse({
         ...common,
-        mayRetry: () =>
-          retryable && executions + 1 < request.route.maxExecutions &&
-          budget.left(request.service) >= 1,
+        mayRetry: () => mayReplace && budget.left(request.service) >= 1,
+        onData() {
+          replicas.recordReceived(choice.replica.entry.id);
+          guarded.recordReceived();
+          if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
+        },
       });
     }
   };
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -113,6 +113,8 @@
    * replica.
    */
   readonly mayRetry: () => boolean;
+  /** Called when data has been received from the replica. */
+  readonly onData: () => void;
 }
 
 /**
@@ -141,6 +143,7 @@
   for (const body = attempt.body();;) {
     const next = await body.next();
     if (!next.done) {
+      options.onData();
       size += next.value.length;
       if (size > (isResumed ? MAX_BUFFERED : MAX_PLAIN_RESPONSE)) {
         attempt.cancel(ENDLESS);
@@ -166,6 +169,8 @@
   async function begin(headers: readonly string[]): Promise<void> {
     progress.firstEvent = clock.monotonic() - arrivedAt;
     progress.hasPlainResponse = true;
+    // Another replica could not continue the response.
+    watch.limitSilence(Infinity);
     caller.writeHead(status, headers);
     for (const chunk of chunks.splice(0)) await caller.write(chunk);
   }
