--- a/packages/history/src/mod.ts
+++ b/packages/history/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./checks/mod.ts";
 export * from "./faults.ts";
 export * from "./history.ts";
+export * from "./random.ts";
 export * from "./records.ts";
 export * from "./recorder.ts";
 export * from "./run.ts";
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -71,6 +71,23 @@
   readonly events?: number;
   /** Milliseconds between the events of a stream. */
   readonly pause?: number;
+  /** Number of requests that the replica states to run at once. */
+  readonly slots?: number;
+  /**
+   * Responds to a request that names this replica and its weights, in place of
+   * the faults and the fixed responses.
+   */
+  readonly respond?: (call: ReplicaCall) => Promise<void>;
+}
+
+/** A request that the replica may run, with its body read. */
+export interface ReplicaCall {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Headers of a response to a request that ran. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** Answers that the request did not run. */
+  readonly refuse: (status: number) => void;
 }
 
 const NO_FAULTS: ReplicaFaults = {
@@ -85,6 +102,7 @@
   loseOrderAnswers: false,
 };
 
+const DEFAULT_SLOTS = 8;
 const DEFAULT_EVENT_COUNT = 5;
 const DEFAULT_EVENT_INTERVAL_MILLISECONDS = 5;
 
@@ -165,6 +183,14 @@
     if (weights !== undefined && Number(weights) !== version) {
       return refuse(response, 421);
     }
+    if (options.respond !== undefined) {
+      return await options.respond({
+        request,
+        response,
+        headers: createHeaders(request),
+        refuse: (status) => refuse(response, status),
+      });
+    }
     if (faults.overloaded) return refuse(response, 503);
     let isDropped = false;
     response.once("close", () => isDropped = !response.writableFinished);
@@ -239,7 +265,7 @@
       address,
       zone,
       version: "v1",
-      slots: 8,
+      slots: options.slots ?? DEFAULT_SLOTS,
       state,
       cold_remaining_ms: 0,
       models: model === undefined
