--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,9 @@
  * A daemon between callers and replicas: creates its components, starts them,
  * and stops them in order.
  */
+import { createShutdownAdmission } from "@peridotvalve/admission";
 import {
+  createAnswerTimes,
   createCacheJournal,
   createCacheView,
   createPlacement,
@@ -123,6 +125,7 @@
 
   const replicaClock = createReplicaClock(clock);
   const prefillRates = createPrefillRates();
+  const shutdown = createShutdownAdmission(clock);
   const transfers = createTransferPlanner({
     clock,
     cache,
@@ -250,6 +253,8 @@
     transfers,
     sentParts,
     prefillRates,
+    answerTimes: createAnswerTimes(clock),
+    shutdown,
     replicaClock,
     maxConnectionsOf,
     loopLag,
@@ -477,6 +482,12 @@
     }
   }
 
+  function logDrainEnd(elapsed: Milliseconds): void {
+    const requests = frontend.inFlight();
+    if (requests === 0) return logger.log("drain_finished", { elapsed });
+    logger.log("drain_limit_reached", { requests, outcomes: 0, claimRows: 0 });
+  }
+
   return new (class extends Gateway {
     override recordStoreCall(kind: string, outcome: string): void {
       meters.recordStoreCall(kind, outcome);
@@ -504,15 +515,14 @@
       frontend.disableKeepAlive();
       mesh?.setDraining();
       const end = started + settings.grace - GRACE_MARGIN;
+      shutdown.begin(end);
       await clock.sleep(Math.min(READINESS_NOTICE, settings.grace / 2));
-      frontend.server.close();
-      frontend.server.closeIdleConnections();
+      frontend.closeIntake();
       while (frontend.inFlight() > 0 && clock.monotonic() < end) {
         await clock.sleep(DRAIN_POLL_PERIOD);
-        frontend.server.closeIdleConnections();
+        frontend.closeIntake();
       }
-      const elapsed = clock.monotonic() - started;
-      logger.log("drain_finished", { elapsed });
+      logDrainEnd(clock.monotonic() - started);
       stopController.abort();
       cacheFeed.stop();
       peerClient.close();
