--- a/packages/history/src/mod.ts
+++ b/packages/history/src/mod.ts
@@ -3,6 +3,7 @@
  * service guarantees against it (docs/proofs.md).
  */
 export * from "./checks/mod.ts";
+export { groupBy } from "./checks/orders.ts";
 export * from "./faults.ts";
 export * from "./history.ts";
 export * from "./random.ts";
