--- a/packages/gateway/src/attempt_watch.test.ts
+++ b/packages/gateway/src/attempt_watch.test.ts
@@ -17,6 +17,9 @@
     override body(): AsyncGenerator<Uint8Array, AttemptFailure | undefined> {
       throw new Error("the test reads no body");
     }
+    override wasBrokenOff(): boolean {
+      return false;
+    }
     override cancel(reason: string): void {
       cancelled.push(reason);
       endCancelled();
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -8,6 +8,7 @@
 import { EventLogger } from "@peridotvalve/events";
 import { createLoadView } from "@peridotvalve/load";
 import { createMemoryNetwork } from "@peridotvalve/membership";
+import { createCrashEvidence } from "@peridotvalve/retries";
 import {
   type Changes,
   type Snapshot,
@@ -91,7 +92,7 @@
   const daemons = peers.map((peer) =>
     startDaemon(peer, { clock, network, peers, followers, calls, store })
   );
-  return { clock, store, daemons };
+  return { clock, network, store, daemons };
 }
 
 function startDaemon(peer: PeerAddress, fleet: {
@@ -108,6 +109,11 @@
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const load = createLoadView(clock);
+  const crashes = createCrashEvidence({
+    clock,
+    random: () => 0,
+    onCondemned: () => mesh.announce(),
+  });
   const replicas = createReplicaTable({ clock, onChange: () => {} });
   replicas.replaceAll(ZONES.map((zone) => ({
     ...{ id: `i-${zone}`, service: "llm", address: "a:80", zone, slots: 8 },
@@ -135,7 +141,7 @@
   followers.set(peer.calls, follower);
   const mesh = createPeerMesh({
     ...{ clock, logger: silentLogger, name: peer.name, zone: peer.zone },
-    ...{ registration, load, replicas, cache, journal, copies, calls },
+    ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
     transport: fleet.network.attach(peer.datagrams),
     tables: new Map([[TABLE, follower]]),
     sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
@@ -147,7 +153,10 @@
   });
   void mesh.run(stop.signal);
   void follower.run(stop.signal);
-  return { ...peer, mesh, follower, load, cache, journal, copies, stop };
+  return {
+    ...{ ...peer, mesh, follower, load, cache, journal, copies, crashes },
+    stop,
+  };
 }
 
 async function advance(clock: ManualClock, milliseconds: number) {
@@ -217,3 +226,26 @@
   expect(known.length).toEqual(10);
   for (const { stop } of daemons) stop.abort();
 });
+
+// Guards against a part that crashes more replicas because the daemons of
+// another zone, or those that missed datagrams, do not hear of its crashes.
+test("crashes at daemons of different zones condemn a part everywhere", async () => {
+  const { clock, network, daemons } = createFleet(10);
+  await advance(clock, 5_000);
+  network.setFaults({ loss: 0.3, delay: 20 });
+  const [first, second] = daemons;
+  const third = daemons.find(({ zone }) => zone === "vaasa");
+  for (const [index, daemon] of [first, second, third].entries()) {
+    daemon?.crashes.recordLoss({ replica: `i-${index}`, parts: ["s", "p"] });
+    await advance(clock, 300);
+    daemon?.mesh.announce();
+  }
+  daemons.at(-1)?.crashes.recordSuccess(["s"]);
+  await advance(clock, 3_000);
+  const refusing = daemons.filter(({ crashes }) =>
+    crashes.check(["s", "p"])?.part === "p"
+  );
+  expect(refusing.length).toEqual(daemons.length);
+  expect(daemons.filter(({ crashes }) => crashes.check(["s"]))).toEqual([]);
+  for (const { stop } of daemons) stop.abort();
+});
