--- a/packages/dispatch/src/placement_queue.test.ts
+++ b/packages/dispatch/src/placement_queue.test.ts
@@ -102,3 +102,34 @@
   await sleep(30);
   expect(await waiting).toEqual(undefined);
 });
+
+// Guards against a request that is never placed because of its size: smaller
+// ones that arrive later take each gap before enough is free for it.
+test("a large request is placed although smaller ones keep arriving", async () => {
+  const clock = createManualClock();
+  const queue = createPlacementQueue(clock);
+  const placed: string[] = [];
+  let free = 0;
+  const enter = (name: string, size: number) =>
+    queue.wait({
+      rank: 1,
+      deadline: 1_000,
+      isAbandoned: () => false,
+      place() {
+        if (free < size) return undefined;
+        free -= size;
+        placed.push(name);
+        return name;
+      },
+    });
+  const large = enter("large", 6);
+  for (let round = 0; round < 50; round += 1) {
+    void enter(`small-${round}`, 2);
+    await clock.advance(10);
+    free += 2;
+    queue.retry();
+  }
+  await clock.advance(1_000);
+  await large;
+  expect(placed).toInclude("large");
+});
