Bound the strikes of a verdict, and drop malformed crash news alone

Strikes grew with each renewal, and after 64 of them peers rejected each whole digest of the daemon. They stop where the hold reaches its maximum, and a malformed crash field no longer costs the load, tables and caches beside it.

--- a/packages/gateway/src/peer_digest.test.ts
+++ b/packages/gateway/src/peer_digest.test.ts
@@ -53,6 +53,18 @@
   }));
 });
 
+// Guards against the loss of load, tables and caches because of a fault in the
+// news of crashes.
+test("malformed news of crashes are left out alone", () => {
+  const c = [[["p", 100, 29_000, 65]], [], []];
+  const { crashes: _crashes, ...rest } = DIGEST;
+  const wire = encodePeerDigest(DIGEST) as object;
+  expect(decodePeerDigest({ ...wire, c }))
+    .toEqual({ ...rest, hasMalformedCrashes: true });
+  expect(decodeZoneDigest({ b: ["a"], c }))
+    .toEqual({ busy: ["a"], hasMalformedCrashes: true });
+});
+
 test("a digest with one damaged field is refused or has that field's type", () => {
   const wire = encodePeerDigest(DIGEST) as Record<string, unknown>;
   fc.assert(
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -39,6 +39,8 @@
   readonly sent: readonly SentParts[];
   readonly pages: readonly JournalPage[];
   readonly crashes?: CrashNews;
+  /** States that the news of crashes were malformed and left out. */
+  readonly hasMalformedCrashes?: true;
 }
 
 /** What a zone tells another zone. */
@@ -46,6 +48,8 @@
   readonly busy: readonly string[];
   readonly load?: Delta;
   readonly crashes?: CrashNews;
+  /** States that the news of crashes were malformed and left out. */
+  readonly hasMalformedCrashes?: true;
 }
 
 const name = z.string().max(200);
@@ -53,8 +57,11 @@
 const names = z.array(name).max(64);
 const cacheEvent = z.tuple([name, name, count]);
 const part = z.string().max(MAX_PART_LENGTH);
-/** Verdicts, crash records and proofs. */
-const crashes = z.tuple([
+/**
+ * Verdicts, crash records and proofs. They are checked apart from the digest, so
+ * that a fault in them doesn't cost the load, tables and caches beside them.
+ */
+const CRASHES = z.tuple([
   z.array(z.tuple([part, count, count, z.number().int().min(1).max(64)]))
     .max(16),
   z.array(z.tuple([name, count, z.array(part).max(MAX_TOLD_PARTS)])).max(32),
@@ -71,13 +78,13 @@
     .max(64).optional(),
   k: z.array(z.tuple([name, z.number(), count, count, z.array(cacheEvent)]))
     .max(64).optional(),
-  c: crashes.optional(),
+  c: z.unknown().optional(),
 });
 
 const ZONE_DIGEST = z.object({
   b: names.optional(),
   l: digestSchema.optional(),
-  c: crashes.optional(),
+  c: z.unknown().optional(),
 });
 
 /** Returns undefined when the digest is malformed. */
@@ -161,10 +168,12 @@
 }
 
 function decodeCrashes(
-  wire: z.infer<typeof crashes> | undefined,
-): { readonly crashes?: CrashNews } {
+  wire: unknown,
+): Pick<PeerDigest, "crashes" | "hasMalformedCrashes"> {
   if (wire === undefined) return {};
-  const [verdicts, records, proofs] = wire;
+  const { data } = CRASHES.safeParse(wire);
+  if (data === undefined) return { hasMalformedCrashes: true };
+  const [verdicts, records, proofs] = data;
   return { crashes: { verdicts, records, proofs } };
 }
 
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -105,6 +105,12 @@
 }) {
   const { clock, peers, followers, calls, store } = fleet;
   const stop = new AbortController();
+  const logged: (readonly [name: string, fields: unknown])[] = [];
+  const logger = new (class extends EventLogger {
+    override log(name: string, fields: unknown): void {
+      logged.push([name, fields]);
+    }
+  })();
   const cache = createCacheView();
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
@@ -140,7 +146,7 @@
   });
   followers.set(peer.calls, follower);
   const mesh = createPeerMesh({
-    ...{ clock, logger: silentLogger, name: peer.name, zone: peer.zone },
+    ...{ clock, logger, name: peer.name, zone: peer.zone },
     ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
     transport: fleet.network.attach(peer.datagrams),
     tables: new Map([[TABLE, follower]]),
@@ -155,7 +161,7 @@
   void follower.run(stop.signal);
   return {
     ...{ ...peer, mesh, follower, load, cache, journal, copies, crashes },
-    stop,
+    ...{ stop, logged },
   };
 }
 
@@ -249,3 +255,23 @@
   expect(daemons.filter(({ crashes }) => crashes.check(["s"]))).toEqual([]);
   for (const { stop } of daemons) stop.abort();
 });
+
+// Guards against the loss of whole heartbeats because of a fault in the news of
+// crashes: load, tables and caches were no longer known.
+test("malformed news of crashes are logged, and the load beside them is known", async () => {
+  const { clock, daemons } = createFleet(2);
+  const [sender, receiver] = daemons;
+  if (sender === undefined || receiver === undefined) throw new Error();
+  sender.crashes.compose = () => ({
+    ...{ verdicts: [["p", 0, 1, 65]], records: [], proofs: [] },
+  });
+  sender.load.trackRequest("i-espoo", { unread: 500, memory: 900 });
+  await advance(clock, 3_000);
+  expect(receiver.load.totalLoad("i-espoo").requests).toEqual(1);
+  const reason = "malformed news of crashes";
+  const rejections = receiver.logged.filter(([, fields]) =>
+    (fields as { reason?: string }).reason === reason
+  );
+  expect(rejections.length > 0).toEqual(true);
+  for (const { stop } of daemons) stop.abort();
+});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -35,6 +35,7 @@
   measureJson,
   type PeerDigest,
   type TableNews,
+  type ZoneDigest,
 } from "./peer_digest.ts";
 import type { Registration } from "./registration.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
@@ -164,7 +165,7 @@
         options.onBusy(digest.busy);
         zoneBusy = { ids: digest.busy, at: clock.monotonic() };
       }
-      if (digest.crashes !== undefined) crashes.apply(digest.crashes);
+      applyCrashes(from, digest);
       if (digest.load !== undefined) {
         applyZoneLoad(from, digest.load);
         const at = clock.monotonic();
@@ -185,8 +186,16 @@
       logger.log("incarnation_raised", { incarnation }),
   });
 
-  function reject(from: string): void {
-    logger.log("datagram_rejected", { reason: "malformed", from });
+  function reject(from: string, reason = "malformed"): void {
+    logger.log("datagram_rejected", { reason, from });
+  }
+
+  function applyCrashes(
+    from: string,
+    { crashes: news, hasMalformedCrashes }: ZoneDigest,
+  ): void {
+    if (hasMalformedCrashes === true) reject(from, "malformed news of crashes");
+    if (news !== undefined) crashes.apply(news);
   }
 
   function onChange(change: PeerChange): void {
@@ -268,7 +277,7 @@
       const applied = load.applyDigest(peer, digest.load);
       if (applied.isErr()) reject(peer);
     }
-    if (digest.crashes !== undefined) crashes.apply(digest.crashes);
+    applyCrashes(peer, digest);
     if (digest.zoneLoad !== undefined) applyZoneLoad(...digest.zoneLoad);
     for (const { replica, salt, parts } of digest.sent) {
       if (options.replicas.find(replica) === undefined) continue;
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -13,6 +13,8 @@
   type CrashNews,
   createCrashEvidence,
   INITIAL_HOLD,
+  MAX_HOLD,
+  MAX_STRIKES,
   PROOF_VALIDITY,
   RECORD_EXPIRY,
   TELL_DELAY,
@@ -271,6 +273,26 @@
   expect(remaining > INITIAL_HOLD).toEqual(true);
 });
 
+// Guards against a count of renewals that peers reject: after 64 renewals they
+// rejected each whole digest of the daemon.
+test("strikes stop where the hold reaches its maximum, also those of peers", async () => {
+  const { clock, evidence, condemned, crash } = createDaemon();
+  for (let round = 0; round < 3; round += 1) await crash(DEADLY);
+  for (let round = 0; round < 70; round += 1) {
+    await clock.advance(evidence.check([DEADLY])?.remaining ?? 0);
+    await crash(DEADLY);
+  }
+  expect(condemned.length).toEqual(71);
+  expect(condemned.at(-1)?.strikes).toEqual(MAX_STRIKES);
+  expect(condemned.at(-1)?.hold).toEqual(MAX_HOLD);
+  const first = condemned.find(({ hold }) => hold === MAX_HOLD);
+  expect(first?.strikes).toEqual(MAX_STRIKES);
+  const other = createDaemon(clock);
+  const verdicts = [[DEADLY, 0, MAX_HOLD, 64] as const];
+  other.evidence.apply({ verdicts, records: [], proofs: [] });
+  expect(other.condemned[0]?.strikes).toEqual(MAX_STRIKES);
+});
+
 // Guards against crashes of requests in flight that lengthen a new verdict.
 test("a crash during a verdict does not renew it", async () => {
   const { condemned, crash } = createDaemon();
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -178,6 +178,12 @@
 export const INITIAL_HOLD: Milliseconds = 30_000;
 export const MAX_HOLD: Milliseconds = 15 * 60_000;
 
+/**
+ * Strikes at which the hold reaches `MAX_HOLD`. More would have no effect, and
+ * the digest between daemons admits no unbounded count.
+ */
+export const MAX_STRIKES = 1 + Math.ceil(Math.log2(MAX_HOLD / INITIAL_HOLD));
+
 /** Time after its end at which a verdict is forgotten that no trial renewed. */
 const FORGET_AFTER: Milliseconds = 15 * 60_000;
 
@@ -412,7 +418,7 @@
     const verdict = verdicts.get(part);
     if (verdict === undefined || at <= verdict.until) return;
     if (at <= lastProof(part)) return;
-    const strikes = verdict.strikes + 1;
+    const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
     const hold = holdOf(strikes);
     putVerdict({ part, since: at, until: at + hold, strikes });
     options.onCondemned?.({ part, strikes, crashes: 1, hold });
@@ -770,8 +776,9 @@
         record.isFromPeer = true;
         changed.push(record);
       }
-      for (const [part, age, remaining, strikes] of news.verdicts) {
-        if (!isUsable(part) || strikes < 1) continue;
+      for (const [part, age, remaining, told] of news.verdicts) {
+        if (!isUsable(part) || told < 1) continue;
+        const strikes = Math.min(MAX_STRIKES, told);
         mergeVerdict({
           part,
           strikes,
@@ -790,7 +797,8 @@
     if (isContradicted(offered)) return;
     const known = verdicts.get(part);
     if (known !== undefined && !isLater(offered, known)) return;
-    if (known !== undefined && known.strikes === strikes) {
+    const isRenewal = known !== undefined && since > known.until;
+    if (known !== undefined && known.strikes === strikes && !isRenewal) {
       known.since = since;
       known.until = until;
       return;
