Count at most one crash per incarnation of a replica

Losses of one incarnation more than 1.5 s apart became separate records, so one live replica whose connections are reset condemned the parts of its requests alone. A later loss now voids the earlier records of the replica. A report is merged with the closest record.

Before: the part was suspect after five losses of one replica 1.6 s apart.

--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -153,6 +153,33 @@
   expect(evidence.hasRecord("x")).toEqual(true);
 });
 
+// Guards against one live replica that condemns the parts of its requests alone,
+// because its connections are reset some seconds apart; also when news of these
+// losses arrive in another order.
+test("losses of one incarnation count as at most one crash", async () => {
+  const clock = createManualClock();
+  const [one, other] = [createDaemon(clock), createDaemon(clock)];
+  const ages: Milliseconds[] = [0, 1_600, 3_200, 4_800, 6_400];
+  const records = ages.map((age) => ["x", age, [DEADLY]] as const);
+  for (const record of [records[3], records[0], records[1], records[4]]) {
+    if (record === undefined) continue;
+    other.evidence.apply({ verdicts: [], records: [record], proofs: [] });
+  }
+  for (const _age of ages) {
+    one.evidence.recordLoss({ replica: "x", parts: [DEADLY] });
+    await clock.advance(1_600);
+  }
+  for (const { evidence, condemned, crash } of [one, other]) {
+    expect(evidence.hasRecord("x")).toEqual(true);
+    expect(evidence.isSuspect([DEADLY])).toEqual(false);
+    expect(isCondemned(evidence, DEADLY)).toEqual(false);
+    await crash(DEADLY);
+    expect(isCondemned(evidence, DEADLY)).toEqual(false);
+    await crash(DEADLY);
+    expect(condemned.map(({ crashes }) => crashes)).toEqual([3]);
+  }
+});
+
 // Guards against a crash that is taken for a reset: data that the replica sent
 // before its end is processed just after it, or the replica is back.
 test("data from before the crash or after the restart voids nothing", async () => {
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -6,7 +6,8 @@
  *
  * - All attempts that one replica broke off before an event form one crash
  *   record with the parts of these requests. Data from the same incarnation
- *   soon afterwards shows that only connections were reset, and voids it.
+ *   soon afterwards shows that only connections were reset, and voids it. So
+ *   does a later loss: an incarnation crashes at most once.
  * - An answer that begins proves the parts of its request sound at that time:
  *   only crashes after it count against them.
  * - A part is condemned after three crashes that are most of those in their
@@ -517,10 +518,7 @@
     at: Milliseconds,
     parts: readonly string[],
   ): { record: CrashRecord; isNew: boolean; isChanged: boolean } {
-    const known = records.find((record) =>
-      record.replica === replica && Math.abs(record.at - at) < SAME_CRASH &&
-      at < (record.voidedAt ?? Infinity)
-    );
+    const known = findRecord(replica, at);
     const record = known ?? {
       replica,
       at,
@@ -540,6 +538,7 @@
     const isChanged = known === undefined ||
       added.some((part) => record.parts.has(part));
     records.sort((a, b) => a.at - b.at);
+    if (known === undefined) voidEarlier(replica);
     if (isChanged) staleness = "by records";
     if (records.length > MAX_RECORDS) {
       records.shift();
@@ -553,6 +552,33 @@
     return { record, isNew: known === undefined, isChanged };
   }
 
+  /** The record of the same crash: the closest one, as times differ by delays. */
+  function findRecord(
+    replica: string,
+    at: Milliseconds,
+  ): CrashRecord | undefined {
+    const distance = (record: CrashRecord) => Math.abs(record.at - at);
+    return records.filter((record) =>
+      record.replica === replica && distance(record) < SAME_CRASH &&
+      at < (record.voidedAt ?? Infinity)
+    ).sort((a, b) => distance(a) - distance(b))[0];
+  }
+
+  /**
+   * Voids all records of a replica but the last. The replica was alive until
+   * then, so that one live replica whose connections are reset again and again
+   * counts at most once against a part.
+   */
+  function voidEarlier(replica: string): void {
+    const own = records.filter((record) => record.replica === replica);
+    for (const [index, record] of own.entries()) {
+      const next = own[index + 1];
+      if (next === undefined || record.voidedAt !== undefined) continue;
+      record.voidedAt = next.at;
+      recordCounts = undefined;
+    }
+  }
+
   function trimParts(record: CrashRecord): void {
     if (record.parts.size <= MAX_PARTS) return;
     for (const part of rankParts(record.parts).slice(MAX_PARTS)) {
