Count only missing or incomplete answers as losses of a replica

A refusal whose connection ends inside its body, which is discarded, counted as a crash.

Before: the part was refused after three such refusals.

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -15,6 +15,10 @@
 import { CONDEMNED, createCrashGuard, SUSPECT } from "./crash_guard.ts";
 
 const BROKEN: AttemptOutcome = { kind: "lost", reason: "other side closed" };
+const REFUSED: AttemptOutcome = {
+  ...{ kind: "not run", reason: "replica full", misdirected: false },
+  answer: { isRefusal: true, isMisdirected: false },
+};
 const GAP = 400;
 
 function createRequest(...parts: readonly string[]): DispatchRequest {
@@ -60,13 +64,17 @@
   async function end(
     number: number,
     parts: readonly string[],
-    options: { hasEvent?: boolean; wasBrokenOff?: boolean } = {},
+    options: {
+      hasEvent?: boolean;
+      wasBrokenOff?: boolean;
+      outcome?: AttemptOutcome;
+    } = {},
   ): Promise<void> {
     const admission = guard.admit(createRequest(...parts), entryOf(number));
     if (admission.kind === "refused") throw new Error(admission.reason);
     const { attempt } = admission;
     if (options.hasEvent === true) attempt.recordEvent();
-    attempt.recordEnd(BROKEN, options.wasBrokenOff ?? true);
+    attempt.recordEnd(options.outcome ?? BROKEN, options.wasBrokenOff ?? true);
     attempt.release();
     await clock.advance(GAP);
   }
@@ -138,6 +146,12 @@
       await end(number, ["p"], { hasEvent: true });
     }
   },
+  // The connection ends inside the body of the refusal, which is discarded.
+  async "refusals whose connection ends"({ end }) {
+    for (const number of [0, 1, 2, 3]) {
+      await end(number, ["p"], { outcome: REFUSED });
+    }
+  },
   async "attempts that end with the daemon"({ end, stopped }) {
     stopped.abort();
     for (const number of [0, 1, 2, 3]) await end(number, ["p"]);
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -25,7 +25,8 @@
   readonly recordEvent: () => void;
   /**
    * Records the end of the attempt. It was broken off when its connection ended
-   * and the attempt was not cancelled here.
+   * and the attempt was not cancelled here. Only an answer that is missing or
+   * incomplete counts as a loss.
    */
   recordEnd(outcome: AttemptOutcome, wasBrokenOff: boolean): void;
   /** Lets another request try the same part. */
@@ -182,7 +183,9 @@
         recordEvent,
         recordEnd(outcome, wasBrokenOff) {
           if (outcome.kind === "done" && outcome.status === 200) recordEvent();
-          if (wasBrokenOff) recordLoss(replica, parts, hasEvent);
+          if (wasBrokenOff && isLoss(outcome)) {
+            recordLoss(replica, parts, hasEvent);
+          }
         },
         release: admission.end,
       };
@@ -208,6 +211,14 @@
   },
 };
 
+/**
+ * Returns true when the answer is missing or incomplete. The connection of a
+ * refusal can end inside its body, which is not read.
+ */
+function isLoss({ kind }: AttemptOutcome): boolean {
+  return kind === "lost" || kind === "broken";
+}
+
 /** Ids of the parts that other requests can share. */
 function sharedParts({ prompt }: DispatchRequest): readonly string[] {
   return prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
