Keep crash evidence apart by model and isolated customer

Parts were keyed by their ids alone, so answers of another model hid a deadly part, it was refused there too, and any customer could have parts of an isolated customer refused. Keys now start with a hash of the model and of the isolated customer. Weight versions share evidence: a part often crashes them all, and a key for each would cost three more crashes with each rollout; answers of sound new weights, or a trial, clear the part. Events keep the id.

Before: the deadly part was not refused while another model or an isolated customer got answers on a part of the same id.

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -34,6 +34,31 @@
   };
 }
 
+/** Model and customer of a request. */
+interface Scope {
+  readonly model?: string;
+  readonly customer?: DispatchRequest["customer"];
+}
+
+function scoped(
+  request: DispatchRequest,
+  { model = "m", customer }: Scope = {},
+): DispatchRequest {
+  const { prompt } = request;
+  if (prompt === undefined) throw new Error("the request has no prompt");
+  const owner = customer === undefined ? {} : { customer };
+  return { ...request, ...owner, prompt: { ...prompt, model } };
+}
+
+function createCustomer(
+  name: string,
+  isIsolated: boolean,
+): NonNullable<DispatchRequest["customer"]> {
+  return { name, isIsolated, priority: 1 } as NonNullable<
+    DispatchRequest["customer"]
+  >;
+}
+
 function createSetup() {
   const clock = createManualClock();
   const stopped = new AbortController();
@@ -68,9 +93,11 @@
       hasEvent?: boolean;
       wasBrokenOff?: boolean;
       outcome?: AttemptOutcome;
+      scope?: Scope;
     } = {},
   ): Promise<void> {
-    const admission = guard.admit(createRequest(...parts), entryOf(number));
+    const request = scoped(createRequest(...parts), options.scope);
+    const admission = guard.admit(request, entryOf(number));
     if (admission.kind === "refused") throw new Error(admission.reason);
     const { attempt } = admission;
     if (options.hasEvent === true) attempt.recordEvent();
@@ -122,6 +149,46 @@
   expect(guard.check(plain, true)).toEqual(undefined);
 });
 
+const SCOPES: Readonly<Record<string, readonly [Scope, Scope, boolean]>> = {
+  "another model": [{ model: "m" }, { model: "n" }, false],
+  "an isolated customer": [
+    { customer: createCustomer("a", false) },
+    { customer: createCustomer("b", true) },
+    false,
+  ],
+  "another isolated customer": [
+    { customer: createCustomer("a", true) },
+    { customer: createCustomer("b", true) },
+    false,
+  ],
+  "another customer of the same caches": [
+    { customer: createCustomer("a", false) },
+    { customer: createCustomer("b", false) },
+    true,
+  ],
+};
+
+for (const [name, [deadly, other, isShared]] of Object.entries(SCOPES)) {
+  // Guards against a part that is refused where it is sound, or hidden by
+  // answers from there, and against a customer who gets the parts of an
+  // isolated one refused.
+  test(`crashes with a part ${isShared ? "" : "don't "}count for ${name}`, async () => {
+    const { guard, end, logged } = createSetup();
+    const reasonFor = (scope: Scope) =>
+      guard.check(scoped(createRequest("p"), scope), false)?.reason;
+    for (const number of [1, 2, 3]) {
+      await end(number, ["p"], { scope: deadly });
+      if (isShared) continue;
+      const options = { hasEvent: true, wasBrokenOff: false, scope: other };
+      await end(4, ["p"], options);
+    }
+    expect(reasonFor(deadly)).toEqual(CONDEMNED);
+    expect(reasonFor(other)).toEqual(isShared ? CONDEMNED : undefined);
+    const condemned = logged.filter(([one]) => one === "part_condemned");
+    expect((condemned[0]?.[1] as { part?: string }).part).toEqual("p");
+  });
+}
+
 const HARMLESS: Readonly<
   Record<string, (setup: ReturnType<typeof createSetup>) => Promise<void>>
 > = {
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -15,6 +15,7 @@
   type Verdict,
 } from "@peridotvalve/retries";
 import type { Milliseconds } from "@peridotvalve/types";
+import { createHash } from "node:crypto";
 import type { AttemptOutcome } from "./attempt_watch.ts";
 
 /** One attempt at a replica with the shared parts of its request. */
@@ -193,7 +194,8 @@
     }
 
     override recordVerdict(verdict: Verdict): void {
-      const { part, crashes: count, strikes, hold } = verdict;
+      const { part: key, crashes: count, strikes, hold } = verdict;
+      const part = idOf(key);
       logger.log("part_condemned", { part, crashes: count, strikes, hold });
       // The daemon that decided it has told it already.
       if (count > 0) void announceSoon();
@@ -219,9 +221,39 @@
   return kind === "lost" || kind === "broken";
 }
 
-/** Ids of the parts that other requests can share. */
-function sharedParts({ prompt }: DispatchRequest): readonly string[] {
-  return prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+/** Characters of a key before the id of its part. */
+const SCOPE_LENGTH = 8;
+
+/** Keys of requests, which are checked in each pass of the queue. */
+const knownKeys = new WeakMap<DispatchRequest, readonly string[]>();
+
+/** Keys of the parts that other requests can share. */
+function sharedParts(request: DispatchRequest): readonly string[] {
+  const { prompt } = request;
+  if (prompt === undefined || prompt.parts.length < 2) return [];
+  const known = knownKeys.get(request);
+  if (known !== undefined) return known;
+  const scope = scopeOf(request, prompt.model);
+  const keys = prompt.parts.slice(0, -1).map(({ id }) => `${scope}:${id}`);
+  knownKeys.set(request, keys);
+  return keys;
+}
+
+/**
+ * Hash of what the soundness of a part depends on: the model, and the customer
+ * when it is isolated from others, who must not affect its requests. Weight
+ * versions share the evidence, as the same part often crashes them all; an
+ * answer of sound new weights clears it. A hash bounds the length of keys.
+ */
+function scopeOf({ customer }: DispatchRequest, model: string): string {
+  const isolated = customer?.isIsolated === true ? customer.name : null;
+  return createHash("sha256").update(JSON.stringify([model, isolated]))
+    .digest("base64url").slice(0, SCOPE_LENGTH);
+}
+
+/** Id of the part with a key. */
+function idOf(key: string): string {
+  return key.slice(SCOPE_LENGTH + 1);
 }
 
 /** A replica can start again with the same id. */
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -32,7 +32,7 @@
 export interface Loss {
   /** Key of the replica's incarnation. */
   readonly replica: string;
-  /** Parts of the request that other requests can share. */
+  /** Keys of the request's parts that other requests can share. */
   readonly parts: readonly string[];
 }
 
@@ -242,8 +242,11 @@
 const MAX_TOLD_VERDICTS = 8;
 const MAX_TOLD_PROOFS = 16;
 
-/** Longer ids are ignored, which bounds the memory and the news. */
-export const MAX_PART_LENGTH = 128;
+/**
+ * Longer keys are ignored, which bounds the memory and the news. Admits ids of
+ * 128 characters with the scope of their evidence.
+ */
+export const MAX_PART_LENGTH = 140;
 
 interface CrashRecord {
   readonly replica: string;
