Don't renew a verdict for a crash that another part explains

A trial on a replica that another part ended renewed the verdict of the sound part. A renewal now needs that no other part of the record explains the crash, and is taken back when a later loss of the same crash brings such a part.

Before: the sound part was refused again in both orders of the losses.

--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -360,6 +360,31 @@
   expect(other.condemned[0]?.strikes).toEqual(MAX_STRIKES);
 });
 
+for (const isFirst of [true, false]) {
+  // Guards against a sound part that is refused longer each time that its trial
+  // runs on a replica that another part ends, in both orders of their losses.
+  test(`a trial is not failed by another part, recorded ${isFirst ? "before" : "after"} it`, async () => {
+    const { clock, evidence, condemned, crash } = createDaemon();
+    for (let round = 0; round < 3; round += 1) await crash("sound");
+    await clock.advance(evidence.check(["sound"])?.remaining ?? 0);
+    const trial = evidence.admit(["sound"]);
+    await crash(DEADLY);
+    await crash(DEADLY);
+    const parts = isFirst ? [DEADLY, "sound"] : ["sound", DEADLY];
+    for (const part of parts) {
+      evidence.recordLoss({ replica: "shared", parts: [part] });
+    }
+    if (trial.kind === "admitted") trial.end();
+    expect(evidence.check(["sound"])).toEqual(undefined);
+    expect(isCondemned(evidence, DEADLY)).toEqual(true);
+    // A crash that nothing else explains renews the verdict.
+    await clock.advance(RECORD_EXPIRY);
+    await crash("sound");
+    expect(isCondemned(evidence, "sound")).toEqual(true);
+    expect(condemned.at(-1)?.strikes).toEqual(2);
+  });
+}
+
 // Guards against crashes of requests in flight that lengthen a new verdict.
 test("a crash during a verdict does not renew it", async () => {
   const { condemned, crash } = createDaemon();
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -271,6 +271,11 @@
   /** Share of the hold by which this daemon delays its trial. */
   readonly trialDelay: number;
   isTried: boolean;
+  /** The verdict before its renewal, and the crash that renewed it. */
+  renewal?: {
+    readonly record: CrashRecord;
+    readonly previous: ActiveVerdict;
+  };
 }
 
 interface ProofReport {
@@ -429,17 +434,42 @@
     });
   }
 
-  /** Renews the verdicts of parts that crashed a replica in a trial. */
-  function renew(part: string, { at }: CrashRecord): void {
+  /**
+   * Renews the verdict of a part that crashed a replica in a trial, unless
+   * another part of the record explains the crash. The losses of one crash
+   * arrive one after the other, so that a part of a later one may explain it.
+   */
+  function renew(part: string, record: CrashRecord): void {
     const verdict = verdicts.get(part);
-    if (verdict === undefined || at <= verdict.until) return;
-    if (at <= lastProof(part)) return;
+    if (verdict === undefined) return;
+    const { at } = record;
+    const { renewal } = verdict;
+    if (renewal?.record === record) {
+      if (isTrialExplained(part, record)) verdicts.set(part, renewal.previous);
+      return;
+    }
+    if (at <= verdict.until || at <= lastProof(part)) return;
+    if (isTrialExplained(part, record)) return;
     const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
     const hold = holdOf(strikes);
     putVerdict({ part, since: at, until: at + hold, strikes });
+    // Keeps no chain of all earlier verdicts in memory.
+    delete verdict.renewal;
+    const renewed = verdicts.get(part);
+    if (renewed !== undefined) renewed.renewal = { record, previous: verdict };
     options.onCondemned?.({ part, strikes, crashes: 1, hold });
   }
 
+  /**
+   * Two crashes of the other part suffice, because a trial that is explained
+   * wrongly costs one more replica, while a renewal refuses a sound part for a
+   * long time.
+   */
+  function isTrialExplained(part: string, record: CrashRecord): boolean {
+    const crashes = listCrashes(countedRecords(part)).length;
+    return isExplained(part, [record], crashes, CRASHES_TO_SUSPECT);
+  }
+
   function putVerdict(
     verdict: Pick<ActiveVerdict, "part" | "since" | "until" | "strikes">,
   ): void {
