Condemn no part that was sound before for crashes without answers

Three crashes 0.9 s apart in an outage condemned a shared part proven 2.5 s before the last. A part with a proof now also needs an answer on any part that began after the second crash and before the last. An answer after the last alone would condemn the part when the outage ends. Suspicion, which only spares a repetition, does not need it.

--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -14,6 +14,8 @@
  *   time, or after five if it was sound just before, unless other parts explain
  *   them: those that stand in the same crash records and were proven sound less
  *   recently, or never.
+ * - A part that was sound before is condemned only if answers on other parts
+ *   began while it crashed replicas, which an outage does not admit.
  *
  * Daemons exchange crash records, proofs and verdicts. Times travel as ages and
  * appear later by the delays on the way, which the tolerances below allow for.
@@ -151,6 +153,12 @@
  */
 export const PROOF_VALIDITY: Milliseconds = 2_000;
 
+/**
+ * Precision of the times at which answers began. Exact times would need memory
+ * by the rate of requests.
+ */
+const ANSWER_PRECISION: Milliseconds = 100;
+
 /** Age after which a crash record is dropped. */
 export const RECORD_EXPIRY: Milliseconds = 30_000;
 
@@ -305,6 +313,8 @@
   /** Changes since the last evaluation of all parts. */
   let staleness: "none" | "by proofs" | "by records" = "none";
   let evaluatedAt: Milliseconds = -Infinity;
+  /** Intervals of `ANSWER_PRECISION` in which answers on any parts began. */
+  const answerIntervals = new Set<number>();
   /** Least recently proven parts first. */
   const proofs = new Map<string, Proof>();
 
@@ -319,6 +329,11 @@
       recordCounts = undefined;
       staleness = "by records";
     }
+    const oldest = intervalOf(now - RECORD_EXPIRY);
+    for (const interval of answerIntervals) {
+      if (interval >= oldest) break;
+      answerIntervals.delete(interval);
+    }
     for (const [part, { until }] of verdicts) {
       if (now < until + FORGET_AFTER) continue;
       verdicts.delete(part);
@@ -418,10 +433,34 @@
     return crashes;
   }
 
+  /**
+   * Returns true when an answer on any part began after the second crash and
+   * before the last. Without one, the crashes of a part that was sound before
+   * can be those of an outage, and if all requests have the part, its refusal
+   * would protect no other.
+   */
+  function hasAnswerBetween(crashes: readonly Milliseconds[]): boolean {
+    const second = intervalOf(crashes[1] ?? Infinity);
+    const last = intervalOf(crashes.at(-1) ?? -Infinity);
+    for (const interval of answerIntervals) {
+      if (interval > second && interval < last) return true;
+    }
+    return false;
+  }
+
+  function recordAnswer(at: Milliseconds): void {
+    if (clock.monotonic() - at >= RECORD_EXPIRY) return;
+    const interval = intervalOf(at);
+    if (answerIntervals.has(interval)) return;
+    answerIntervals.add(interval);
+    if (staleness === "none" && records.length > 0) staleness = "by proofs";
+  }
+
   function condemn(part: string): void {
     if (verdicts.has(part)) return;
     const crashes = findCrashes(part, CRASHES_TO_CONDEMN);
     if (crashes === undefined) return;
+    if (lastProof(part) > -Infinity && !hasAnswerBetween(crashes)) return;
     // With an answer after this crash, too few would be left.
     const since = crashes.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
     const last = crashes.at(-1) ?? since;
@@ -748,6 +787,7 @@
 
     override recordSuccess(parts: readonly string[]): void {
       const now = clock.monotonic();
+      if (records.length > 0) recordAnswer(now);
       for (const part of parts) if (isUsable(part)) recordProof(part, now);
     }
 
@@ -859,7 +899,9 @@
       const now = clock.monotonic();
       // Proofs first, so that no part is condemned that they show to be sound.
       for (const [part, age] of news.proofs) {
-        if (isUsable(part)) recordProof(part, now - age);
+        if (!isUsable(part)) continue;
+        recordAnswer(now - age);
+        recordProof(part, now - age);
       }
       const changed: CrashRecord[] = [];
       for (const [replica, age, parts] of news.records) {
@@ -916,6 +958,10 @@
   return offered.until - known.until > SAME_TIME;
 }
 
+function intervalOf(at: Milliseconds): number {
+  return Math.floor(at / ANSWER_PRECISION);
+}
+
 function holdOf(strikes: number): Milliseconds {
   return Math.min(MAX_HOLD, INITIAL_HOLD * 2 ** (strikes - 1));
 }
