--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -15,6 +15,7 @@
   type Verdict,
 } from "@peridotvalve/retries";
 import type { Milliseconds } from "@peridotvalve/types";
+import { createHash } from "node:crypto";
 import type { AttemptOutcome } from "./attempt_watch.ts";
 
 /** One attempt at a replica with the shared parts of its request. */
@@ -25,7 +26,8 @@
   readonly recordEvent: () => void;
   /**
    * Records the end of the attempt. It was broken off when its connection ended
-   * and the attempt was not cancelled here.
+   * and the attempt was not cancelled here. Only an answer that is missing or
+   * incomplete counts as a loss.
    */
   recordEnd(outcome: AttemptOutcome, wasBrokenOff: boolean): void;
   /** Lets another request try the same part. */
@@ -182,7 +184,9 @@
         recordEvent,
         recordEnd(outcome, wasBrokenOff) {
           if (outcome.kind === "done" && outcome.status === 200) recordEvent();
-          if (wasBrokenOff) recordLoss(replica, parts, hasEvent);
+          if (wasBrokenOff && isLoss(outcome)) {
+            recordLoss(replica, parts, hasEvent);
+          }
         },
         release: admission.end,
       };
@@ -190,7 +194,8 @@
     }
 
     override recordVerdict(verdict: Verdict): void {
-      const { part, crashes: count, strikes, hold } = verdict;
+      const { part: key, crashes: count, strikes, hold } = verdict;
+      const part = idOf(key);
       logger.log("part_condemned", { part, crashes: count, strikes, hold });
       // The daemon that decided it has told it already.
       if (count > 0) void announceSoon();
@@ -208,9 +213,47 @@
   },
 };
 
-/** Ids of the parts that other requests can share. */
-function sharedParts({ prompt }: DispatchRequest): readonly string[] {
-  return prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+/**
+ * Returns true when the answer is missing or incomplete. The connection of a
+ * refusal can end inside its body, which is not read.
+ */
+function isLoss({ kind }: AttemptOutcome): boolean {
+  return kind === "lost" || kind === "broken";
+}
+
+/** Characters of a key before the id of its part. */
+const SCOPE_LENGTH = 8;
+
+/** Keys of requests, which are checked in each pass of the queue. */
+const knownKeys = new WeakMap<DispatchRequest, readonly string[]>();
+
+/** Keys of the parts that other requests can share. */
+function sharedParts(request: DispatchRequest): readonly string[] {
+  const { prompt } = request;
+  if (prompt === undefined || prompt.parts.length < 2) return [];
+  const known = knownKeys.get(request);
+  if (known !== undefined) return known;
+  const scope = scopeOf(request, prompt.model);
+  const keys = prompt.parts.slice(0, -1).map(({ id }) => `${scope}:${id}`);
+  knownKeys.set(request, keys);
+  return keys;
+}
+
+/**
+ * Hash of what the soundness of a part depends on: the model, and the customer
+ * when it is isolated from others, who must not affect its requests. Weight
+ * versions share the evidence, as the same part often crashes them all; an
+ * answer of sound new weights clears it. A hash bounds the length of keys.
+ */
+function scopeOf({ customer }: DispatchRequest, model: string): string {
+  const isolated = customer?.isIsolated === true ? customer.name : null;
+  return createHash("sha256").update(JSON.stringify([model, isolated]))
+    .digest("base64url").slice(0, SCOPE_LENGTH);
+}
+
+/** Id of the part with a key. */
+function idOf(key: string): string {
+  return key.slice(SCOPE_LENGTH + 1);
 }
 
 /** A replica can start again with the same id. */
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -13,6 +13,8 @@
   type CrashNews,
   createCrashEvidence,
   INITIAL_HOLD,
+  MAX_HOLD,
+  MAX_STRIKES,
   PROOF_VALIDITY,
   RECORD_EXPIRY,
   TELL_DELAY,
@@ -151,6 +153,33 @@
   expect(evidence.hasRecord("x")).toEqual(true);
 });
 
+// Guards against one live replica that condemns the parts of its requests alone,
+// because its connections are reset some seconds apart; also when news of these
+// losses arrive in another order.
+test("losses of one incarnation count as at most one crash", async () => {
+  const clock = createManualClock();
+  const [one, other] = [createDaemon(clock), createDaemon(clock)];
+  const ages: Milliseconds[] = [0, 1_600, 3_200, 4_800, 6_400];
+  const records = ages.map((age) => ["x", age, [DEADLY]] as const);
+  for (const record of [records[3], records[0], records[1], records[4]]) {
+    if (record === undefined) continue;
+    other.evidence.apply({ verdicts: [], records: [record], proofs: [] });
+  }
+  for (const _age of ages) {
+    one.evidence.recordLoss({ replica: "x", parts: [DEADLY] });
+    await clock.advance(1_600);
+  }
+  for (const { evidence, condemned, crash } of [one, other]) {
+    expect(evidence.hasRecord("x")).toEqual(true);
+    expect(evidence.isSuspect([DEADLY])).toEqual(false);
+    expect(isCondemned(evidence, DEADLY)).toEqual(false);
+    await crash(DEADLY);
+    expect(isCondemned(evidence, DEADLY)).toEqual(false);
+    await crash(DEADLY);
+    expect(condemned.map(({ crashes }) => crashes)).toEqual([3]);
+  }
+});
+
 // Guards against a crash that is taken for a reset: data that the replica sent
 // before its end is processed just after it, or the replica is back.
 test("data from before the crash or after the restart voids nothing", async () => {
@@ -177,12 +206,16 @@
 
 // Guards against verdicts on parts in use when replicas fail one after the other
 // within a short time, however long no answers begin afterwards, and against a
-// deadly part that is never condemned because it was sound just before.
+// deadly part that is never condemned because it was sound just before. Answers
+// on other parts show that the service is alive.
 test("a part that was sound just before its crashes takes five of them", async () => {
   const { clock, evidence, crash } = createDaemon();
   evidence.recordSuccess([DEADLY]);
   await clock.advance(1);
-  for (let round = 0; round < 4; round += 1) await crash(DEADLY);
+  for (let round = 0; round < 4; round += 1) {
+    await crash(DEADLY);
+    evidence.recordSuccess(["other"]);
+  }
   await clock.advance(2 * PROOF_VALIDITY);
   expect(isCondemned(evidence, DEADLY)).toEqual(false);
   await crash(DEADLY);
@@ -218,6 +251,46 @@
   expect(evidence.isSuspect([POPULAR, "other"])).toEqual(false);
 });
 
+/** Counts the look-ups in sets during a task, as a measure of its work. */
+function countLookups(task: () => void): number {
+  const { has } = Set.prototype;
+  let count = 0;
+  Set.prototype.has = function (value) {
+    count += 1;
+    return has.call(this, value);
+  };
+  try {
+    task();
+  } finally {
+    Set.prototype.has = has;
+  }
+  return count;
+}
+
+// Guards against a queue pass that blocks the daemon after crashes: 300 checks
+// against 32 records of 40 parts took 37 ms.
+test("a check looks verdicts up, and proofs are evaluated at intervals", async () => {
+  const { clock, evidence } = createDaemon();
+  const parts = Array.from({ length: 40 }, (_, number) => `p${number}`);
+  evidence.recordSuccess(parts);
+  await clock.advance(PROOF_VALIDITY);
+  for (let crash = 0; crash < 32; crash += 1) {
+    evidence.recordLoss({ replica: `r${crash}`, parts: [...parts, DEADLY] });
+    await clock.advance(120);
+  }
+  expect(isCondemned(evidence, DEADLY)).toEqual(true);
+  const check = () => void evidence.check(parts);
+  check();
+  expect(countLookups(check)).toEqual(0);
+  evidence.recordSuccess([parts[0] ?? ""]);
+  expect(countLookups(check) > 0).toEqual(true);
+  evidence.recordSuccess([parts[1] ?? ""]);
+  expect(countLookups(check)).toEqual(0);
+  await clock.advance(100);
+  expect(countLookups(check) > 0).toEqual(true);
+  expect(countLookups(check)).toEqual(0);
+});
+
 // Guards against a wrong verdict that lasts although a replica answers.
 test("an answer that begins lifts a verdict, also when a peer reports it", async () => {
   const clock = createManualClock();
@@ -285,6 +358,51 @@
   expect(remaining > INITIAL_HOLD).toEqual(true);
 });
 
+// Guards against a count of renewals that peers reject: after 64 renewals they
+// rejected each whole digest of the daemon.
+test("strikes stop where the hold reaches its maximum, also those of peers", async () => {
+  const { clock, evidence, condemned, crash } = createDaemon();
+  for (let round = 0; round < 3; round += 1) await crash(DEADLY);
+  for (let round = 0; round < 70; round += 1) {
+    await clock.advance(evidence.check([DEADLY])?.remaining ?? 0);
+    await crash(DEADLY);
+  }
+  expect(condemned.length).toEqual(71);
+  expect(condemned.at(-1)?.strikes).toEqual(MAX_STRIKES);
+  expect(condemned.at(-1)?.hold).toEqual(MAX_HOLD);
+  const first = condemned.find(({ hold }) => hold === MAX_HOLD);
+  expect(first?.strikes).toEqual(MAX_STRIKES);
+  const other = createDaemon(clock);
+  const verdicts = [[DEADLY, 0, MAX_HOLD, 64] as const];
+  other.evidence.apply({ verdicts, records: [], proofs: [] });
+  expect(other.condemned[0]?.strikes).toEqual(MAX_STRIKES);
+});
+
+for (const isFirst of [true, false]) {
+  // Guards against a sound part that is refused longer each time that its trial
+  // runs on a replica that another part ends, in both orders of their losses.
+  test(`a trial is not failed by another part, recorded ${isFirst ? "before" : "after"} it`, async () => {
+    const { clock, evidence, condemned, crash } = createDaemon();
+    for (let round = 0; round < 3; round += 1) await crash("sound");
+    await clock.advance(evidence.check(["sound"])?.remaining ?? 0);
+    const trial = evidence.admit(["sound"]);
+    await crash(DEADLY);
+    await crash(DEADLY);
+    const parts = isFirst ? [DEADLY, "sound"] : ["sound", DEADLY];
+    for (const part of parts) {
+      evidence.recordLoss({ replica: "shared", parts: [part] });
+    }
+    if (trial.kind === "admitted") trial.end();
+    expect(evidence.check(["sound"])).toEqual(undefined);
+    expect(isCondemned(evidence, DEADLY)).toEqual(true);
+    // A crash that nothing else explains renews the verdict.
+    await clock.advance(RECORD_EXPIRY);
+    await crash("sound");
+    expect(isCondemned(evidence, "sound")).toEqual(true);
+    expect(condemned.at(-1)?.strikes).toEqual(2);
+  });
+}
+
 // Guards against crashes of requests in flight that lengthen a new verdict.
 test("a crash during a verdict does not renew it", async () => {
   const { condemned, crash } = createDaemon();
@@ -440,3 +558,32 @@
     ),
   );
 });
+
+for (const spacing of [200, 600, 900] as const) {
+  // Guards against refusals of shared parts in an outage without answers: three
+  // unrelated crashes 0.9 s apart condemned a part proven 2.5 s before.
+  test(`an outage with crashes ${spacing} ms apart condemns no part proven before`, async () => {
+    const { clock, evidence, condemned } = createDaemon();
+    const crashOne = async (replica: string, ...parts: readonly string[]) => {
+      evidence.recordLoss({ replica, parts });
+      await clock.advance(spacing);
+    };
+    evidence.recordSuccess([POPULAR]);
+    await clock.advance(700);
+    for (let crash = 0; crash < 8; crash += 1) {
+      await crashOne(`r${crash}`, POPULAR, `own${crash}`);
+    }
+    expect(evidence.check([POPULAR])).toEqual(undefined);
+    expect(condemned).toEqual([]);
+    // Answers on other parts show that the outage is over; later crashes that
+    // the service is alive and the part deadly.
+    evidence.recordSuccess(["other"]);
+    await clock.advance(spacing);
+    expect(evidence.check([POPULAR])).toEqual(undefined);
+    for (let crash = 0; crash < 3; crash += 1) {
+      await crashOne(`s${crash}`, POPULAR, `late${crash}`);
+      evidence.recordSuccess(["other"]);
+    }
+    expect(isCondemned(evidence, POPULAR)).toEqual(true);
+  });
+}
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -6,13 +6,16 @@
  *
  * - All attempts that one replica broke off before an event form one crash
  *   record with the parts of these requests. Data from the same incarnation
- *   soon afterwards shows that only connections were reset, and voids it.
+ *   soon afterwards shows that only connections were reset, and voids it. So
+ *   does a later loss: an incarnation crashes at most once.
  * - An answer that begins proves the parts of its request sound at that time:
  *   only crashes after it count against them.
  * - A part is condemned after three crashes that are most of those in their
  *   time, or after five if it was sound just before, unless other parts explain
  *   them: those that stand in the same crash records and were proven sound less
  *   recently, or never.
+ * - A part that was sound before is condemned only if answers on other parts
+ *   began while it crashed replicas, which an outage does not admit.
  *
  * Daemons exchange crash records, proofs and verdicts. Times travel as ages and
  * appear later by the delays on the way, which the tolerances below allow for.
@@ -31,7 +34,7 @@
 export interface Loss {
   /** Key of the replica's incarnation. */
   readonly replica: string;
-  /** Parts of the request that other requests can share. */
+  /** Keys of the request's parts that other requests can share. */
   readonly parts: readonly string[];
 }
 
@@ -150,6 +153,12 @@
  */
 export const PROOF_VALIDITY: Milliseconds = 2_000;
 
+/**
+ * Precision of the times at which answers began. Exact times would need memory
+ * by the rate of requests.
+ */
+const ANSWER_PRECISION: Milliseconds = 100;
+
 /** Age after which a crash record is dropped. */
 export const RECORD_EXPIRY: Milliseconds = 30_000;
 
@@ -178,6 +187,12 @@
 export const INITIAL_HOLD: Milliseconds = 30_000;
 export const MAX_HOLD: Milliseconds = 15 * 60_000;
 
+/**
+ * Strikes at which the hold reaches `MAX_HOLD`. More would have no effect, and
+ * the digest between daemons admits no unbounded count.
+ */
+export const MAX_STRIKES = 1 + Math.ceil(Math.log2(MAX_HOLD / INITIAL_HOLD));
+
 /** Time after its end at which a verdict is forgotten that no trial renewed. */
 const FORGET_AFTER: Milliseconds = 15 * 60_000;
 
@@ -188,6 +203,12 @@
 const MIN_TRIAL_DELAY = 0.05;
 const MAX_TRIAL_DELAY = 0.5;
 
+/**
+ * Minimum interval between evaluations of all parts because of proofs. Answers
+ * begin all the time on parts that many requests share.
+ */
+const EVALUATION_INTERVAL: Milliseconds = 50;
+
 /** Wait stated for a part while another request tries it. */
 const TRIAL_WAIT: Milliseconds = 1_000;
 
@@ -236,8 +257,11 @@
 const MAX_TOLD_VERDICTS = 8;
 const MAX_TOLD_PROOFS = 16;
 
-/** Longer ids are ignored, which bounds the memory and the news. */
-export const MAX_PART_LENGTH = 128;
+/**
+ * Longer keys are ignored, which bounds the memory and the news. Admits ids of
+ * 128 characters with the scope of their evidence.
+ */
+export const MAX_PART_LENGTH = 140;
 
 interface CrashRecord {
   readonly replica: string;
@@ -262,6 +286,11 @@
   /** Share of the hold by which this daemon delays its trial. */
   readonly trialDelay: number;
   isTried: boolean;
+  /** The verdict before its renewal, and the crash that renewed it. */
+  renewal?: {
+    readonly record: CrashRecord;
+    readonly previous: ActiveVerdict;
+  };
 }
 
 interface ProofReport {
@@ -288,6 +317,11 @@
   /** Number of records by part; undefined after records were dropped. */
   let recordCounts: Map<string, number> | undefined;
   const verdicts = new Map<string, ActiveVerdict>();
+  /** Changes since the last evaluation of all parts. */
+  let staleness: "none" | "by proofs" | "by records" = "none";
+  let evaluatedAt: Milliseconds = -Infinity;
+  /** Intervals of `ANSWER_PRECISION` in which answers on any parts began. */
+  const answerIntervals = new Set<number>();
   /** Least recently proven parts first. */
   const proofs = new Map<string, Proof>();
 
@@ -300,9 +334,17 @@
     if (records.some(({ at }) => now - at >= RECORD_EXPIRY)) {
       records = records.filter(({ at }) => now - at < RECORD_EXPIRY);
       recordCounts = undefined;
+      staleness = "by records";
+    }
+    const oldest = intervalOf(now - RECORD_EXPIRY);
+    for (const interval of answerIntervals) {
+      if (interval >= oldest) break;
+      answerIntervals.delete(interval);
     }
     for (const [part, { until }] of verdicts) {
-      if (now >= until + FORGET_AFTER) verdicts.delete(part);
+      if (now < until + FORGET_AFTER) continue;
+      verdicts.delete(part);
+      staleness = "by records";
     }
   }
 
@@ -398,10 +440,34 @@
     return crashes;
   }
 
+  /**
+   * Returns true when an answer on any part began after the second crash and
+   * before the last. Without one, the crashes of a part that was sound before
+   * can be those of an outage, and if all requests have the part, its refusal
+   * would protect no other.
+   */
+  function hasAnswerBetween(crashes: readonly Milliseconds[]): boolean {
+    const second = intervalOf(crashes[1] ?? Infinity);
+    const last = intervalOf(crashes.at(-1) ?? -Infinity);
+    for (const interval of answerIntervals) {
+      if (interval > second && interval < last) return true;
+    }
+    return false;
+  }
+
+  function recordAnswer(at: Milliseconds): void {
+    if (clock.monotonic() - at >= RECORD_EXPIRY) return;
+    const interval = intervalOf(at);
+    if (answerIntervals.has(interval)) return;
+    answerIntervals.add(interval);
+    if (staleness === "none" && records.length > 0) staleness = "by proofs";
+  }
+
   function condemn(part: string): void {
     if (verdicts.has(part)) return;
     const crashes = findCrashes(part, CRASHES_TO_CONDEMN);
     if (crashes === undefined) return;
+    if (lastProof(part) > -Infinity && !hasAnswerBetween(crashes)) return;
     // With an answer after this crash, too few would be left.
     const since = crashes.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
     const last = crashes.at(-1) ?? since;
@@ -414,17 +480,42 @@
     });
   }
 
-  /** Renews the verdicts of parts that crashed a replica in a trial. */
-  function renew(part: string, { at }: CrashRecord): void {
+  /**
+   * Renews the verdict of a part that crashed a replica in a trial, unless
+   * another part of the record explains the crash. The losses of one crash
+   * arrive one after the other, so that a part of a later one may explain it.
+   */
+  function renew(part: string, record: CrashRecord): void {
     const verdict = verdicts.get(part);
-    if (verdict === undefined || at <= verdict.until) return;
-    if (at <= lastProof(part)) return;
-    const strikes = verdict.strikes + 1;
+    if (verdict === undefined) return;
+    const { at } = record;
+    const { renewal } = verdict;
+    if (renewal?.record === record) {
+      if (isTrialExplained(part, record)) verdicts.set(part, renewal.previous);
+      return;
+    }
+    if (at <= verdict.until || at <= lastProof(part)) return;
+    if (isTrialExplained(part, record)) return;
+    const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
     const hold = holdOf(strikes);
     putVerdict({ part, since: at, until: at + hold, strikes });
+    // Keeps no chain of all earlier verdicts in memory.
+    delete verdict.renewal;
+    const renewed = verdicts.get(part);
+    if (renewed !== undefined) renewed.renewal = { record, previous: verdict };
     options.onCondemned?.({ part, strikes, crashes: 1, hold });
   }
 
+  /**
+   * Two crashes of the other part suffice, because a trial that is explained
+   * wrongly costs one more replica, while a renewal refuses a sound part for a
+   * long time.
+   */
+  function isTrialExplained(part: string, record: CrashRecord): boolean {
+    const crashes = listCrashes(countedRecords(part)).length;
+    return isExplained(part, [record], crashes, CRASHES_TO_SUSPECT);
+  }
+
   function putVerdict(
     verdict: Pick<ActiveVerdict, "part" | "since" | "until" | "strikes">,
   ): void {
@@ -451,9 +542,13 @@
       proofs.set(part, known);
     }
     if (proofs.size >= MAX_PROOFS) dropOldestProofs();
+    if (staleness === "none" && countRecords(part) > 0) {
+      staleness = "by proofs";
+    }
     const verdict = verdicts.get(part);
     if (verdict === undefined || !isContradicted(verdict)) return;
     verdicts.delete(part);
+    staleness = "by records";
     options.onLifted?.(part);
   }
 
@@ -502,10 +597,7 @@
     at: Milliseconds,
     parts: readonly string[],
   ): { record: CrashRecord; isNew: boolean; isChanged: boolean } {
-    const known = records.find((record) =>
-      record.replica === replica && Math.abs(record.at - at) < SAME_CRASH &&
-      at < (record.voidedAt ?? Infinity)
-    );
+    const known = findRecord(replica, at);
     const record = known ?? {
       replica,
       at,
@@ -525,6 +617,8 @@
     const isChanged = known === undefined ||
       added.some((part) => record.parts.has(part));
     records.sort((a, b) => a.at - b.at);
+    if (known === undefined) voidEarlier(replica);
+    if (isChanged) staleness = "by records";
     if (records.length > MAX_RECORDS) {
       records.shift();
       recordCounts = undefined;
@@ -537,6 +631,33 @@
     return { record, isNew: known === undefined, isChanged };
   }
 
+  /** The record of the same crash: the closest one, as times differ by delays. */
+  function findRecord(
+    replica: string,
+    at: Milliseconds,
+  ): CrashRecord | undefined {
+    const distance = (record: CrashRecord) => Math.abs(record.at - at);
+    return records.filter((record) =>
+      record.replica === replica && distance(record) < SAME_CRASH &&
+      at < (record.voidedAt ?? Infinity)
+    ).sort((a, b) => distance(a) - distance(b))[0];
+  }
+
+  /**
+   * Voids all records of a replica but the last. The replica was alive until
+   * then, so that one live replica whose connections are reset again and again
+   * counts at most once against a part.
+   */
+  function voidEarlier(replica: string): void {
+    const own = records.filter((record) => record.replica === replica);
+    for (const [index, record] of own.entries()) {
+      const next = own[index + 1];
+      if (next === undefined || record.voidedAt !== undefined) continue;
+      record.voidedAt = next.at;
+      recordCounts = undefined;
+    }
+  }
+
   function trimParts(record: CrashRecord): void {
     if (record.parts.size <= MAX_PARTS) return;
     for (const part of rankParts(record.parts).slice(MAX_PARTS)) {
@@ -578,6 +699,23 @@
     }
   }
 
+  /**
+   * Condemns parts whose crashes lost their other explanation: by a proof of
+   * the part that explained them, or by a record that was voided or dropped.
+   */
+  function evaluate(): void {
+    if (staleness === "none") return;
+    const now = clock.monotonic();
+    const age = now - evaluatedAt;
+    if (staleness === "by proofs" && age < EVALUATION_INTERVAL) return;
+    if (staleness === "by proofs") evaluatedAt = now;
+    staleness = "none";
+    if (records.length < CRASHES_TO_CONDEMN) return;
+    const named = new Set<string>();
+    for (const { parts } of records) for (const part of parts) named.add(part);
+    for (const part of named) condemn(part);
+  }
+
   function lapseOf({ until, strikes, trialDelay }: ActiveVerdict) {
     return until + trialDelay * holdOf(strikes);
   }
@@ -585,11 +723,10 @@
   function check(parts: readonly string[]): CondemnedPart | undefined {
     if (records.length === 0 && verdicts.size === 0) return undefined;
     dropExpired();
+    evaluate();
     const now = clock.monotonic();
     let worst: CondemnedPart | undefined;
     for (const part of parts) {
-      // A proof may have cleared the part that explained the crashes.
-      condemn(part);
       const verdict = verdicts.get(part);
       if (verdict === undefined) continue;
       const left = lapseOf(verdict) - now;
@@ -657,6 +794,7 @@
 
     override recordSuccess(parts: readonly string[]): void {
       const now = clock.monotonic();
+      if (records.length > 0) recordAnswer(now);
       for (const part of parts) if (isUsable(part)) recordProof(part, now);
     }
 
@@ -672,6 +810,7 @@
         if (age <= LATE_DATA || age > RESET_NOTICE) continue;
         record.voidedAt = now;
         recordCounts = undefined;
+        staleness = "by records";
       }
     }
 
@@ -767,7 +906,9 @@
       const now = clock.monotonic();
       // Proofs first, so that no part is condemned that they show to be sound.
       for (const [part, age] of news.proofs) {
-        if (isUsable(part)) recordProof(part, now - age);
+        if (!isUsable(part)) continue;
+        recordAnswer(now - age);
+        recordProof(part, now - age);
       }
       const changed: CrashRecord[] = [];
       for (const [replica, age, parts] of news.records) {
@@ -777,8 +918,9 @@
         record.isFromPeer = true;
         changed.push(record);
       }
-      for (const [part, age, remaining, strikes] of news.verdicts) {
-        if (!isUsable(part) || strikes < 1) continue;
+      for (const [part, age, remaining, told] of news.verdicts) {
+        if (!isUsable(part) || told < 1) continue;
+        const strikes = Math.min(MAX_STRIKES, told);
         mergeVerdict({
           part,
           strikes,
@@ -797,7 +939,8 @@
     if (isContradicted(offered)) return;
     const known = verdicts.get(part);
     if (known !== undefined && !isLater(offered, known)) return;
-    if (known !== undefined && known.strikes === strikes) {
+    const isRenewal = known !== undefined && since > known.until;
+    if (known !== undefined && known.strikes === strikes && !isRenewal) {
       known.since = since;
       known.until = until;
       return;
@@ -822,6 +965,10 @@
   return offered.until - known.until > SAME_TIME;
 }
 
+function intervalOf(at: Milliseconds): number {
+  return Math.floor(at / ANSWER_PRECISION);
+}
+
 function holdOf(strikes: number): Milliseconds {
   return Math.min(MAX_HOLD, INITIAL_HOLD * 2 ** (strikes - 1));
 }
