--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -79,6 +79,7 @@
     clock,
     random: () => 0,
     onCondemned: (verdict) => guard.recordVerdict(verdict),
+    onLifted: (key) => guard.recordRelease(key),
   });
   const guard = createCrashGuard({
     ...{ clock, logger, crashes, replicas, stopped: stopped.signal },
@@ -189,6 +190,16 @@
   });
 }
 
+// Guards against a log line whose part operators do not find in any request.
+test("a released part is logged with the id that requests carry", async () => {
+  const { end, guard, logged, entryOf } = createSetup();
+  const early = guard.admit(createRequest("p"), entryOf(8));
+  if (early.kind === "refused") throw new Error(early.reason);
+  for (const number of [1, 2, 3]) await end(number, ["p"]);
+  early.attempt.recordEvent();
+  expect(logged.at(-1)).toEqual(["part_released", { part: "p" }]);
+});
+
 const HARMLESS: Readonly<
   Record<string, (setup: ReturnType<typeof createSetup>) => Promise<void>>
 > = {
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -60,6 +60,8 @@
   ): GuardedAdmission;
   /** Logs a verdict and tells the other daemons of it. */
   abstract recordVerdict(verdict: Verdict): void;
+  /** Logs that the verdict on the part with the key no longer holds. */
+  abstract recordRelease(key: string): void;
 }
 
 export interface CrashGuardOptions {
@@ -200,6 +202,10 @@
       // The daemon that decided it has told it already.
       if (count > 0) void announceSoon();
     }
+
+    override recordRelease(key: string): void {
+      logger.log("part_released", { part: idOf(key) });
+    }
   })();
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -242,7 +242,7 @@
     clock,
     random: Math.random,
     onCondemned: (verdict) => crashGuard.recordVerdict(verdict),
-    onLifted: (part) => logger.log("part_released", { part }),
+    onLifted: (key) => crashGuard.recordRelease(key),
   });
   const crashGuard = createCrashGuard({
     clock,
