Let a started stream return to a replica that was full

Callers got a cut stream when the replica that should continue it was full at that moment: it was excluded for the rest of the request, also when it had refused before the stream began.

Change: a started stream tries such a replica again, after the time for which it is avoided; the limits on refusals and retries hold.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -53,7 +53,7 @@
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
-import { createReplicaFeedback } from "./replica_feedback.ts";
+import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
 
 export interface RelayOptions {
   readonly clock: Clock;
@@ -134,6 +134,9 @@
 /** Refusals by full or reloading replicas after which the request fails. */
 const MAX_REFUSALS = 3;
 
+/** Pause after which a started stream may return to a replica that was full. */
+const REFUSAL_PAUSE: Milliseconds = BUSY_AVOIDANCE + 50;
+
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
@@ -182,6 +185,7 @@
     let unsent = 0;
     let mayStartLate = false;
     let refusals = 0;
+    const refusedBy = new Set<string>();
     const progress: ResponseProgress = {
       firstEvent: 0,
       lastEvent: forwarded.lastEvent ?? 0,
@@ -278,6 +282,10 @@
         case "not run":
           refusals += 1;
           if (refusals >= MAX_REFUSALS) return fail(outcome.reason, 502);
+          // A started stream cannot be refused, so it tries the replica again.
+          if (caller.hasStarted()) {
+            await clock.sleep(REFUSAL_PAUSE, options.stopped);
+          }
           break;
         case "lost":
         case "broken":
@@ -297,8 +305,13 @@
         : outcome.reason;
       // A replica that refused only because of its weight version may be tried
       // again.
-      const hasOtherWeights = outcome.kind === "not run" && outcome.misdirected;
-      if (!hasOtherWeights) excluded.add(choice.replica.entry.id);
+      const mayReturn = outcome.kind === "not run" &&
+        (outcome.misdirected || caller.hasStarted());
+      if (!mayReturn) excluded.add(choice.replica.entry.id);
+      if (outcome.kind === "not run") refusedBy.add(choice.replica.entry.id);
+      else if (caller.hasStarted()) {
+        for (const id of refusedBy) excluded.delete(id);
+      }
     }
 
     async function waitForPlace(
--- a/packages/gateway/src/replica_feedback.ts
+++ b/packages/gateway/src/replica_feedback.ts
@@ -13,7 +13,7 @@
 import type { ResponseMetadata } from "./header_codec.ts";
 
 /** Avoidance of a replica that loads weights or is full. */
-const BUSY_AVOIDANCE: Milliseconds = 250;
+export const BUSY_AVOIDANCE: Milliseconds = 250;
 
 /**
  * Avoidance of a replica with another weight version than recorded; it can be
