Split the crash evidence into modules of one job each

Each job is now a module with state of its own: crash_records, part_proofs, crash_attribution (functions without state), part_verdicts and crash_digest. crash_evidence keeps the interface and connects them. The exports of the package, the tests and the behaviour are the same. The head states what holds for merged news: repetition of what is known changes nothing, and the order can change whether there is a verdict and its times.

--- /dev/null
+++ b/packages/retries/src/crash_digest.ts
@@ -0,0 +1,218 @@
+/**
+ * Composes the news for one datagram to other daemons and applies those of
+ * others. Chooses what to tell within the size of the datagram, how often to
+ * tell it, and converts times to ages and back, since daemons share no clock.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
+import { compare, type Observations, rankParts } from "./crash_attribution.ts";
+import {
+  type Audience,
+  type CrashRecord,
+  isUsable,
+  RECORD_EXPIRY,
+} from "./crash_records.ts";
+import type { Proof, ProofReport } from "./part_proofs.ts";
+import { holdOf, MAX_STRIKES, type PartVerdicts } from "./part_verdicts.ts";
+
+/**
+ * Age at which a crash record is told to others, so that data of a live replica
+ * can void it before.
+ */
+export const TELL_DELAY: Milliseconds = 250;
+
+/** Minimum interval between two reports of the same part's proof. */
+const PROOF_INTERVAL: Milliseconds = 1_000;
+
+/**
+ * A proof is told again only when it is this much newer, because the time of a
+ * proof that comes back from others differs by the delays on its way.
+ */
+const PROOF_STEP: Milliseconds = 100;
+
+/** Reports of a proof that no newer one replaces, as datagrams can be lost. */
+const PROOF_ROUNDS = 3;
+
+/** Parts of one crash record in a datagram. */
+export const MAX_TOLD_PARTS = 64;
+const MAX_TOLD_VERDICTS = 8;
+const MAX_TOLD_PROOFS = 16;
+
+const UNTOLD: ProofReport = { at: -Infinity, proof: -Infinity, rounds: 0 };
+
+/** What daemons tell each other; all times are ages or remaining times. */
+export interface CrashNews {
+  readonly verdicts: readonly (readonly [
+    part: string,
+    age: Milliseconds,
+    remaining: Milliseconds,
+    strikes: number,
+  ])[];
+  readonly records: readonly (readonly [
+    replica: string,
+    age: Milliseconds,
+    parts: readonly string[],
+  ])[];
+  /** Newest proofs that parts are sound. */
+  readonly proofs: readonly (readonly [part: string, age: Milliseconds])[];
+}
+
+export interface CrashDigestOptions extends Observations {
+  readonly clock: Clock;
+  readonly verdicts: PartVerdicts;
+}
+
+export abstract class CrashDigest {
+  /**
+   * Takes the news for one datagram, at most `limit` bytes of JSON, and counts
+   * them as told to the audience.
+   */
+  abstract compose(limit: Bytes, audience: Audience): CrashNews | undefined;
+  abstract apply(news: CrashNews): void;
+}
+
+export function createCrashDigest(options: CrashDigestOptions): CrashDigest {
+  const { clock, records, proofs, verdicts } = options;
+
+  function listProofs(audience: Audience): CrashNews["proofs"] {
+    const now = clock.monotonic();
+    const condemned = verdicts.list().map(({ part }) => part);
+    const named = new Set([...condemned, ...records.listParts()]);
+    const isCondemned = (part: string) => verdicts.find(part) !== undefined;
+    const due: (readonly [string, Proof])[] = [];
+    for (const part of named) {
+      const proof = proofs.find(part);
+      if (proof === undefined) continue;
+      const told = proof.told?.[audience] ?? UNTOLD;
+      if (now - told.at < PROOF_INTERVAL) continue;
+      const isNew = proof.at - told.proof >= PROOF_STEP;
+      if (isNew || told.rounds < PROOF_ROUNDS) due.push([part, proof]);
+    }
+    due.sort(([part, a], [other, b]) =>
+      Number(isCondemned(other)) - Number(isCondemned(part)) ||
+      records.count(other) - records.count(part) ||
+      compare(
+        (a.told?.[audience] ?? UNTOLD).at,
+        (b.told?.[audience] ?? UNTOLD).at,
+      )
+    );
+    return due.slice(0, MAX_TOLD_PROOFS)
+      .map(([part, { at }]) => [part, Math.ceil(now - at)] as const);
+  }
+
+  function listVerdicts(): CrashNews["verdicts"] {
+    const now = clock.monotonic();
+    return verdicts.list().filter(({ until }) => until > now)
+      .sort((a, b) => b.since - a.since)
+      .slice(0, MAX_TOLD_VERDICTS)
+      .map(({ part, since, until, strikes }) =>
+        [
+          part,
+          Math.floor(now - since),
+          Math.floor(until - now),
+          strikes,
+        ] as const
+      );
+  }
+
+  function isDue(record: CrashRecord, audience: Audience): boolean {
+    return record.voidedAt === undefined && record.roundsLeft[audience] > 0 &&
+      (record.isFromPeer ||
+        clock.monotonic() - record.notedAt >= TELL_DELAY);
+  }
+
+  return new (class extends CrashDigest {
+    override compose(limit: Bytes, audience: Audience): CrashNews | undefined {
+      const now = clock.monotonic();
+      let left = limit - measure({ verdicts: [], records: [], proofs: [] });
+      const take = <Item>(items: readonly Item[]): Item[] => {
+        const taken: Item[] = [];
+        for (const item of items) {
+          const size = measure(item) + 1;
+          if (size > left) continue;
+          left -= size;
+          taken.push(item);
+        }
+        return taken;
+      };
+      const toldVerdicts = take(listVerdicts());
+      const told: CrashNews["records"][number][] = [];
+      const due = records.list().filter((record) => isDue(record, audience))
+        .sort((a, b) => b.roundsLeft[audience] - a.roundsLeft[audience]);
+      for (const [index, record] of due.entries()) {
+        const kept = left;
+        // Each record gets its share of the space, so that crashes of other
+        // replicas are known even when one ended under many requests.
+        left = Math.floor(left / (due.length - index));
+        const spare = kept - left;
+        const entry = takeRecord(record);
+        left += spare;
+        if (entry === undefined) continue;
+        record.roundsLeft[audience] -= 1;
+        told.push(entry);
+      }
+      function takeRecord(record: CrashRecord) {
+        const age = Math.floor(now - record.at);
+        const base = measure([record.replica, age, []]) + 1;
+        if (base >= left) return undefined;
+        left -= base;
+        const parts = take(
+          rankParts(options, record.parts).slice(0, MAX_TOLD_PARTS),
+        );
+        if (parts.length > 0) return [record.replica, age, parts] as const;
+        left += base;
+        return undefined;
+      }
+      const toldProofs = take(listProofs(audience));
+      for (const [part] of toldProofs) {
+        const proof = proofs.find(part);
+        if (proof === undefined) continue;
+        const { proof: last, rounds } = proof.told?.[audience] ?? UNTOLD;
+        const isNew = proof.at - last >= PROOF_STEP;
+        const report = isNew
+          ? { at: now, proof: proof.at, rounds: 1 }
+          : { at: now, proof: last, rounds: rounds + 1 };
+        proof.told = { ...proof.told, [audience]: report };
+      }
+      if (toldVerdicts.length + told.length + toldProofs.length === 0) {
+        return undefined;
+      }
+      return { verdicts: toldVerdicts, records: told, proofs: toldProofs };
+    }
+
+    override apply(news: CrashNews): void {
+      const now = clock.monotonic();
+      // Proofs first, so that no part is condemned that they show to be sound.
+      for (const [part, age] of news.proofs) {
+        if (!isUsable(part)) continue;
+        if (proofs.recordAnswer(now - age)) verdicts.noteAnswer();
+        if (proofs.recordProof(part, now - age)) verdicts.noteProof(part);
+      }
+      const changed: CrashRecord[] = [];
+      for (const [replica, age, parts] of news.records) {
+        if (age >= RECORD_EXPIRY) continue;
+        const { record, isChanged } = records.add(replica, now - age, parts);
+        if (!isChanged) continue;
+        verdicts.noteRecords();
+        record.isFromPeer = true;
+        changed.push(record);
+      }
+      for (const [part, age, remaining, told] of news.verdicts) {
+        if (!isUsable(part) || told < 1) continue;
+        const strikes = Math.min(MAX_STRIKES, told);
+        verdicts.merge({
+          part,
+          strikes,
+          since: now - age,
+          until: now + Math.min(remaining, holdOf(strikes)),
+        });
+      }
+      for (const record of changed) verdicts.judge(record);
+    }
+  })();
+}
+
+/** Size of a value as JSON. */
+function measure(value: unknown): Bytes {
+  return Buffer.byteLength(JSON.stringify(value));
+}
--- /dev/null
+++ b/packages/retries/src/part_verdicts.ts
@@ -0,0 +1,350 @@
+/**
+ * Keeps the verdicts on parts: starts one when enough crashes count against a
+ * part, renews it when a trial crashes a replica, merges those of other daemons,
+ * lifts it when an answer or a more likely cause contradicts it, and forgets it
+ * when it lapsed long ago.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+import {
+  countedRecords,
+  CRASHES_TO_CONDEMN,
+  CRASHES_TO_SUSPECT,
+  findCrashes,
+  isExplained,
+  listCrashes,
+  type Observations,
+} from "./crash_attribution.ts";
+import type { CrashRecord } from "./crash_records.ts";
+
+/** First duration of a verdict; it doubles with each renewal. */
+export const INITIAL_HOLD: Milliseconds = 30_000;
+export const MAX_HOLD: Milliseconds = 15 * 60_000;
+
+/**
+ * Strikes at which the hold reaches `MAX_HOLD`. More would have no effect, and
+ * the digest between daemons admits no unbounded count.
+ */
+export const MAX_STRIKES = 1 + Math.ceil(Math.log2(MAX_HOLD / INITIAL_HOLD));
+
+/** Time after its end at which a verdict is forgotten that no trial renewed. */
+const FORGET_AFTER: Milliseconds = 15 * 60_000;
+
+/**
+ * Shares of the hold by which a daemon delays its trial, so that not all
+ * daemons try at once.
+ */
+const MIN_TRIAL_DELAY = 0.05;
+const MAX_TRIAL_DELAY = 0.5;
+
+/**
+ * Minimum interval between evaluations of all parts because of proofs. Answers
+ * begin all the time on parts that many requests share.
+ */
+const EVALUATION_INTERVAL: Milliseconds = 50;
+
+/** Wait stated for a part while another request tries it. */
+const TRIAL_WAIT: Milliseconds = 1_000;
+
+/**
+ * Times of one verdict differ by less between daemons. Without this tolerance,
+ * the delays of datagrams would add up while daemons adopt it from each other.
+ */
+const SAME_TIME: Milliseconds = 500;
+
+/**
+ * Delay by which the reported proof of a peer appears later than it was. A part
+ * that was sound just before its first crash would otherwise seem sound after
+ * it, and its verdict would be lifted and adopted again with each heartbeat.
+ */
+const MAX_NEWS_DELAY: Milliseconds = 100;
+
+const MAX_VERDICTS = 64;
+
+/** A part whose requests are refused. */
+export interface Verdict {
+  readonly part: string;
+  /** Crashes that count against the part. */
+  readonly crashes: number;
+  /** Number of times that the part was condemned in succession. */
+  readonly strikes: number;
+  readonly hold: Milliseconds;
+}
+
+/** Why a request must not be sent now. */
+export interface CondemnedPart {
+  readonly part: string;
+  /** Time left until a request with the part may be tried. */
+  readonly remaining: Milliseconds;
+}
+
+export interface ActiveVerdict {
+  readonly part: string;
+  /** Answers that began after this time contradict the verdict. */
+  since: Milliseconds;
+  until: Milliseconds;
+  strikes: number;
+  /** Share of the hold by which this daemon delays its trial. */
+  readonly trialDelay: number;
+  isTried: boolean;
+  /** The verdict before its renewal, and the crash that renewed it. */
+  renewal?: {
+    readonly record: CrashRecord;
+    readonly previous: ActiveVerdict;
+  };
+}
+
+/** The content of a verdict that daemons tell each other. */
+export type VerdictTerms = Pick<
+  ActiveVerdict,
+  "part" | "since" | "until" | "strikes"
+>;
+
+export interface PartVerdictsOptions extends Observations {
+  readonly clock: Clock;
+  /** Returns a number from 0 up to 1. */
+  readonly random: () => number;
+  readonly onCondemned?: (verdict: Verdict) => void;
+  readonly onLifted?: (part: string) => void;
+}
+
+export abstract class PartVerdicts {
+  abstract list(): readonly ActiveVerdict[];
+  abstract find(part: string): ActiveVerdict | undefined;
+  /** Returns true when there are no verdicts. */
+  abstract isEmpty(): boolean;
+  /** Returns the part with the longest wait among those refused now. */
+  abstract findCondemned(parts: readonly string[]): CondemnedPart | undefined;
+  /** Renews and starts the verdicts that a crash leads to. */
+  abstract judge(record: CrashRecord): void;
+  /**
+   * Condemns parts whose crashes lost their other explanation: by a proof of
+   * the part that explained them, or by a record that was voided or dropped.
+   */
+  abstract evaluate(): void;
+  /** Takes a verdict of another daemon if it is later and not contradicted. */
+  abstract merge(offered: VerdictTerms): void;
+  /** Makes the next evaluation regard changes of the crash records. */
+  abstract noteRecords(): void;
+  /** Makes the next evaluation regard a new answer on any part. */
+  abstract noteAnswer(): void;
+  /**
+   * Lifts the verdict that a new proof of the part contradicts, and makes the
+   * next evaluation regard the proof.
+   */
+  abstract noteProof(part: string): void;
+  /** Forgets verdicts that lapsed long ago without a trial's renewal. */
+  abstract dropExpired(): void;
+}
+
+export function createPartVerdicts(options: PartVerdictsOptions): PartVerdicts {
+  const { clock, random, records, proofs } = options;
+  const verdicts = new Map<string, ActiveVerdict>();
+  /** Changes since the last evaluation of all parts. */
+  let staleness: "none" | "by proofs" | "by records" = "none";
+  let evaluatedAt: Milliseconds = -Infinity;
+
+  function condemn(part: string): void {
+    if (verdicts.has(part)) return;
+    const crashes = findCrashes(options, part, CRASHES_TO_CONDEMN);
+    if (crashes === undefined) return;
+    const isProven = proofs.lastProof(part) > -Infinity;
+    if (isProven && !proofs.hasAnswerBetween(crashes)) return;
+    // With an answer after this crash, too few would be left.
+    const since = crashes.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
+    const last = crashes.at(-1) ?? since;
+    putVerdict({ part, since, until: last + INITIAL_HOLD, strikes: 1 });
+    options.onCondemned?.({
+      part,
+      strikes: 1,
+      crashes: crashes.length,
+      hold: INITIAL_HOLD,
+    });
+  }
+
+  /**
+   * Renews the verdict of a part that crashed a replica in a trial, unless
+   * another part of the record explains the crash. The losses of one crash
+   * arrive one after the other, so that a part of a later one may explain it.
+   */
+  function renew(part: string, record: CrashRecord): void {
+    const verdict = verdicts.get(part);
+    if (verdict === undefined) return;
+    const { at } = record;
+    const { renewal } = verdict;
+    if (renewal?.record === record) {
+      if (isTrialExplained(part, record)) verdicts.set(part, renewal.previous);
+      return;
+    }
+    if (at <= verdict.until || at <= proofs.lastProof(part)) return;
+    if (isTrialExplained(part, record)) return;
+    const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
+    const hold = holdOf(strikes);
+    putVerdict({ part, since: at, until: at + hold, strikes });
+    // Keeps no chain of all earlier verdicts in memory.
+    delete verdict.renewal;
+    const renewed = verdicts.get(part);
+    if (renewed !== undefined) renewed.renewal = { record, previous: verdict };
+    options.onCondemned?.({ part, strikes, crashes: 1, hold });
+  }
+
+  /**
+   * Two crashes of the other part suffice, because a trial that is explained
+   * wrongly costs one more replica, while a renewal refuses a sound part for a
+   * long time.
+   */
+  function isTrialExplained(part: string, record: CrashRecord): boolean {
+    const crashes = listCrashes(countedRecords(options, part)).length;
+    return isExplained(options, part, [record], crashes, CRASHES_TO_SUSPECT);
+  }
+
+  function putVerdict(verdict: VerdictTerms): void {
+    const range = MAX_TRIAL_DELAY - MIN_TRIAL_DELAY;
+    verdicts.delete(verdict.part);
+    verdicts.set(verdict.part, {
+      ...verdict,
+      trialDelay: MIN_TRIAL_DELAY + random() * range,
+      isTried: false,
+    });
+    if (verdicts.size <= MAX_VERDICTS) return;
+    const [first] = [...verdicts.values()].sort((a, b) => a.until - b.until);
+    if (first !== undefined) verdicts.delete(first.part);
+  }
+
+  /**
+   * Returns true when an answer on the part began after its crashes, or when
+   * the crashes known here have a more likely cause: the daemon that condemned
+   * the part may not have known its last proof.
+   */
+  function isContradicted(
+    { part, since, strikes }: Pick<
+      ActiveVerdict,
+      "part" | "since" | "strikes"
+    >,
+  ): boolean {
+    if (proofs.lastProof(part) - since > MAX_NEWS_DELAY) return true;
+    if (strikes > 1) return false;
+    const counted = countedRecords(options, part);
+    const crashes = listCrashes(counted).length;
+    return crashes >= CRASHES_TO_CONDEMN &&
+      isExplained(options, part, counted, crashes, CRASHES_TO_CONDEMN);
+  }
+
+  return new (class extends PartVerdicts {
+    override list(): readonly ActiveVerdict[] {
+      return [...verdicts.values()];
+    }
+
+    override find(part: string): ActiveVerdict | undefined {
+      return verdicts.get(part);
+    }
+
+    override isEmpty(): boolean {
+      return verdicts.size === 0;
+    }
+
+    override findCondemned(
+      parts: readonly string[],
+    ): CondemnedPart | undefined {
+      const now = clock.monotonic();
+      let worst: CondemnedPart | undefined;
+      for (const part of parts) {
+        const verdict = verdicts.get(part);
+        if (verdict === undefined) continue;
+        const left = lapseOf(verdict) - now;
+        const wait = verdict.isTried ? TRIAL_WAIT : 0;
+        const remaining = left > 0 ? left : wait;
+        if (remaining > (worst?.remaining ?? 0)) worst = { part, remaining };
+      }
+      return worst;
+    }
+
+    override judge(record: CrashRecord): void {
+      if (record.voidedAt !== undefined) return;
+      for (const part of record.parts) {
+        renew(part, record);
+        condemn(part);
+      }
+    }
+
+    override evaluate(): void {
+      if (staleness === "none") return;
+      const now = clock.monotonic();
+      const age = now - evaluatedAt;
+      if (staleness === "by proofs" && age < EVALUATION_INTERVAL) return;
+      if (staleness === "by proofs") evaluatedAt = now;
+      staleness = "none";
+      if (records.list().length < CRASHES_TO_CONDEMN) return;
+      for (const part of new Set(records.listParts())) condemn(part);
+    }
+
+    override merge(offered: VerdictTerms): void {
+      const { part, strikes, since, until } = offered;
+      if (isContradicted(offered)) return;
+      const known = verdicts.get(part);
+      if (known !== undefined && !isLater(offered, known)) return;
+      const isRenewal = known !== undefined && since > known.until;
+      if (known !== undefined && known.strikes === strikes && !isRenewal) {
+        known.since = since;
+        known.until = until;
+        return;
+      }
+      putVerdict(offered);
+      const hold = holdOf(strikes);
+      options.onCondemned?.({ part, strikes, crashes: 0, hold });
+    }
+
+    override noteRecords(): void {
+      staleness = "by records";
+    }
+
+    override noteAnswer(): void {
+      if (staleness === "none" && records.list().length > 0) {
+        staleness = "by proofs";
+      }
+    }
+
+    override noteProof(part: string): void {
+      if (staleness === "none" && records.count(part) > 0) {
+        staleness = "by proofs";
+      }
+      const verdict = verdicts.get(part);
+      if (verdict === undefined || !isContradicted(verdict)) return;
+      verdicts.delete(part);
+      staleness = "by records";
+      options.onLifted?.(part);
+    }
+
+    override dropExpired(): void {
+      const now = clock.monotonic();
+      for (const [part, { until }] of verdicts) {
+        if (now < until + FORGET_AFTER) continue;
+        verdicts.delete(part);
+        staleness = "by records";
+      }
+    }
+  })();
+}
+
+function lapseOf({ until, strikes, trialDelay }: ActiveVerdict): Milliseconds {
+  return until + trialDelay * holdOf(strikes);
+}
+
+/**
+ * Orders the verdicts on one part. That of the latest crash prevails, so that an
+ * answer that contradicts it contradicts all.
+ */
+function isLater(
+  offered: Pick<ActiveVerdict, "since" | "until" | "strikes">,
+  known: Pick<ActiveVerdict, "since" | "until" | "strikes">,
+): boolean {
+  const difference = offered.since - known.since;
+  if (Math.abs(difference) > SAME_TIME) return difference > 0;
+  if (offered.strikes !== known.strikes) return offered.strikes > known.strikes;
+  return offered.until - known.until > SAME_TIME;
+}
+
+/** Duration of a verdict after a number of strikes. */
+export function holdOf(strikes: number): Milliseconds {
+  return Math.min(MAX_HOLD, INITIAL_HOLD * 2 ** (strikes - 1));
+}
