Log the limits that replicas name in their answers

Server-Limit is decoded at the boundary and kept in the new package backpressure, with its age and the replica's incarnation. A change is logged as replica_statement, a malformed value as statement_rejected, and two gauges show the limits per service. No decision reads them yet.

--- /dev/null
+++ b/packages/backpressure/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * What replicas say of themselves in their answers, and the pace that daemons
+ * keep because of it.
+ */
+export * from "./incarnation.ts";
+export * from "./statements.ts";
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -445,6 +445,15 @@
     message:
       "A replica broke off attempts, counted by whether an event had arrived; isCrash is false when data from it followed.",
   }),
+  replica_statement: defineEvent(3027, "warn", {
+    fields: { kind: S, value: N, isInForce: "boolean" },
+    message:
+      "What a replica says of itself in its answers has changed; isInForce is false when it no longer says so.",
+  }),
+  statement_rejected: defineEvent(3028, "warn", {
+    fields: { reason: S },
+    message: "A replica said something of itself that cannot be read.",
+  }),
   part_condemned: defineEvent(3025, "error", {
     fields: { part: S, crashes: N, strikes: N, hold: N },
     message:
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
  * and stops them in order.
  */
 import { createShutdownAdmission } from "@peridotvalve/admission";
+import { createStatements } from "@peridotvalve/backpressure";
 import {
   createAnswerTimes,
   createCacheJournal,
@@ -37,7 +38,7 @@
 import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
 import { createFrontend } from "./frontend.ts";
 import { createLoopLag } from "./loop_lag.ts";
-import { createMeters } from "./meters.ts";
+import { createMeters, type ReplicaLimit } from "./meters.ts";
 import type { Address, GatewayOptions, GatewaySettings } from "./options.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
 import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
@@ -150,6 +151,15 @@
     },
   });
 
+  const statements = createStatements({
+    clock,
+    onChange({ id }, kind, value) {
+      const isInForce = value !== undefined;
+      const fields = { kind, value: value ?? 0, isInForce };
+      logger.log("replica_statement", fields, { upstream: id });
+    },
+  });
+
   const registration = createRegistration({
     clock,
     logger,
@@ -233,6 +243,7 @@
       state: entry.state,
       weights: [...known].map((pair) => pair.join("@")).join(" "),
     })),
+    limits: listLimits(),
     retriesLeft: new Map(
       [...holder.current()?.state.services.keys() ?? []]
         .map((service) => [service, budget.left(service)]),
@@ -258,6 +269,7 @@
     headerCodec,
     pools,
     replicas,
+    statements,
     load,
     cache,
     weights,
@@ -355,6 +367,13 @@
     for (const id of ids) replicas.avoid(id, BUSY_AVOIDANCE);
   }
 
+  function listLimits(): readonly ReplicaLimit[] {
+    return replicas.all().flatMap(({ entry }) => {
+      const limit = statements.find(entry, "limit")?.value;
+      return limit === undefined ? [] : [{ service: entry.service, limit }];
+    });
+  }
+
   function listStores(): readonly StoreTraits[] {
     const services = holder.current()?.state.services.values() ?? [];
     return [...services].flatMap(({ store }) => store ?? []);
--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -2,6 +2,7 @@
  * Translation between the gateway's types and the headers of a protocol. An
  * adapter implements it.
  */
+import type { Statement } from "@peridotvalve/backpressure";
 import type { PartPlan, PromptMetadata } from "@peridotvalve/dispatch";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import type { IncomingHttpHeaders } from "node:http";
@@ -48,6 +49,10 @@
   /** Id of the responding replica, when the response names it. */
   readonly replica?: string;
   readonly weights?: number;
+  /** What the replica says of itself; absent when it says nothing. */
+  readonly statement?: Statement;
+  /** Names and values of statements that cannot be read; they are left out. */
+  readonly malformed?: readonly string[];
 }
 
 export abstract class HeaderCodec {
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import { createRegistry } from "@peridotvalve/metrics";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Milliseconds, RequestRate } from "@peridotvalve/types";
 
 /** How a request ended. */
 export interface RequestRecord {
@@ -26,6 +26,12 @@
   readonly weights: string;
 }
 
+/** A replica that names the rate of requests that it takes. */
+export interface ReplicaLimit {
+  readonly service: string;
+  readonly limit: RequestRate;
+}
+
 /** Gauge values, read when the page is rendered. */
 export interface Readings {
   readonly inFlight: number;
@@ -35,6 +41,7 @@
   readonly listAge: Milliseconds;
   readonly waiting: number;
   readonly replicas: readonly ReplicaCount[];
+  readonly limits?: readonly ReplicaLimit[];
   /** Retries that the budget allows now, by service. */
   readonly retriesLeft: ReadonlyMap<string, number>;
 }
@@ -146,6 +153,14 @@
     help: "Replicas of the list by service, state and weight versions.",
     labels: ["service", "state", "weights"],
   });
+  const limitedReplicas = registry.gauge("peridotvalve_limited_replicas", {
+    help: "Replicas that name the rate of requests that they take.",
+    labels: ["service"],
+  });
+  const limitedRate = registry.gauge("peridotvalve_limited_rate", {
+    help: "Requests per second that the limited replicas take together.",
+    labels: ["service"],
+  });
   const loopDelays = registry.histogram("peridotvalve_event_loop_delay_ms", {
     help: "Time by which timers run late.",
   });
@@ -171,6 +186,12 @@
     for (const { service, state, weights } of readings.replicas) {
       replicas.add(1, { service, state, weights });
     }
+    limitedReplicas.clear();
+    limitedRate.clear();
+    for (const { service, limit } of readings.limits ?? []) {
+      limitedReplicas.add(1, { service });
+      limitedRate.add(limit, { service });
+    }
     retriesLeft.clear();
     for (const [service, left] of readings.retriesLeft) {
       retriesLeft.set(left, { service });
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -8,6 +8,7 @@
  * caller.
  */
 import type { ShutdownAdmission } from "@peridotvalve/admission";
+import type { Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
   type AnswerTimes,
@@ -47,7 +48,7 @@
   type ConnectionPools,
   LATE_START,
 } from "./connection_pools.ts";
-import type { HeaderCodec } from "./header_codec.ts";
+import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
@@ -61,6 +62,7 @@
   readonly headerCodec: HeaderCodec;
   readonly pools: ConnectionPools;
   readonly replicas: ReplicaTable;
+  readonly statements: Statements;
   readonly load: LoadView;
   readonly cache: CacheView;
   readonly weights: WeightTargets;
@@ -161,6 +163,18 @@
     return prefillRates.timeOf(service, unread + own);
   }
 
+  function recordStatement(
+    { replica: { entry } }: Choice,
+    { replica, isMisdirected, statement = {}, malformed }: ResponseMetadata,
+  ): void {
+    for (const reason of malformed ?? []) {
+      logger.log("statement_rejected", { reason }, { upstream: entry.id });
+    }
+    // Another incarnation at the same address answers a misdirected request.
+    const sender = replica ?? (isMisdirected ? undefined : entry.id);
+    if (sender === entry.id) options.statements.record(entry, statement);
+  }
+
   function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
     const now = replicaClock.now();
     return now === undefined ? {} : { fetchEnd: now + MAX_FETCH };
@@ -537,6 +551,7 @@
         attempt.cancel("answer to another request");
         return { kind: "lost", reason: "answer to another request" };
       }
+      recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
       if (metadata.isRefusal) {
         await discardBody(attempt);
--- a/packages/types/src/units.ts
+++ b/packages/types/src/units.ts
@@ -15,6 +15,9 @@
 /** A number of model tokens. */
 export type Tokens = number;
 
+/** A number of requests per second. */
+export type RequestRate = number;
+
 /** One second, in milliseconds. */
 export const SECOND: Milliseconds = 1_000;
 
