--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -35,10 +35,17 @@
    * empty for none.
    */
   readonly crashOnPart: string;
+  /**
+   * Requests per second that the replica names as its limit in all its answers;
+   * 0 for no limit. It does not enforce the limit.
+   */
+  readonly limit: number;
 }
 
 export interface ReceivedRequest {
   readonly id: string;
+  /** Time of arrival in milliseconds, on the clock of `performance.now`. */
+  readonly at: number;
   readonly method: string;
   readonly path: string;
   readonly body: string;
@@ -110,6 +117,7 @@
   wrongRequestId: false,
   loseOrderAnswers: false,
   crashOnPart: "",
+  limit: 0,
 };
 
 /** Time from a request to the first event, or to the crash. */
@@ -233,6 +241,7 @@
     response.once("close", () => isDropped = !response.writableFinished);
     requests.push({
       id: String(request.headers["request-id"]),
+      at: performance.now(),
       method: request.method ?? "",
       path: request.url ?? "",
       body,
@@ -282,6 +291,9 @@
       const page = { boot_epoch: 1, next: 0, lost: false, events: [] };
       return sendJson(response, 200, page);
     }
+    if (faults.limit > 0) {
+      response.setHeader("Server-Limit", String(faults.limit));
+    }
     await runRequest(request, response, body);
   }
 
