Place requests of each service apart from those of others

Callers of one service waited, or were refused with 'no room', while its replicas were free: a pass of the placement queue ended after eight failed placements of any service, so eight prompts of a full service at the head of the queue held up all behind them. A limit that replicas name would make that the rule, since such a service has no room for long.

Each service is a lane of its own: failed placements end only the pass of their lane, and the expected wait counts the lane's requests and placements.

--- a/packages/dispatch/src/placement_queue.test.ts
+++ b/packages/dispatch/src/placement_queue.test.ts
@@ -28,6 +28,24 @@
   return { clock, queue, placed, enter, open };
 }
 
+// Guards against requests that wait although replicas of their service are
+// free, because eight requests of another service are ahead of them.
+test("a request does not wait for those of another lane", async () => {
+  const { clock, queue, enter } = createQueue();
+  const full = Array.from({ length: 9 }, (_, at) => enter(`full-${at}`, 0));
+  const other = queue.wait({
+    ...{ lane: "other", rank: 1, deadline: 1_000 },
+    isAbandoned: () => false,
+    place: () => "placed",
+  });
+  expect(queue.size()).toEqual(9);
+  expect(await other).toEqual("placed");
+  expect(queue.estimateWait(1, "other")).toEqual(0);
+  await clock.advance(1_000);
+  queue.retry();
+  await Promise.all(full);
+});
+
 // Guards against short prompts that wait behind long ones in a burst.
 test("urgent requests go first, and earlier ones among equals", async () => {
   const { placed, enter, open } = createQueue();
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -22,14 +22,19 @@
   abstract retry(): void;
   abstract size(): number;
   /**
-   * Estimates how long a new request of the rank would wait, from the number of
-   * requests ahead of it and the recent rate of placements. 0 when none is
-   * ahead.
+   * Estimates how long a new request of the rank would wait in its lane, from
+   * the number of requests ahead of it and the recent rate of placements. 0 when
+   * none is ahead.
    */
-  abstract estimateWait(rank: number): Milliseconds;
+  abstract estimateWait(rank: number, lane?: string): Milliseconds;
 }
 
 export interface WaitRequest<Placed> {
+  /**
+   * Names the replicas that can take the request. Requests of different lanes
+   * do not wait for each other.
+   */
+  readonly lane?: string;
   /** Position by priority; 0 goes first. */
   readonly rank: number;
   readonly place: () => Placed | undefined;
@@ -40,6 +45,7 @@
 
 interface QueueEntry {
   readonly rank: number;
+  readonly lane: string;
   /**
    * Ends the wait if its deadline has passed; returns true when it has ended.
    */
@@ -54,12 +60,19 @@
 /** Time window over which the rate of placements is measured. */
 const RATE_WINDOW: Milliseconds = 1_500;
 
+const DEFAULT_LANE = "";
+
 /**
- * Failed placements after which a pass ends, because the requests behind are
- * unlikely to fit either.
+ * Failed placements after which a pass leaves a lane, because the requests
+ * behind are unlikely to fit either.
  */
 const MAX_REFUSED_PER_PASS = 8;
 
+interface Placement {
+  readonly lane: string;
+  readonly at: Milliseconds;
+}
+
 export interface PlacementQueueOptions {
   /**
    * Returns true when this process runs late. Waiting requests are then placed
@@ -75,22 +88,24 @@
   let waiting: readonly QueueEntry[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isPlacing = false;
-  let placements: readonly Milliseconds[] = [];
+  let placements: readonly Placement[] = [];
 
-  function recordPlacement(): void {
+  function recordPlacement(lane: string): void {
     const now = clock.monotonic();
-    const recent = placements.filter((at) => at > now - RATE_WINDOW);
-    placements = [...recent, now];
+    const recent = placements.filter(({ at }) => at > now - RATE_WINDOW);
+    placements = [...recent, { lane, at: now }];
   }
 
   function placeEntries(): void {
     if (isPlacing) return;
     isPlacing = true;
     const ended = new Set<QueueEntry>();
-    let refused = 0;
+    const refused = new Map<string, number>();
     for (const entry of waiting) {
+      const count = refused.get(entry.lane) ?? 0;
+      if (count >= MAX_REFUSED_PER_PASS) continue;
       if (entry.attempt()) ended.add(entry);
-      else if (++refused >= MAX_REFUSED_PER_PASS) break;
+      else refused.set(entry.lane, count + 1);
     }
     if (ended.size > 0) {
       waiting = waiting.filter((entry) => !ended.has(entry));
@@ -122,8 +137,10 @@
 
   return new (class extends PlacementQueue {
     override wait<Placed>(
-      { rank, place, deadline, isAbandoned }: WaitRequest<Placed>,
+      request: WaitRequest<Placed>,
     ): Promise<Placed | undefined> {
+      const { rank, place, deadline, isAbandoned } = request;
+      const { lane = DEFAULT_LANE } = request;
       return new Promise((resolve) => {
         const expire = () => {
           if (!isAbandoned() && clock.monotonic() < deadline) return false;
@@ -132,12 +149,13 @@
         };
         const entry: QueueEntry = {
           rank,
+          lane,
           expire,
           attempt() {
             if (expire()) return true;
             const placed = place();
             if (placed === undefined) return false;
-            recordPlacement();
+            recordPlacement(lane);
             resolve(placed);
             return true;
           },
@@ -156,11 +174,16 @@
       else placeEntries();
     }
 
-    override estimateWait(rank: number): Milliseconds {
-      const ahead = waiting.filter((entry) => entry.rank <= rank).length;
+    override estimateWait(rank: number, lane = DEFAULT_LANE): Milliseconds {
+      const ahead =
+        waiting.filter((entry) => entry.lane === lane && entry.rank <= rank)
+          .length;
       if (ahead === 0) return 0;
       const oldest = clock.monotonic() - RATE_WINDOW;
-      const placed = placements.filter((at) => at > oldest).length;
+      const placed =
+        placements.filter((placement) =>
+          placement.lane === lane && placement.at > oldest
+        ).length;
       return ahead * RATE_WINDOW / Math.max(1, placed);
     }
 
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -241,7 +241,7 @@
       }
       const wait = request.prompt === undefined || reserved !== undefined
         ? 0
-        : queue.estimateWait(priorityOf(request));
+        : queue.estimateWait(priorityOf(request), request.service);
       const lastStart = Math.min(request.deadline, waitDeadline());
       if (reserved === undefined && clock.monotonic() + wait > lastStart) {
         return fail(`${lastReason}, too many wait`, 502, wait);
@@ -335,6 +335,7 @@
       // not wait here.
       if (request.prompt === undefined) return place();
       return await queue.wait({
+        lane: request.service,
         rank: priorityOf(request),
         deadline,
         isAbandoned: () =>
