Keep the limit that a replica names, all daemons together

Cause: nothing of what a replica says of itself was read; only load, the list and failures changed where requests go. Class: a replica's own word that no decision listens to.

Ruled out: late news (the limit is in answers from 6.0 s on, the reports begin when the bound begins to count) and retries (the sends are first attempts).

The statement is decoded once, kept by incarnation with its age, and merged with what neighbors heard. Each daemon paces its requests to the replica by a share of the limit: its part of the recent rates of all, at least an equal part, and an equal part only while those rates are not known yet. Rates travel as a fifth number of the load entries that exist, only for limited replicas. Placement skips a replica without room, the queue tries again, and a request that no replica can take in time is refused at once with the time until it could.

--- a/packages/backpressure/src/incarnation.ts
+++ b/packages/backpressure/src/incarnation.ts
@@ -2,6 +2,7 @@
  * Identity of one run of a replica. A replica can start again under the same
  * id, and nothing that it said before holds afterwards.
  */
+import { replicaKey } from "@peridotvalve/load";
 import type { Timestamp } from "@peridotvalve/types";
 
 /** The parts of a replica's entry that tell its incarnations apart. */
@@ -15,3 +16,14 @@
 export function incarnationKey({ id, born }: Incarnation): string {
   return born === undefined ? id : `${id}@${born}`;
 }
+
+const hashes = new WeakMap<Incarnation, string>();
+
+/** Short hash of the incarnation, the same in all daemons. */
+export function incarnationHash(incarnation: Incarnation): string {
+  const known = hashes.get(incarnation);
+  if (known !== undefined) return known;
+  const hash = replicaKey(incarnationKey(incarnation));
+  hashes.set(incarnation, hash);
+  return hash;
+}
--- a/packages/backpressure/src/mod.ts
+++ b/packages/backpressure/src/mod.ts
@@ -3,4 +3,7 @@
  * keep because of it.
  */
 export * from "./incarnation.ts";
+export * from "./limits.ts";
+export * from "./statement.ts";
+export { type StatementNews } from "./statement_news.ts";
 export * from "./statements.ts";
--- /dev/null
+++ b/packages/backpressure/src/statement.ts
@@ -0,0 +1,17 @@
+/**
+ * The kinds of statements that a replica makes about itself.
+ */
+import type { RequestRate } from "@peridotvalve/types";
+
+/** What one answer says of the replica that sent it. */
+export interface Statement {
+  /**
+   * Requests that the replica takes from all daemons together; absent when it
+   * names no limit.
+   */
+  readonly limit?: RequestRate;
+}
+
+export type StatementKind = keyof Statement;
+
+export const STATEMENT_KINDS: readonly StatementKind[] = ["limit"];
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -14,7 +14,12 @@
 import type { LoadView, ReplicaLoad } from "@peridotvalve/load";
 import type { CacheView } from "./cache_view.ts";
 import { createCandidateSample } from "./candidate_sample.ts";
-import type { Replica, ReplicaTable, Topology } from "./replica.ts";
+import type {
+  Replica,
+  ReplicaEntry,
+  ReplicaTable,
+  Topology,
+} from "./replica.ts";
 import {
   type DispatchRequest,
   priorityOf,
@@ -60,6 +65,11 @@
     request: DispatchRequest,
     excluded: ReadonlySet<string>,
   ): boolean;
+  /** Replicas that can take the request, now or after a wait. */
+  abstract candidates(
+    request: DispatchRequest,
+    excluded: ReadonlySet<string>,
+  ): readonly ReplicaEntry[];
 }
 
 export interface PlacementOptions {
@@ -77,6 +87,8 @@
    * fill the caches; by default it knows of all.
    */
   readonly knowsCaches?: () => boolean;
+  /** Returns false while the replica takes no further request now. */
+  readonly hasRoom?: (replica: ReplicaEntry) => boolean;
   /** Source of random numbers in [0, 1). */
   readonly random?: () => number;
 }
@@ -144,7 +156,7 @@
 
 export function createPlacement(options: PlacementOptions): Placement {
   const { replicas, load, cache, weights, topology, memoryOf } = options;
-  const { transfers, random = Math.random } = options;
+  const { transfers, random = Math.random, hasRoom = () => true } = options;
   const sample = createCandidateSample({ topology, random });
   const members = new Map<string, RendezvousMember>();
 
@@ -296,13 +308,23 @@
     }
   }
 
+  function isCandidate(
+    { entry, weights: present }: Replica,
+    { prompt }: DispatchRequest,
+    excluded: ReadonlySet<string>,
+  ): boolean {
+    return !excluded.has(entry.id) &&
+      (prompt === undefined ||
+        weights.mayStart(prompt.model, present.get(prompt.model) ?? 1));
+  }
+
   return new (class extends Placement {
     override choose(
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): Choice | undefined {
       const usable = replicas.usable(request.service).filter(({ entry }) =>
-        !excluded.has(entry.id)
+        !excluded.has(entry.id) && hasRoom(entry)
       );
       return request.prompt === undefined
         ? choosePlain(usable)
@@ -310,15 +332,22 @@
     }
 
     override hasCandidates(
-      { service, prompt }: DispatchRequest,
+      request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): boolean {
-      return replicas.usable(service).some(({ entry, weights: present }) =>
-        !excluded.has(entry.id) &&
-        (prompt === undefined ||
-          weights.mayStart(prompt.model, present.get(prompt.model) ?? 1))
+      return replicas.usable(request.service).some((replica) =>
+        isCandidate(replica, request, excluded)
       );
     }
+
+    override candidates(
+      request: DispatchRequest,
+      excluded: ReadonlySet<string>,
+    ): readonly ReplicaEntry[] {
+      return replicas.usable(request.service)
+        .filter((replica) => isCandidate(replica, request, excluded))
+        .map(({ entry }) => entry);
+    }
   })();
 }
 
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -27,6 +27,8 @@
    * none is ahead.
    */
   abstract estimateWait(rank: number, lane?: string): Milliseconds;
+  /** Requests of the lane that go before a new one of the rank. */
+  abstract countAhead(rank: number, lane?: string): number;
 }
 
 export interface WaitRequest<Placed> {
@@ -187,6 +189,12 @@
       return ahead * RATE_WINDOW / Math.max(1, placed);
     }
 
+    override countAhead(rank: number, lane = DEFAULT_LANE): number {
+      return waiting.filter((entry) =>
+        entry.lane === lane && entry.rank <= rank
+      ).length;
+    }
+
     override size(): number {
       return waiting.length;
     }
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -2,6 +2,7 @@
  * Keeps requests with a prompt part that crashes replicas from them: passes the
  * ends of attempts on to the crash evidence, and refuses requests by it.
  */
+import { incarnationKey } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import type {
   DispatchRequest,
@@ -261,8 +262,3 @@
 function idOf(key: string): string {
   return key.slice(SCOPE_LENGTH + 1);
 }
-
-/** A replica can start again with the same id. */
-function incarnationKey({ id, born }: ReplicaEntry): string {
-  return born === undefined ? id : `${id}@${born}`;
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,12 @@
  * and stops them in order.
  */
 import { createShutdownAdmission } from "@peridotvalve/admission";
-import { createStatements } from "@peridotvalve/backpressure";
+import {
+  createLimits,
+  createStatements,
+  divideLimit,
+  type Neighborhood,
+} from "@peridotvalve/backpressure";
 import {
   createAnswerTimes,
   createCacheJournal,
@@ -111,7 +116,7 @@
   const holder = createStateHolder(logger);
   const pools = createConnectionPools();
   const cache = createCacheView({ memoryOf: memoryOfHolder });
-  const load = createLoadView(clock);
+  const load = createLoadView(clock, { sharesRate: isLimited });
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const peerClient = createPeerClient(clock);
@@ -157,8 +162,18 @@
       const isInForce = value !== undefined;
       const fields = { kind, value: value ?? 0, isInForce };
       logger.log("replica_statement", fields, { upstream: id });
+      mesh?.announce();
+    },
+    onRejected({ id }, reason) {
+      logger.log("statement_rejected", { reason }, { upstream: id });
     },
   });
+  const limits = createLimits({
+    clock,
+    statements,
+    rates: (id) => load.rates(id),
+    groupOf: (replica) => divideLimit(replica, listNeighborhood()),
+  });
 
   const registration = createRegistration({
     clock,
@@ -214,6 +229,7 @@
     transfers,
     prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
+    hasRoom: (replica) => limits.hasRoom(replica),
   });
   const budget = createWindowBudget({
     clock,
@@ -270,6 +286,7 @@
     pools,
     replicas,
     statements,
+    limits,
     load,
     cache,
     weights,
@@ -367,6 +384,19 @@
     for (const id of ids) replicas.avoid(id, BUSY_AVOIDANCE);
   }
 
+  function listNeighborhood(): Neighborhood {
+    return mesh?.neighborhood() ?? {
+      zone: settings.topology.zone,
+      ...{ isWholeFleet: true, members: peerCount(), live: 1, fleetShare: 1 },
+    };
+  }
+
+  function isLimited(id: string): boolean {
+    const replica = replicas.find(id);
+    return replica !== undefined &&
+      statements.find(replica.entry, "limit") !== undefined;
+  }
+
   function listLimits(): readonly ReplicaLimit[] {
     return replicas.all().flatMap(({ entry }) => {
       const limit = statements.find(entry, "limit")?.value;
@@ -474,6 +504,7 @@
       copies,
       sentParts,
       crashes,
+      statements,
       passesStoresOn: () => !followedCaches.includesReplicas(),
       busy() {
         const loading = rollouts.loading();
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -2,6 +2,7 @@
  * The digest in each heartbeat between daemons, and the content of an aggregate
  * for another zone. Short field names keep a heartbeat within one packet.
  */
+import type { StatementNews } from "@peridotvalve/backpressure";
 import type { CacheEvent, JournalPage } from "@peridotvalve/dispatch";
 import { type Delta, digestSchema } from "@peridotvalve/load";
 import {
@@ -38,6 +39,8 @@
   readonly zoneLoad?: readonly [zone: string, load: Delta];
   readonly sent: readonly SentParts[];
   readonly pages: readonly JournalPage[];
+  /** What replicas say of themselves. */
+  readonly statements?: StatementNews;
   readonly crashes?: CrashNews;
   /** States that the news of crashes were malformed and left out. */
   readonly hasMalformedCrashes?: true;
@@ -79,6 +82,7 @@
   k: z.array(z.tuple([name, z.number(), count, count, z.array(cacheEvent)]))
     .max(64).optional(),
   c: z.unknown().optional(),
+  n: z.object({ limit: z.string().max(1_200).optional() }).optional(),
 });
 
 const ZONE_DIGEST = z.object({
@@ -112,13 +116,14 @@
       ...{ store, epoch, first, age },
       events: events.map(decodeCacheEvent),
     })),
+    ...(data.n === undefined ? {} : { statements: data.n as StatementNews }),
     ...decodeCrashes(data.c),
   };
 }
 
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
-  const { crashes } = digest;
+  const { crashes, statements } = digest;
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
@@ -138,6 +143,7 @@
         events.map(encodeCacheEvent),
       ]),
     }),
+    ...(statements !== undefined && { n: statements }),
     ...encodeCrashes(crashes),
   };
 }
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -1,3 +1,4 @@
+import { createStatements } from "@peridotvalve/backpressure";
 import { createManualClock, type ManualClock } from "@peridotvalve/clock";
 import {
   createCacheJournal,
@@ -120,6 +121,7 @@
     random: () => 0,
     onCondemned: () => mesh.announce(),
   });
+  const statements = createStatements({ clock });
   const replicas = createReplicaTable({ clock, onChange: () => {} });
   replicas.replaceAll(ZONES.map((zone) => ({
     ...{ id: `i-${zone}`, service: "llm", address: "a:80", zone, slots: 8 },
@@ -148,6 +150,7 @@
   const mesh = createPeerMesh({
     ...{ clock, logger, name: peer.name, zone: peer.zone },
     ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
+    statements,
     transport: fleet.network.attach(peer.datagrams),
     tables: new Map([[TABLE, follower]]),
     sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
@@ -161,7 +164,7 @@
   void follower.run(stop.signal);
   return {
     ...{ ...peer, mesh, follower, load, cache, journal, copies, crashes },
-    ...{ stop, logged },
+    ...{ statements, stop, logged },
   };
 }
 
@@ -275,3 +278,29 @@
   expect(rejections.length > 0).toEqual(true);
   for (const { stop } of daemons) stop.abort();
 });
+
+// Guards against a limit that only those daemons keep that have heard it.
+test("neighbors know the limit that one of them has heard", async () => {
+  const { clock, daemons } = createFleet(10);
+  await advance(clock, 3_000);
+  const replica = { id: "i-espoo" };
+  const [first] = daemons;
+  if (first === undefined) throw new Error("no daemon");
+  first.statements.record(replica, { limit: 9.5 });
+  first.mesh.announce();
+  await advance(clock, 1_500);
+  for (const { zone, statements, mesh } of daemons) {
+    const limit = statements.find(replica, "limit")?.value;
+    expect(limit).toEqual(zone === first.zone ? 9.5 : undefined);
+    expect(mesh.neighborhood()).toEqual({
+      ...{ zone, isWholeFleet: false, fleetShare: 0.5 },
+      ...{ members: 10, live: 10 },
+    });
+  }
+  first.statements.record(replica, {});
+  await advance(clock, 1_500);
+  for (const { statements } of daemons) {
+    expect(statements.find(replica, "limit")).toEqual(undefined);
+  }
+  for (const { stop } of daemons) stop.abort();
+});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -7,6 +7,7 @@
  * In a small fleet all daemons are neighbors. In a large one, those of a zone
  * are, so that the cost of a daemon depends on the size of its zone only.
  */
+import type { Neighborhood, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import type {
   CacheJournal,
@@ -57,6 +58,7 @@
   readonly copies: StoreCopies;
   readonly sentParts: SentPartsQueue;
   readonly crashes: Pick<CrashEvidence, "compose" | "apply">;
+  readonly statements: Pick<Statements, "compose" | "apply">;
   /** False when all neighbors follow the stores themselves. */
   readonly passesStoresOn: () => boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
@@ -79,6 +81,8 @@
   abstract liveCount(): number;
   /** Number of groups of neighbors in the fleet. */
   abstract groupCount(): number;
+  /** The neighbors of this daemon, with itself. */
+  abstract neighborhood(): Neighborhood;
 }
 
 /** Fleets of at most this size have one group of neighbors. */
@@ -108,6 +112,12 @@
 /** Share of a heartbeat's space that load may use. */
 const LOAD_SHARE = 0.5;
 
+/** Share of a heartbeat's space that statements of replicas may use. */
+const STATEMENT_SHARE = 0.15;
+
+/** Bytes of a digest around the statements. */
+const STATEMENT_FIELD: Bytes = 8;
+
 /** Share of a heartbeat's space that crashes of replicas may use. */
 const CRASH_SHARE = 0.35;
 
@@ -198,7 +208,33 @@
     if (news !== undefined) crashes.apply(news);
   }
 
+  let knownNeighborhood: Neighborhood | undefined;
+
+  function measureNeighborhood(): Neighborhood {
+    const listed = registration.peers();
+    const isWholeFleet = isSingleGroup();
+    const inGroup = isWholeFleet
+      ? listed.length
+      : listed.filter((peer) => peer.zone === zone).length;
+    const heard = membership.peers();
+    // Rows of daemons that are gone for good stay listed.
+    const members = Math.max(
+      1,
+      heard.length === 0 ? inGroup : heard.length + 1,
+    );
+    return {
+      zone,
+      isWholeFleet,
+      members,
+      live: 1 + heard.filter(({ state }) => state !== "dead").length,
+      fleetShare: isWholeFleet
+        ? 1
+        : Math.min(1, inGroup / Math.max(1, listed.length)),
+    };
+  }
+
   function onChange(change: PeerChange): void {
+    knownNeighborhood = undefined;
     logPeerChange(logger.log.bind(logger), change);
     const { kind, peer } = change;
     const isGone = kind === "dead" || kind === "restarted" ||
@@ -260,6 +296,10 @@
       "neighbors",
     );
     if (crashNews !== undefined) digest = { ...digest, crashes: crashNews };
+    const statements = options.statements.compose(
+      Math.min(left() - STATEMENT_FIELD, limit * STATEMENT_SHARE),
+    );
+    if (statements !== undefined) digest = { ...digest, statements };
     const zoneLoad = takeZoneLoad(left());
     if (zoneLoad !== undefined) digest = { ...digest, zoneLoad };
     if (options.passesStoresOn()) {
@@ -278,6 +318,10 @@
       if (applied.isErr()) reject(peer);
     }
     applyCrashes(peer, digest);
+    if (digest.statements !== undefined) {
+      const isApplied = options.statements.apply(digest.statements);
+      if (!isApplied) reject(peer, "malformed statements");
+    }
     if (digest.zoneLoad !== undefined) applyZoneLoad(...digest.zoneLoad);
     for (const { replica, salt, parts } of digest.sent) {
       if (options.replicas.find(replica) === undefined) continue;
@@ -377,14 +421,15 @@
 
   return new (class extends PeerMesh {
     override async run(signal: AbortSignal): Promise<void> {
-      registration.onChange((listed) =>
+      registration.onChange((listed) => {
+        knownNeighborhood = undefined;
         membership.setVmList(
           listed.map(({ name, datagrams, zone }) => ({
             ...{ name, zone, address: datagrams },
             state: "live" as const,
           })),
-        )
-      );
+        );
+      });
       await Promise.all([
         membership.run(signal),
         fetchInitialRows(signal),
@@ -410,6 +455,11 @@
       return membership.live().length;
     }
 
+    override neighborhood(): Neighborhood {
+      knownNeighborhood ??= measureNeighborhood();
+      return knownNeighborhood;
+    }
+
     override groupCount(): number {
       if (isSingleGroup()) return 1;
       return new Set(registration.peers().map((peer) => peer.zone)).size;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -8,7 +8,7 @@
  * caller.
  */
 import type { ShutdownAdmission } from "@peridotvalve/admission";
-import type { Statements } from "@peridotvalve/backpressure";
+import type { Limits, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
   type AnswerTimes,
@@ -63,6 +63,7 @@
   readonly pools: ConnectionPools;
   readonly replicas: ReplicaTable;
   readonly statements: Statements;
+  readonly limits: Limits;
   readonly load: LoadView;
   readonly cache: CacheView;
   readonly weights: WeightTargets;
@@ -152,6 +153,7 @@
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
+  const { statements, limits } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -167,12 +169,10 @@
     { replica: { entry } }: Choice,
     { replica, isMisdirected, statement = {}, malformed }: ResponseMetadata,
   ): void {
-    for (const reason of malformed ?? []) {
-      logger.log("statement_rejected", { reason }, { upstream: entry.id });
-    }
+    for (const reason of malformed ?? []) statements.reject(entry, reason);
     // Another incarnation at the same address answers a misdirected request.
     const sender = replica ?? (isMisdirected ? undefined : entry.id);
-    if (sender === entry.id) options.statements.record(entry, statement);
+    if (sender === entry.id) statements.record(entry, statement);
   }
 
   function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
@@ -239,9 +239,7 @@
         logger.log("retry_budget_spent", { kind: request.service }, subject);
         return fail(`${lastReason}, no retries left`, 502);
       }
-      const wait = request.prompt === undefined || reserved !== undefined
-        ? 0
-        : queue.estimateWait(priorityOf(request), request.service);
+      const wait = reserved === undefined ? estimateWait() : 0;
       const lastStart = Math.min(request.deadline, waitDeadline());
       if (reserved === undefined && clock.monotonic() + wait > lastStart) {
         return fail(`${lastReason}, too many wait`, 502, wait);
@@ -328,12 +326,26 @@
       }
     }
 
+    /** Estimates how long the request waits for a replica that may take it. */
+    function estimateWait(): Milliseconds {
+      const rank = priorityOf(request);
+      const ahead = queue.countAhead(rank, request.service);
+      const candidates = placement.candidates(request, excluded);
+      const wait = limits.estimateWait(candidates, ahead + 1);
+      return request.prompt === undefined
+        ? wait
+        : Math.max(wait, queue.estimateWait(rank, request.service));
+    }
+
     async function waitForPlace(
       deadline: Milliseconds,
     ): Promise<Placed | undefined> {
-      // Plain services have a short queue of their own, so their requests do
-      // not wait here.
-      if (request.prompt === undefined) return place();
+      // Plain services have a short queue of their own, so their requests wait
+      // here only for a limit.
+      if (request.prompt === undefined) {
+        const placed = place();
+        if (placed !== undefined || estimateWait() === 0) return placed;
+      }
       return await queue.wait({
         lane: request.service,
         rank: priorityOf(request),
@@ -349,6 +361,7 @@
     function place(): Placed | undefined {
       const choice = placement.choose(request, excluded);
       if (choice === undefined) return undefined;
+      limits.take(choice.replica.entry);
       // Add the load at once, so that the next placement sees it.
       return {
         choice,
@@ -357,7 +370,8 @@
     }
 
     /** Gives the place of an attempt that is not made to another request. */
-    function release({ trackedRequest }: Placed): void {
+    function release({ choice, trackedRequest }: Placed): void {
+      limits.giveBack(choice.replica.entry);
       trackedRequest.end();
       queue.retry();
     }
--- a/packages/load/src/load_view.test.ts
+++ b/packages/load/src/load_view.test.ts
@@ -101,3 +101,30 @@
   expect(applied.isErr()).toEqual(true);
   expect(view.totalLoad("a").requests).toEqual(0);
 });
+
+// Guards against rates of others that are missed or that stay after they are
+// gone: a limit is divided by them.
+test("peers share their rates for the replicas that need it", async () => {
+  const clock = createManualClock();
+  const sharesRate = (replica: string) => replica === "limited";
+  const [here, there] = [
+    createLoadView(clock, { sharesRate }),
+    createLoadView(clock, { sharesRate }),
+  ];
+  const views = new Map([["here", here], ["there", there]]);
+  for (const replica of ["limited", "other"]) {
+    for (let count = 0; count < 3; count += 1) {
+      there.trackRequest(replica, { unread: 1, memory: 1 }).end();
+    }
+  }
+  exchange(views);
+  const { own, peers } = here.rates("limited");
+  expect(own).toEqual(0);
+  expect(peers).toEqual(there.rates("limited").own);
+  expect(here.rates("other").peers).toEqual(0);
+  await clock.advance(1_500);
+  exchange(views);
+  expect(here.rates("limited").peers).toEqual(peers / 2);
+  here.removePeer("there");
+  expect(here.rates("limited").peers).toEqual(0);
+});
--- a/packages/load/src/load_view.ts
+++ b/packages/load/src/load_view.ts
@@ -4,7 +4,13 @@
  * costs the same for any number of peers.
  */
 import type { Clock } from "@peridotvalve/clock";
-import type { Bytes, Milliseconds, Tokens } from "@peridotvalve/types";
+import {
+  type Bytes,
+  type Milliseconds,
+  type RequestRate,
+  SECOND,
+  type Tokens,
+} from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 import {
   createDeltaCopy,
@@ -25,6 +31,13 @@
   readonly recentTokens: Tokens;
 }
 
+/** Requests per second, averaged over the last seconds. */
+export interface PlacementRates {
+  readonly own: RequestRate;
+  /** Known only of replicas for which the peers share their rates. */
+  readonly peers: RequestRate;
+}
+
 export interface TrackedRequest {
   /** Records that the replica has finished the prefill of the prompt. */
   recordFirstToken(): void;
@@ -38,6 +51,8 @@
   ): TrackedRequest;
   abstract totalLoad(replica: string): ReplicaLoad;
   abstract localLoad(replica: string): ReplicaLoad;
+  /** Rates at which requests were recently placed on the replica. */
+  abstract rates(replica: string): PlacementRates;
   /** The next digest for the peers, of at most `limit` bytes of JSON. */
   abstract composeDigest(limit: Bytes): Delta | undefined;
   /** Returns an error and changes nothing if the digest is malformed. */
@@ -54,9 +69,21 @@
   abstract removePeer(peer: string): void;
 }
 
-/** Half-life of the sum of recent prompt tokens. */
+/** Half-life of the sums of recent prompt tokens and requests. */
 const RECENT_HALF_LIFE: Milliseconds = 1_500;
 
+/** Half-lives after which a decaying sum counts as 0. */
+const FADED_AFTER = 30;
+
+/** Ratio of a decaying sum to the rate of what is added to it. */
+const RECENT_TIME: Milliseconds = RECENT_HALF_LIFE / Math.LN2;
+
+/** Recent requests in digests are in these parts of a request. */
+const REQUEST_STEP = 0.1;
+
+/** Position of the recent requests in the values of an entry. */
+const RATE_INDEX = 4;
+
 /** Step of the recent tokens in digests; a finer one would always change. */
 const RECENT_STEP: Tokens = 1_024;
 
@@ -70,12 +97,26 @@
   recentTokens: 0,
 };
 
-interface DecayingSum {
-  readonly at: Milliseconds;
+interface RecentPlacements {
   readonly tokens: Tokens;
+  readonly requests: number;
+}
+
+interface DecayingSum extends RecentPlacements {
+  readonly at: Milliseconds;
+}
+
+const NO_PLACEMENTS: RecentPlacements = { tokens: 0, requests: 0 };
+
+export interface LoadViewOptions {
+  /** Returns true when the peers need this daemon's rate for the replica. */
+  readonly sharesRate?: (replica: string) => boolean;
 }
 
-export function createLoadView(clock: Clock): LoadView {
+export function createLoadView(
+  clock: Clock,
+  { sharesRate = () => false }: LoadViewOptions = {},
+): LoadView {
   const localLoads = new Map<string, ReplicaLoad>();
   const recentSums = new Map<string, DecayingSum>();
   const digestSource = createDeltaSource(clock, SWEEP_PERIOD);
@@ -84,12 +125,19 @@
   const peerCopies = new Map<string, DeltaCopy>();
   /** Sum of the peers' entries by replica key. */
   const peerTotals = new Map<string, ReplicaLoad>();
+  /** Sum of the peers' recent requests in steps, by replica key. */
+  const peerRequestSteps = new Map<string, number>();
 
-  function recentTokensOf(replica: string): Tokens {
+  function recentOf(replica: string): RecentPlacements {
     const known = recentSums.get(replica);
-    if (known === undefined) return 0;
+    if (known === undefined) return NO_PLACEMENTS;
     const halfLives = (clock.monotonic() - known.at) / RECENT_HALF_LIFE;
-    return known.tokens * 2 ** -halfLives;
+    const left = 2 ** -halfLives;
+    return { tokens: known.tokens * left, requests: known.requests * left };
+  }
+
+  function recentTokensOf(replica: string): Tokens {
+    return recentOf(replica).tokens;
   }
 
   function add(replica: string, change: ReplicaLoad): void {
@@ -108,6 +156,11 @@
     // Without requests, the rest would be the rounding error of the sums.
     if (total.requests <= 0) peerTotals.delete(key);
     else peerTotals.set(key, total);
+    const change = (next?.[RATE_INDEX] ?? 0) - (previous?.[RATE_INDEX] ?? 0);
+    if (change === 0) return;
+    const steps = (peerRequestSteps.get(key) ?? 0) + change;
+    if (steps <= 0) peerRequestSteps.delete(key);
+    else peerRequestSteps.set(key, steps);
   }
 
   function copyOf(peer: string): DeltaCopy {
@@ -119,12 +172,34 @@
   }
 
   function listLocalEntries(): readonly (readonly [string, Values])[] {
-    return [...localLoads].map(([replica, known]) => {
+    dropFaded();
+    const loaded = [...localLoads.keys()];
+    const idle = [...recentSums.keys()].filter((replica) =>
+      !localLoads.has(replica) && stepsOf(replica) > 0
+    );
+    return [...loaded, ...idle].map((replica) => {
+      const known = localLoads.get(replica) ?? NO_LOAD;
       const recentTokens = recentTokensOf(replica);
-      return [replicaKey(replica), toValues({ ...known, recentTokens })];
+      const values = toValues({ ...known, recentTokens });
+      const steps = stepsOf(replica);
+      return [replicaKey(replica), steps > 0 ? [...values, steps] : values];
     });
   }
 
+  /** Forgets replicas that have had no requests for a while. */
+  function dropFaded(): void {
+    const oldest = clock.monotonic() - RECENT_HALF_LIFE * FADED_AFTER;
+    for (const [replica, { at }] of recentSums) {
+      if (at < oldest) recentSums.delete(replica);
+    }
+  }
+
+  /** Recent requests in steps, if the peers need them. */
+  function stepsOf(replica: string): number {
+    if (!sharesRate(replica)) return 0;
+    return Math.round(recentOf(replica).requests / REQUEST_STEP);
+  }
+
   function computeTotal(replica: string): ReplicaLoad {
     const own = {
       ...localLoads.get(replica) ?? NO_LOAD,
@@ -140,8 +215,12 @@
       { unread, memory }: { readonly unread: Tokens; readonly memory: Tokens },
     ): TrackedRequest {
       add(replica, { requests: 1, unread, memory, recentTokens: 0 });
-      const tokens = recentTokensOf(replica) + unread;
-      recentSums.set(replica, { at: clock.monotonic(), tokens });
+      const recent = recentOf(replica);
+      recentSums.set(replica, {
+        at: clock.monotonic(),
+        tokens: recent.tokens + unread,
+        requests: recent.requests + 1,
+      });
       let hasFirstToken = false;
       let hasEnded = false;
       const recordFirstToken = () => {
@@ -168,6 +247,14 @@
       return localLoads.get(replica) ?? NO_LOAD;
     }
 
+    override rates(replica: string): PlacementRates {
+      const steps = peerRequestSteps.get(replicaKey(replica)) ?? 0;
+      return {
+        own: toRate(recentOf(replica).requests),
+        peers: toRate(steps * REQUEST_STEP),
+      };
+    }
+
     override composeDigest(limit: Bytes): Delta | undefined {
       replaceEntries(digestSource, listLocalEntries());
       return digestSource.compose(limit);
@@ -225,6 +312,10 @@
   return { requests, unread, memory, recentTokens: steps * RECENT_STEP };
 }
 
+function toRate(recentRequests: number): RequestRate {
+  return recentRequests * SECOND / RECENT_TIME;
+}
+
 function sum(left: ReplicaLoad, right: ReplicaLoad): ReplicaLoad {
   return {
     requests: left.requests + right.requests,
--- a/packages/load/src/mod.ts
+++ b/packages/load/src/mod.ts
@@ -6,5 +6,6 @@
 export { type Delta, SWEEP_PERIOD } from "./delta_table.ts";
 export * from "./load_tracker.ts";
 export * from "./load_view.ts";
+export { packEntry, replicaKey, unpackEntries } from "./packed.ts";
 export * from "./poller.ts";
 export { type Digest, digestSchema } from "./wire.ts";
