Don't believe a refusal of another request

Callers were told 503, 'has not run', for orders that a replica had run: a faulty replica wrote the refusal of an earlier request once more on a kept connection, and the relay compared the id of an answer with the request's only when the answer was no refusal.

A refusal that names another request now counts as an answer to another request: the attempt is lost and its connection closed. A refusal that names none proves nothing about an order either, since it may be the repeated one; it is believed only for requests that may run twice.

--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -92,6 +92,7 @@
   ["refused with", "replica refused"],
   ["replica answered", "replica failed"],
   ["another request", "wrong answer"],
+  ["without a request id", "wrong answer"],
   ["within an event", "broken off"],
   ["resumed with", "not resumed"],
   ["no route", "no route"],
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -337,6 +337,20 @@
         : Math.max(wait, queue.estimateWait(rank, request.service));
     }
 
+    /**
+     * Returns why the answer is not taken as one to this request: a replica may
+     * write an answer to an earlier request of the connection once more. A
+     * refusal without an id is believed only where a second run does no harm.
+     */
+    function findMismatch(
+      { requestId, isRefusal }: ResponseMetadata,
+    ): string | undefined {
+      if (requestId === request.id) return undefined;
+      const isAnonymousRefusal = isRefusal && requestId === undefined;
+      if (!isAnonymousRefusal) return "answer to another request";
+      return retryable ? undefined : "refusal without a request id";
+    }
+
     async function waitForPlace(
       deadline: Milliseconds,
     ): Promise<Placed | undefined> {
@@ -561,10 +575,10 @@
       if (result.isErr()) return watch.cause() ?? toOutcome(result.error);
       const head = result.value;
       const metadata = headerCodec.readResponse(head.status, head.headers);
-      if (metadata.requestId !== request.id && !metadata.isRefusal) {
-        // A late response to an earlier request on the same connection.
-        attempt.cancel("answer to another request");
-        return { kind: "lost", reason: "answer to another request" };
+      const mismatch = findMismatch(metadata);
+      if (mismatch !== undefined) {
+        attempt.cancel(mismatch);
+        return { kind: "lost", reason: mismatch };
       }
       recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -177,8 +177,18 @@
     };
   }
 
-  function refuse(response: ServerResponse, status: number): void {
-    response.writeHead(status, { "Not-Executed": "1", "Replica-Id": id }).end();
+  function refuse(
+    { headers }: IncomingMessage,
+    { response, status }: {
+      readonly response: ServerResponse;
+      readonly status: number;
+    },
+  ): void {
+    response.writeHead(status, {
+      "Request-Id": String(headers["request-id"] ?? ""),
+      "Not-Executed": "1",
+      "Replica-Id": id,
+    }).end();
   }
 
   async function streamEvents(
@@ -223,20 +233,22 @@
     body: string,
   ): Promise<void> {
     const expected = request.headers["expect-instance"];
-    if (expected !== undefined && expected !== id) return refuse(response, 421);
+    if (expected !== undefined && expected !== id) {
+      return refuse(request, { response, status: 421 });
+    }
     const weights = request.headers["expect-version"];
     if (weights !== undefined && Number(weights) !== version) {
-      return refuse(response, 421);
+      return refuse(request, { response, status: 421 });
     }
     if (options.respond !== undefined) {
       return await options.respond({
         request,
         response,
         headers: createHeaders(request),
-        refuse: (status) => refuse(response, status),
+        refuse: (status) => refuse(request, { response, status }),
       });
     }
-    if (faults.overloaded) return refuse(response, 503);
+    if (faults.overloaded) return refuse(request, { response, status: 503 });
     let isDropped = false;
     response.once("close", () => isDropped = !response.writableFinished);
     requests.push({
