Continue a broken stream only with events of another run

An answer is forwarded as a stream only when its type is text/event-stream; anything else is a plain answer, which cannot continue a stream. An event stream without events does not show either that the stream had all of them, so it ends the attempt as broken.

--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -24,6 +24,7 @@
     "silent": "silent",
     "ended within an event": "broken off",
     "resumed with 404": "not resumed",
+    "resumed without events": "not resumed",
     "connection reset": "connection",
     "no replica": "no replica",
     "no replica, no room": "no room",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -47,6 +47,7 @@
   type AttemptFailure,
   type ConnectionPools,
   LATE_START,
+  type ResponseHead,
 } from "./connection_pools.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
@@ -605,7 +606,7 @@
         const tokens = choice.load.unread + choice.unread;
         prefillRates.recordFirstToken(request.service, { tokens, elapsed });
       };
-      if (isStream && head.status === 200) {
+      if (isStream && isEventStream(head)) {
         return await forwardStream({
           ...common,
           gapLimit: mayReplace ? gapLimit(request.route) : undefined,
@@ -631,6 +632,13 @@
   };
 }
 
+const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
+
+function isEventStream({ status, headers }: ResponseHead): boolean {
+  const type = headers["content-type"];
+  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
+}
+
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -60,6 +60,8 @@
 ): Promise<AttemptOutcome> {
   const { attempt, head, caller, watch, progress, gapLimit } = options;
   const splitter = createEventSplitter();
+  const isResumed = caller.hasStarted();
+  let hasEvents = false;
   const body = attempt.body();
   for (;;) {
     const next = await body.next();
@@ -80,6 +82,7 @@
       return { kind: "broken", reason: ENDLESS };
     }
     if (completed !== undefined) {
+      hasEvents = true;
       recordEvent(options);
       if (!caller.hasStarted()) caller.writeHead(head.status, head.rawHeaders);
       if (completed.lastId !== undefined) {
@@ -92,6 +95,10 @@
       watch.limitSilence(MAX_SILENCE, gapLimit);
     }
   }
+  // An answer without events does not show that the stream had all of them.
+  if (isResumed && !hasEvents) {
+    return { kind: "broken", reason: "resumed without events" };
+  }
   if (!caller.hasStarted()) caller.writeHead(head.status, head.rawHeaders);
   caller.finish();
   return { kind: "done", status: head.status };
