Take a success without a seal for a lost answer

Such an attempt is lost now: its connection is closed, a request that may run again goes to another replica, and others get 502.

--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -46,6 +46,8 @@
    * True when the request was meant for another incarnation or weight version.
    */
   readonly isMisdirected: boolean;
+  /** True when the response bears the replica's seal. */
+  readonly isSealed?: boolean;
   /** Id of the responding replica, when the response names it. */
   readonly replica?: string;
   readonly weights?: number;
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -93,6 +93,7 @@
   ["replica answered", "replica failed"],
   ["another request", "wrong answer"],
   ["without a request id", "wrong answer"],
+  ["without a seal", "wrong answer"],
   ["within an event", "broken off"],
   ["resumed with", "not resumed"],
   ["no route", "no route"],
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -34,6 +34,7 @@
     "answer to another request": "wrong answer",
     "answer to another request, no retries left": "retry budget",
     "refusal without a request id": "wrong answer",
+    "success without a seal": "wrong answer",
     "replica answered 500": "replica failed",
     "replica answered 500, no retries left": "retry budget",
     "replica refused with 503": "replica refused",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -144,6 +144,9 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
+/** Reason of a success that does not count, as its origin is not proved. */
+const UNSEALED = "success without a seal";
+
 const RETRY_AFTER: Milliseconds = 250;
 /**
  * Spreads the retries of refused callers, so that they do not arrive together.
@@ -589,6 +592,10 @@
         const misdirected = metadata.isMisdirected;
         return { kind: "not run", reason, misdirected, answer: metadata };
       }
+      if (isSuccess(head) && metadata.isSealed !== true) {
+        attempt.cancel(UNSEALED);
+        return { kind: "lost", reason: UNSEALED };
+      }
       const common = {
         clock,
         attempt,
@@ -632,6 +639,10 @@
   };
 }
 
+function isSuccess({ status }: ResponseHead): boolean {
+  return status >= 200 && status < 300;
+}
+
 const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
 
 function isEventStream({ status, headers }: ResponseHead): boolean {
