--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -70,7 +70,7 @@
  */
 const MAX_REFUSED_PER_PASS = 8;
 
-interface Placement {
+interface RecentPlacement {
   readonly lane: string;
   readonly at: Milliseconds;
 }
@@ -90,7 +90,7 @@
   let waiting: readonly QueueEntry[] = [];
   let timer: NodeJS.Timeout | undefined;
   let isPlacing = false;
-  let placements: readonly Placement[] = [];
+  let placements: readonly RecentPlacement[] = [];
 
   function recordPlacement(lane: string): void {
     const now = clock.monotonic();
