Send a request only after a whole turn of the event loop

Cause: libuv accepts one connection in each turn of the event loop. Under a crest turns take 5 to 15 ms, so connections wait in the backlog for half a second, and when the request is read, its close is read a turn later. The check for a late loop does not see it, since no turn takes long.

The send gate lets a request pass after a whole turn that began behind it, in the order of the calls, and bounds what passes in one turn. It stands before the placement, and again before the send when the wait for a place was long.

The two tests of loop_lag.test.ts that blocked a process ask the same of the gate.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -19,7 +19,6 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
 import {
   createCaller,
   readBody,
@@ -28,7 +27,7 @@
   SHUTTING_DOWN,
 } from "./caller.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
-import { countTurns, type LoopLag } from "./loop_lag.ts";
+import { countTurns } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import type { createRelay, Ending } from "./relay.ts";
 import type { ActiveState, StateHolder } from "./state_holder.ts";
@@ -41,7 +40,6 @@
   readonly relay: ReturnType<typeof createRelay>;
   readonly meters: Meters;
   readonly requestIdHeader: string;
-  readonly loopLag: LoopLag;
 }
 
 export abstract class Frontend {
@@ -77,11 +75,8 @@
 
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
-  const { loopLag } = options;
   let isKeepAliveDisabled = false;
   let isIntakeClosed = false;
-  /** Connections on which a request has been read. */
-  const knownSockets = new WeakSet<Socket>();
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
     keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
@@ -154,12 +149,6 @@
     if (body.kind === "too long") {
       return decline({ status: 413, reason: "body too long" }, route);
     }
-    if (!knownSockets.has(socket)) {
-      knownSockets.add(socket);
-      // A connection that was accepted late may bring the close of its caller
-      // right behind the request.
-      await loopLag.readSockets();
-    }
     const service = chooseTarget(route, Math.random());
     if (service === undefined) {
       return decline({ status: 503, reason: "no service" }, route);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,10 @@
  * A daemon between callers and replicas: creates its components, starts them,
  * and stops them in order.
  */
-import { createShutdownAdmission } from "@peridotvalve/admission";
+import {
+  createSendGate,
+  createShutdownAdmission,
+} from "@peridotvalve/admission";
 import {
   createLimits,
   createStatements,
@@ -302,6 +305,7 @@
     replicaClock,
     maxConnectionsOf,
     loopLag,
+    sendGate: createSendGate({ clock }),
     crashGuard,
     stopped: stopController.signal,
   });
@@ -312,7 +316,6 @@
     holder,
     relay,
     meters,
-    loopLag,
     requestIdHeader: options.requestIdHeader,
   });
   const cacheFeed = createCacheFeed({
--- a/packages/gateway/src/loop_lag.test.ts
+++ b/packages/gateway/src/loop_lag.test.ts
@@ -1,3 +1,4 @@
+import { createSendGate } from "@peridotvalve/admission";
 import { Clock, createSystemClock } from "@peridotvalve/clock";
 import { expect } from "earl";
 import { spawn } from "node:child_process";
@@ -88,26 +89,19 @@
 // Guards against sending on the requests of callers that have left (GONE on
 // trouble-1 of the grown twins). The request and the close are read in different
 // turns of the loop, so a late process sees the request first.
-test("after settling, a late process knows which callers have left", async (context) => {
-  const lag = createLoopLag(createSystemClock());
-  const stop = new AbortController();
-  context.after(() => stop.abort());
-  void lag.run(stop.signal);
-  expect(await readLateRequest(context, lag.settle, 100)).toEqual([
-    false,
-    true,
-  ]);
+test("past the gate, a late process knows which callers have left", async (context) => {
+  const gate = createSendGate({ clock: createSystemClock() });
+  const pass = async () => void await gate.pass();
+  expect(await readLateRequest(context, pass, 100)).toEqual([false, true]);
 });
 
 // Guards against the same fault in a process that runs in time: a connection
 // whose first packet was lost is accepted when its caller has already left
 // (further-grown trouble-1, request at 39.6 s read at 42.2 s).
-test("a close right behind the request is read before the request is sent", async (context) => {
-  const lag = createLoopLag(createSystemClock());
-  expect(await readLateRequest(context, lag.readSockets, 0)).toEqual([
-    false,
-    true,
-  ]);
+test("a close right behind the request is read before the gate is passed", async (context) => {
+  const gate = createSendGate({ clock: createSystemClock() });
+  const pass = async () => void await gate.pass();
+  expect(await readLateRequest(context, pass, 0)).toEqual([false, true]);
 });
 
 /** A clock whose sleeps end when the test says so. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -7,7 +7,7 @@
  * continues on another replica after the last complete event sent to the
  * caller.
  */
-import type { ShutdownAdmission } from "@peridotvalve/admission";
+import type { SendGate, ShutdownAdmission } from "@peridotvalve/admission";
 import type { Limits, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
@@ -84,6 +84,7 @@
   readonly maxConnectionsOf: (service: string) => number;
   readonly meters: Meters;
   readonly loopLag: LoopLag;
+  readonly sendGate: SendGate;
   readonly crashGuard: CrashGuard;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
@@ -157,7 +158,7 @@
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
-  const { statements, limits } = options;
+  const { statements, limits, sendGate } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -201,7 +202,6 @@
     let executions = 0;
     let hasCrashed = false;
     let unsent = 0;
-    let mayStartLate = false;
     let refusals = 0;
     const refusedBy = new Set<string>();
     const progress: ResponseProgress = {
@@ -229,10 +229,10 @@
     };
 
     for (;;) {
-      await options.loopLag.settle();
+      if (options.stopped.aborted) return fail(lastReason, 502);
+      let readUpTo = await sendGate.pass();
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
-      if (options.stopped.aborted) return fail(lastReason, 502);
       const barred = crashGuard.check(request, hasCrashed);
       if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
@@ -263,6 +263,11 @@
         meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
       }
       const { choice } = placed;
+      if (!sendGate.isRecent(readUpTo)) readUpTo = await sendGate.pass();
+      if (caller.hasDisconnected()) {
+        release(placed);
+        return end({ kind: "abandoned" });
+      }
       if (!endsBeforeExit(prefillTimeOf(request, choice))) {
         release(placed);
         return refuseAtShutdown();
@@ -273,7 +278,10 @@
         release(placed);
         return fail(guarded.reason, 502, guarded.wait);
       }
-      const outcome = await runAttempt(placed, guarded.attempt);
+      const outcome = await runAttempt(placed, {
+        guarded: guarded.attempt,
+        readUpTo,
+      });
       switch (outcome.kind) {
         case "done":
           if (sends === 1 && forwarded.lastEvent === undefined) {
@@ -286,14 +294,11 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
-          if (outcome.reason === LATE_START) {
-            // Another replica would start no earlier. A process that is always
-            // late must still serve, so this happens once.
-            mayStartLate = true;
-            continue;
-          }
           unsent += 1;
           if (unsent >= MAX_UNSENT) return fail(outcome.reason, 502);
+          // Another replica would start no earlier, and the connection to this
+          // one is open now.
+          if (outcome.reason === LATE_START) continue;
           break;
         case "not run":
           refusals += 1;
@@ -463,7 +468,11 @@
 
     async function runAttempt(
       { choice, trackedRequest }: Placed,
-      guarded: GuardedAttempt,
+      { guarded, readUpTo }: {
+        readonly guarded: GuardedAttempt;
+        /** Time up to which the sockets of callers have been read. */
+        readonly readUpTo: Milliseconds;
+      },
     ): Promise<AttemptOutcome> {
       const { replica, version, salt, parts } = choice;
       const { entry } = replica;
@@ -473,7 +482,8 @@
       const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
         started;
       const attempt = pools.open({
-        mayStart: () => mayStartLate || !options.loopLag.isLate(),
+        mayStart: () =>
+          sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         method: forwarded.method,
