Don't run a call in packages/daemon whose caller left before it was read

What callers saw (GONE): an order or a chat began although its caller had left while the connection waited in the backlog.

An order that its caller leaves later still goes on.

--- a/packages/daemon/src/callers/receive.ts
+++ b/packages/daemon/src/callers/receive.ts
@@ -4,7 +4,7 @@
  */
 import type { Failure } from "@peridotvalve/errors";
 import type { VersionedConfiguration } from "@peridotvalve/types";
-import { Ok, type Result } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
 import { readBody } from "../http/body.ts";
 import type { Exchange } from "../http/exchange.ts";
 import { sendFailure } from "../http/respond.ts";
@@ -22,10 +22,18 @@
   readonly body: Buffer;
 }
 
+/** The caller left before anything was done for its request. */
+const CALLER_LEFT: Failure = {
+  code: "cancelled",
+  ran: "no",
+  message: "the caller disconnected",
+};
+
 /**
  * Authenticates the caller and reads the request body within the configured
  * limits. Fails when there is no configuration yet, when the body is too long
- * or too slow, and, without a legacy system, when authentication fails.
+ * or too slow, when the caller has left, and, without a legacy system, when
+ * authentication fails.
  */
 export async function receiveRequest(
   runtime: Runtime,
@@ -43,6 +51,8 @@
   };
   const body = await readBody(exchange, bodyLimits, runtime.clock);
   if (body.isErr()) return body;
+  await runtime.sendGate.pass();
+  if (exchange.signal.aborted) return Err(CALLER_LEFT);
   // The configuration may have changed while the body was being received.
   const configuration = requireConfiguration(runtime).unwrapOr(
     configured.value,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,7 @@
 /**
  * Assembles one daemon and runs it until its graceful shutdown.
  */
+import { createSendGate } from "@peridotvalve/admission";
 import { randomUUID } from "node:crypto";
 import { createClaims } from "@peridotvalve/claims";
 import { type Clock, createSystemClock } from "@peridotvalve/clock";
@@ -261,6 +262,7 @@
       ratio: () => (content()?.policy.hedgePercent ?? 0) / 100,
     }),
     firstTokenLatencies: createLatencyWindows(clock),
+    sendGate: createSendGate({ clock }),
     drain,
     meters,
     log,
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -26,8 +26,16 @@
   clock: Clock,
 ): Exchange {
   const controller = new AbortController();
-  response.once("close", () => {
+  const { socket } = request;
+  const recordClose = () => {
     if (!response.writableFinished) controller.abort();
+  };
+  // The end of the socket is read some turns of the event loop before the
+  // response closes.
+  socket.once("end", recordClose);
+  response.once("close", () => {
+    socket.off("end", recordClose);
+    recordClose();
   });
   const id = `req_${randomUUID()}`;
   response.setHeader("x-request-id", id);
--- a/packages/daemon/src/runtime.ts
+++ b/packages/daemon/src/runtime.ts
@@ -1,7 +1,7 @@
 /**
  * The components of a daemon that request handlers use.
  */
-import type { Admission } from "@peridotvalve/admission";
+import type { Admission, SendGate } from "@peridotvalve/admission";
 import type { Claims } from "@peridotvalve/claims";
 import type { Clock } from "@peridotvalve/clock";
 import type { ConfigurationWatch } from "@peridotvalve/configuration";
@@ -37,6 +37,7 @@
   readonly hedgeBudget: AttemptBudget;
   /** Times to first token of individual attempts, by model group. */
   readonly firstTokenLatencies: LatencyWindows;
+  readonly sendGate: SendGate;
   readonly drain: Drain;
   readonly meters: Meters;
   readonly log: EventLogger["log"];
--- a/packages/daemon/src/whole_path.test.ts
+++ b/packages/daemon/src/whole_path.test.ts
@@ -5,6 +5,8 @@
   startDeployment,
 } from "@peridotvalve/testbed";
 import { expect } from "earl";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import OpenAI, { APIError } from "openai";
@@ -167,3 +169,33 @@
   expect(body.error.code).toEqual("idempotency_key_required");
   expect(body.error.ran).toEqual("no");
 });
+
+// Guards against GONE: an order that runs although its caller left while the
+// connection waited in the backlog, where one is accepted in each turn.
+test("an order whose caller left in the backlog does not run", async () => {
+  const process = deployment.processes.get("espoo-2");
+  if (process === undefined) throw new Error("espoo-2 is not running");
+  const [host = "", port] = deployment.addressOf("espoo-2").split(":");
+  const keys = Array.from({ length: 20 }, (_, index) => `left-${index}`);
+  process.signal("SIGSTOP");
+  for (const key of keys) {
+    const socket = connect(Number(port), host);
+    await once(socket, "connect");
+    const lines = [
+      "POST /services/bookings/orders HTTP/1.1",
+      `host: ${host}`,
+      `authorization: Bearer ${readFirstKey()}`,
+      `idempotency-key: ${key}`,
+      "content-length: 2",
+    ];
+    socket.write([...lines, "", "{}"].join("\r\n"), () => socket.destroy());
+    await once(socket, "close");
+  }
+  process.signal("SIGCONT");
+  // A later order is served after all earlier ones have been read.
+  const answer = await placeOrder("espoo-2", "after", { coat: "rain" });
+  expect(answer.status).toEqual(201);
+  await sleep(300);
+  const runs = await Promise.all(keys.map(countRuns));
+  expect(runs.reduce((sum, count) => sum + count, 0)).toEqual(0);
+});
