Keep the connection of a request that is withdrawn before it is sent

Test: connection_pools.test.ts, three requests of which two are withdrawn opened 3 connections before and open 1 now.

--- a/packages/gateway/src/connection_pools.test.ts
+++ b/packages/gateway/src/connection_pools.test.ts
@@ -116,6 +116,31 @@
   expect(head.isErr() && head.error.kind).toEqual("unsent");
 });
 
+// Guards against a new connection for each caller that leaves, and for each
+// start that is put off because the process runs late.
+test("a request that is withdrawn unsent leaves its connection open", async (t) => {
+  const pools = createConnectionPools();
+  t.after(() => pools.close("the test ends"));
+  let connections = 0;
+  const received: string[] = [];
+  const origin = await listen(t, (socket) => {
+    connections += 1;
+    socket.on("data", (data) => {
+      received.push(String(data).split(" ", 2).join(" "));
+      socket.write("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+    });
+  });
+  const cancelled = pools.open({ ...request(origin), path: "/cancelled" });
+  cancelled.cancel("caller left");
+  const late = { ...request(origin), path: "/late", mayStart: () => false };
+  const heads = [await cancelled.head, await pools.open(late).head];
+  const kinds = heads.map((head) => head.isErr() && head.error.kind);
+  expect(kinds).toEqual(["unsent", "unsent"]);
+  assert((await pools.open(request(origin)).head).isOk());
+  expect(received).toEqual(["GET /"]);
+  expect(connections).toEqual(1);
+});
+
 test("a request without an answer may have run", async (t) => {
   const pools = createConnectionPools();
   t.after(() => pools.close("the test ends"));
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -171,15 +171,10 @@
 
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart(started) {
-      // Runs before the first byte is written.
-      if (cancelReason !== undefined) {
-        started.abort(new Error(cancelReason));
-        return;
-      }
-      if (request.mayStart?.() === false) {
-        started.abort(new Error(LATE_START));
-        return;
-      }
+      // Runs before the first byte is written. `undici` keeps the connection
+      // open for other requests when this throws, and closes it on an abort.
+      if (cancelReason !== undefined) throw new Error(cancelReason);
+      if (request.mayStart?.() === false) throw new Error(LATE_START);
       controller = started;
     },
     onResponseStart(started, status, headers) {
