Reset the connection of a request that is cancelled

What callers saw (GONE, second way): a replica that reads nothing for a second gets requests whose callers have left since, and begins them. Their bytes are with its kernel and cannot be taken back, but the way of closing decides whether it learns of the close in time: undici ends the connection, so that a Node.js server reads the request in one turn of its loop and the end in a later one.

Probe of this machine, a Node.js server paused for 1.5 s, 24 requests that are cancelled after 300 ms: with an end the server had seen the close of 4 (open connections) and 14 (new ones) of 24 requests 1 ms after it read them; with a reset of 24 and 24.

Bytes that the socket still holds would delay the reset, so that such a connection is closed as before.

--- a/packages/connections/src/connector.test.ts
+++ b/packages/connections/src/connector.test.ts
@@ -3,7 +3,7 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { Client } from "undici";
-import { createConnector, isEndedByReset } from "./connector.ts";
+import { closeByReset, createConnector, isEndedByReset } from "./connector.ts";
 
 const RESPONSE = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nbody";
 
@@ -47,3 +47,40 @@
   for (const end of ends) expect(end).not.toEqual("complete");
   expect(isEndedByReset()).toEqual(false);
 });
+
+// Guards against GONE: a replica that was silent for a while begins requests
+// whose callers have left, as it reads them before the end of the connection.
+test("an aborted request resets its connection", async (t) => {
+  const errors: string[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", ({ code }: NodeJS.ErrnoException) => {
+      errors.push(code ?? "");
+    });
+    socket.once("data", () => server.emit("received"));
+    socket.on("close", () => server.emit("ended"));
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const client = new Client(`http://127.0.0.1:${port}`, {
+    connect: createConnector({ timeout: 1_000, keepAliveDelay: 1_000 }),
+  });
+  t.after(async () => {
+    await client.destroy();
+    server.close();
+  });
+  for (const count of [1, 2]) {
+    let abort = (_: Error) => {};
+    const failed = new Promise<void>((resolve) => {
+      client.dispatch({ method: "GET", path: "/" }, {
+        onRequestStart: (controller) =>
+          abort = controller.abort.bind(controller),
+        onResponseError: () => resolve(),
+      });
+    });
+    await once(server, "received");
+    const ended = once(server, "ended");
+    closeByReset(() => abort(new Error("caller left")));
+    await Promise.all([failed, ended]);
+    expect(errors).toEqual(Array.from({ length: count }, () => "ECONNRESET"));
+  }
+});
--- a/packages/connections/src/connector.ts
+++ b/packages/connections/src/connector.ts
@@ -1,10 +1,12 @@
 /**
- * Connector for `undici` that detects connection resets. `undici` takes a
+ * Connector for `undici` that detects connection resets and can reset
+ * connections itself. `undici` takes a
  * response without a length as complete when its connection ends, even by a
  * reset. When the last bytes and the reset arrive together, libuv reports a
  * regular end, but the socket no longer has a peer address.
  */
 import type { Milliseconds } from "@peridotvalve/types";
+import type { Socket } from "node:net";
 import { buildConnector } from "undici";
 
 export interface ConnectorOptions {
@@ -22,6 +24,37 @@
   return isReset;
 }
 
+/** True while `closeByReset` runs. */
+let isResetting = false;
+
+/**
+ * Runs an action that closes connections of a connector, such as the abort of a
+ * request, and resets them. A peer that has read nothing for a while then learns
+ * of the close together with the request; after a regular end it would begin the
+ * request first.
+ */
+export function closeByReset(action: () => void): void {
+  isResetting = true;
+  try {
+    action();
+  } finally {
+    isResetting = false;
+  }
+}
+
+function allowReset(socket: Socket): void {
+  const destroy = socket.destroy.bind(socket);
+  socket.destroy = (error) => {
+    // A reset waits for the bytes that the socket still holds, perhaps forever.
+    if (isResetting && socket.writableLength === 0 && !socket.destroyed) {
+      isResetting = false;
+      socket.destroy = destroy;
+      return socket.resetAndDestroy();
+    }
+    return destroy(error);
+  };
+}
+
 /** Creates a connector for the `connect` option of a client or pool. */
 export function createConnector(
   { timeout, keepAliveDelay }: ConnectorOptions,
@@ -44,6 +77,7 @@
         isReset = socket.remoteAddress === undefined;
         queueMicrotask(() => isReset = false);
       });
+      allowReset(socket);
       callback(null, socket);
     });
   };
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -3,7 +3,11 @@
  * states whether its request was written, because only a request that was never
  * written has certainly not run.
  */
-import { createConnector, isEndedByReset } from "@peridotvalve/connections";
+import {
+  closeByReset,
+  createConnector,
+  isEndedByReset,
+} from "@peridotvalve/connections";
 import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { type Dispatcher, Pool } from "undici";
@@ -46,7 +50,7 @@
   abstract readonly head: Promise<Result<ResponseHead, AttemptFailure>>;
   /** Yields the body as it arrives; returns the failure when it breaks off. */
   abstract body(): AsyncGenerator<Uint8Array, AttemptFailure | undefined>;
-  /** Closes the connection, upon which the replica drops the request. */
+  /** Resets the connection, upon which the replica drops the request. */
   abstract cancel(reason: string): void;
   /**
    * Returns true when the connection of a written request ended before its
@@ -237,7 +241,7 @@
     override cancel(reason: string): void {
       if (end !== undefined || cancelReason !== undefined) return;
       cancelReason = reason;
-      controller?.abort(new Error(reason));
+      closeByReset(() => controller?.abort(new Error(reason)));
       fail(reason);
     }
 
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -6,7 +6,7 @@
  * request counts as sent, whatever happens to the connection.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { isEndedByReset } from "@peridotvalve/connections";
+import { closeByReset, isEndedByReset } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "undici";
@@ -73,7 +73,7 @@
     if (failure !== undefined) return failure;
     failure = { sent: controller !== undefined, reason, message };
     if (reason === "timeout" && failure.sent) options.onTimeout();
-    if (!ended) controller?.abort(new Error(message));
+    if (!ended) closeByReset(() => controller?.abort(new Error(message)));
     finish();
     return failure;
   }
