Follow a store that has come back from an older copy

Cause: rows were ordered by the version that the store gives them, and the store's counter goes back with the copy.

Versions are now ordered within the era that the store names in its answers: a version holds both, so that followers, peers and leases compare it as before. Between rows of different eras the progress decides that their writers state in them (the version of a desired state or of weights, birth and count of a replica's entry): the copy brings nothing older back, and a row that was removed since stays removed. Rows of the operator and of daemons that the copy lacks stay known.

--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -58,7 +58,7 @@
 
 /**
  * Delay before a replica that is missing from the list after an outage of the
- * list is dropped. Live replicas are listed again within two seconds of the end
+ * list, or in an older copy of it, is dropped. Live replicas are listed again within two seconds of the end
  * of the outage.
  */
 const REMOVAL_GRACE: Milliseconds = 2_500;
@@ -84,6 +84,11 @@
   abstract remove(id: string): void;
   /** Records that the list has been read. */
   abstract recordListRead(): void;
+  /**
+   * Records that the list comes from an older copy from now on, so that entries
+   * which it lacks get a grace period.
+   */
+  abstract recordListReturn(): void;
   /**
    * Replicas that accept requests. Avoided and unresponsive replicas are
    * included only when no other is left.
@@ -224,6 +229,10 @@
       dropExpiredRemovals();
     }
 
+    override recordListReturn(): void {
+      graceUntil = clock.monotonic() + REMOVAL_GRACE;
+    }
+
     override usable(service: string): readonly Replica[] {
       const now = clock.monotonic();
       const ready = [...replicas.values()].filter(({ entry }) =>
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -485,6 +485,11 @@
     fields: { table: S, elapsed: N },
     message: "A table can be watched again.",
   }),
+  store_returned: defineEvent(5014, "warn", {
+    fields: { table: S, era: N },
+    message:
+      "The store has returned from an older copy; newer known rows remain in use.",
+  }),
   peer_rows_taken: defineEvent(6014, "info", {
     fields: { peer: S, table: S, version: N },
     message: "Newer table rows were adopted from a peer.",
--- a/packages/gateway/src/followed_rows.test.ts
+++ b/packages/gateway/src/followed_rows.test.ts
@@ -1,11 +1,13 @@
 import { expect } from "earl";
 import { test } from "node:test";
-import type { FeedRow } from "@peridotvalve/tables";
+import { type FeedRow, toVersion } from "@peridotvalve/tables";
 import { createFollowedRows, type FollowedRows } from "./followed_rows.ts";
 
 /** Rows whose first character matters and whose rest is a heartbeat. */
 function createRows(): FollowedRows {
-  return createFollowedRows(({ value }) => String(value).slice(0, 1));
+  return createFollowedRows({
+    fingerprintOf: ({ value }) => String(value).slice(0, 1),
+  });
 }
 
 function row(key: string, value: string, version: number): FeedRow {
@@ -86,3 +88,73 @@
   expect(rows.changesSince(1_100).isWhole).toEqual(true);
   expect(rows.changesSince(2_500).isWhole).toEqual(false);
 });
+
+/** Rows that state their progress: the number behind the first character. */
+function createProgressRows(keepsMissing: boolean): FollowedRows {
+  return createFollowedRows({
+    fingerprintOf: ({ value }) => String(value),
+    progressOf: ({ value }) => [Number(String(value).slice(1))],
+    keepsMissing,
+  });
+}
+
+const values = (rows: FollowedRows) =>
+  rows.list().map(({ value }) => value).sort();
+
+// Guards against CONFIG: after the store returned from a copy, an older state
+// comes back, or the order of the copy is ignored for good.
+test("a returned store brings nothing older back, and everything newer", () => {
+  const rows = createProgressRows(true);
+  const [before, after] = [
+    (counter: number) => toVersion(1, counter),
+    (counter: number) => toVersion(2, counter),
+  ];
+  rows.replaceAll([row("a", "s7", before(90)), row("b", "s1", before(50))], 90);
+  rows.applyChanges({
+    rows: [row("c", "s1", before(95))],
+    removed: ["b"],
+    version: before(96),
+  });
+  const copied = [row("a", "s4", after(40)), row("b", "s1", after(50))];
+  expect(rows.replaceAll(copied, after(60))).toEqual(true);
+  expect(values(rows)).toEqual(["s1", "s7"]);
+  expect(keys(rows)).toEqual(["a", "c"]);
+  const { changed } = rows.applyChanges({
+    rows: [row("a", "s8", after(61)), row("b", "s2", after(62))],
+    removed: ["c"],
+    version: after(63),
+  });
+  expect(changed.map(({ key }) => key)).toEqual(["a", "b"]);
+  expect(values(rows)).toEqual(["s2", "s8"]);
+});
+
+// Guards against a daemon that started after the return and keeps the older rows
+// of the copy, although its neighbor knows newer ones.
+test("a peer with the rows of the copy gets those that it lacks", () => {
+  const [old, fresh] = [createProgressRows(true), createProgressRows(true)];
+  old.replaceAll([row("a", "s7", toVersion(1, 90))], toVersion(1, 90));
+  const copied = [row("a", "s4", toVersion(2, 40))];
+  fresh.replaceAll(copied, toVersion(2, 50));
+  old.replaceAll(copied, toVersion(2, 51));
+  expect(old.contentVersion() > fresh.contentVersion()).toEqual(true);
+  fresh.adopt(old.changesSince(fresh.contentVersion()));
+  expect(values(fresh)).toEqual(["s7"]);
+  fresh.adopt({
+    version: toVersion(2, 52),
+    isWhole: false,
+    rows: copied,
+    removed: [],
+  });
+  expect(values(fresh)).toEqual(["s7"]);
+});
+
+test("rows that a returned store lacks are gone unless they are kept", () => {
+  for (const keepsMissing of [true, false]) {
+    const rows = createProgressRows(keepsMissing);
+    rows.replaceAll([row("a", "s1", toVersion(1, 9))], toVersion(1, 9));
+    rows.replaceAll([], toVersion(2, 3));
+    expect(keys(rows)).toEqual(keepsMissing ? ["a"] : []);
+    rows.applyChanges({ rows: [], removed: ["a"], version: toVersion(2, 4) });
+    expect(keys(rows)).toEqual([]);
+  }
+});
--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -2,8 +2,13 @@
  * The rows of a followed table as this daemon knows them, and the changes that a
  * peer with older rows needs. The version of a row decides: an older row never
  * replaces a newer one, whoever sent it.
+ *
+ * A store that has returned from a copy holds older rows under newer versions
+ * until their writers have written them again. Between rows of different eras
+ * the progress that their writers state in them decides, so that nothing known
+ * here falls back meanwhile.
  */
-import type { FeedRow } from "@peridotvalve/tables";
+import { eraOf, type FeedRow } from "@peridotvalve/tables";
 
 /** Rows for a peer: a whole table, or the changes after a content version. */
 export interface TableUpdate {
@@ -38,6 +43,26 @@
   changesSince(contentVersion: number): TableUpdate;
 }
 
+export interface FollowedRowsOptions {
+  /**
+   * Returns a text that changes only when a change of the row matters, so that
+   * heartbeats in rows do not spread.
+   */
+  readonly fingerprintOf: (row: FeedRow) => string;
+  /** See `TableCodec.readProgress`; by default no row states any. */
+  readonly progressOf?: (row: FeedRow) => readonly number[] | undefined;
+  /**
+   * True when rows that a returned store lacks stay known until it drops them
+   * itself, because their writers write them again.
+   */
+  readonly keepsMissing?: boolean;
+}
+
+interface Removal {
+  readonly at: number;
+  readonly row: FeedRow;
+}
+
 interface KnownRow {
   readonly row: FeedRow;
   readonly fingerprint: string;
@@ -48,28 +73,50 @@
 /** Removed keys that are remembered for peers with older rows. */
 const MAX_REMOVALS = 1_000;
 
-/**
- * @param fingerprintOf Returns a text that changes only when a change of the
- * row matters, so that heartbeats in rows do not spread.
- */
 export function createFollowedRows(
-  fingerprintOf: (row: FeedRow) => string,
+  { fingerprintOf, progressOf = () => undefined, keepsMissing = false }:
+    FollowedRowsOptions,
 ): FollowedRows {
   const known = new Map<string, KnownRow>();
-  /** Versions at which keys were removed, oldest first. */
-  const removals = new Map<string, number>();
+  /** Removed rows and the versions at which they were, oldest first. */
+  const removals = new Map<string, Removal>();
   /** Removals up to this version have been forgotten. */
   let forgottenUpTo = 0;
   let version = 0;
   let content = 0;
 
+  /**
+   * Compares what the writers of two rows state. Undefined in one era, where the
+   * versions decide, and when one of the rows states nothing.
+   */
+  function compareProgress(left: FeedRow, right: FeedRow): number | undefined {
+    if (eraOf(left.version) === eraOf(right.version)) return undefined;
+    const [ours, theirs] = [progressOf(left), progressOf(right)];
+    if (ours === undefined || theirs === undefined) return undefined;
+    const differing = ours.findIndex((part, index) => part !== theirs[index]);
+    return differing < 0
+      ? 0
+      : (ours[differing] ?? 0) - (theirs[differing] ?? 0);
+  }
+
+  function mayReplace(row: FeedRow): boolean {
+    const previous = known.get(row.key);
+    if (previous !== undefined) {
+      const progress = compareProgress(row, previous.row) ?? 0;
+      if (progress !== 0) return progress > 0;
+      return row.version > previous.row.version;
+    }
+    const removal = removals.get(row.key);
+    if (removal === undefined) return true;
+    // A copy may hold a row that was removed since.
+    const progress = compareProgress(row, removal.row) ?? 1;
+    return row.version >= removal.at && progress > 0;
+  }
+
   /** Returns true when the change matters. */
   function put(row: FeedRow): boolean {
+    if (!mayReplace(row)) return false;
     const previous = known.get(row.key);
-    if (previous !== undefined && previous.row.version >= row.version) {
-      return false;
-    }
-    if ((removals.get(row.key) ?? 0) > row.version) return false;
     removals.delete(row.key);
     const fingerprint = fingerprintOf(row);
     const isSame = previous?.fingerprint === fingerprint;
@@ -85,28 +132,47 @@
     if (previous === undefined || previous.row.version > at) return false;
     known.delete(key);
     removals.delete(key);
-    removals.set(key, at);
+    removals.set(key, { at, row: previous.row });
     content = Math.max(content, at);
     while (removals.size > MAX_REMOVALS) {
       const [oldest] = removals;
       if (oldest === undefined) break;
       removals.delete(oldest[0]);
-      forgottenUpTo = Math.max(forgottenUpTo, oldest[1]);
+      forgottenUpTo = Math.max(forgottenUpTo, oldest[1].at);
     }
     return true;
   }
 
+  /** Rows that are to be removed, as a whole table at `newest` lacks them. */
+  function listMissing(
+    rows: readonly FeedRow[],
+    newest: number,
+  ): readonly string[] {
+    if (keepsMissing && eraOf(newest) !== eraOf(version)) return [];
+    const present = new Set(rows.map(({ key }) => key));
+    return [...known.keys()].filter((key) => !present.has(key));
+  }
+
+  /** Tells peers what stays known although the returned store lacks it. */
+  function announceKept(rows: readonly FeedRow[], newest: number): void {
+    const versions = new Map(rows.map((row) => [row.key, row.version]));
+    for (const [key, kept] of known) {
+      if (kept.row.version === versions.get(key)) continue;
+      known.set(key, { ...kept, changedAt: newest });
+      content = Math.max(content, newest);
+    }
+  }
+
   return {
     version: () => version,
     contentVersion: () => content,
     list: () => [...known.values()].map(({ row }) => row),
     replaceAll(rows, newest) {
       if (newest < version) return false;
-      const present = new Set(rows.map(({ key }) => key));
-      for (const key of [...known.keys()]) {
-        if (!present.has(key)) remove(key, newest);
-      }
+      const isReturn = version > 0 && eraOf(newest) !== eraOf(version);
+      for (const key of listMissing(rows, newest)) remove(key, newest);
       for (const row of rows) put(row);
+      if (isReturn) announceKept(rows, newest);
       version = newest;
       return true;
     },
@@ -118,9 +184,8 @@
     },
     adopt(update) {
       if (update.isWhole && update.version <= version) return undefined;
-      const present = new Set(update.rows.map(({ key }) => key));
       const absent = update.isWhole
-        ? [...known.keys()].filter((key) => !present.has(key))
+        ? listMissing(update.rows, update.version)
           .map((key) => [key, update.version] as const)
         : update.removed;
       const changed = update.rows.filter(put);
@@ -138,9 +203,8 @@
         version,
         isWhole,
         rows: rows.map(({ row }) => row),
-        removed: isWhole
-          ? []
-          : [...removals].filter(([, removedAt]) => removedAt > since),
+        removed: isWhole ? [] : [...removals].filter(([, { at }]) => at > since)
+          .map(([key, { at }]) => [key, at] as const),
       };
     },
   };
--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -88,6 +88,8 @@
   const operator = createTableFollower({
     ...{ clock, logger, feed },
     table: codec.operatorTable,
+    progressOf: (row) => codec.readProgress(codec.operatorTable, row),
+    keepsMissing: true,
     wait: stateWait,
     pause: 0,
     mayRead: createReaderCheck(codec.operatorTable, stateWait),
@@ -104,6 +106,7 @@
   const replicas = createTableFollower({
     ...{ clock, logger, feed },
     table: codec.replicaTable,
+    progressOf: (row) => codec.readProgress(codec.replicaTable, row),
     wait: 0,
     // Entries change with every heartbeat, so a long poll would not wait.
     pause: replicasPause,
@@ -127,6 +130,7 @@
   const daemons = createTableFollower({
     ...{ clock, logger, feed },
     table: DAEMON_TABLE,
+    keepsMissing: true,
     wait: DAEMONS_LONG_POLL_WAIT,
     pause: DAEMONS_PAUSE,
     mayRead: createReaderCheck(DAEMON_TABLE, DAEMONS_LONG_POLL_WAIT),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -202,6 +202,10 @@
       calls: formatAddress(seed),
     })),
   });
+  options.storeEra.onReturn(() => {
+    replicas.recordListReturn();
+    mesh?.announce();
+  });
   const rank = (duty: string) => mesh?.rank(duty) ?? 0;
   const tables = createFollowedTables({
     ...{ clock, logger, codec, settings, replicas, registration },
@@ -508,6 +512,7 @@
       sentParts,
       crashes,
       statements,
+      storeEra: options.storeEra,
       passesStoresOn: () => !followedCaches.includesReplicas(),
       busy() {
         const loading = rollouts.loading();
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -9,7 +9,12 @@
   Topology,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
-import type { Platform, TableFeed } from "@peridotvalve/tables";
+import type {
+  FeedRow,
+  Platform,
+  StoreEra,
+  TableFeed,
+} from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 import type { HeaderCodec } from "./header_codec.ts";
@@ -64,6 +69,12 @@
     value: unknown,
   ): { readonly model: string; readonly version: number } | undefined;
   readEntry(key: string, value: unknown): Result<ReplicaEntry, string>;
+  /**
+   * Where the row stands among those that its writer wrote under this key, as
+   * numbers that are compared one after the other. Undefined when the row does
+   * not say.
+   */
+  readProgress(table: string, row: FeedRow): readonly number[] | undefined;
 }
 
 export interface GatewayOptions {
@@ -78,5 +89,6 @@
   readonly codec: TableCodec;
   readonly store: Platform;
   readonly feed: TableFeed;
+  readonly storeEra: StoreEra;
   readonly control: ReplicaControl;
 }
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -10,6 +10,7 @@
   MAX_PART_LENGTH,
   MAX_TOLD_PARTS,
 } from "@peridotvalve/retries";
+import { MAX_ERA } from "@peridotvalve/tables";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 
@@ -30,6 +31,8 @@
 
 export interface PeerDigest {
   readonly tables: readonly TableNews[];
+  /** Era of the store, as the sender has read it; absent while it has none. */
+  readonly storeEra?: number;
   /** Replicas that load weights. */
   readonly busy: readonly string[];
   /** Replicas that do not respond to the sender. */
@@ -73,6 +76,7 @@
 
 const PEER_DIGEST = z.object({
   t: z.array(z.tuple([name, count, count.nullable()])).max(8),
+  e: z.number().int().nonnegative().max(MAX_ERA).optional(),
   b: names.optional(),
   s: names.optional(),
   l: digestSchema.optional(),
@@ -101,6 +105,7 @@
       contentVersion,
       ...(age === null ? {} : { age }),
     })),
+    ...(data.e === undefined ? {} : { storeEra: data.e }),
     busy: data.b ?? [],
     silent: data.s ?? [],
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
@@ -123,13 +128,14 @@
 
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
-  const { crashes, statements } = digest;
+  const { crashes, statements, storeEra } = digest;
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
       contentVersion,
       age === undefined ? null : Math.round(age),
     ]),
+    ...(storeEra !== undefined && { e: storeEra }),
     ...(busy.length > 0 && { b: busy }),
     ...(silent.length > 0 && { s: silent }),
     ...(load !== undefined && { l: load }),
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -12,6 +12,7 @@
 import { createCrashEvidence } from "@peridotvalve/retries";
 import {
   type Changes,
+  createStoreEra,
   type Snapshot,
   TableFeed,
   type Unavailable,
@@ -147,8 +148,9 @@
     onChange: () => {},
   });
   followers.set(peer.calls, follower);
+  const storeEra = createStoreEra(clock);
   const mesh = createPeerMesh({
-    ...{ clock, logger, name: peer.name, zone: peer.zone },
+    ...{ clock, storeEra, logger, name: peer.name, zone: peer.zone },
     ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
     statements,
     transport: fleet.network.attach(peer.datagrams),
@@ -164,7 +166,7 @@
   void follower.run(stop.signal);
   return {
     ...{ ...peer, mesh, follower, load, cache, journal, copies, crashes },
-    ...{ statements, stop, logged },
+    ...{ statements, stop, logged, storeEra },
   };
 }
 
@@ -304,3 +306,25 @@
   }
   for (const { stop } of daemons) stop.abort();
 });
+
+// Guards against DRAIN after the store returned from a copy: a daemon that does
+// not read the list gives missing replicas their time too late.
+test("neighbors tell each other that the store has returned", async () => {
+  const { clock, daemons } = createFleet(4);
+  await advance(clock, 5_000);
+  const heard = new Map<string, number>();
+  for (const { name, storeEra } of daemons) {
+    storeEra.record(1);
+    storeEra.onReturn(() => heard.set(name, clock.monotonic()));
+  }
+  const [reader] = daemons;
+  const start = clock.monotonic();
+  reader?.storeEra.record(2);
+  reader?.mesh.announce();
+  await advance(clock, 1_000);
+  const zone = daemons.filter((daemon) => daemon.zone === reader?.zone);
+  expect(zone.length > 1).toEqual(true);
+  for (const { name } of zone) {
+    expect((heard.get(name) ?? Infinity) - start < 1_000).toEqual(true);
+  }
+});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -26,6 +26,7 @@
   type Transport,
 } from "@peridotvalve/membership";
 import type { CrashEvidence } from "@peridotvalve/retries";
+import type { StoreEra } from "@peridotvalve/tables";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { PeerClient } from "./peer_calls.ts";
 import {
@@ -59,6 +60,7 @@
   readonly sentParts: SentPartsQueue;
   readonly crashes: Pick<CrashEvidence, "compose" | "apply">;
   readonly statements: Pick<Statements, "compose" | "apply">;
+  readonly storeEra: Pick<StoreEra, "current" | "hear">;
   /** False when all neighbors follow the stores themselves. */
   readonly passesStoresOn: () => boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
@@ -278,8 +280,10 @@
   }
 
   function composeDigest(limit: Bytes): PeerDigest {
+    const era = options.storeEra.current();
     const base: PeerDigest = {
       tables: listTableNews(),
+      ...(era > 0 && { storeEra: era }),
       busy: listBusy(),
       silent: options.replicas.silent().slice(0, MAX_NAMES),
       sent: [],
@@ -311,6 +315,7 @@
   function applyDigest(peer: string, wire: unknown): void {
     const digest = decodePeerDigest(wire);
     if (digest === undefined) return reject(peer);
+    if (digest.storeEra !== undefined) options.storeEra.hear(digest.storeEra);
     if (digest.busy.length > 0) options.onBusy(digest.busy);
     if (digest.silent.length > 0) options.onSilent(digest.silent);
     if (digest.load !== undefined) {
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
-import type { FeedRow, TableFeed } from "@peridotvalve/tables";
+import { eraOf, type FeedRow, type TableFeed } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import { createFollowedRows, type TableUpdate } from "./followed_rows.ts";
 
@@ -24,8 +24,10 @@
    * since the newest read that it knows of. By default it always does.
    */
   readonly mayRead?: (age: Milliseconds) => boolean;
-  /** See `createFollowedRows`; by default each new version matters. */
+  /** See `FollowedRowsOptions`; by default each new version matters. */
   readonly fingerprintOf?: (row: FeedRow) => string;
+  readonly progressOf?: (row: FeedRow) => readonly number[] | undefined;
+  readonly keepsMissing?: boolean;
   /** Called with all rows of a snapshot. */
   readonly onSnapshot: (rows: readonly FeedRow[]) => void;
   readonly onChange: (
@@ -87,9 +89,10 @@
 export function createTableFollower(options: FollowerOptions): TableFollower {
   const { clock, logger, feed, table, wait, pause } = options;
   const mayRead = options.mayRead ?? (() => true);
-  const known = createFollowedRows(
-    options.fingerprintOf ?? (({ version }) => String(version)),
-  );
+  const known = createFollowedRows({
+    fingerprintOf: ({ version }) => String(version),
+    ...options,
+  });
   let needsSnapshot = true;
   let isReading = false;
   let lastContact = -Infinity;
@@ -107,6 +110,12 @@
     options.onContact?.();
   }
 
+  function logReturn(version: number): void {
+    const era = eraOf(known.version());
+    if (known.version() === 0 || eraOf(version) <= era) return;
+    logger.log("store_returned", { table, era: eraOf(version) });
+  }
+
   function recordLoss(reason: string): void {
     if (lostSince !== undefined) return;
     lostSince = clock.monotonic();
@@ -121,10 +130,17 @@
       return false;
     }
     timeout = RESPONSE_TIMEOUT;
+    const { rows, version } = read.value;
+    logReturn(version);
+    const isTaken = known.replaceAll(rows, version);
+    // Newer rows of a peer may have come during the read.
+    if (!isTaken && needsSnapshot) {
+      recordLoss("the snapshot is older than the known rows");
+      return false;
+    }
     recordContact();
     needsSnapshot = false;
-    const { rows, version } = read.value;
-    if (known.replaceAll(rows, version)) options.onSnapshot(known.list());
+    if (isTaken) options.onSnapshot(known.list());
     return true;
   }
 
@@ -196,6 +212,7 @@
     }
 
     override adopt(update: TableUpdate): boolean {
+      logReturn(update.version);
       const change = known.adopt(update);
       if (change === undefined) return false;
       needsSnapshot = false;
--- a/packages/standins/src/fleet/tables.ts
+++ b/packages/standins/src/fleet/tables.ts
@@ -34,6 +34,11 @@
   readonly remove?: readonly Omit<StoredRow, "ver" | "value">[];
 }
 
+export interface TablesCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>;
+  readonly version: number;
+}
+
 export interface TablesStandin {
   /** Host and port. */
   readonly address: string;
@@ -44,6 +49,15 @@
   setFaults(faults: Partial<TableFaults>): void;
   /** Discards the change history; feeds that start before it get 410 (gone). */
   compact(): void;
+  /** Copies all rows with the version of the newest one. */
+  copy(): TablesCopy;
+  /**
+   * Returns to a copy: later rows are gone, their versions are given out again,
+   * feeds that start behind the copy get 410, and the era rises by one.
+   */
+  restore(copy: TablesCopy): void;
+  /** Number of calls that were received. */
+  calls(): number;
   close(): Promise<void>;
 }
 
@@ -51,6 +65,8 @@
 export async function startTablesStandin(): Promise<TablesStandin> {
   const rows = new Map<string, StoredRow>();
   let version = 0;
+  let era = 1;
+  let calls = 0;
   let oldestVersion = 0;
   let faults: TableFaults = {
     outage: false,
@@ -95,7 +111,10 @@
     status: number,
     body: Record<string, unknown> = {},
   ): void {
-    response.writeHead(status, { "content-type": "application/json" });
+    response.writeHead(status, {
+      "content-type": "application/json",
+      "Store-Era": String(era),
+    });
     response.end(JSON.stringify({ ...body, ver: version, now_ms: 0 }));
   }
 
@@ -111,7 +130,8 @@
   ): void {
     const table = parameters.get("table") ?? "";
     const after = Number(parameters.get("after"));
-    if (after < oldestVersion) return sendJson(response, 410);
+    const isKnown = after >= oldestVersion && after <= version;
+    if (!isKnown) return sendJson(response, 410);
     const respond = () => {
       clearTimeout(timer);
       pendingFeeds.delete(respondIfChanged);
@@ -129,6 +149,7 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    calls += 1;
     const chunks: Uint8Array[] = [];
     for await (const chunk of request) chunks.push(chunk as Uint8Array);
     if (faults.silent) return;
@@ -183,6 +204,16 @@
       oldestVersion = version;
       for (const [id, row] of rows) if (row.tombstone) rows.delete(id);
     },
+    copy: () => ({ rows: new Map(rows), version }),
+    restore(copy) {
+      rows.clear();
+      for (const [id, row] of copy.rows) rows.set(id, row);
+      version = copy.version;
+      era += 1;
+      server.closeAllConnections();
+      pendingFeeds.clear();
+    },
+    calls: () => calls,
     async close() {
       server.closeAllConnections();
       await new Promise((resolve) => server.close(resolve));
--- a/packages/tables/src/http_client.ts
+++ b/packages/tables/src/http_client.ts
@@ -19,6 +19,8 @@
   | {
     readonly kind: "answered";
     readonly status: number;
+    /** By lowercase name. */
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
     readonly body: string;
   }
   /** No byte of the request was written and none will be. */
@@ -115,6 +117,7 @@
     const finished = new AbortController();
     let abort: ((reason: Error) => void) | undefined;
     let status = 0;
+    let headers: Readonly<Record<string, string | string[] | undefined>> = {};
     let size = 0;
     const chunks: Uint8Array[] = [];
 
@@ -158,8 +161,9 @@
         }
         abort = (reason) => controller.abort(reason);
       },
-      onResponseStart(_controller, statusCode) {
+      onResponseStart(_controller, statusCode, responseHeaders) {
         status = statusCode;
+        headers = responseHeaders;
       },
       onResponseData(controller, chunk) {
         size += chunk.length;
@@ -172,7 +176,7 @@
       },
       onResponseEnd() {
         const body = Buffer.concat(chunks).toString("utf8");
-        finish({ kind: "answered", status, body });
+        finish({ kind: "answered", status, headers, body });
       },
       onResponseError(_controller, error) {
         fail(error.message === "" ? error.name : error.message);
--- a/packages/tables/src/mod.ts
+++ b/packages/tables/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./http_platform.ts";
 export * from "./memory_platform.ts";
 export * from "./platform.ts";
+export * from "./store_era.ts";
 export * from "./table_store.ts";
 export {
   createHttpClient,
--- a/packages/tables/src/platform.ts
+++ b/packages/tables/src/platform.ts
@@ -21,7 +21,10 @@
 
 export interface Row extends RowKey {
   readonly value: Json;
-  /** Increases with each write of the key; a deletion does not restart it. */
+  /**
+   * Increases with each write of the key; neither a deletion nor the return of
+   * the store from a copy restarts it.
+   */
   readonly version: number;
 }
 
