Write a daemon's row again after the store returned from a copy

Each daemon now writes its row again within a second of learning of the return, from the store itself or from a neighbor, spread over that second. It is one write a daemon each time.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -204,6 +204,7 @@
   });
   options.storeEra.onReturn(() => {
     replicas.recordListReturn();
+    registration.renew();
     mesh?.announce();
   });
   const rank = (duty: string) => mesh?.rank(duty) ?? 0;
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -130,6 +130,7 @@
     weights: new Map(),
   })));
   const registration = new (class extends Registration {
+    override renew = () => {};
     override run = () => Promise.resolve();
     override replaceAll(): void {}
     override applyChanges(): void {}
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -28,9 +28,12 @@
 
 export abstract class Registration {
   /**
-   * Writes this daemon's row, with retries until the store has confirmed it.
+   * Writes this daemon's row, with retries until the store has confirmed it, and
+   * again after each call of `renew`.
    */
   abstract run(signal: AbortSignal): Promise<void>;
+  /** Writes the row again, since the store may have lost it. */
+  abstract renew(): void;
   abstract replaceAll(rows: readonly FeedRow[]): void;
   abstract applyChanges(
     rows: readonly FeedRow[],
@@ -56,6 +59,9 @@
 const WRITE_TIMEOUT: Milliseconds = 1_000;
 const RETRY_DELAY: Milliseconds = 700;
 
+/** Spreads the writes of all daemons after the return of the store. */
+const RENEWAL_SPREAD: Milliseconds = 1_000;
+
 export function createRegistration(options: RegistrationOptions): Registration {
   const { clock, logger, store, table, self, seeds } = options;
   const known = new Map<string, PeerAddress>();
@@ -75,18 +81,45 @@
     else logger.log("entry_rejected", { key, reason: "not a daemon entry" });
   }
 
+  async function writeRow(signal: AbortSignal): Promise<void> {
+    const write = { table, key: self.name, value: { ...self } };
+    for (let round = 0; !signal.aborted; round += 1) {
+      const id = `${self.name}/${round}`;
+      const transaction = { id, checks: [], writes: [write] };
+      const settlement = await store.transact(transaction, WRITE_TIMEOUT);
+      if (settlement.kind === "done") return;
+      await clock.sleep(RETRY_DELAY * (0.5 + Math.random()), signal);
+    }
+  }
+
+  let isRenewalDue = false;
+  let wake = () => {};
+
+  async function waitForRenewal(signal: AbortSignal): Promise<void> {
+    if (!isRenewalDue) {
+      await new Promise<void>((resolve) => {
+        wake = resolve;
+        signal.addEventListener("abort", wake, { once: true });
+      });
+      signal.removeEventListener("abort", wake);
+    }
+    isRenewalDue = false;
+  }
+
   return new (class extends Registration {
     override async run(signal: AbortSignal): Promise<void> {
-      const write = { table, key: self.name, value: { ...self } };
-      for (let round = 0; !signal.aborted; round += 1) {
-        const id = `${self.name}/${round}`;
-        const transaction = { id, checks: [], writes: [write] };
-        const settlement = await store.transact(transaction, WRITE_TIMEOUT);
-        if (settlement.kind === "done") return;
-        await clock.sleep(RETRY_DELAY * (0.5 + Math.random()), signal);
+      while (!signal.aborted) {
+        await writeRow(signal);
+        await waitForRenewal(signal);
+        await clock.sleep(RENEWAL_SPREAD * Math.random(), signal);
       }
     }
 
+    override renew(): void {
+      isRenewalDue = true;
+      wake();
+    }
+
     override replaceAll(rows: readonly FeedRow[]): void {
       known.clear();
       rows.forEach(addRow);
