Don't take over a lease whose row the store may have lost

A missing or released row now frees the lease only once the store is known to have lost nothing for the whole duration of a lease. That time begins with the first answer in an era, so that a daemon that starts just after the return waits as well. A term of the earlier era is not renewed, as its version belongs to another era, and ends; fencing tokens are versions and rise with the era.

Test: lease.test.ts, the second contender held the lease before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -368,6 +368,7 @@
       LEASE_USABLE_TIME,
     margin: settings.leaseDuration + LEASE_HANDOVER_MARGIN,
     timeout: STORE_TIMEOUT,
+    storeAge: () => options.storeEra.age(),
   });
   const rollouts = createRollouts({
     clock,
--- a/packages/lease/src/lease.test.ts
+++ b/packages/lease/src/lease.test.ts
@@ -67,6 +67,30 @@
   expect((await a.renew()).kind).toEqual("lost");
 });
 
+// Guards against ONE: two holders at the same time, as the row of the first was
+// lost when the store returned from a copy.
+test("a row that the store may have lost does not free the lease", async () => {
+  const { clock, platform, contender } = setUp();
+  let returnedAt = -Infinity;
+  const a = contender("a");
+  const b = createLease({
+    ...{ platform, clock, name: "sweep", holder: "b" },
+    ...{ duration: DURATION, margin: MARGIN },
+    storeAge: () => clock.monotonic() - returnedAt,
+  });
+  await a.acquire();
+  const lost = a.lost()!;
+  const writes = [{ table: "leases", key: "sweep", value: null }];
+  await platform.transact({ id: "copy", checks: [], writes }, 1_000);
+  returnedAt = clock.monotonic();
+  for (let seconds = 0; !lost.aborted; seconds += 1) {
+    await b.acquire();
+    expect(b.token()).toEqual(undefined);
+    await clock.advance(1_000);
+  }
+  expect(await takeOver(b, clock) <= MARGIN / 1_000).toEqual(true);
+});
+
 test("a renewal restarts a contender's observation", async () => {
   const { clock, contender } = setUp();
   const [a, b] = [contender("a"), contender("b")];
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -2,8 +2,8 @@
  * A lease with a fencing token over one table row.
  *
  * The token is the row version that the acquiring write produced. Row versions
- * increase with each write, even across deletion of the row, so tokens increase
- * and never repeat. Wall clocks of different machines are never compared: a
+ * increase with each write, even across deletion of the row and the return of
+ * the store from a copy, so tokens increase and never repeat. Wall clocks of different machines are never compared: a
  * contender takes over only after the row's version has stayed unchanged for
  * the whole lease duration on the contender's monotonic clock, and the holder
  * stops earlier, on its own clock.
@@ -31,6 +31,12 @@
   readonly margin?: Milliseconds;
   /** Timeout of each platform call. */
   readonly timeout?: Milliseconds;
+  /**
+   * Time for which the store is known to have lost no row. Until it reaches
+   * `duration`, a holder whose row was lost may still use its term, and a row
+   * that is missing or released says nothing. Unlimited by default.
+   */
+  readonly storeAge?: () => Milliseconds;
 }
 
 /** Result of an attempt to acquire or renew the lease. */
@@ -96,6 +102,7 @@
     duration = DURATION,
     margin = MARGIN,
     timeout = TIMEOUT,
+    storeAge = () => Infinity,
   }: LeaseOptions,
 ): Lease {
   const key = leaseKey(name);
@@ -140,9 +147,10 @@
     row: Row | undefined,
     readStartedAt: Milliseconds,
   ): boolean {
-    if (row === undefined) return true;
+    const isReliable = storeAge() >= duration;
+    if (row === undefined) return isReliable;
     const parsed = parseLeaseRow(row);
-    if (parsed === undefined || parsed.holder === null) return true;
+    if (parsed === undefined || parsed.holder === null) return isReliable;
     if (observation?.version !== row.version) {
       observation = { version: row.version, firstSeenAt: clock.monotonic() };
       return false;
