Close an aborted connection at once when it is reset

Data that arrives then meets an assertion of undici, as the request has been aborted, and the exception ends the process.

The socket is destroyed at once now, with the property set that makes Node.js close by a reset. Bytes that the socket still holds no longer delay it.

--- a/packages/connections/src/connector.test.ts
+++ b/packages/connections/src/connector.test.ts
@@ -49,7 +49,8 @@
 });
 
 // Guards against GONE: a replica that was silent for a while begins requests
-// whose callers have left, as it reads them before the end of the connection.
+// whose callers have left, as it reads them before the end of the connection;
+// and against data on a connection that undici has aborted, which ends a process.
 test("an aborted request resets its connection", async (t) => {
   const errors: string[] = [];
   const server = createServer((socket) => {
@@ -61,8 +62,15 @@
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
+  const sockets: Socket[] = [];
+  const connect = createConnector({ timeout: 1_000, keepAliveDelay: 1_000 });
   const client = new Client(`http://127.0.0.1:${port}`, {
-    connect: createConnector({ timeout: 1_000, keepAliveDelay: 1_000 }),
+    connect: (options, callback) =>
+      connect(options, (...[error, socket]) => {
+        if (error !== null) return callback(error, null);
+        sockets.push(socket);
+        callback(null, socket);
+      }),
   });
   t.after(async () => {
     await client.destroy();
@@ -80,6 +88,7 @@
     await once(server, "received");
     const ended = once(server, "ended");
     closeByReset(() => abort(new Error("caller left")));
+    expect(sockets.at(-1)?.destroyed).toEqual(true);
     await Promise.all([failed, ended]);
     expect(errors).toEqual(Array.from({ length: count }, () => "ECONNRESET"));
   }
--- a/packages/connections/src/connector.ts
+++ b/packages/connections/src/connector.ts
@@ -42,15 +42,20 @@
   }
 }
 
-function allowReset(socket: Socket): void {
+/**
+ * With this property, which `resetAndDestroy` sets as well, Node.js closes by a
+ * reset. That method first ends the connection, and `undici` fails when data
+ * arrives on one that it has aborted.
+ */
+interface ResettableSocket extends Socket {
+  resetAndClosing?: boolean;
+}
+
+function allowReset(socket: ResettableSocket): void {
   const destroy = socket.destroy.bind(socket);
   socket.destroy = (error) => {
-    // A reset waits for the bytes that the socket still holds, perhaps forever.
-    if (isResetting && socket.writableLength === 0 && !socket.destroyed) {
-      isResetting = false;
-      socket.destroy = destroy;
-      return socket.resetAndDestroy();
-    }
+    // A connection that is being ended cannot be reset any more.
+    if (isResetting && !socket.writableEnded) socket.resetAndClosing = true;
     return destroy(error);
   };
 }
