Reject odd rows where they are decoded

It happened here: a row with 20,000 nested arrays ended the daemon that reads the table for the others with a RangeError of JSON.stringify while it answered a neighbor. A port of 99999 or an address that is none was taken, and a request placed on it ended with a reset. Slots of 1e300 or below zero and a birth of 1e308 were taken without a word.

A version from a neighbor beyond the last era would have kept the store's rows out for good; it is refused. A call of a neighbor that cannot be answered gets 500 and a log line, where an exception ended the process.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -476,6 +476,8 @@
     const peerServer = createPeerServer({
       tables: tables.byName,
       dumpStore: (store) => journal.dump(store),
+      onError: (error) =>
+        logger.log("handler_failed", { reason: String(error) }),
     });
     const ready = openStatusServer();
     const bindings: (readonly [Server, Address])[] = [
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -4,7 +4,13 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { JournalDump } from "@peridotvalve/dispatch";
-import { createHttpClient, type HttpClient } from "@peridotvalve/tables";
+import {
+  createHttpClient,
+  type HttpClient,
+  MAX_ERA,
+  parseJson,
+  toVersion,
+} from "@peridotvalve/tables";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { createServer, type Server } from "node:http";
 import { Err, Ok, Result } from "ts-results-es";
@@ -25,15 +31,18 @@
 const ROWS_PATH = "/rows/";
 const STORES_PATH = "/stores/";
 
+/** A larger one would keep the rows of the store out for good. */
+const VERSION = z.number().int().nonnegative().max(toVersion(MAX_ERA, 0));
+
 const UPDATE = z.object({
-  version: z.number(),
+  version: VERSION,
   isWhole: z.boolean(),
   rows: z.array(z.object({
     key: z.string(),
     value: z.json().optional(),
-    version: z.number(),
+    version: VERSION,
   })),
-  removed: z.array(z.tuple([z.string(), z.number()])),
+  removed: z.array(z.tuple([z.string(), VERSION])),
 });
 
 const DUMP = z.object({
@@ -50,10 +59,12 @@
   /** Followed tables that peers may read, by name. */
   readonly tables: ReadonlyMap<string, TableFollower>;
   readonly dumpStore: (store: string) => JournalDump | undefined;
+  /** Called when a call cannot be answered; the peer gets 500. */
+  readonly onError: (error: unknown) => void;
 }
 
 export function createPeerServer(
-  { tables, dumpStore }: PeerServerOptions,
+  { tables, dumpStore, onError }: PeerServerOptions,
 ): Server {
   function find(url: URL): unknown {
     const path = decodeURIComponent(url.pathname);
@@ -69,13 +80,21 @@
     request,
     response,
   ) => {
-    const body = find(new URL(request.url ?? "/", "http://peer"));
-    if (body === undefined) {
+    const composed = Result.wrap(() => {
+      const body = find(new URL(request.url ?? "/", "http://peer"));
+      return body === undefined ? undefined : JSON.stringify(body);
+    });
+    if (composed.isErr()) {
+      onError(composed.error);
+      response.writeHead(500).end();
+      return;
+    }
+    if (composed.value === undefined) {
       response.writeHead(404).end();
       return;
     }
     response.writeHead(200, { "content-type": "application/json" });
-    response.end(JSON.stringify(body));
+    response.end(composed.value);
   });
 }
 
@@ -118,8 +137,7 @@
     const exchange = await clientOf(address).send(request, CALL_TIMEOUT);
     if (exchange.kind !== "answered") return Err(exchange.reason);
     if (exchange.status !== 200) return Err(`status ${exchange.status}`);
-    const parsed = Result.wrap(() => JSON.parse(exchange.body) as unknown);
-    const read = schema.safeParse(parsed.unwrapOr(undefined));
+    const read = schema.safeParse(parseJson(exchange.body));
     return read.success ? Ok(read.data) : Err("malformed answer");
   }
 
--- a/packages/gateway/src/registration.ts
+++ b/packages/gateway/src/registration.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
-import type { FeedRow, Platform } from "@peridotvalve/tables";
+import { type FeedRow, isEndpoint, type Platform } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 
@@ -48,12 +48,14 @@
   abstract onChange(listener: (peers: readonly PeerAddress[]) => void): void;
 }
 
+const NAME = z.string().min(1).max(200);
+
 const ADDRESS = z.object({
-  name: z.string(),
-  zone: z.string(),
-  host: z.string(),
-  datagrams: z.string(),
-  calls: z.string(),
+  name: NAME,
+  zone: NAME,
+  host: z.ipv4(),
+  datagrams: z.string().refine(isEndpoint, "not an address"),
+  calls: z.string().refine(isEndpoint, "not an address"),
 });
 
 const WRITE_TIMEOUT: Milliseconds = 1_000;
@@ -77,8 +79,12 @@
 
   function addRow({ key, value }: FeedRow): void {
     const parsed = ADDRESS.safeParse(value);
-    if (parsed.success) known.set(key, parsed.data);
-    else logger.log("entry_rejected", { key, reason: "not a daemon entry" });
+    if (parsed.success && parsed.data.name === key) {
+      known.set(key, parsed.data);
+      return;
+    }
+    known.delete(key);
+    logger.log("entry_rejected", { key, reason: "not a daemon entry" });
   }
 
   async function writeRow(signal: AbortSignal): Promise<void> {
--- a/packages/standins/src/fleet/tables.ts
+++ b/packages/standins/src/fleet/tables.ts
@@ -44,6 +44,8 @@
   readonly address: string;
   /** Writes a row without checks, as the operator or a replica does. */
   put(table: string, key: string, value: unknown): void;
+  /** Writes a row whose value is any text, as a faulty writer does. */
+  putText(table: string, key: string, text: string): void;
   remove(table: string, key: string): void;
   read(table: string, key: string): unknown;
   setFaults(faults: Partial<TableFaults>): void;
@@ -87,6 +89,12 @@
     );
   }
 
+  function putText(table: string, key: string, text: string): void {
+    version += 1;
+    setRow(table, key, Buffer.from(text).toString("base64"));
+    notifyFeeds();
+  }
+
   function notifyFeeds(): void {
     for (const respondIfChanged of [...pendingFeeds]) respondIfChanged();
   }
@@ -183,10 +191,9 @@
   return {
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     put(table, key, value) {
-      version += 1;
-      setRow(table, key, Buffer.from(JSON.stringify(value)).toString("base64"));
-      notifyFeeds();
+      putText(table, key, JSON.stringify(value));
     },
+    putText,
     remove(table, key) {
       version += 1;
       setRow(table, key, undefined);
--- a/packages/tables/src/mod.ts
+++ b/packages/tables/src/mod.ts
@@ -2,7 +2,9 @@
  * Client of the platform: transactional tables, immutable objects and the list
  * of VMs, which may lag behind.
  */
+export * from "./endpoint.ts";
 export * from "./http_platform.ts";
+export * from "./json_text.ts";
 export * from "./memory_platform.ts";
 export * from "./platform.ts";
 export * from "./store_era.ts";
