Refuse orders at a shutdown that may outlast it

Report of another operator (LOST): requests that came late in the grace were taken and cut at its end with no answer, orders among them. It happened here: 30 orders of 20 ms, then SIGTERM with a grace of 4 s, and an order that takes 3 s is sent 0.5 s later: it was run, and its caller got 502 at the exit.

Cause: whether a request ends in time was estimated from the answers before it, for all kinds alike. The estimate may be wrong, and an order that is cut cannot be sent again. An order, and a stream that cannot be resumed, is now taken during a shutdown only when its time limit ends before the exit; otherwise it is refused at once with 503 and Retry-After, and another daemon takes it. Requests that may be repeated go by the estimate as before.

--- a/packages/admission/src/shutdown_admission.ts
+++ b/packages/admission/src/shutdown_admission.ts
@@ -11,13 +11,18 @@
   readonly duration: Milliseconds;
   /** Time at which the request ends at the latest, on the monotonic clock. */
   readonly deadline: Milliseconds;
+  /** True when the request may be sent again if it is cut. */
+  readonly isRepeatable: boolean;
 }
 
 export interface ShutdownAdmission {
   /** Starts the shutdown; the process exits at `exit` on the monotonic clock. */
   begin(exit: Milliseconds): void;
   hasBegun(): boolean;
-  /** Returns true when the request will end before the exit. */
+  /**
+   * Returns true when the request is expected to end before the exit. One that
+   * cannot be repeated must end by then in any case.
+   */
   admits(work: ExpectedWork): boolean;
 }
 
@@ -29,8 +34,9 @@
       exit = at;
     },
     hasBegun: () => exit < Infinity,
-    admits({ duration, deadline }) {
-      return Math.min(clock.monotonic() + duration, deadline) <= exit;
+    admits({ duration, deadline, isRepeatable }) {
+      if (deadline <= exit) return true;
+      return isRepeatable && clock.monotonic() + duration <= exit;
     },
   };
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -407,6 +407,7 @@
       return shutdown.admits({
         duration: timeToFirstEvent + answerTimes.estimate(request),
         deadline: request.deadline,
+        isRepeatable: retryable,
       });
     }
 
