Take a replica's entry back that a returned store had lost

Found on rereading: a replica that the copy lacked is removed, and its entry, written again as it was, was refused as one that the copy brings back. It stayed gone until its next heartbeat counted on, or for good if it does not count.

The store's own order decides within the era of the removal; what the writer states decides only when the removal is of an earlier era. A removed row keeps what its writer states and not the row itself, which bounds the memory for removals.

Test: followed_rows.test.ts, "a row that the copy lacked may come back unchanged", fails before.

--- a/packages/gateway/src/followed_rows.test.ts
+++ b/packages/gateway/src/followed_rows.test.ts
@@ -158,3 +158,18 @@
     expect(keys(rows)).toEqual([]);
   }
 });
+
+// Guards against a replica that stays gone, as it writes the same entry again that
+// the returned store had lost.
+test("a row that the copy lacked may come back unchanged", () => {
+  const rows = createProgressRows(false);
+  rows.replaceAll([row("a", "s7", toVersion(1, 90))], toVersion(1, 90));
+  rows.replaceAll([], toVersion(2, 50));
+  expect(keys(rows)).toEqual([]);
+  rows.applyChanges({
+    rows: [row("a", "s7", toVersion(2, 51))],
+    removed: [],
+    version: toVersion(2, 51),
+  });
+  expect(values(rows)).toEqual(["s7"]);
+});
--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -49,8 +49,8 @@
    * heartbeats in rows do not spread.
    */
   readonly fingerprintOf: (row: FeedRow) => string;
-  /** See `TableCodec.readProgress`; by default no row states any. */
-  readonly progressOf?: (row: FeedRow) => readonly number[] | undefined;
+  /** By default no row states any progress. */
+  readonly progressOf?: (row: FeedRow) => Progress;
   /**
    * True when rows that a returned store lacks stay known until it drops them
    * itself, because their writers write them again.
@@ -58,9 +58,13 @@
   readonly keepsMissing?: boolean;
 }
 
+/** What the writer of a row states; see `TableCodec.readProgress`. */
+type Progress = readonly number[] | undefined;
+
 interface Removal {
+  /** Version at which the row was removed. */
   readonly at: number;
-  readonly row: FeedRow;
+  readonly progress: Progress;
 }
 
 interface KnownRow {
@@ -85,32 +89,21 @@
   let version = 0;
   let content = 0;
 
-  /**
-   * Compares what the writers of two rows state. Undefined in one era, where the
-   * versions decide, and when one of the rows states nothing.
-   */
-  function compareProgress(left: FeedRow, right: FeedRow): number | undefined {
-    if (eraOf(left.version) === eraOf(right.version)) return undefined;
-    const [ours, theirs] = [progressOf(left), progressOf(right)];
-    if (ours === undefined || theirs === undefined) return undefined;
-    const differing = ours.findIndex((part, index) => part !== theirs[index]);
-    return differing < 0
-      ? 0
-      : (ours[differing] ?? 0) - (theirs[differing] ?? 0);
-  }
-
   function mayReplace(row: FeedRow): boolean {
-    const previous = known.get(row.key);
+    const previous = known.get(row.key)?.row;
     if (previous !== undefined) {
-      const progress = compareProgress(row, previous.row) ?? 0;
-      if (progress !== 0) return progress > 0;
-      return row.version > previous.row.version;
+      const isSameEra = eraOf(row.version) === eraOf(previous.version);
+      const progress = isSameEra
+        ? 0
+        : compareProgress(progressOf(row), progressOf(previous)) ?? 0;
+      return progress === 0 ? row.version > previous.version : progress > 0;
     }
     const removal = removals.get(row.key);
     if (removal === undefined) return true;
+    if (row.version < removal.at) return false;
+    if (eraOf(row.version) === eraOf(removal.at)) return true;
     // A copy may hold a row that was removed since.
-    const progress = compareProgress(row, removal.row) ?? 1;
-    return row.version >= removal.at && progress > 0;
+    return (compareProgress(progressOf(row), removal.progress) ?? 1) > 0;
   }
 
   /** Returns true when the change matters. */
@@ -132,7 +125,7 @@
     if (previous === undefined || previous.row.version > at) return false;
     known.delete(key);
     removals.delete(key);
-    removals.set(key, { at, row: previous.row });
+    removals.set(key, { at, progress: progressOf(previous.row) });
     content = Math.max(content, at);
     while (removals.size > MAX_REMOVALS) {
       const [oldest] = removals;
@@ -209,3 +202,13 @@
     },
   };
 }
+
+/**
+ * Compares what the writers of two rows state; undefined when one of them states
+ * nothing.
+ */
+function compareProgress(left: Progress, right: Progress): number | undefined {
+  if (left === undefined || right === undefined) return undefined;
+  const differing = left.findIndex((part, index) => part !== right[index]);
+  return differing < 0 ? 0 : (left[differing] ?? 0) - (right[differing] ?? 0);
+}
