--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -57,9 +57,9 @@
 const MAX_AVOIDANCE: Milliseconds = 3_000;
 
 /**
- * Delay before a replica that is missing from the list after an outage of the
- * list, or in an older copy of it, is dropped. Live replicas are listed again within two seconds of the end
- * of the outage.
+ * Delay before a replica is dropped that is missing from the list after an
+ * outage, or from an older copy of it. Live replicas are listed again within two
+ * seconds.
  */
 const REMOVAL_GRACE: Milliseconds = 2_500;
 
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -3,10 +3,10 @@
  *
  * The token is the row version that the acquiring write produced. Row versions
  * increase with each write, even across deletion of the row and the return of
- * the store from a copy, so tokens increase and never repeat. Wall clocks of different machines are never compared: a
- * contender takes over only after the row's version has stayed unchanged for
- * the whole lease duration on the contender's monotonic clock, and the holder
- * stops earlier, on its own clock.
+ * the store from a copy, so tokens increase and never repeat. Wall clocks of
+ * different machines are never compared: a contender takes over only after the
+ * row's version has stayed unchanged for the whole lease duration on the
+ * contender's monotonic clock, and the holder stops earlier, on its own clock.
  */
 import { randomUUID } from "node:crypto";
 import { type Clock, createSystemClock } from "@peridotvalve/clock";
