Leave odd entries out of the list of VMs

Entries are checked one by one. What is wrong with the list is logged when it changes (vm_list_unreadable).

Test: http_platform.test.ts, four odd entries beside a good one; the read failed before.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -372,6 +372,8 @@
     }
   }
 
+  let vmListFault = "";
+
   /**
    * The readers rotate with each interval. A list of 1,090 VMs is 118 KB; read
    * every 2 s by one daemon it would be several times the traffic that a daemon
@@ -382,10 +384,19 @@
     return membership.isReader(`vms/${interval}`, READERS_PER_ZONE);
   }
 
+  /** Logs what is wrong with the list when that has changed. */
+  function reportVmList(reason: string): void {
+    if (reason !== "" && reason !== vmListFault) {
+      log("vm_list_unreadable", { reason });
+    }
+    vmListFault = reason;
+  }
+
   async function readVmList(): Promise<void> {
     const list = await platform.readVms(PLATFORM_TIMEOUT);
-    if (list.isErr()) return;
-    const { vms } = list.value;
+    if (list.isErr()) return reportVmList(list.error.reason);
+    const { vms, malformed } = list.value;
+    reportVmList(malformed === 0 ? "" : `${malformed} entries are malformed`);
     peerNetwork.setVmList(vms);
     fleet.applyVmList(vms);
   }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -490,6 +490,10 @@
     message:
       "The store has returned from an older copy; newer known rows remain in use.",
   }),
+  vm_list_unreadable: defineEvent(6017, "warn", {
+    fields: { reason: S },
+    message: "The list of VMs cannot be read, wholly or in some entries.",
+  }),
   peer_rows_taken: defineEvent(6014, "info", {
     fields: { peer: S, table: S, version: N },
     message: "Newer table rows were adopted from a peer.",
--- a/packages/tables/src/http_platform.test.ts
+++ b/packages/tables/src/http_platform.test.ts
@@ -162,3 +162,24 @@
     await platform.close();
   });
 });
+
+// Guards against a daemon that stops following the list of VMs, as one of its
+// entries is malformed.
+test("an odd entry in the list of VMs costs no other", async () => {
+  const vm = {
+    ...{ name: "espoo-1", address: "10.0.0.1:7700", zone: "espoo" },
+    ...{ state: "live", incarnation: "i-1" },
+  };
+  const entries = [null, vm, { ...vm, state: "gone" }, { ...vm, address: 7 }];
+  const texts = entries.map((entry) => JSON.stringify(entry));
+  const nested = "[".repeat(20_000) + "]".repeat(20_000);
+  const body = `{"at":5,"vms":[${[...texts, nested].join()}]}`;
+  await withServer(
+    (_, response) => response.end(body),
+    async ({ platform }) => {
+      const list = (await platform.readVms(TIMEOUT)).unwrap();
+      expect(list.vms.map(({ name }) => name)).toEqual(["espoo-1"]);
+      expect(list.malformed).toEqual(4);
+    },
+  );
+});
--- a/packages/tables/src/http_platform.ts
+++ b/packages/tables/src/http_platform.ts
@@ -4,12 +4,18 @@
  * platform's status rules out an effect.
  */
 import { type Clock, createSystemClock } from "@peridotvalve/clock";
-import type { Bytes, Milliseconds, Settlement } from "@peridotvalve/types";
+import type {
+  Bytes,
+  Milliseconds,
+  Settlement,
+  Timestamp,
+} from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { ZodType } from "zod";
 import {
   COMMIT_RESPONSE,
   CONFLICT_RESPONSE,
+  LISTED_VM,
   PAGE_RESPONSE,
   ROW_RESPONSE,
   VMS_RESPONSE,
@@ -157,7 +163,10 @@
       return query<VmList>(
         "/vms",
         timeout,
-        (exchange) => parseResponse(exchange, 200, VMS_RESPONSE),
+        (exchange) => {
+          const parsed = parseResponse(exchange, 200, VMS_RESPONSE);
+          return parsed === MALFORMED ? parsed : toVmList(parsed);
+        },
       );
     }
 
@@ -221,6 +230,13 @@
   }
 }
 
+function toVmList(
+  { at, vms }: { readonly at: Timestamp; readonly vms: readonly unknown[] },
+): VmList {
+  const valid = vms.flatMap((vm) => LISTED_VM.safeParse(vm).data ?? []);
+  return { at, vms: valid, malformed: vms.length - valid.length };
+}
+
 function getStatus(exchange: Exchange): number | undefined {
   return exchange.kind === "answered" ? exchange.status : undefined;
 }
--- a/packages/tables/src/memory_platform.ts
+++ b/packages/tables/src/memory_platform.ts
@@ -207,7 +207,11 @@
     override readVms(
       timeout: Milliseconds,
     ): Promise<Result<VmList, Unavailable>> {
-      return query(timeout, () => ({ at: clock.now(), vms }));
+      return query(timeout, () => ({
+        at: clock.now(),
+        vms,
+        malformed: 0,
+      }));
     }
   })();
 }
--- a/packages/tables/src/platform.ts
+++ b/packages/tables/src/platform.ts
@@ -84,6 +84,8 @@
   /** Time at which the list was current at the platform. */
   readonly at: Timestamp;
   readonly vms: readonly ListedVm[];
+  /** Entries that were left out because they are malformed. */
+  readonly malformed: number;
 }
 
 export abstract class Platform {
--- a/packages/tables/src/response_schemas.ts
+++ b/packages/tables/src/response_schemas.ts
@@ -27,13 +27,16 @@
   more: z.boolean(),
 });
 
+export const LISTED_VM = z.object({
+  name: z.string(),
+  address: z.string(),
+  zone: z.string(),
+  state: z.enum(["live", "leaving"]),
+  incarnation: z.string(),
+});
+
+/** Entries are checked one by one, so that an odd one costs no other. */
 export const VMS_RESPONSE = z.object({
   at: z.number(),
-  vms: z.array(z.object({
-    name: z.string(),
-    address: z.string(),
-    zone: z.string(),
-    state: z.enum(["live", "leaving"]),
-    incarnation: z.string(),
-  })),
+  vms: z.array(z.unknown()),
 });
