--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -234,6 +234,8 @@
     origin: settings,
   });
   const drain = createDrain(clock);
+  /** What is wrong with the list of VMs; empty while nothing is. */
+  let vmListFault = "";
   const claims = createClaims({
     platform,
     clock,
@@ -372,8 +374,6 @@
     }
   }
 
-  let vmListFault = "";
-
   /**
    * The readers rotate with each interval. A list of 1,090 VMs is 118 KB; read
    * every 2 s by one daemon it would be several times the traffic that a daemon
