--- a/packages/daemon/src/http/respond.test.ts
+++ b/packages/daemon/src/http/respond.test.ts
@@ -1,5 +1,6 @@
 import { createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
+import { EventEmitter } from "node:events";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Writable } from "node:stream";
 import { test } from "node:test";
@@ -18,7 +19,7 @@
   const response = Object.assign(stream, { setHeader: () => {} });
   const clock = createManualClock();
   const exchange = createExchange(
-    {} as IncomingMessage,
+    { socket: new EventEmitter() } as unknown as IncomingMessage,
     response as unknown as ServerResponse,
     clock,
   );
