--- /dev/null
+++ b/review/standins/replica.mjs
@@ -0,0 +1,130 @@
+// A replica that registers itself, writes its heartbeat and answers requests.
+import { createServer } from "node:http";
+import { once } from "node:events";
+import { MODEL } from "./operator.mjs";
+import { readBody, takeHost } from "./net.mjs";
+
+const HEARTBEAT_MS = 1_200;
+
+/**
+ * `respond` gets each request that the replica may run. Reports, orders, cache
+ * events and the checks of `Expect-Instance` and `Expect-Version` are answered
+ * here.
+ */
+export async function startReplica(store, options) {
+  const { id, service, zone = "espoo", isEngine = false, respond } = options;
+  const born = Date.now();
+  let state = "ready";
+  let writes = 0;
+  let heartbeat;
+  const self = {
+    ...{ id, version: 1, seq: 0, busy: false, orders: [], received: [] },
+  };
+
+  const models = () =>
+    isEngine ? [{ name: MODEL, version: self.version, adapters: [] }] : [];
+
+  function writeEntry() {
+    writes += 1;
+    store.put("servers", id, {
+      ...{ service, address: self.address, zone, version: "v1", slots: 64 },
+      ...{ state, cold_remaining_ms: 0, seq: writes, born, models: models() },
+    });
+  }
+
+  function sendJson(response, status, body = {}) {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify({ ...body, born }));
+  }
+
+  function refuse(request, response, status) {
+    response.writeHead(status, {
+      "Request-Id": request.headers["request-id"] ?? "",
+      ...{ "Not-Executed": "1", "Replica-Id": id, "content-length": "0" },
+      ...isEngine ? { "Weight-Versions": String(self.version) } : {},
+    }).end();
+  }
+
+  async function handle(request, response) {
+    const body = await readBody(request);
+    const { headers } = request;
+    const path = request.url.split("?")[0];
+    if (path === "/healthz") {
+      response.writeHead(200, { "Replica-Id": id }).end();
+      return;
+    }
+    const expected = headers["expect-instance"];
+    const isOther = expected !== undefined && expected !== id;
+    if (path === "/peridotvalve/report") {
+      if (isOther) return refuse(request, response, 421);
+      const { busy, seq } = self;
+      return sendJson(response, 200, { models: models(), busy, seq });
+    }
+    if (path === "/peridotvalve/order") {
+      if (isOther) return refuse(request, response, 421);
+      return await options.order(
+        JSON.parse(body),
+        (status) => sendJson(response, status),
+        self,
+      );
+    }
+    if (path === "/peridotvalve/kv-events") {
+      const wait = Math.min(1_000, Number(headers["wait-ms"] ?? 0));
+      const since = Number(new URL(request.url, "http://r").searchParams
+        .get("since"));
+      const page = await options.events?.(since, wait) ??
+        await new Promise((resolve) =>
+          setTimeout(resolve, wait, { next: 0, events: [] })
+        );
+      return sendJson(response, 200, {
+        ...{ boot_epoch: born, lost: false, clock_ms: Date.now() },
+        ...page,
+      });
+    }
+    if (isOther) return refuse(request, response, 421);
+    const weights = headers["expect-version"];
+    if (weights !== undefined && Number(weights) !== self.version) {
+      return refuse(request, response, 421);
+    }
+    self.received.push(request);
+    await respond({
+      ...{ request, response, body, self },
+      refuse: (status) => refuse(request, response, status),
+      headers: {
+        "Request-Id": headers["request-id"],
+        "Response-Seal": `seal.${id}.${headers["request-id"]}`,
+        "Replica-Load": "1,0,64",
+        ...isEngine ? { "Weight-Versions": String(self.version) } : {},
+      },
+    });
+  }
+
+  const server = createServer((request, response) => {
+    handle(request, response).catch(() => response.destroy());
+  });
+  server.keepAliveTimeout = 10_000;
+  const host = takeHost();
+  server.listen(0, host);
+  await once(server, "listening");
+  self.address = `${host}:${server.address().port}`;
+  writeEntry();
+  heartbeat = setInterval(writeEntry, HEARTBEAT_MS);
+
+  return Object.assign(self, {
+    /** Reports that the replica leaves; it serves on. */
+    drain() {
+      state = "draining";
+      writeEntry();
+    },
+    /** Stops writing heartbeats, and removes the entry. */
+    unlist() {
+      clearInterval(heartbeat);
+      store.remove("servers", id);
+    },
+    close() {
+      clearInterval(heartbeat);
+      server.closeAllConnections();
+      server.close();
+    },
+  });
+}
