Review: a replica that left stays listed after a peer's restart (DRAIN)

Cause: a restarted daemon remembers no removals of rows from before its start, but answers peers with partial updates. A daemon that was cut from the store takes the new version from it without the removal.

Nothing is fixed.

--- a/review/standins/daemon.mjs
+++ b/review/standins/daemon.mjs
@@ -70,7 +70,11 @@
       ...{ data_dir: null, discovery: "platform", entry: "vip" },
       ...{ heartbeat_ms: 1200, bounds: BOUNDS },
       platform: {
-        ...{ address: store.address, form: "table", writes_per_s: 400 },
+        ...{
+          address: daemon.store ?? store.address,
+          form: "table",
+          writes_per_s: 400,
+        },
         ...{ reads_per_s: 2000, tx_ms: 5, part_writes_s: 200 },
         ...{ row_bytes: 65536, across: false, history_s: 20 },
       },
--- a/review/standins/replica.mjs
+++ b/review/standins/replica.mjs
@@ -14,11 +14,20 @@
 export async function startReplica(store, options) {
   const { id, service, zone = "espoo", isEngine = false, respond } = options;
   const born = Date.now();
-  let state = "ready";
   let writes = 0;
   let heartbeat;
+  /** Second copies of answers, by channel. */
+  const extras = new Map();
   const self = {
-    ...{ id, version: 1, seq: 0, busy: false, orders: [], received: [] },
+    ...{
+      id,
+      version: 1,
+      seq: 0,
+      busy: false,
+      orders: [],
+      received: [],
+      answers: 0,
+    },
   };
 
   const models = () =>
@@ -28,7 +37,13 @@
     writes += 1;
     store.put("servers", id, {
       ...{ service, address: self.address, zone, version: "v1", slots: 64 },
-      ...{ state, cold_remaining_ms: 0, seq: writes, born, models: models() },
+      ...{
+        state: "ready",
+        cold_remaining_ms: 0,
+        seq: writes,
+        born,
+        models: models(),
+      },
     });
   }
 
@@ -38,11 +53,28 @@
   }
 
   function refuse(request, response, status) {
-    response.writeHead(status, {
+    const headers = {
       "Request-Id": request.headers["request-id"] ?? "",
-      ...{ "Not-Executed": "1", "Replica-Id": id, "content-length": "0" },
-      ...isEngine ? { "Weight-Versions": String(self.version) } : {},
-    }).end();
+      ...{ "Not-Executed": "1", "Replica-Id": id, "Content-Length": "0" },
+    };
+    response.writeHead(status, headers).end();
+    if (options.repeatsRefusal?.(status, self) !== true) return;
+    const lines = Object.entries(headers).map(([name, value]) =>
+      `${name}: ${value}\r\n`
+    );
+    extras.set(
+      request.socket,
+      `HTTP/1.1 ${status} Refused\r\n${lines.join("")}\r\n`,
+    );
+  }
+
+  /** Sends the second copy of an answer where the next one is expected. */
+  function sendExtra({ socket, headers }) {
+    const extra = extras.get(socket);
+    if (extra === undefined) return;
+    extras.delete(socket);
+    socket.write(extra);
+    options.onExtra?.(headers["request-id"], self);
   }
 
   async function handle(request, response) {
@@ -81,6 +113,8 @@
         ...page,
       });
     }
+    sendExtra(request);
+    self.answers += 1;
     if (isOther) return refuse(request, response, 421);
     const weights = headers["expect-version"];
     if (weights !== undefined && Number(weights) !== self.version) {
@@ -94,6 +128,7 @@
         "Request-Id": headers["request-id"],
         "Response-Seal": `seal.${id}.${headers["request-id"]}`,
         "Replica-Load": "1,0,64",
+        ...self.isLeaving ? { "Server-Leaving": "1" } : {},
         ...isEngine ? { "Weight-Versions": String(self.version) } : {},
       },
     });
@@ -111,15 +146,11 @@
   heartbeat = setInterval(writeEntry, HEARTBEAT_MS);
 
   return Object.assign(self, {
-    /** Reports that the replica leaves; it serves on. */
-    drain() {
-      state = "draining";
-      writeEntry();
-    },
-    /** Stops writing heartbeats, and removes the entry. */
+    /** Leaves without a report: the entry is removed; the replica serves on. */
     unlist() {
       clearInterval(heartbeat);
       store.remove("servers", id);
+      self.isLeaving = true;
     },
     close() {
       clearInterval(heartbeat);
