--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,7 +11,7 @@
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
 const RECORD = new URL("record.txt", import.meta.url);
 
-const BUMPS = 4;
+const BUMPS = 8;
 const BUMP_PERIOD_MS = 9_000;
 /** Time before each bump in which answers may already be spoiled. */
 const LEAD_MS = 2_500;
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -27,7 +27,7 @@
 /** Short streams that run beside: 45.4 a second on 6 machines, x 1.7. */
 const STREAM_RATE = 13;
 const STREAM_CLIENTS = 40;
-const PREFILL_MS = 350;
+const PREFILL_MS = 500;
 const EVENTS = 49;
 const EVENT_PAUSE_MS = 20;
 
