--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -62,9 +62,11 @@
 
 // The link of the machine: all clients together send no faster.
 let linkFreeAt = 0;
+let longestWait = 0;
 async function takeLink(bytes) {
   const now = performance.now();
   linkFreeAt = Math.max(now, linkFreeAt) + bytes / LINK_BYTES_PER_MS;
+  longestWait = Math.max(longestWait, linkFreeAt - now);
   if (linkFreeAt - now > 1) await sleep(linkFreeAt - now);
 }
 
@@ -212,6 +214,9 @@
   record(
     `${results.length} long orders sent, peak memory ${peak.toFixed(0)} MB`,
   );
+  record(
+    `a chunk of 64 KB waited ${longestWait.toFixed(0)} ms at most at the link`,
+  );
   if (killedAt !== undefined) {
     record(
       `LOST: ${lost.length} requests had been passed on to sound replicas, ran, ` +
