Review: take different free ports for one run

Cause: ports were probed one after the other, and one run in a clean checkout got the same port twice (exit code 2, could not run). Change: all ports of a run are probed at once.

--- a/review/standins/daemon.mjs
+++ b/review/standins/daemon.mjs
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { findPort, takeHost, waitFor } from "./net.mjs";
+import { findPorts, takeHost, waitFor } from "./net.mjs";
 
 const ROOT = fileURLToPath(new URL("../..", import.meta.url));
 
@@ -33,10 +33,8 @@
 export async function createFleet({ store }) {
   const folder = mkdtempSync(join(tmpdir(), "review-"));
   const children = new Set();
-  const ports = {};
-  for (const name of ["front", "ready", "control", "internal"]) {
-    ports[name] = await findPort("127.0.0.1");
-  }
+  const [front, ready, control, internal] = await findPorts("127.0.0.1", 4);
+  const ports = { front, ready, control, internal };
   const [program, ...words] = readCommand();
 
   function get(host, port, path) {
--- a/review/standins/net.mjs
+++ b/review/standins/net.mjs
@@ -1,4 +1,5 @@
 // Loopback addresses and free ports of one run, and small helpers.
+import { once } from "node:events";
 import { createServer } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
@@ -14,16 +15,17 @@
   return `${network}.${lastHost}`;
 }
 
-/** Returns a port that is free on the address now. */
-export function findPort(host) {
-  return new Promise((resolve, reject) => {
-    const probe = createServer();
-    probe.once("error", reject);
-    probe.listen(0, host, () => {
-      const { port } = probe.address();
-      probe.close(() => resolve(port));
-    });
-  });
+/** Returns different ports that are free on the address now. */
+export async function findPorts(host, count) {
+  const probes = Array.from({ length: count }, () => createServer());
+  const ports = [];
+  for (const probe of probes) {
+    probe.listen(0, host);
+    await once(probe, "listening");
+    ports.push(probe.address().port);
+  }
+  for (const probe of probes) probe.close();
+  return ports;
 }
 
 /** Polls a condition; returns false when it is not met in time. */
