--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -103,9 +103,11 @@
   const results = await Promise.all(answers);
 
   // In touch from `contact_ms` after the last disruption.
-  const inTouchAt = Math.max(healedAt, removedAt) + BOUNDS.contact_ms;
-  const late = arrivals.filter(({ replica, at }) => {
-    const isLate = at > removedAt + BOUNDS.drain_ms && at > inTouchAt;
+  const inTouchAt = HAS_TROUBLE ? healedAt + BOUNDS.contact_ms : -Infinity;
+  const sentAt = new Map(results.map(({ id, sentAt: at }) => [id, at]));
+  const late = arrivals.filter(({ id, replica, at }) => {
+    const isLate = at > removedAt + BOUNDS.drain_ms &&
+      sentAt.get(id) > inTouchAt;
     return replica === leaver.id && isLate;
   });
   const lost = results.filter(({ id, status }) =>
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,5 +1,6 @@
 // A daemon gets SIGTERM. A sound replica falls silent for a second or so, as it
-// may, and goes on; the other one is full. Streams are cut that would have ended
+// may, and goes on; the other one is full
+// with requests of another daemon. Streams are cut that would have ended
 // well before the end of the grace period.
 import { appendFileSync, writeFileSync } from "node:fs";
 import { send } from "../standins/client.mjs";
@@ -17,7 +18,7 @@
 const EVENT_PAUSE_MS = 50;
 /** One of two replicas falls silent for a second or so, three times. */
 const SILENCES = 3;
-const SILENCE_MS = 1_100;
+const SILENCE_MS = 1_200;
 const PAUSE_MS = 400;
 
 const start = performance.now();
@@ -27,21 +28,22 @@
   appendFileSync(RECORD, `${at.padStart(8)} s  ${text}\n`);
 }
 
-/** Requests that each replica has begun, and refusals by a full replica. */
+/** Places of each replica; the clients of front-2 ask for more than all. */
+const SLOTS = 24;
+const QUEUE = 4;
+const OTHER_CLIENTS = 48;
+
+/** Replicas that have begun a request, by its id. */
 const runs = new Map();
-let refusals = 0;
-let full;
 let silentUntil = -Infinity;
 
-async function runStream({ request, response, headers, refuse, self }) {
+async function runStream({ request, response, headers, self }) {
   const id = request.headers["request-id"];
-  if (self === full) {
-    refusals += 1;
-    return refuse(503);
-  }
   const first = Number(request.headers["last-event-id"] ?? 0) + 1;
   runs.set(id, [...runs.get(id) ?? [], self.id]);
-  record(`${id} runs at ${self.id} from event ${first}`);
+  if (id.startsWith("a")) {
+    record(`${id} runs at ${self.id} from event ${first}`);
+  }
   response.writeHead(200, { ...headers, "content-type": "text/event-stream" });
   for (let event = first; event <= EVENTS && !response.destroyed; event += 1) {
     const isSilent = () =>
@@ -66,14 +68,16 @@
     replicas.push(
       await startReplica(store, {
         ...{ id, service: "sizing-llm", isEngine: true, respond: runStream },
+        ...{ slots: SLOTS, queue: QUEUE },
       }),
     );
   }
   const daemon = await fleet.start("front-1");
+  const other = await fleet.start("front-2");
   await sleep(3_000);
   const target = { host: daemon.host, port: fleet.ports.front };
-  const ask = (name) =>
-    send(target, {
+  const ask = (name, { host } = daemon) =>
+    send({ ...target, host }, {
       ...{ id: name, path: "/advice/1", deadline: 15_000, body: "?" },
       headers: {
         Model: MODEL,
@@ -87,20 +91,33 @@
     await sleep(20);
   }
   await sleep(500);
-  // From here on, requests of other machines take all places of llm-2.
-  [, full] = replicas;
-  record("front-1 gets SIGTERM; llm-2 is full from now on");
+  let isOver = false;
+  let asked = 0;
+  async function askAgain() {
+    while (!isOver) {
+      asked += 1;
+      const { headers } = await ask(`o${asked}`, other);
+      const wait = Number(headers["retry-after"] ?? 0.02) * 1_000;
+      await sleep(wait);
+    }
+  }
+  const others = Array.from({ length: OTHER_CLIENTS }, askAgain);
+  await sleep(500);
+  const states = () =>
+    replicas.map(({ id, running }) => `${id} runs ${running} of ${SLOTS}`);
+  record(`front-1 gets SIGTERM; ${states().join(", ")}`);
   const stoppedAt = performance.now();
   daemon.child.kill("SIGTERM");
   for (let count = 0; count < SILENCES; count += 1) {
     await sleep(PAUSE_MS);
     if (HAS_TROUBLE) {
       silentUntil = performance.now() + SILENCE_MS;
-      record(`llm-1 falls silent for ${SILENCE_MS} ms`);
+      record(`llm-1 falls silent for ${SILENCE_MS} ms; ${states().join(", ")}`);
     }
     await sleep(SILENCE_MS);
   }
   const results = await Promise.all(streams);
+  isOver = true;
   for (const { id, status, isComplete, error, body, endedAt } of results) {
     const events = body.split("\n\n").length - 1;
     const ending = isComplete ? "complete" : `cut (${error ?? "closed"})`;
@@ -114,7 +131,6 @@
       body.includes(`id: ${EVENTS}\n`);
     return runs.has(id) && !isWhole && status !== 503;
   });
-  record(`${refusals} attempts were refused by llm-2, which was full`);
   for (const { id } of lost) {
     record(
       `LOST: ${id} had been passed on and ended without a complete answer`,
--- a/review/standins/replica.mjs
+++ b/review/standins/replica.mjs
@@ -13,20 +13,23 @@
  */
 export async function startReplica(store, options) {
   const { id, service, zone = "espoo", isEngine = false, respond } = options;
+  const { slots = 64, queue = 8 } = options;
   const born = Date.now();
   let writes = 0;
   let heartbeat;
   /** Second copies of answers, by channel. */
   const extras = new Map();
+  /** Requests that wait for a slot. */
+  const waiting = [];
   const self = {
     ...{
       id,
       version: 1,
       seq: 0,
       busy: false,
-      orders: [],
-      received: [],
+      running: 0,
       answers: 0,
+      isLeaving: false,
     },
   };
 
@@ -36,7 +39,7 @@
   function writeEntry() {
     writes += 1;
     store.put("servers", id, {
-      ...{ service, address: self.address, zone, version: "v1", slots: 64 },
+      ...{ service, address: self.address, zone, version: "v1", slots },
       ...{
         state: "ready",
         cold_remaining_ms: 0,
@@ -52,10 +55,17 @@
     response.end(JSON.stringify({ ...body, born }));
   }
 
+  const headersOf = (request) => ({
+    "Request-Id": request.headers["request-id"] ?? "",
+    "Replica-Load": `${self.running},${waiting.length},${slots}`,
+    ...isEngine ? { "Weight-Versions": String(self.version) } : {},
+    ...self.isLeaving ? { "Server-Leaving": "1" } : {},
+  });
+
   function refuse(request, response, status) {
     const headers = {
-      "Request-Id": request.headers["request-id"] ?? "",
-      ...{ "Not-Executed": "1", "Replica-Id": id, "Content-Length": "0" },
+      ...headersOf(request),
+      ...{ "Not-Executed": "1", "Content-Length": "0" },
     };
     response.writeHead(status, headers).end();
     if (options.repeatsRefusal?.(status, self) !== true) return;
@@ -68,6 +78,21 @@
     );
   }
 
+  /** Waits for a slot; returns false when the queue is full as well. */
+  async function takeSlot() {
+    if (self.running >= slots) {
+      if (waiting.length >= queue) return false;
+      await new Promise((resolve) => waiting.push(resolve));
+    }
+    self.running += 1;
+    return true;
+  }
+
+  function giveSlot() {
+    self.running -= 1;
+    waiting.shift()?.();
+  }
+
   /** Sends the second copy of an answer where the next one is expected. */
   function sendExtra({ socket, headers }) {
     const extra = extras.get(socket);
@@ -89,8 +114,12 @@
     const isOther = expected !== undefined && expected !== id;
     if (path === "/peridotvalve/report") {
       if (isOther) return refuse(request, response, 421);
-      const { busy, seq } = self;
-      return sendJson(response, 200, { models: models(), busy, seq });
+      const { busy, seq, running } = self;
+      return sendJson(response, 200, {
+        ...{ stage: "colocated", models: models(), busy, seq, running },
+        ...{ waiting: waiting.length, kv_used: 0, kv_total: 165_933 },
+        handles: 0,
+      });
     }
     if (path === "/peridotvalve/order") {
       if (isOther) return refuse(request, response, 421);
@@ -120,18 +149,18 @@
     if (weights !== undefined && Number(weights) !== self.version) {
       return refuse(request, response, 421);
     }
-    self.received.push(request);
-    await respond({
-      ...{ request, response, body, self },
-      refuse: (status) => refuse(request, response, status),
-      headers: {
-        "Request-Id": headers["request-id"],
+    // A request that an order concerns does not start before its end.
+    if (self.busy || !await takeSlot()) return refuse(request, response, 503);
+    try {
+      if (response.destroyed) return;
+      const answer = {
+        ...headersOf(request),
         "Response-Seal": `seal.${id}.${headers["request-id"]}`,
-        "Replica-Load": "1,0,64",
-        ...self.isLeaving ? { "Server-Leaving": "1" } : {},
-        ...isEngine ? { "Weight-Versions": String(self.version) } : {},
-      },
-    });
+      };
+      await respond({ request, response, body, self, headers: answer });
+    } finally {
+      giveSlot();
+    }
   }
 
   const server = createServer((request, response) => {
