--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,6 +1,6 @@
 // A daemon gets SIGTERM. A sound replica falls silent for a second or so, as it
 // may, and goes on; the other one is full
-// with requests of another daemon. Streams are cut that would have ended
+// with requests of other daemons. Streams are cut that would have ended
 // well before the end of the grace period.
 import { appendFileSync, writeFileSync } from "node:fs";
 import { send } from "../standins/client.mjs";
@@ -28,10 +28,10 @@
   appendFileSync(RECORD, `${at.padStart(8)} s  ${text}\n`);
 }
 
-/** Places of each replica; the clients of front-2 ask for more than all. */
+/** Places of each replica; the clients of the others ask for more than all. */
 const SLOTS = 24;
 const QUEUE = 4;
-const OTHER_CLIENTS = 48;
+const OTHER_CLIENTS = 96;
 
 /** Replicas that have begun a request, by its id. */
 const runs = new Map();
@@ -73,7 +73,7 @@
     );
   }
   const daemon = await fleet.start("front-1");
-  const other = await fleet.start("front-2");
+  const others = [await fleet.start("front-2"), await fleet.start("front-3")];
   await sleep(3_000);
   const target = { host: daemon.host, port: fleet.ports.front };
   const ask = (name, { host } = daemon) =>
@@ -93,7 +93,7 @@
   await sleep(500);
   let isOver = false;
   let asked = 0;
-  async function askAgain() {
+  async function askAgain(other) {
     while (!isOver) {
       asked += 1;
       const { headers } = await ask(`o${asked}`, other);
@@ -101,7 +101,9 @@
       await sleep(wait);
     }
   }
-  const others = Array.from({ length: OTHER_CLIENTS }, askAgain);
+  for (let client = 0; client < OTHER_CLIENTS; client += 1) {
+    void askAgain(others[client % others.length]);
+  }
   await sleep(500);
   const states = () =>
     replicas.map(({ id, running }) => `${id} runs ${running} of ${SLOTS}`);
