--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -43,7 +43,7 @@
 let exitCode = 2;
 try {
   store.put("op", "config", composeState(5));
-  for (const id of ["shop-1", "shop-2", "shop-3"]) {
+  for (const id of ["shop-1", "shop-2", "shop-3", "shop-4"]) {
     replicas.push(
       await startReplica(store, {
         ...{ id, service: "shop-app", respond: runOrder },
