TWICE: repeat a refused request over a connection of its own

Cause: all attempts of a request share its id, and the connection of a 421 went back to the pool, so the late copy was taken for the answer to the repeat.

Change: a request that a replica has answered is sent there again over a new connection; a copy can only come on the one of the answer.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -20,6 +20,12 @@
   /** Flat list of names and values. */
   readonly headers: string[];
   readonly body: Uint8Array | undefined;
+  /**
+   * True for a request that the replica has answered before. A second copy of
+   * that answer bears the id of the request and may come at any time, but only
+   * on the connection of the answer, so the request gets one of its own.
+   */
+  readonly isRepeat?: boolean;
   /**
    * Asked before the first byte is written; when it returns false, the attempt
    * fails unsent with the reason `LATE_START`.
@@ -101,25 +107,27 @@
 
 export function createConnectionPools(): ConnectionPools {
   const pools = new Map<string, Pool>();
+  /** Pools of one request each. */
+  const singles = new Set<Pool>();
 
   function poolOf(origin: string, connections: number): Pool {
     const known = pools.get(origin);
     if (known !== undefined) return known;
-    const pool = new Pool(`http://${origin}`, {
-      connections,
-      pipelining: 1,
-      keepAliveTimeout: DEFAULT_IDLE,
-      keepAliveMaxTimeout: MAX_IDLE,
-      keepAliveTimeoutThreshold: IDLE_MARGIN,
-      connect,
-      // Each attempt sets its own deadlines.
-      headersTimeout: 0,
-      bodyTimeout: 0,
-    });
+    const pool = createPool(origin, connections);
     pools.set(origin, pool);
     return pool;
   }
 
+  function openAlone(request: AttemptRequest): Attempt {
+    const pool = createPool(request.origin, 1);
+    singles.add(pool);
+    const attempt = openAttempt(pool, request);
+    // Closes once the request has ended; rejects only when the pool is already
+    // closed.
+    pool.close().catch(() => {}).finally(() => singles.delete(pool));
+    return attempt;
+  }
+
   function drop(origin: string): void {
     const pool = pools.get(origin);
     if (pool === undefined) return;
@@ -130,6 +138,7 @@
 
   return new (class extends ConnectionPools {
     override open(request: AttemptRequest): Attempt {
+      if (request.isRepeat === true) return openAlone(request);
       return openAttempt(poolOf(request.origin, request.connections), request);
     }
 
@@ -143,7 +152,8 @@
 
     override async close(reason: string): Promise<void> {
       const error = new Error(reason);
-      await Promise.all([...pools.values()].map((pool) => pool.destroy(error)));
+      const all = [...pools.values(), ...singles];
+      await Promise.all(all.map((pool) => pool.destroy(error)));
     }
   })();
 }
@@ -153,6 +163,20 @@
   keepAliveDelay: KEEP_ALIVE_DELAY,
 });
 
+function createPool(origin: string, connections: number): Pool {
+  return new Pool(`http://${origin}`, {
+    connections,
+    pipelining: 1,
+    keepAliveTimeout: DEFAULT_IDLE,
+    keepAliveMaxTimeout: MAX_IDLE,
+    keepAliveTimeoutThreshold: IDLE_MARGIN,
+    connect,
+    // Each attempt sets its own deadlines.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+}
+
 function openAttempt(pool: Pool, request: AttemptRequest): Attempt {
   const buffered: Uint8Array[] = [];
   let bufferedBytes = 0;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -204,6 +204,8 @@
     let unsent = 0;
     let refusals = 0;
     const refusedBy = new Set<string>();
+    /** Addresses at which a replica has answered this request. */
+    const answeredAt = new Set<string>();
     const progress: ResponseProgress = {
       firstEvent: 0,
       lastEvent: forwarded.lastEvent ?? 0,
@@ -487,6 +489,7 @@
           sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
+        isRepeat: answeredAt.has(entry.address),
         method: forwarded.method,
         path: forwarded.path,
         body: forwarded.body,
@@ -588,6 +591,7 @@
         guarded.recordReceived();
       }
       if (result.isErr()) return watch.cause() ?? toOutcome(result.error);
+      answeredAt.add(choice.replica.entry.address);
       const head = result.value;
       const metadata = headerCodec.readResponse(head.status, head.headers);
       const mismatch = findMismatch(metadata);
