DRAIN: tell peers of removals before a whole table was taken

Change: a whole table counts as forgetting all earlier removals, a peer names the version that it knows, and removals of unknown rows are kept for peers.

--- a/packages/gateway/src/followed_rows.test.ts
+++ b/packages/gateway/src/followed_rows.test.ts
@@ -14,6 +14,11 @@
   return { key, value, version };
 }
 
+const positionOf = (rows: FollowedRows) => ({
+  content: rows.contentVersion(),
+  version: rows.version(),
+});
+
 const keys = (rows: FollowedRows) => rows.list().map(({ key }) => key).sort();
 
 test("a heartbeat of a row does not count as a change", () => {
@@ -38,14 +43,14 @@
 test("a peer gets what changed since its content version", () => {
   const [reader, other] = [createRows(), createRows()];
   reader.replaceAll([row("a", "r", 3), row("b", "r", 4)], 5);
-  other.adopt(reader.changesSince(other.contentVersion()));
+  other.adopt(reader.changesSince(positionOf(other)));
   expect(keys(other)).toEqual(["a", "b"]);
   reader.applyChanges({
     rows: [row("c", "r", 8)],
     removed: ["a"],
     version: 9,
   });
-  const update = reader.changesSince(other.contentVersion());
+  const update = reader.changesSince(positionOf(other));
   expect([update.isWhole, update.rows.length, update.removed.length])
     .toEqual([false, 1, 1]);
   other.adopt(update);
@@ -85,8 +90,57 @@
   for (const [index, { key }] of all.entries()) {
     rows.applyChanges({ rows: [], removed: [key], version: 2_000 + index });
   }
-  expect(rows.changesSince(1_100).isWhole).toEqual(true);
-  expect(rows.changesSince(2_500).isWhole).toEqual(false);
+  const isWholeAt = (version: number) =>
+    rows.changesSince({ content: version, version }).isWhole;
+  expect(isWholeAt(1_100)).toEqual(true);
+  expect(isWholeAt(2_500)).toEqual(false);
+});
+
+// Guards against DRAIN: a daemon cut from the store takes rows from a peer that
+// was started after a replica left, and keeps that replica for good.
+test("a peer learns of a removal before the start of the reader", () => {
+  const [cut, restarted] = [createRows(), createRows()];
+  cut.replaceAll([row("a", "r", 3), row("b", "r", 4)], 5);
+  // "b" is removed with version 8.
+  restarted.replaceAll([row("a", "r", 9)], 10);
+  cut.adopt(restarted.changesSince(positionOf(cut)));
+  expect(keys(cut)).toEqual(["a"]);
+  restarted.applyChanges({
+    rows: [row("c", "r", 11)],
+    removed: [],
+    version: 11,
+  });
+  expect(restarted.changesSince(positionOf(cut)).isWhole).toEqual(false);
+});
+
+test("a peer learns of a removal while the reader had lost the history", () => {
+  const [cut, reader] = [createRows(), createRows()];
+  reader.replaceAll([row("a", "r", 3)], 4);
+  cut.replaceAll([row("a", "r", 3), row("b", "r", 5)], 6);
+  reader.replaceAll([row("a", "r", 9)], 10);
+  reader.applyChanges({ rows: [row("c", "r", 11)], removed: [], version: 11 });
+  cut.adopt(reader.changesSince(positionOf(cut)));
+  expect(keys(cut)).toEqual(["a", "c"]);
+});
+
+test("a peer learns of a removal through daemons that took a whole table", () => {
+  const [cut, restarted, between] = [createRows(), createRows(), createRows()];
+  cut.replaceAll([row("a", "r", 3), row("b", "r", 4)], 5);
+  restarted.replaceAll([row("a", "r", 9)], 10);
+  between.adopt(restarted.changesSince(positionOf(between)));
+  cut.adopt(between.changesSince(positionOf(cut)));
+  expect(keys(cut)).toEqual(["a"]);
+});
+
+test("a peer learns of a removal of a row that the reader never knew", () => {
+  const [cut, reader] = [createRows(), createRows()];
+  reader.replaceAll([row("a", "r", 3)], 4);
+  cut.replaceAll([row("a", "r", 3), row("b", "r", 5)], 6);
+  const change = reader.applyChanges({ rows: [], removed: ["b"], version: 8 });
+  expect(change.removed).toEqual([]);
+  expect(reader.contentVersion() > cut.contentVersion()).toEqual(true);
+  cut.adopt(reader.changesSince(positionOf(cut)));
+  expect(keys(cut)).toEqual(["a"]);
 });
 
 /** Rows that state their progress: the number behind the first character. */
@@ -137,7 +191,7 @@
   fresh.replaceAll(copied, toVersion(2, 50));
   old.replaceAll(copied, toVersion(2, 51));
   expect(old.contentVersion() > fresh.contentVersion()).toEqual(true);
-  fresh.adopt(old.changesSince(fresh.contentVersion()));
+  fresh.adopt(old.changesSince(positionOf(fresh)));
   expect(values(fresh)).toEqual(["s7"]);
   fresh.adopt({
     version: toVersion(2, 52),
--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -40,7 +40,15 @@
   }): RowChange;
   /** Takes the rows of a peer; returns the changes, or undefined if none. */
   adopt(update: TableUpdate): RowChange | undefined;
-  changesSince(contentVersion: number): TableUpdate;
+  changesSince(position: TablePosition): TableUpdate;
+}
+
+/** How far a daemon knows a table. */
+export interface TablePosition {
+  /** See `FollowedRows.contentVersion`. */
+  readonly content: number;
+  /** See `FollowedRows.version`. */
+  readonly version: number;
 }
 
 export interface FollowedRowsOptions {
@@ -84,7 +92,10 @@
   const known = new Map<string, KnownRow>();
   /** Removed rows and the versions at which they were, oldest first. */
   const removals = new Map<string, Removal>();
-  /** Removals up to this version have been forgotten. */
+  /**
+   * Removals up to this version may be missing here: they were forgotten, or
+   * came before a whole table was taken, which does not list them.
+   */
   let forgottenUpTo = 0;
   let version = 0;
   let content = 0;
@@ -122,10 +133,15 @@
   /** Returns true when the key was present. */
   function remove(key: string, at: number): boolean {
     const previous = known.get(key);
-    if (previous === undefined || previous.row.version > at) return false;
+    const newest = previous?.row.version ?? removals.get(key)?.at ?? 0;
+    if (newest > at) return false;
     known.delete(key);
     removals.delete(key);
-    removals.set(key, { at, progress: progressOf(previous.row) });
+    const progress = previous === undefined
+      ? undefined
+      : progressOf(previous.row);
+    // Peers may know a row that came and went between two reads of this daemon.
+    removals.set(key, { at, progress });
     content = Math.max(content, at);
     while (removals.size > MAX_REMOVALS) {
       const [oldest] = removals;
@@ -133,7 +149,7 @@
       removals.delete(oldest[0]);
       forgottenUpTo = Math.max(forgottenUpTo, oldest[1].at);
     }
-    return true;
+    return previous !== undefined;
   }
 
   /** Rows that are to be removed, as a whole table at `newest` lacks them. */
@@ -167,6 +183,7 @@
       for (const row of rows) put(row);
       if (isReturn) announceKept(rows, newest);
       version = newest;
+      forgottenUpTo = newest;
       return true;
     },
     applyChanges({ rows, removed, version: newest }) {
@@ -185,10 +202,11 @@
       const removed = absent.filter(([key, at]) => remove(key, at))
         .map(([key]) => key);
       version = Math.max(version, update.version);
+      if (update.isWhole) forgottenUpTo = update.version;
       return { changed, removed };
     },
-    changesSince(since) {
-      const isWhole = since === 0 || since < forgottenUpTo;
+    changesSince({ content: since, version: peerVersion }) {
+      const isWhole = since === 0 || peerVersion < forgottenUpTo;
       const rows = [...known.values()].filter(({ changedAt }) =>
         isWhole || changedAt > since
       );
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -15,7 +15,7 @@
 import { createServer, type Server } from "node:http";
 import { Err, Ok, Result } from "ts-results-es";
 import { z } from "zod";
-import type { TableUpdate } from "./followed_rows.ts";
+import type { TablePosition, TableUpdate } from "./followed_rows.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 const CALL_TIMEOUT: Milliseconds = 1_000;
@@ -72,8 +72,11 @@
       return dumpStore(path.slice(STORES_PATH.length));
     }
     if (!path.startsWith(ROWS_PATH)) return undefined;
-    const after = Number(url.searchParams.get("after") ?? 0);
-    return tables.get(path.slice(ROWS_PATH.length))?.changesSince(after);
+    const content = Number(url.searchParams.get("after") ?? 0);
+    // Daemons of earlier releases do not name the version that they know.
+    const version = Number(url.searchParams.get("known") ?? content);
+    return tables.get(path.slice(ROWS_PATH.length))
+      ?.changesSince({ content, version });
   }
 
   return createServer({ keepAliveTimeout: IDLE_TIMEOUT }, (
@@ -99,10 +102,10 @@
 }
 
 export interface PeerClient {
-  /** Reads the changes of a table after a content version. */
+  /** Reads what a daemon at the position lacks of a table. */
   readRows(
     address: string,
-    query: { readonly table: string; readonly after: number },
+    query: { readonly table: string; readonly position: TablePosition },
   ): Promise<Result<TableUpdate, string>>;
   readStore(
     address: string,
@@ -142,8 +145,9 @@
   }
 
   return {
-    async readRows(address, { table, after }) {
-      const path = `${ROWS_PATH}${encodeURIComponent(table)}?after=${after}`;
+    async readRows(address, { table, position: { content, version } }) {
+      const query = `after=${content}&known=${version}`;
+      const path = `${ROWS_PATH}${encodeURIComponent(table)}?${query}`;
       const read = await call(address, path, UPDATE);
       return read.map((update) => update as TableUpdate);
     },
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -79,11 +79,13 @@
   const calls = new (class implements PeerClient {
     readRows(
       address: string,
-      { after }: { readonly after: number },
+      { position }: Parameters<PeerClient["readRows"]>[1],
     ): ReturnType<PeerClient["readRows"]> {
       const follower = followers.get(address);
       return Promise.resolve(
-        follower === undefined ? Err("gone") : Ok(follower.changesSince(after)),
+        follower === undefined
+          ? Err("gone")
+          : Ok(follower.changesSince(position)),
       );
     }
     readStore(): ReturnType<PeerClient["readStore"]> {
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -367,8 +367,11 @@
     const address = registration.find(peer)?.calls;
     if (address === undefined || fetching.has(table)) return;
     fetching.add(table);
-    const after = follower.contentVersion();
-    const read = await calls.readRows(address, { table, after });
+    const position = {
+      content: follower.contentVersion(),
+      version: follower.version(),
+    };
+    const read = await calls.readRows(address, { table, position });
     fetching.delete(table);
     if (read.isErr()) {
       logger.log("peer_unreachable", { peer, reason: read.error });
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -8,7 +8,11 @@
 import type { EventLogger } from "@peridotvalve/events";
 import { eraOf, type FeedRow, type TableFeed } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
-import { createFollowedRows, type TableUpdate } from "./followed_rows.ts";
+import {
+  createFollowedRows,
+  type TablePosition,
+  type TableUpdate,
+} from "./followed_rows.ts";
 
 export interface FollowerOptions {
   readonly clock: Clock;
@@ -52,7 +56,7 @@
   /** Returns true while this daemon reads the table from the store. */
   abstract isReading(): boolean;
   abstract rows(): readonly FeedRow[];
-  abstract changesSince(contentVersion: number): TableUpdate;
+  abstract changesSince(position: TablePosition): TableUpdate;
   /** Takes rows from a peer; returns true if they were newer. */
   abstract adopt(update: TableUpdate): boolean;
   /** Records that a peer has read the table `age` ago. */
@@ -207,8 +211,8 @@
       return known.list();
     }
 
-    override changesSince(contentVersion: number): TableUpdate {
-      return known.changesSince(contentVersion);
+    override changesSince(position: TablePosition): TableUpdate {
+      return known.changesSince(position);
     }
 
     override adopt(update: TableUpdate): boolean {
