LOST: leave a silent replica only once another has accepted the request

Cause: the attempt was cancelled once a place at another replica was reserved here. That replica had not accepted the request yet; it refused, and after three refusals or without a retry left the stream was cut.

Change: succession.ts begins the attempt at the other replica beside the present one and cancels the present one when the other has accepted. If the silent replica goes on first, the other attempt is withdrawn.

--- a/packages/gateway/src/attempt_watch.test.ts
+++ b/packages/gateway/src/attempt_watch.test.ts
@@ -7,7 +7,7 @@
 import { Attempt, type AttemptFailure } from "./connection_pools.ts";
 
 /** A watched attempt whose replica sends nothing, and its cancellations. */
-function setUp(t: TestContext, reserveOther: () => boolean) {
+function setUp(t: TestContext, seekOther: () => boolean) {
   const clock = createSystemClock();
   const cancelled: string[] = [];
   let endCancelled = () => {};
@@ -31,7 +31,7 @@
     caller,
     deadline: clock.monotonic() + 60_000,
     silence: () => Infinity,
-    reserveOther,
+    seekOther,
   });
   t.after(() => watch.stop());
   return { watch, cancelled, isCancelled };
--- a/packages/gateway/src/attempt_watch.ts
+++ b/packages/gateway/src/attempt_watch.ts
@@ -31,7 +31,9 @@
    */
   | { readonly kind: "broken"; readonly reason: string }
   | { readonly kind: "left" }
-  | { readonly kind: "overdue" };
+  | { readonly kind: "overdue" }
+  /** Cancelled, because an earlier attempt of the request goes on. */
+  | { readonly kind: "withdrawn" };
 
 /** Reason of an attempt that was cancelled because its replica was silent. */
 export const SILENT = "silent";
@@ -40,9 +42,13 @@
   /**
    * Cancels the attempt when the replica sends nothing for `limit` from now on,
    * or for `busyLimit` while other requests receive data from it. The attempt
-   * goes on while no other replica can take the request.
+   * goes on while no other replica has accepted the request.
    */
   limitSilence(limit: Milliseconds, busyLimit?: Milliseconds): void;
+  /** Cancels the attempt at once, as another replica has taken the request. */
+  leave(): void;
+  /** Cancels the attempt, as an earlier one goes on. */
+  withdraw(): void;
   /**
    * Outcome of a cancelled attempt; undefined when it was not cancelled here.
    */
@@ -50,8 +56,8 @@
   stop(): void;
 }
 
-/** Interval between tries to reserve another replica than the silent one. */
-const RESERVATION_PERIOD: Milliseconds = 200;
+/** Interval between tries to move to another replica than the silent one. */
+const SEARCH_PERIOD: Milliseconds = 200;
 
 /** Watches an attempt until `stop` is called. */
 export function watchAttempt(attempt: Attempt, options: {
@@ -61,9 +67,10 @@
   /** Time since data was last received from the replica. */
   readonly silence: () => Milliseconds;
   /**
-   * Reserves a place at another replica; returns false when none has room now.
+   * Tries another replica; returns true when one has accepted the request. It
+   * is called again while the replica is silent.
    */
-  readonly reserveOther: () => boolean;
+  readonly seekOther: () => boolean;
 }): AttemptWatch {
   const { clock, caller, deadline, silence } = options;
   let cause: AttemptOutcome | undefined;
@@ -99,15 +106,18 @@
             );
             return;
           }
-          if (!options.reserveOther()) {
-            this.limitSilence(RESERVATION_PERIOD);
-            return;
-          }
-          cancelAttempt({ kind: "lost", reason: SILENT }, SILENT);
+          if (options.seekOther()) return this.leave();
+          this.limitSilence(SEARCH_PERIOD);
         });
       }, limit);
       silenceTimer = timer;
     },
+    leave() {
+      cancelAttempt({ kind: "lost", reason: SILENT }, SILENT);
+    },
+    withdraw() {
+      cancelAttempt({ kind: "withdrawn" }, "an earlier attempt goes on");
+    },
     cause: () => cause,
     stop() {
       isStopped = true;
--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -85,6 +85,8 @@
 
 const idleWatch: AttemptWatch = {
   limitSilence() {},
+  leave() {},
+  withdraw() {},
   cause: () => undefined,
   stop() {},
 };
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -56,6 +56,7 @@
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
 import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
+import { createSuccession, type Reception } from "./succession.ts";
 
 export interface RelayOptions {
   readonly clock: Clock;
@@ -133,6 +134,20 @@
   readonly trackedRequest: TrackedRequest;
 }
 
+interface SentAttempt {
+  readonly number: number;
+  readonly startedAt: Milliseconds;
+  readonly attempt: Attempt;
+  readonly watch: AttemptWatch;
+  readonly choice: Choice;
+  readonly trackedRequest: TrackedRequest;
+  readonly guarded: GuardedAttempt;
+}
+
+interface RunningAttempt extends SentAttempt {
+  readonly reception: Promise<Reception<ResponseHead>>;
+}
+
 /** Unsent attempts after which the request fails. */
 const MAX_UNSENT = 4;
 
@@ -203,6 +218,8 @@
     let hasCrashed = false;
     let unsent = 0;
     let refusals = 0;
+    /** Refusals by other replicas while the present one was silent. */
+    let refusedMoves = 0;
     const refusedBy = new Set<string>();
     /** Addresses at which a replica has answered this request. */
     const answeredAt = new Set<string>();
@@ -214,76 +231,30 @@
       hasPlainResponse: false,
     };
     let lastReason = "no replica";
+    /** The attempt whose response is forwarded. */
+    let present: RunningAttempt | undefined;
     budget.recordFirstAttempt(request.service);
 
     const remaining = () => request.deadline - clock.monotonic();
-    /** The other replica for a request that leaves a silent one. */
-    let reserved: Placed | undefined;
-    const takeReserved = () => {
-      const taken = reserved;
-      reserved = undefined;
-      return taken;
-    };
+    const succession = createSuccession<ResponseHead, RunningAttempt>({
+      open: openSuccessor,
+      settle(running, outcome) {
+        if (outcome.kind === "not run") refusedMoves += 1;
+        settle(running, outcome);
+      },
+      cancel: withdraw,
+    });
     const end = (ending: Ending): RelayResult => {
-      const unused = takeReserved();
-      if (unused !== undefined) release(unused);
+      succession.close();
       return { ending, sends };
     };
 
     for (;;) {
       if (options.stopped.aborted) return fail(lastReason, 502);
-      let readUpTo = await sendGate.pass();
-      if (caller.hasDisconnected()) return end({ kind: "abandoned" });
-      if (remaining() <= 0) return fail("timeout", 504);
-      const barred = crashGuard.check(request, hasCrashed);
-      if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
-      const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
-      if (!mayRetry || !placement.hasCandidates(request, excluded)) {
-        return fail(lastReason, 502);
-      }
-      if (sends > 0 && !budget.tryTake(request.service)) {
-        logger.log("retry_budget_spent", { kind: request.service }, subject);
-        return fail(`${lastReason}, no retries left`, 502);
-      }
-      const wait = reserved === undefined ? estimateWait() : 0;
-      const lastStart = Math.min(request.deadline, waitDeadline());
-      if (reserved === undefined && clock.monotonic() + wait > lastStart) {
-        return fail(`${lastReason}, too many wait`, 502, wait);
-      }
-      if (!endsBeforeExit(wait)) return refuseAtShutdown();
-      if (sends > 0) meters.recordRetry(request.service);
-      const queuedAt = clock.monotonic();
-      const placed = takeReserved() ?? await waitForPlace(lastStart);
-      if (placed === undefined) {
-        if (caller.hasDisconnected()) return end({ kind: "abandoned" });
-        if (!endsBeforeExit(0)) return refuseAtShutdown();
-        const late = crashGuard.check(request, hasCrashed);
-        if (late !== undefined) return fail(late.reason, 502, late.wait);
-        return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
-      }
-      if (request.prompt !== undefined) {
-        meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
-      }
-      const { choice } = placed;
-      if (!sendGate.isRecent(readUpTo)) readUpTo = await sendGate.pass();
-      if (caller.hasDisconnected()) {
-        release(placed);
-        return end({ kind: "abandoned" });
-      }
-      if (!endsBeforeExit(prefillTimeOf(request, choice))) {
-        release(placed);
-        return refuseAtShutdown();
-      }
-      // Another daemon may have condemned a part since the check.
-      const guarded = crashGuard.admit(request, choice.replica.entry);
-      if (guarded.kind === "refused") {
-        release(placed);
-        return fail(guarded.reason, 502, guarded.wait);
-      }
-      const outcome = await runAttempt(placed, {
-        guarded: guarded.attempt,
-        readUpTo,
-      });
+      const started = succession.take() ?? await startNext();
+      if ("ending" in started) return started;
+      const { replica } = started.choice;
+      const outcome = await finish(started);
       switch (outcome.kind) {
         case "done":
           if (sends === 1 && forwarded.lastEvent === undefined) {
@@ -291,6 +262,7 @@
           }
           return end({ ...progress, kind: "answered", status: outcome.status });
         case "left":
+        case "withdrawn":
           return end({ kind: "abandoned" });
         case "overdue":
           return fail("timeout", 504);
@@ -330,13 +302,74 @@
       // again.
       const mayReturn = outcome.kind === "not run" &&
         (outcome.misdirected || caller.hasStarted());
-      if (!mayReturn) excluded.add(choice.replica.entry.id);
-      if (outcome.kind === "not run") refusedBy.add(choice.replica.entry.id);
+      if (!mayReturn) excluded.add(replica.entry.id);
+      if (outcome.kind === "not run") refusedBy.add(replica.entry.id);
       else if (caller.hasStarted()) {
         for (const id of refusedBy) excluded.delete(id);
       }
     }
 
+    /**
+     * Waits for a place and starts an attempt; returns the result of the request
+     * when none may be made.
+     */
+    async function startNext(): Promise<RunningAttempt | RelayResult> {
+      let readUpTo = await sendGate.pass();
+      if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+      if (remaining() <= 0) return fail("timeout", 504);
+      const barred = crashGuard.check(request, hasCrashed);
+      if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
+      const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
+      if (!mayRetry || !placement.hasCandidates(request, excluded)) {
+        return fail(lastReason, 502);
+      }
+      if (sends > 0 && !takeRetry()) {
+        return fail(`${lastReason}, no retries left`, 502);
+      }
+      const wait = estimateWait();
+      const lastStart = Math.min(request.deadline, waitDeadline());
+      if (clock.monotonic() + wait > lastStart) {
+        return fail(`${lastReason}, too many wait`, 502, wait);
+      }
+      if (!endsBeforeExit(wait)) return refuseAtShutdown();
+      if (sends > 0) meters.recordRetry(request.service);
+      const queuedAt = clock.monotonic();
+      const placed = await waitForPlace(lastStart);
+      if (placed === undefined) {
+        if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+        if (!endsBeforeExit(0)) return refuseAtShutdown();
+        const late = crashGuard.check(request, hasCrashed);
+        if (late !== undefined) return fail(late.reason, 502, late.wait);
+        return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
+      }
+      if (request.prompt !== undefined) {
+        meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
+      }
+      const { choice } = placed;
+      if (!sendGate.isRecent(readUpTo)) readUpTo = await sendGate.pass();
+      if (caller.hasDisconnected()) {
+        release(placed);
+        return end({ kind: "abandoned" });
+      }
+      if (!endsBeforeExit(prefillTimeOf(request, choice))) {
+        release(placed);
+        return refuseAtShutdown();
+      }
+      // Another daemon may have condemned a part since the check.
+      const guarded = crashGuard.admit(request, choice.replica.entry);
+      if (guarded.kind === "refused") {
+        release(placed);
+        return fail(guarded.reason, 502, guarded.wait);
+      }
+      return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
+    }
+
+    function takeRetry(): boolean {
+      if (budget.tryTake(request.service)) return true;
+      logger.log("retry_budget_spent", { kind: request.service }, subject);
+      return false;
+    }
+
     /** Estimates how long the request waits for a replica that may take it. */
     function estimateWait(): Milliseconds {
       const rank = priorityOf(request);
@@ -379,12 +412,12 @@
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) ||
           crashGuard.check(request, hasCrashed) !== undefined,
-        place,
+        place: () => place(),
       });
     }
 
-    function place(): Placed | undefined {
-      const choice = placement.choose(request, excluded);
+    function place(without = excluded): Placed | undefined {
+      const choice = placement.choose(request, without);
       if (choice === undefined) return undefined;
       limits.take(choice.replica.entry);
       // Add the load at once, so that the next placement sees it.
@@ -413,19 +446,50 @@
       });
     }
 
-    /**
-     * Reserves a place at another replica than the given one, if the request may
-     * move now.
-     */
-    function reserveOther(id: string): boolean {
-      const mayMove = remaining() > MIN_REMAINING && endsBeforeExit(0) &&
+    /** Returns true when the request may be sent to one more replica now. */
+    function maySendBeside(): boolean {
+      return remaining() > MIN_REMAINING && endsBeforeExit(0) &&
+        !caller.hasDisconnected() &&
+        refusedMoves < MAX_REFUSALS &&
+        executions + 1 < request.route.maxExecutions &&
         budget.left(request.service) >= 1 &&
         crashGuard.check(request, hasCrashed) === undefined;
-      if (!mayMove) return false;
-      excluded.add(id);
-      reserved ??= place();
-      if (reserved === undefined) excluded.delete(id);
-      return reserved !== undefined;
+    }
+
+    /** Starts an attempt at another replica than the silent one. */
+    async function openSuccessor(
+      isWanted: () => boolean,
+    ): Promise<RunningAttempt | undefined> {
+      if (!maySendBeside()) return undefined;
+      const silent = present?.choice.replica.entry.id ?? "";
+      const placed = place(new Set([...excluded, silent]));
+      if (placed === undefined) return undefined;
+      const readUpTo = await sendGate.pass();
+      const isAllowed = isWanted() && maySendBeside() && takeRetry();
+      const guarded = isAllowed
+        ? crashGuard.admit(request, placed.choice.replica.entry)
+        : undefined;
+      if (guarded?.kind !== "admitted") {
+        release(placed);
+        return undefined;
+      }
+      meters.recordRetry(request.service);
+      return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
+    }
+
+    function withdraw(running: RunningAttempt): void {
+      running.watch.withdraw();
+      // It may have run unless its end shows that it did not.
+      executions += 1;
+      void running.reception.then((reception) => {
+        const outcome = reception.kind === "ended"
+          ? reception.outcome
+          : { kind: "withdrawn" as const };
+        if (outcome.kind === "not run" || outcome.kind === "unsent") {
+          executions -= 1;
+        }
+        settle(running, outcome);
+      });
     }
 
     function refuseAtShutdown(): RelayResult {
@@ -455,6 +519,7 @@
       status: 502 | 504,
       wait: Milliseconds = RETRY_AFTER,
     ): RelayResult {
+      succession.close();
       if (caller.hasStarted()) {
         caller.destroy();
         return end({ kind: "lost", reason, status: 0 });
@@ -469,14 +534,15 @@
       return end({ kind: "lost", reason, status });
     }
 
-    async function runAttempt(
+    /** Sends the request to the replica of the place. */
+    function startAttempt(
       { choice, trackedRequest }: Placed,
       { guarded, readUpTo }: {
         readonly guarded: GuardedAttempt;
         /** Time up to which the sockets of callers have been read. */
         readonly readUpTo: Milliseconds;
       },
-    ): Promise<AttemptOutcome> {
+    ): RunningAttempt {
       const { replica, version, salt, parts } = choice;
       const { entry } = replica;
       sends += 1;
@@ -532,72 +598,91 @@
         caller,
         deadline: request.deadline,
         silence: () => replicas.silence(entry.id),
-        reserveOther: () => reserveOther(entry.id),
+        seekOther() {
+          succession.seek(watch.leave).catch((error: unknown) =>
+            logger.log("handler_failed", { reason: String(error) }, subject)
+          );
+          return false;
+        },
       });
+      const sent = {
+        ...{ number, startedAt: started, attempt, watch },
+        ...{ choice, trackedRequest, guarded },
+      };
+      return { ...sent, reception: receive(sent) };
+    }
+
+    /** Forwards the response of an attempt; returns how the attempt ended. */
+    async function finish(running: RunningAttempt): Promise<AttemptOutcome> {
+      present = running;
       try {
-        const outcome = await awaitOutcome(attempt, {
-          choice,
-          watch,
-          trackedRequest,
-          guarded,
-          startedAt: started,
-        });
-        const wasBrokenOff = attempt.wasBrokenOff();
-        if (wasBrokenOff) hasCrashed = true;
-        guarded.recordEnd(outcome, wasBrokenOff);
-        replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
-        const { kind } = outcome;
-        meters.recordAttempt(
-          request.service,
-          kind === "done" ? "answered" : kind,
-        );
-        if (outcome.kind !== "done") {
-          logger.log("attempt_ended", {
-            number,
-            outcome: outcome.kind,
-            reason: "reason" in outcome ? outcome.reason : "",
-            elapsed: clock.monotonic() - started,
-          }, { ...subject, upstream: entry.id });
-        }
+        const outcome = await awaitOutcome(running);
+        recordEnd(running, outcome);
         return outcome;
       } finally {
-        watch.stop();
-        guarded.release();
-        trackedRequest.end();
-        queue.retry();
+        giveBack(running);
       }
     }
 
-    async function awaitOutcome(attempt: Attempt, context: {
-      readonly choice: Choice;
-      readonly watch: AttemptWatch;
-      readonly trackedRequest: TrackedRequest;
-      readonly guarded: GuardedAttempt;
-      readonly startedAt: Milliseconds;
-    }): Promise<AttemptOutcome> {
-      const { choice, watch, trackedRequest, guarded, startedAt } = context;
-      const isStream = request.route.kind === "stream";
-      const mayReplace = retryable &&
-        executions + 1 < request.route.maxExecutions;
-      const limitPlainSilence = () =>
-        watch.limitSilence(silenceLimit(request.route));
-      if (mayReplace && isStream) {
-        const limit = MAX_SILENCE + prefillTimeOf(request, choice);
-        watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
-      } else if (mayReplace) limitPlainSilence();
+    function settle(running: RunningAttempt, outcome: AttemptOutcome): void {
+      recordEnd(running, outcome);
+      giveBack(running);
+    }
+
+    function recordEnd(running: RunningAttempt, outcome: AttemptOutcome): void {
+      const { attempt, choice, guarded, number } = running;
+      const upstream = choice.replica.entry.id;
+      const wasBrokenOff = attempt.wasBrokenOff();
+      if (wasBrokenOff) hasCrashed = true;
+      guarded.recordEnd(outcome, wasBrokenOff);
+      replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
+      const { kind } = outcome;
+      meters.recordAttempt(
+        request.service,
+        kind === "done" ? "answered" : kind,
+      );
+      if (kind !== "done") {
+        logger.log("attempt_ended", {
+          number,
+          outcome: kind,
+          reason: "reason" in outcome ? outcome.reason : "",
+          elapsed: clock.monotonic() - running.startedAt,
+        }, { ...subject, upstream });
+      }
+    }
+
+    function giveBack({ watch, guarded, trackedRequest }: RunningAttempt) {
+      watch.stop();
+      guarded.release();
+      trackedRequest.end();
+      queue.retry();
+    }
+
+    /** Reads the head of the response, and whether it is the request's own. */
+    async function receive(
+      { attempt, choice, watch, guarded }: SentAttempt,
+    ): Promise<Reception<ResponseHead>> {
+      const ended = (outcome: AttemptOutcome) =>
+        ({ kind: "ended", outcome }) as const;
       const result = await attempt.head;
-      if (result.isOk()) {
-        replicas.recordReceived(choice.replica.entry.id);
-        guarded.recordReceived();
+      if (result.isErr()) {
+        const cause = watch.cause();
+        const isUnsent = result.error.kind === "unsent" &&
+          cause?.kind === "withdrawn";
+        return ended(
+          cause === undefined || isUnsent ? toOutcome(result.error) : cause,
+        );
       }
-      if (result.isErr()) return watch.cause() ?? toOutcome(result.error);
-      answeredAt.add(choice.replica.entry.address);
+      const { entry } = choice.replica;
+      replicas.recordReceived(entry.id);
+      guarded.recordReceived();
+      answeredAt.add(entry.address);
       const head = result.value;
       const metadata = headerCodec.readResponse(head.status, head.headers);
       const mismatch = findMismatch(metadata);
       if (mismatch !== undefined) {
         attempt.cancel(mismatch);
-        return { kind: "lost", reason: mismatch };
+        return ended({ kind: "lost", reason: mismatch });
       }
       recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
@@ -605,12 +690,36 @@
         await discardBody(attempt);
         const reason = `replica refused with ${head.status}`;
         const misdirected = metadata.isMisdirected;
-        return { kind: "not run", reason, misdirected, answer: metadata };
+        return ended({
+          ...{ kind: "not run", reason, misdirected },
+          answer: metadata,
+        });
       }
       if (isSuccess(head) && metadata.isSealed !== true) {
         attempt.cancel(UNSEALED);
-        return { kind: "lost", reason: UNSEALED };
+        return ended({ kind: "lost", reason: UNSEALED });
       }
+      return { kind: "accepted", head };
+    }
+
+    async function awaitOutcome(
+      running: RunningAttempt,
+    ): Promise<AttemptOutcome> {
+      const { attempt, choice, watch, trackedRequest, guarded } = running;
+      const { startedAt } = running;
+      const isStream = request.route.kind === "stream";
+      const mayReplace = retryable &&
+        executions + 1 < request.route.maxExecutions;
+      const limitPlainSilence = () =>
+        watch.limitSilence(silenceLimit(request.route));
+      if (mayReplace && isStream) {
+        const limit = MAX_SILENCE + prefillTimeOf(request, choice);
+        watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
+      } else if (mayReplace) limitPlainSilence();
+      const reception = await running.reception;
+      if (reception.kind === "ended") return reception.outcome;
+      succession.keepPresent();
+      const { head } = reception;
       const common = {
         clock,
         attempt,
@@ -633,6 +742,7 @@
           ...common,
           gapLimit: mayReplace ? gapLimit(request.route) : undefined,
           onData() {
+            succession.keepPresent();
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
             replicas.recordReceived(choice.replica.entry.id);
@@ -645,6 +755,7 @@
         ...common,
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
+          succession.keepPresent();
           replicas.recordReceived(choice.replica.entry.id);
           guarded.recordReceived();
           if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
