WALL: name the set of isolated customers in the salt of the others

Cause: the salt of customers that are not isolated did not change when one of them was isolated, so all that it had left stayed usable for the others.

Change: that salt names the set of isolated customers, which follows from the desired state alone; parts under it are of customers outside the set, also when a set comes back. A request keeps the set of the state that it was looked up in.

--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -88,6 +88,8 @@
   readonly services: ReadonlyMap<string, Service>;
   /** Customers by API key; undefined when none are configured. */
   readonly customers?: ReadonlyMap<string, Customer>;
+  /** Names of the isolated customers, with or without a key. */
+  readonly isolatedCustomers: readonly string[];
   readonly limits: Limits;
 }
 
--- a/packages/dispatch/src/dispatch_request.ts
+++ b/packages/dispatch/src/dispatch_request.ts
@@ -25,6 +25,11 @@
   readonly route: Route;
   readonly service: string;
   readonly customer?: Customer;
+  /**
+   * Name of the group whose cached parts the request may use unless its customer
+   * is isolated, as of the desired state that the customer is of.
+   */
+  readonly cacheGroup?: string;
   /** Present for requests to a model. */
   readonly prompt?: PromptMetadata;
   /** Arrival time, on the monotonic clock. */
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -3,6 +3,7 @@
  */
 export * from "./answer_times.ts";
 export * from "./cache_journal.ts";
+export * from "./cache_group.ts";
 export * from "./cache_view.ts";
 export * from "./desired_state.ts";
 export * from "./placement.ts";
--- a/packages/dispatch/src/placement.test.ts
+++ b/packages/dispatch/src/placement.test.ts
@@ -2,7 +2,8 @@
 import { test } from "node:test";
 import { createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
-import { isOutdatedSalt, saltOf } from "./placement.ts";
+import { nameCacheGroup } from "./cache_group.ts";
+import { isOutdatedSalt, readSalt, saltOf } from "./placement.ts";
 import { createWeightTargets } from "./weights.ts";
 
 // Guards against freeing parts of the first weights while requests fetch them:
@@ -32,3 +33,25 @@
   expect(salt).not.toEqual(saltOf({}, "m", 2));
   assert(isOutdatedSalt(salt, weights));
 });
+
+// Guards against WALL: parts that a customer left under the salt of a group are
+// found by the others after it has been isolated.
+test("the others have another salt once a customer is isolated", () => {
+  const groupOf = (...isolated: readonly string[]) => ({
+    cacheGroup: nameCacheGroup(isolated),
+  });
+  const salts = [[], ["a"], ["b"], ["a", "b"]].map((isolated) =>
+    saltOf(groupOf(...isolated), "m", 2)
+  );
+  expect(new Set(salts).size).toEqual(4);
+  expect(saltOf(groupOf("b", "a"), "m", 2)).toEqual(salts[3] ?? "");
+  expect(salts[0]).toEqual(saltOf({}, "m", 2));
+  const customer = { name: "a", isIsolated: true };
+  const own = ["a", "b"].map((other) =>
+    saltOf({ customer, ...groupOf("a", other) }, "m", 2)
+  );
+  expect(new Set(own).size).toEqual(1);
+  for (const salt of salts) {
+    expect(readSalt(salt)).toEqual({ model: "m", version: 2 });
+  }
+});
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -358,21 +358,23 @@
 
 /**
  * Composes the salt under which replicas cache the parts of a prompt. It
- * differs between weight versions, and between isolated customers and all
- * others.
+ * differs between weight versions, between isolated customers and all others,
+ * and between the groups that these others form.
  */
 export function saltOf(
-  { customer }: Pick<DispatchRequest, "customer">,
+  { customer, cacheGroup = "" }: Pick<
+    DispatchRequest,
+    "customer" | "cacheGroup"
+  >,
   model: string,
   version: number,
 ): string {
-  const isolationSuffix = customer?.isIsolated === true
-    ? `/${customer.name}`
-    : "";
-  return `${model}@${version}${isolationSuffix}`;
+  const scope = `${model}@${version}`;
+  if (customer?.isIsolated === true) return `${scope}/${customer.name}`;
+  return cacheGroup === "" ? scope : `${scope}~${cacheGroup}`;
 }
 
-const SALT_PATTERN = /^(.*?)@(\d+)(?:\/|$)/;
+const SALT_PATTERN = /^(.*?)@(\d+)(?:[/~]|$)/;
 
 /**
  * Returns true when the salt belongs to a version below the one named for its
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -159,6 +159,7 @@
       route,
       service,
       ...(customer === undefined ? {} : { customer }),
+      cacheGroup: active.cacheGroup,
       ...(metadata.model === undefined ? {} : { prompt: metadata.model }),
       arrivedAt,
       deadline: arrivedAt + Math.min(route.timeout, patience),
--- a/packages/gateway/src/state_holder.ts
+++ b/packages/gateway/src/state_holder.ts
@@ -5,6 +5,7 @@
 import {
   createRouteTable,
   type DesiredState,
+  nameCacheGroup,
   type RouteTable,
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
@@ -12,6 +13,8 @@
 export interface ActiveState {
   readonly state: DesiredState;
   readonly routes: RouteTable;
+  /** See `DispatchRequest.cacheGroup`. */
+  readonly cacheGroup: string;
 }
 
 export abstract class StateHolder {
@@ -31,7 +34,11 @@
       if (active !== undefined && state.version <= active.state.version) {
         return;
       }
-      active = { state, routes: createRouteTable(state.routes) };
+      active = {
+        state,
+        routes: createRouteTable(state.routes),
+        cacheGroup: nameCacheGroup(state.isolatedCustomers),
+      };
       logger.log("state_adopted", { version: state.version, source });
     }
   })();
