DRAIN: heed the word of a replica that it leaves

Cause: nothing read the header, so a replica got requests until its entry in the list changed.

Change: the word is a lasting statement of the replica's incarnation. The end of one counts as planned.

--- a/packages/backpressure/src/statement.ts
+++ b/packages/backpressure/src/statement.ts
@@ -10,8 +10,16 @@
    * names no limit.
    */
   readonly limit?: RequestRate;
+  /** Present when the replica says that it leaves. */
+  readonly leaving?: 1;
 }
 
 export type StatementKind = keyof Statement;
 
-export const STATEMENT_KINDS: readonly StatementKind[] = ["limit"];
+export const STATEMENT_KINDS: readonly StatementKind[] = ["limit", "leaving"];
+
+/**
+ * Kinds that hold until the end of the incarnation, also when nothing is heard
+ * from it any more.
+ */
+export const LASTING_KINDS: ReadonlySet<StatementKind> = new Set(["leaving"]);
--- a/packages/backpressure/src/statements.test.ts
+++ b/packages/backpressure/src/statements.test.ts
@@ -41,3 +41,29 @@
   expect(statements.find({ id: "i-0" }, "limit")).toEqual(undefined);
   expect(statements.find({ id: "i-1" }, "limit")?.value).toEqual(1);
 });
+
+// Guards against DRAIN: nothing is sent to a replica that leaves, so nothing is
+// heard of it, and it must not be used again for that.
+test("a replica that leaves does so until its end", async () => {
+  const clock = createManualClock();
+  const [statements, peer] = [
+    createStatements({ clock }),
+    createStatements({ clock }),
+  ];
+  const isLeaving = (at = statements, replica = REPLICA) =>
+    at.find(replica, "leaving") !== undefined;
+  statements.record(REPLICA, { leaving: 1 });
+  await clock.advance(100);
+  // An answer that was composed before.
+  statements.record(REPLICA, {});
+  expect(isLeaving()).toEqual(true);
+  const news = statements.compose(200);
+  expect(peer.apply(news ?? {})).toEqual(true);
+  await clock.advance(10 * STATEMENT_EXPIRY);
+  statements.compose(200);
+  expect([isLeaving(), isLeaving(peer)]).toEqual([true, true]);
+  expect(statements.find(REPLICA, "leaving")?.since).toEqual(
+    clock.monotonic() - 10 * STATEMENT_EXPIRY - 100,
+  );
+  expect(isLeaving(statements, { id: "a", born: 2 })).toEqual(false);
+});
--- a/packages/backpressure/src/statements.ts
+++ b/packages/backpressure/src/statements.ts
@@ -2,12 +2,14 @@
  * What replicas say of themselves in their answers. Each statement is kept with
  * its age and the incarnation of its replica, and the newest one counts, whether
  * this daemon or a peer heard it. A statement ends when an answer no longer has
- * it, or when no daemon has heard it for `STATEMENT_EXPIRY`.
+ * it, or when no daemon has heard it for `STATEMENT_EXPIRY`; one of a lasting
+ * kind ends with the incarnation only.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { type Incarnation, incarnationHash } from "./incarnation.ts";
 import {
+  LASTING_KINDS,
   type Statement,
   STATEMENT_KINDS,
   type StatementKind,
@@ -105,7 +107,7 @@
     key: string,
   ): StatementRecord | undefined {
     const known = recordsOf(kind).get(key);
-    if (known === undefined) return undefined;
+    if (known === undefined || LASTING_KINDS.has(kind)) return known;
     const age = clock.monotonic() - known.heardAt;
     return age < STATEMENT_EXPIRY ? known : undefined;
   }
@@ -118,6 +120,7 @@
   ): void {
     const known = findAt(kind, key);
     if (known !== undefined && known.heardAt > heardAt) return;
+    if (value === undefined && LASTING_KINDS.has(kind)) return;
     const isChanged = known?.value !== value;
     const wasInForce = known?.value !== undefined;
     setBounded(recordsOf(kind), key, {
@@ -152,7 +155,8 @@
       for (const kind of STATEMENT_KINDS) {
         const value = statement[kind];
         const known = findAt(kind, key);
-        if (value === undefined && known === undefined) continue;
+        const mayEnd = known !== undefined && !LASTING_KINDS.has(kind);
+        if (value === undefined && !mayEnd) continue;
         merge(kind, key, { value, heardAt, isOwn: true });
         if (value !== known?.value) onChange(replica, kind, value);
       }
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -91,9 +91,12 @@
   abstract recordListReturn(): void;
   /**
    * Replicas that accept requests. Avoided and unresponsive replicas are
-   * included only when no other is left.
+   * included only when no other is left, and then for a short time also one that
+   * has said that it leaves.
    */
   abstract usable(service: string): readonly Replica[];
+  /** True when the list or the replica itself says that it leaves. */
+  abstract isLeaving(entry: ReplicaEntry): boolean;
   abstract find(id: string): Replica | undefined;
   abstract all(): readonly Replica[];
   abstract recordSuccess(id: string): void;
@@ -123,10 +126,28 @@
 export interface ReplicaTableOptions {
   readonly clock: Clock;
   readonly onChange: (change: ReplicaChange, replica: Replica) => void;
+  /**
+   * Time since which the replica is known to have said that it leaves, whatever
+   * the list says; undefined when it has not.
+   */
+  readonly leavingSince?: (entry: ReplicaEntry) => Milliseconds | undefined;
+  /** Time for which a replica that leaves may still get requests. */
+  readonly drainLimit?: () => Milliseconds;
 }
 
+/**
+ * Share of the limit for which a replica that leaves gets requests when no other
+ * one is left. The rest is for requests that wait.
+ */
+const LAST_RESORT_SHARE = 0.4;
+
 export function createReplicaTable(
-  { clock, onChange }: ReplicaTableOptions,
+  {
+    clock,
+    onChange,
+    leavingSince = () => undefined,
+    drainLimit = () => 0,
+  }: ReplicaTableOptions,
 ): ReplicaTable {
   const replicas = new Map<string, ReplicaRecord>();
   const lastReceived = new Map<string, Milliseconds>();
@@ -238,10 +259,23 @@
       const ready = [...replicas.values()].filter(({ entry }) =>
         entry.service === service && entry.state === "ready"
       );
-      const healthy = ready.filter(({ avoidedUntil, entry }) =>
+      const staying = ready.filter(({ entry }) =>
+        leavingSince(entry) === undefined
+      );
+      if (staying.length === 0) {
+        const oldest = now - drainLimit() * LAST_RESORT_SHARE;
+        return ready.filter(({ entry }) =>
+          (leavingSince(entry) ?? -Infinity) > oldest
+        );
+      }
+      const healthy = staying.filter(({ avoidedUntil, entry }) =>
         avoidedUntil <= now && !isUnresponsive(entry.id)
       );
-      return healthy.length > 0 ? healthy : ready;
+      return healthy.length > 0 ? healthy : staying;
+    }
+
+    override isLeaving(entry: ReplicaEntry): boolean {
+      return entry.state === "leaving" || leavingSince(entry) !== undefined;
     }
 
     override find(id: string): Replica | undefined {
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -69,7 +69,7 @@
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly crashes: CrashEvidence;
-  readonly replicas: Pick<ReplicaTable, "find">;
+  readonly replicas: Pick<ReplicaTable, "find" | "isLeaving">;
   /** Sends news to the other daemons without waiting for the next round. */
   readonly announce: () => void;
   /** Aborts when the daemon ends. */
@@ -146,7 +146,7 @@
   function isPlannedEnd({ id, born }: ReplicaEntry): boolean {
     const known = replicas.find(id)?.entry;
     if (known === undefined) return true;
-    return known.born === born && known.state === "leaving";
+    return known.born === born && replicas.isLeaving(known);
   }
 
   return new (class extends CrashGuard {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -157,6 +157,8 @@
       if (change === "gone" || change === "restarted") cache.clear(entry.id);
       if (change !== "weights") cacheFeed.refresh();
     },
+    leavingSince: (entry) => statements.find(entry, "leaving")?.since,
+    drainLimit: () => settings.drainLimit,
   });
 
   const statements = createStatements({
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -86,7 +86,8 @@
   k: z.array(z.tuple([name, z.number(), count, count, z.array(cacheEvent)]))
     .max(64).optional(),
   c: z.unknown().optional(),
-  n: z.object({ limit: z.string().max(1_200).optional() }).optional(),
+  // By kind; daemons of later releases may name further kinds.
+  n: z.record(z.string(), z.string().max(1_200)).optional(),
 });
 
 const ZONE_DIGEST = z.object({
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -40,6 +40,8 @@
    * 0 for no limit. It does not enforce the limit.
    */
   readonly limit: number;
+  /** Says in all answers that the replica leaves; it serves on. */
+  readonly leaving: boolean;
 }
 
 export interface ReceivedRequest {
@@ -118,6 +120,7 @@
   loseOrderAnswers: false,
   crashOnPart: "",
   limit: 0,
+  leaving: false,
 };
 
 /** Time from a request to the first event, or to the crash. */
@@ -306,6 +309,7 @@
     if (faults.limit > 0) {
       response.setHeader("Server-Limit", String(faults.limit));
     }
+    if (faults.leaving) response.setHeader("Server-Leaving", "1");
     await runRequest(request, response, body);
   }
 
