LIMIT: keep within the places of brittle replicas

Cause: nothing read the word. Placement used full replicas as well, and requests that had waited were sent with no time left for their answer.

Change: while a service is brittle each daemon keeps its requests within a part of the places of each replica, by the rates that daemons exchange already. What has no place waits at the daemon, and is refused once it could not be answered in time. The time of a plain answer is measured from the send.

--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -94,10 +94,10 @@
 const PROBE_RATE: RequestRate = 0.5;
 
 /**
- * Time after a limit is first known in which the rates of the others are still
- * on their way, so that each daemon takes an equal part.
+ * Time after a statement is first known in which the rates of the others are
+ * still on their way, so that each daemon takes an equal part.
  */
-const SETTLING_TIME: Milliseconds = 1_500;
+export const SETTLING_TIME: Milliseconds = 1_500;
 
 /**
  * Time for which an unused share is kept. It bounds the requests that daemons
--- /dev/null
+++ b/packages/backpressure/src/places.ts
@@ -0,0 +1,147 @@
+/**
+ * Keeps the requests of all daemons within the places of brittle replicas, which
+ * fall over when they have to turn many requests away at once. What has no place
+ * waits here or is refused here.
+ *
+ * Each daemon may use a part of the places: half of them are divided evenly, the
+ * other half by the recent rates of all that share them, so that the parts never
+ * add up to more than there are and still follow the load.
+ */
+import type { Clock } from "@peridotvalve/clock";
+import type { Milliseconds, RequestRate } from "@peridotvalve/types";
+import { incarnationHash } from "./incarnation.ts";
+import {
+  type PacedReplica,
+  SETTLING_TIME,
+  type SharingGroup,
+} from "./limits.ts";
+import type { Statements } from "./statements.ts";
+
+export interface PlacedReplica extends PacedReplica {
+  readonly service: string;
+  /** Requests that the replica runs at once; 0 when it does not say. */
+  readonly slots: number;
+}
+
+export abstract class Places {
+  /**
+   * Returns true while the replicas of the service are brittle. They become so
+   * together, and one that starts again may not have said so yet.
+   */
+  abstract isBrittle(service: string): boolean;
+  /** Returns true when the replica has a place for one more request. */
+  abstract hasRoom(replica: PlacedReplica): boolean;
+  /** Records that the replica refused a request for want of room. */
+  abstract recordRefusal(replica: PlacedReplica): void;
+}
+
+export interface PlacesOptions {
+  readonly clock: Clock;
+  readonly statements: Pick<Statements, "find">;
+  readonly replicasOf: (service: string) => readonly PlacedReplica[];
+  /** Requests of this daemon that the replica has now. */
+  readonly inFlight: (id: string) => number;
+  /** Recent rates of requests to the replica with the id. */
+  readonly rates: (id: string) => {
+    readonly own: RequestRate;
+    readonly peers: RequestRate;
+  };
+  readonly groupOf: (replica: PacedReplica) => SharingGroup;
+  /** Source of random numbers in [0, 1). */
+  readonly random?: () => number;
+}
+
+/** Share of the places that is divided evenly. */
+const EVEN_SHARE = 0.5;
+
+/** Interval at which the statements of a service are looked at again. */
+const CHECK_PERIOD: Milliseconds = 100;
+
+/** Part of the places that is left after each refusal for want of room. */
+const REFUSAL_FACTOR = 0.8;
+const MIN_FACTOR = 0.3;
+
+/** Time in which the factor returns from 0 to 1. */
+const RECOVERY_TIME: Milliseconds = 8_000;
+
+/** More replicas than a fleet has. */
+const MAX_SHARES = 2_000;
+
+interface Share {
+  /** Random number in [0, 1) that decides over a part of a place. */
+  readonly draw: number;
+  factor: number;
+  at: Milliseconds;
+}
+
+export function createPlaces(options: PlacesOptions): Places {
+  const { clock, statements, replicasOf, inFlight, rates, groupOf } = options;
+  const { random = Math.random } = options;
+  const shares = new Map<string, Share>();
+  const checks = new Map<
+    string,
+    { readonly at: Milliseconds; readonly isBrittle: boolean }
+  >();
+
+  function isBrittle(service: string): boolean {
+    const now = clock.monotonic();
+    const last = checks.get(service);
+    if (last !== undefined && now - last.at < CHECK_PERIOD) {
+      return last.isBrittle;
+    }
+    const isAnyBrittle = replicasOf(service).some((replica) =>
+      statements.find(replica, "brittle") !== undefined
+    );
+    checks.set(service, { at: now, isBrittle: isAnyBrittle });
+    return isAnyBrittle;
+  }
+
+  function shareOf(replica: PlacedReplica): Share {
+    const key = incarnationHash(replica);
+    const now = clock.monotonic();
+    const known = shares.get(key);
+    if (known === undefined) {
+      if (shares.size >= MAX_SHARES) shares.clear();
+      const share = { draw: random(), factor: 1, at: now };
+      shares.set(key, share);
+      return share;
+    }
+    const recovered = (now - known.at) / RECOVERY_TIME;
+    known.factor = Math.min(1, known.factor + recovered);
+    known.at = now;
+    return known;
+  }
+
+  /** Places that this daemon may use, as a fraction as well. */
+  function partOf(replica: PlacedReplica, factor: number): number {
+    const { fraction, members, live } = groupOf(replica);
+    const whole = Math.max(1, replica.slots) * fraction * factor;
+    const all = Math.max(1, live, members);
+    const since = statements.find(replica, "brittle")?.since ?? Infinity;
+    // The rates of the others are on their way.
+    if (clock.monotonic() - since < SETTLING_TIME) return whole / all;
+    const { own, peers } = rates(replica.id);
+    const demand = own > 0 ? own / (own + peers) : 0;
+    return whole *
+      (EVEN_SHARE / all + (1 - EVEN_SHARE) * demand * live / all);
+  }
+
+  return new (class extends Places {
+    override isBrittle = isBrittle;
+
+    override hasRoom(replica: PlacedReplica): boolean {
+      if (!isBrittle(replica.service)) return true;
+      const { draw, factor } = shareOf(replica);
+      const part = partOf(replica, factor);
+      // Of daemons with less than one place each, some have a whole one.
+      const allowed = part < 1 ? Number(draw < part) : Math.floor(part);
+      return inFlight(replica.id) < allowed;
+    }
+
+    override recordRefusal(replica: PlacedReplica): void {
+      if (!isBrittle(replica.service)) return;
+      const share = shareOf(replica);
+      share.factor = Math.max(MIN_FACTOR, share.factor * REFUSAL_FACTOR);
+    }
+  })();
+}
--- a/packages/backpressure/src/statement.ts
+++ b/packages/backpressure/src/statement.ts
@@ -10,13 +10,22 @@
    * names no limit.
    */
   readonly limit?: RequestRate;
+  /**
+   * Requests that the replica can turn away in a second for want of room before
+   * it falls over; absent when it is not brittle.
+   */
+  readonly brittle?: RequestRate;
   /** Present when the replica says that it leaves. */
   readonly leaving?: 1;
 }
 
 export type StatementKind = keyof Statement;
 
-export const STATEMENT_KINDS: readonly StatementKind[] = ["limit", "leaving"];
+export const STATEMENT_KINDS: readonly StatementKind[] = [
+  "limit",
+  "brittle",
+  "leaving",
+];
 
 /**
  * Kinds that hold until the end of the incarnation, also when nothing is heard
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,6 +8,7 @@
 } from "@peridotvalve/admission";
 import {
   createLimits,
+  createPlaces,
   createStatements,
   divideLimit,
   type Neighborhood,
@@ -119,7 +120,7 @@
   const holder = createStateHolder(logger);
   const pools = createConnectionPools();
   const cache = createCacheView({ memoryOf: memoryOfHolder });
-  const load = createLoadView(clock, { sharesRate: isLimited });
+  const load = createLoadView(clock, { sharesRate });
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const peerClient = createPeerClient(clock);
@@ -179,6 +180,16 @@
     rates: (id) => load.rates(id),
     groupOf: (replica) => divideLimit(replica, listNeighborhood()),
   });
+  const places = createPlaces({
+    clock,
+    statements,
+    replicasOf: (service) =>
+      replicas.all().map(({ entry }) => entry)
+        .filter((entry) => entry.service === service),
+    inFlight: (id) => load.localLoad(id).requests,
+    rates: (id) => load.rates(id),
+    groupOf: (replica) => divideLimit(replica, listNeighborhood()),
+  });
 
   const registration = createRegistration({
     clock,
@@ -239,7 +250,7 @@
     transfers,
     prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
-    hasRoom: (replica) => limits.hasRoom(replica),
+    hasRoom: (replica) => limits.hasRoom(replica) && places.hasRoom(replica),
   });
   const budget = createWindowBudget({
     clock,
@@ -297,6 +308,7 @@
     replicas,
     statements,
     limits,
+    places,
     load,
     cache,
     weights,
@@ -402,10 +414,12 @@
     };
   }
 
-  function isLimited(id: string): boolean {
+  /** True when the daemons divide what the replica takes by their rates. */
+  function sharesRate(id: string): boolean {
     const replica = replicas.find(id);
     return replica !== undefined &&
-      statements.find(replica.entry, "limit") !== undefined;
+      (statements.find(replica.entry, "limit") !== undefined ||
+        places.isBrittle(replica.entry.service));
   }
 
   function listLimits(): readonly ReplicaLimit[] {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -8,7 +8,7 @@
  * caller.
  */
 import type { SendGate, ShutdownAdmission } from "@peridotvalve/admission";
-import type { Limits, Statements } from "@peridotvalve/backpressure";
+import type { Limits, Places, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
   type AnswerTimes,
@@ -66,6 +66,7 @@
   readonly replicas: ReplicaTable;
   readonly statements: Statements;
   readonly limits: Limits;
+  readonly places: Places;
   readonly load: LoadView;
   readonly cache: CacheView;
   readonly weights: WeightTargets;
@@ -173,7 +174,7 @@
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
-  const { statements, limits, sendGate } = options;
+  const { statements, limits, places, sendGate } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -258,7 +259,7 @@
       switch (outcome.kind) {
         case "done":
           if (sends === 1 && forwarded.lastEvent === undefined) {
-            recordAnswerTime();
+            recordAnswerTime(started);
           }
           return end({ ...progress, kind: "answered", status: outcome.status });
         case "left":
@@ -370,15 +371,23 @@
       return false;
     }
 
+    /**
+     * Plain services have a short queue of their own, so their requests wait here
+     * only for a limit, or where that queue must not overflow.
+     */
+    function mayWait(): boolean {
+      return request.prompt !== undefined || places.isBrittle(request.service);
+    }
+
     /** Estimates how long the request waits for a replica that may take it. */
     function estimateWait(): Milliseconds {
       const rank = priorityOf(request);
       const ahead = queue.countAhead(rank, request.service);
       const candidates = placement.candidates(request, excluded);
       const wait = limits.estimateWait(candidates, ahead + 1);
-      return request.prompt === undefined
-        ? wait
-        : Math.max(wait, queue.estimateWait(rank, request.service));
+      return mayWait()
+        ? Math.max(wait, queue.estimateWait(rank, request.service))
+        : wait;
     }
 
     /**
@@ -398,9 +407,7 @@
     async function waitForPlace(
       deadline: Milliseconds,
     ): Promise<Placed | undefined> {
-      // Plain services have a short queue of their own, so their requests wait
-      // here only for a limit.
-      if (request.prompt === undefined) {
+      if (!mayWait()) {
         const placed = place();
         if (placed !== undefined || estimateWait() === 0) return placed;
       }
@@ -496,18 +503,22 @@
       return fail(SHUTTING_DOWN, 502, SHUTDOWN_RETRY_AFTER);
     }
 
-    function recordAnswerTime(): void {
-      const elapsed = clock.monotonic() - request.arrivedAt;
-      const { firstEvent } = progress;
-      const before = request.prompt === undefined ? 0 : firstEvent;
-      answerTimes.record(request, elapsed - before);
+    function recordAnswerTime({ startedAt }: RunningAttempt): void {
+      const begin = request.prompt === undefined
+        ? startedAt
+        : request.arrivedAt + progress.firstEvent;
+      answerTimes.record(request, clock.monotonic() - begin);
     }
 
     /**
      * Returns the time after which a caller without a further event has left or
-     * has no use for it.
+     * has no use for it, or the answer would come too late.
      */
     function waitDeadline(): Milliseconds {
+      if (request.prompt === undefined && mayWait()) {
+        const lastStart = request.deadline - answerTimes.estimate(request);
+        return Math.max(clock.monotonic(), lastStart);
+      }
       const isNew = progress.firstEvent === 0;
       const start = isNew ? request.arrivedAt : clock.monotonic();
       return start + gapLimit(request.route);
@@ -687,6 +698,7 @@
       recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
       if (metadata.isRefusal) {
+        if (!metadata.isMisdirected) places.recordRefusal(entry);
         await discardBody(attempt);
         const reason = `replica refused with ${head.status}`;
         const misdirected = metadata.isMisdirected;
