RECOVER: send callers away from a daemon that reaches no replica

Cause: a daemon judged each replica by itself. When it reached none of them it went on to take requests, which waited until their deadlines.

Change: a daemon whose replicas are all silent while its neighbors have data from them, and that gets no answer to a probe, is not ready, refuses at once and closes connections, until a probe is answered. Daemons tell each other the age of the last data.

--- a/packages/admission/src/mod.ts
+++ b/packages/admission/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./admission.ts";
 export * from "./concurrency_limit.ts";
 export * from "./customer_limits.ts";
+export * from "./replica_contact.ts";
 export * from "./request.ts";
 export * from "./send_gate.ts";
 export * from "./shutdown_admission.ts";
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -116,6 +116,8 @@
   abstract silence(id: string): Milliseconds;
   /** Records that the replica did not respond, or broke off its response. */
   abstract recordFailure(id: string): void;
+  /** Forgets all failures and silences, as they were not the replicas' own. */
+  abstract forgiveAll(): void;
   /** Sends no requests to the replica for the duration, because it is busy. */
   abstract avoid(id: string, duration: Milliseconds): void;
   abstract recordWeights(id: string, model: string, version: number): void;
@@ -126,6 +128,8 @@
 export interface ReplicaTableOptions {
   readonly clock: Clock;
   readonly onChange: (change: ReplicaChange, replica: Replica) => void;
+  /** Called when data has been received from a replica. */
+  readonly onReceived?: () => void;
   /**
    * Time since which the replica is known to have said that it leaves, whatever
    * the list says; undefined when it has not.
@@ -145,6 +149,7 @@
   {
     clock,
     onChange,
+    onReceived = () => {},
     leavingSince = () => undefined,
     drainLimit = () => 0,
   }: ReplicaTableOptions,
@@ -300,6 +305,7 @@
     }
 
     override recordReceived(id: string): void {
+      onReceived();
       unanswered.delete(id);
       if (replicas.has(id)) lastReceived.set(id, clock.monotonic());
     }
@@ -324,6 +330,14 @@
         Math.min(MAX_AVOIDANCE, avoidance);
     }
 
+    override forgiveAll(): void {
+      unanswered.clear();
+      for (const known of replicas.values()) {
+        known.failures = 0;
+        known.avoidedUntil = -Infinity;
+      }
+    }
+
     override avoid(id: string, duration: Milliseconds): void {
       const known = replicas.get(id);
       if (known === undefined) return;
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -451,6 +451,16 @@
     message:
       "What a replica says of itself in its answers has changed; isInForce is false when it no longer says so.",
   }),
+  replicas_lost: defineEvent(3029, "warn", {
+    fields: { silent: N },
+    message:
+      "No replica can be reached, although the neighbors reach them; requests are refused.",
+  }),
+  replicas_regained: defineEvent(3030, "info", {
+    fields: { elapsed: N },
+    message:
+      "Replicas can be reached again, or the neighbors reach none either.",
+  }),
   statement_rejected: defineEvent(3028, "warn", {
     fields: { reason: S },
     message: "A replica said something of itself that cannot be read.",
--- a/packages/gateway/src/cache_cleaner.test.ts
+++ b/packages/gateway/src/cache_cleaner.test.ts
@@ -26,6 +26,7 @@
   const weights = createWeightTargets({ clock, patience: () => 10_000 });
   const freed: string[] = [];
   const control = new (class extends ReplicaControl {
+    override isReachable = () => Promise.resolve(true);
     override report() {
       const reason = "not used here";
       return Promise.resolve(Err({ kind: "unavailable" as const, reason }));
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -3,6 +3,7 @@
  * reads its body, and passes it to the relay. Requests that cannot be served
  * are refused at once.
  */
+import type { ReplicaContact } from "@peridotvalve/admission";
 import type { Clock } from "@peridotvalve/clock";
 import { trackServerConnections } from "@peridotvalve/connections";
 import {
@@ -39,6 +40,7 @@
   readonly holder: StateHolder;
   readonly relay: ReturnType<typeof createRelay>;
   readonly meters: Meters;
+  readonly contact: Pick<ReplicaContact, "isLost">;
   readonly requestIdHeader: string;
 }
 
@@ -108,8 +110,10 @@
       request,
       response,
       requestId: { name: options.requestIdHeader, value: metadata.id },
+      // On a new connection the caller may reach another daemon.
       shouldCloseConnection: () =>
-        isKeepAliveDisabled && connections.endAfterResponse(socket),
+        (isKeepAliveDisabled || options.contact.isLost()) &&
+        connections.endAfterResponse(socket),
     });
     const readAt = countTurns();
     let leftAt: number | undefined;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
  * and stops them in order.
  */
 import {
+  createReplicaContact,
   createSendGate,
   createShutdownAdmission,
 } from "@peridotvalve/admission";
@@ -41,6 +42,7 @@
 import { createCacheCleaner } from "./cache_cleaner.ts";
 import { createCacheFeed } from "./cache_feed.ts";
 import { createConnectionPools } from "./connection_pools.ts";
+import { watchContact } from "./contact_watch.ts";
 import { createCrashGuard } from "./crash_guard.ts";
 import { takeChangedSettings } from "./changed_settings.ts";
 import { createFollowedCaches } from "./followed_caches.ts";
@@ -146,8 +148,10 @@
     regions: settings.topology.regions,
   });
 
+  const contact = createReplicaContact(clock);
   const replicas = createReplicaTable({
     clock,
+    onReceived: contact.recordReceived,
     onChange(change, { entry }) {
       logger.log("replica_changed", {
         service: entry.service,
@@ -326,6 +330,7 @@
     loopLag,
     sendGate: createSendGate({ clock }),
     crashGuard,
+    contact,
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -335,6 +340,7 @@
     holder,
     relay,
     meters,
+    contact,
     requestIdHeader: options.requestIdHeader,
   });
   const cacheFeed = createCacheFeed({
@@ -399,7 +405,7 @@
       mesh?.announce();
     },
     rank: () => rank("rollouts"),
-    mayContend: () => !isDraining,
+    mayContend: () => !isDraining && !contact.isLost(),
   });
   const servers: Server[] = [];
 
@@ -477,7 +483,8 @@
   }
 
   const isReady = () =>
-    !isDraining && holder.current() !== undefined && hasReplicaList;
+    !isDraining && holder.current() !== undefined && hasReplicaList &&
+    !contact.isLost();
 
   function openStatusServer(): Server {
     return createStatusServer({
@@ -532,6 +539,7 @@
       sentParts,
       crashes,
       statements,
+      contact,
       storeEra: options.storeEra,
       passesStoresOn: () => !followedCaches.includesReplicas(),
       busy() {
@@ -568,6 +576,7 @@
       meters.watchEventLoop(signal),
       followCachesAfterDiscovery(signal),
       loopLag.run(signal),
+      watchContact({ clock, logger, contact, replicas, control }, signal),
       ...(mesh === undefined ? [] : [mesh.run(signal)]),
     ];
     for (const task of tasks) {
--- a/packages/gateway/src/peer_digest.test.ts
+++ b/packages/gateway/src/peer_digest.test.ts
@@ -23,6 +23,7 @@
   ],
   busy: ["a"],
   silent: ["b"],
+  receivedAge: 30,
   load: { c: "abcde1,2,3,4;", s: ["", null] },
   zoneLoad: ["vaasa", { c: "fghij1,2,3,4;" }],
   sent: [{ replica: "a", salt: "m@1", parts: [["p", 500]] }],
@@ -38,6 +39,7 @@
   expect(decodePeerDigest(wire)).toEqual(DIGEST);
   const zone = {
     busy: ["a"],
+    receivedAge: 40,
     load: { c: "abcde1,2,3,4;" },
     crashes: CRASHES,
   };
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -37,6 +37,8 @@
   readonly busy: readonly string[];
   /** Replicas that do not respond to the sender. */
   readonly silent: readonly string[];
+  /** Time since the sender received data from any replica. */
+  readonly receivedAge?: Milliseconds;
   readonly load?: Delta;
   /** Load of the replicas of another zone. */
   readonly zoneLoad?: readonly [zone: string, load: Delta];
@@ -52,6 +54,8 @@
 /** What a zone tells another zone. */
 export interface ZoneDigest {
   readonly busy: readonly string[];
+  /** Time since a daemon of the zone received data from any replica. */
+  readonly receivedAge?: Milliseconds;
   readonly load?: Delta;
   readonly crashes?: CrashNews;
   /** States that the news of crashes were malformed and left out. */
@@ -79,6 +83,7 @@
   e: z.number().int().nonnegative().max(MAX_ERA).optional(),
   b: names.optional(),
   s: names.optional(),
+  a: count.optional(),
   l: digestSchema.optional(),
   z: z.tuple([name, digestSchema]).optional(),
   p: z.array(z.tuple([name, name, z.array(z.tuple([name, count])).max(16)]))
@@ -92,6 +97,7 @@
 
 const ZONE_DIGEST = z.object({
   b: names.optional(),
+  a: count.optional(),
   l: digestSchema.optional(),
   c: z.unknown().optional(),
 });
@@ -109,6 +115,7 @@
     ...(data.e === undefined ? {} : { storeEra: data.e }),
     busy: data.b ?? [],
     silent: data.s ?? [],
+    ...(data.a === undefined ? {} : { receivedAge: data.a }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
     ...(data.z === undefined
       ? {}
@@ -129,7 +136,7 @@
 
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
-  const { crashes, statements, storeEra } = digest;
+  const { crashes, statements, storeEra, receivedAge } = digest;
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
@@ -139,6 +146,7 @@
     ...(storeEra !== undefined && { e: storeEra }),
     ...(busy.length > 0 && { b: busy }),
     ...(silent.length > 0 && { s: silent }),
+    ...(receivedAge !== undefined && { a: Math.round(receivedAge) }),
     ...(load !== undefined && { l: load }),
     ...(zoneLoad !== undefined && { z: zoneLoad }),
     ...(sent.length > 0 && {
@@ -160,16 +168,18 @@
   if (data === undefined) return undefined;
   return {
     busy: data.b ?? [],
+    ...(data.a === undefined ? {} : { receivedAge: data.a }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
     ...decodeCrashes(data.c),
   };
 }
 
 export function encodeZoneDigest(
-  { busy, load, crashes }: ZoneDigest,
+  { busy, receivedAge, load, crashes }: ZoneDigest,
 ): unknown {
   return {
     ...(busy.length > 0 && { b: busy }),
+    ...(receivedAge !== undefined && { a: Math.round(receivedAge) }),
     ...(load !== undefined && { l: load }),
     ...encodeCrashes(crashes),
   };
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -1,3 +1,4 @@
+import { createReplicaContact } from "@peridotvalve/admission";
 import { createStatements } from "@peridotvalve/backpressure";
 import { createManualClock, type ManualClock } from "@peridotvalve/clock";
 import {
@@ -119,6 +120,7 @@
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const load = createLoadView(clock);
+  const contact = createReplicaContact(clock);
   const crashes = createCrashEvidence({
     clock,
     random: () => 0,
@@ -155,7 +157,7 @@
   const mesh = createPeerMesh({
     ...{ clock, storeEra, logger, name: peer.name, zone: peer.zone },
     ...{ registration, load, replicas, cache, journal, copies, calls, crashes },
-    statements,
+    ...{ statements, contact },
     transport: fleet.network.attach(peer.datagrams),
     tables: new Map([[TABLE, follower]]),
     sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -7,6 +7,7 @@
  * In a small fleet all daemons are neighbors. In a large one, those of a zone
  * are, so that the cost of a daemon depends on the size of its zone only.
  */
+import type { ReplicaContact } from "@peridotvalve/admission";
 import type { Neighborhood, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import type {
@@ -60,6 +61,14 @@
   readonly sentParts: SentPartsQueue;
   readonly crashes: Pick<CrashEvidence, "compose" | "apply">;
   readonly statements: Pick<Statements, "compose" | "apply">;
+  readonly contact: Pick<
+    ReplicaContact,
+    | "age"
+    | "isLost"
+    | "recordPeerReceived"
+    | "recordZoneReceived"
+    | "zoneAge"
+  >;
   readonly storeEra: Pick<StoreEra, "current" | "hear">;
   /** False when all neighbors follow the stores themselves. */
   readonly passesStoresOn: () => boolean;
@@ -129,6 +138,9 @@
 /** Fits into a heartbeat of the daemons that pass it on. */
 const MAX_ZONE_LOAD: Bytes = 500;
 
+/** An older word of a replica is not worth its bytes. */
+const MAX_RECEIVED_AGE: Milliseconds = 1_000;
+
 const MAX_NAMES = 32;
 const MAX_UNKNOWN_SENDERS = 200;
 
@@ -164,7 +176,11 @@
         Math.min(MAX_ZONE_LOAD, limit - measureJson(busy)),
       );
       const loadField = summary === undefined ? {} : { load: summary };
-      const digest = { busy, ...loadField };
+      const digest = {
+        busy,
+        ...receivedField(options.contact.zoneAge()),
+        ...loadField,
+      };
       const left = limit - measureJson(encodeZoneDigest(digest)) - CRASH_FIELD;
       const news = crashes.compose(left, "zones");
       const crashField = news === undefined ? {} : { crashes: news };
@@ -177,6 +193,9 @@
         options.onBusy(digest.busy);
         zoneBusy = { ids: digest.busy, at: clock.monotonic() };
       }
+      if (digest.receivedAge !== undefined) {
+        options.contact.recordZoneReceived(digest.receivedAge);
+      }
       applyCrashes(from, digest);
       if (digest.load !== undefined) {
         applyZoneLoad(from, digest.load);
@@ -285,7 +304,10 @@
       tables: listTableNews(),
       ...(era > 0 && { storeEra: era }),
       busy: listBusy(),
-      silent: options.replicas.silent().slice(0, MAX_NAMES),
+      silent: options.contact.isLost()
+        ? []
+        : options.replicas.silent().slice(0, MAX_NAMES),
+      ...receivedField(options.contact.age()),
       sent: [],
       pages: [],
     };
@@ -317,6 +339,9 @@
     if (digest === undefined) return reject(peer);
     if (digest.storeEra !== undefined) options.storeEra.hear(digest.storeEra);
     if (digest.busy.length > 0) options.onBusy(digest.busy);
+    if (digest.receivedAge !== undefined) {
+      options.contact.recordPeerReceived(digest.receivedAge);
+    }
     if (digest.silent.length > 0) options.onSilent(digest.silent);
     if (digest.load !== undefined) {
       const applied = load.applyDigest(peer, digest.load);
@@ -475,6 +500,13 @@
   })();
 }
 
+function receivedField(
+  age: Milliseconds | undefined,
+): { readonly receivedAge?: Milliseconds } {
+  if (age === undefined || age > MAX_RECEIVED_AGE) return {};
+  return { receivedAge: age };
+}
+
 function zoneKey(zone: string): string {
   return `zone ${zone}`;
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -7,7 +7,11 @@
  * continues on another replica after the last complete event sent to the
  * caller.
  */
-import type { SendGate, ShutdownAdmission } from "@peridotvalve/admission";
+import type {
+  ReplicaContact,
+  SendGate,
+  ShutdownAdmission,
+} from "@peridotvalve/admission";
 import type { Limits, Places, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
@@ -88,6 +92,7 @@
   readonly loopLag: LoopLag;
   readonly sendGate: SendGate;
   readonly crashGuard: CrashGuard;
+  readonly contact: Pick<ReplicaContact, "isLost">;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -164,6 +169,12 @@
 /** Reason of a success that does not count, as its origin is not proved. */
 const UNSEALED = "success without a seal";
 
+/** Reason of requests that no replica can be reached for. */
+const NO_CONTACT = "no replica can be reached";
+
+/** Delay after which a caller may retry on another daemon. */
+const CONTACT_RETRY_AFTER: Milliseconds = 100;
+
 const RETRY_AFTER: Milliseconds = 250;
 /**
  * Spreads the retries of refused callers, so that they do not arrive together.
@@ -318,6 +329,9 @@
       let readUpTo = await sendGate.pass();
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
+      if (isOutOfContact()) {
+        return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
+      }
       const barred = crashGuard.check(request, hasCrashed);
       if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
@@ -339,6 +353,9 @@
       if (placed === undefined) {
         if (caller.hasDisconnected()) return end({ kind: "abandoned" });
         if (!endsBeforeExit(0)) return refuseAtShutdown();
+        if (isOutOfContact()) {
+          return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
+        }
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
         return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
@@ -365,6 +382,11 @@
       return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
     }
 
+    /** True when the request cannot be served; a started stream may wait. */
+    function isOutOfContact(): boolean {
+      return options.contact.isLost() && !caller.hasStarted();
+    }
+
     function takeRetry(): boolean {
       if (budget.tryTake(request.service)) return true;
       logger.log("retry_budget_spent", { kind: request.service }, subject);
@@ -417,7 +439,7 @@
         deadline,
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
-          !endsBeforeExit(0) ||
+          !endsBeforeExit(0) || isOutOfContact() ||
           crashGuard.check(request, hasCrashed) !== undefined,
         place: () => place(),
       });
@@ -456,6 +478,7 @@
     /** Returns true when the request may be sent to one more replica now. */
     function maySendBeside(): boolean {
       return remaining() > MIN_REMAINING && endsBeforeExit(0) &&
+        !options.contact.isLost() &&
         !caller.hasDisconnected() &&
         refusedMoves < MAX_REFUSALS &&
         executions + 1 < request.route.maxExecutions &&
@@ -610,6 +633,8 @@
         deadline: request.deadline,
         silence: () => replicas.silence(entry.id),
         seekOther() {
+          // Its caller may be served by another daemon.
+          if (isOutOfContact()) return true;
           succession.seek(watch.leave).catch((error: unknown) =>
             logger.log("handler_failed", { reason: String(error) }, subject)
           );
--- a/packages/gateway/src/replica_control.ts
+++ b/packages/gateway/src/replica_control.ts
@@ -66,6 +66,8 @@
   abstract report(
     replica: Replica,
   ): Promise<Result<ReplicaReport, Unavailable>>;
+  /** Resolves with true when the replica answers anything in a short time. */
+  abstract isReachable(replica: Replica): Promise<boolean>;
   abstract order(replica: Replica, order: WeightOrder): Promise<OrderResult>;
   abstract cacheEvents(
     address: string,
