--- a/packages/backpressure/src/places.test.ts
+++ b/packages/backpressure/src/places.test.ts
@@ -197,3 +197,39 @@
   });
   assert(falls > ALLOWED_FALLS);
 });
+
+// Guards against callers of one daemon who are all refused while a service is
+// brittle, because the daemon has no place at any of its replicas.
+test("each daemon has a place of a brittle service in time", async () => {
+  const clock = createManualClock();
+  const generator = xoroshiro128plus(1);
+  const random = () => (generator.next() >>> 0) / 2 ** 32;
+  const replicas = ["a", "b", "c"].map((id): PlacedReplica => ({
+    ...{ id, zone: HOME, service: SERVICE, slots: 6 },
+  }));
+  const members = 15;
+  const daemons = Array.from({ length: members }, () => {
+    const statements = createStatements({ clock });
+    const places = createPlaces({
+      ...{ clock, statements, random },
+      replicasOf: () => replicas,
+      inFlight: () => 0,
+      rates: () => ({ own: 1, peers: members - 1 }),
+      groupOf: () => ({ fraction: 1 / 6, members, live: members }),
+    });
+    return { statements, places, hadRoom: false };
+  });
+  for (let second = 0; second < 30; second += 1) {
+    for (const daemon of daemons) {
+      for (const replica of replicas) {
+        daemon.statements.record(replica, { brittle: MAX_REFUSALS });
+      }
+      daemon.hadRoom ||= replicas.some((replica) =>
+        daemon.places.hasRoom(replica)
+      );
+    }
+    await clock.advance(1_000);
+  }
+  const starved = daemons.filter(({ hadRoom }) => !hadRoom).length;
+  expect(starved).toEqual(0);
+});
