LIMIT: pass the places of brittle replicas from daemon to daemon

Callers saw: in a large fleet, all requests of a brittle service refused at most daemons of a zone, for as long as its replicas were brittle (12 of 15 daemons in places.test.ts, "each daemon has a place of a brittle service in time").

Cause: where a daemon's part of a replica's places is less than one, it was drawn once for each incarnation whether the daemon has a place.

Change: these places go round in 20 s. Daemons are spread evenly over the rotation by the order of their names, so that the places held at one time add up to those that there are. A daemon sends nothing for 250 ms after a refusal.

The fleet of 195 joins the test. The test of the parts now expects the pause after refusals, and one place after it.

--- a/packages/backpressure/src/limits.test.ts
+++ b/packages/backpressure/src/limits.test.ts
@@ -56,6 +56,7 @@
     const neighborhood = {
       ...{ zone: zone === 0 ? HOME : `zone-${zone}`, members, live: members },
       ...{ isWholeFleet: zones === 1, fleetShare: members / daemons },
+      rank: Math.floor(index / zones),
     };
     const limits = createLimits({
       ...{ clock, statements, random },
--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -12,6 +12,7 @@
   SECOND,
 } from "@peridotvalve/types";
 import { type Incarnation, incarnationHash } from "./incarnation.ts";
+import { hashToUnit } from "./unit_hash.ts";
 import type { Statements } from "./statements.ts";
 
 export interface PacedReplica extends Incarnation {
@@ -26,6 +27,11 @@
   readonly members: number;
   /** Daemons of the group whose rates are known, with this one. */
   readonly live: number;
+  /**
+   * Position of this daemon, where the members are spread evenly over [0, 1);
+   * absent when it is not known.
+   */
+  readonly position?: number;
 }
 
 /** Neighbors that exchange their rates: a whole fleet, or one of its zones. */
@@ -34,6 +40,8 @@
   readonly isWholeFleet: boolean;
   readonly members: number;
   readonly live: number;
+  /** Number of live neighbors whose names come before the daemon's own. */
+  readonly rank: number;
   /** Share of the fleet's daemons that are neighbors, from 0 to 1. */
   readonly fleetShare: number;
 }
@@ -47,12 +55,13 @@
  */
 export function divideLimit(
   replica: PacedReplica,
-  { zone, isWholeFleet, members, live, fleetShare }: Neighborhood,
+  { zone, isWholeFleet, members, live, rank, fleetShare }: Neighborhood,
 ): SharingGroup {
-  if (isWholeFleet) return { fraction: 1, members, live };
   const home = replica.zone === zone ? HOME_FRACTION : 0;
-  const fraction = home + (1 - HOME_FRACTION) * fleetShare;
-  return { fraction, members, live };
+  const fraction = isWholeFleet ? 1 : home + (1 - HOME_FRACTION) * fleetShare;
+  const position = rank / Math.max(1, members) +
+    (isWholeFleet ? 0 : hashToUnit(zone));
+  return { fraction, members, live, position };
 }
 
 export abstract class Limits {
--- a/packages/backpressure/src/places.test.ts
+++ b/packages/backpressure/src/places.test.ts
@@ -39,6 +39,8 @@
   await clock.advance(1_500);
   expect([countPlaces(first), countPlaces(second)]).toEqual([3, 2]);
   for (let refusal = 0; refusal < 9; refusal += 1) places.recordRefusal(first);
+  expect(countPlaces(first)).toEqual(0);
+  await clock.advance(250);
   expect(countPlaces(first)).toEqual(1);
   statements.record(first, {});
   await clock.advance(200);
@@ -90,6 +92,7 @@
     const load = createLoadView(clock, { sharesRate: () => true });
     const neighborhood: Neighborhood = {
       ...{ zone, isWholeFleet, members, live: members },
+      rank: isWholeFleet ? index : Math.floor(index / zones),
       fleetShare: members / daemons,
     };
     const places = createPlaces({
@@ -179,7 +182,8 @@
 
 // Guards against LIMIT: daemons send brittle replicas more than they have room
 // for, so that they fall over, and again when they are back.
-for (const [daemons, zones] of [[6, 3], [24, 4], [90, 6]] as const) {
+const FLEETS = [[6, 3], [24, 4], [90, 6], [195, 6]] as const;
+for (const [daemons, zones] of FLEETS) {
   test(`${daemons} daemons keep brittle replicas up`, async () => {
     for (const demand of [1.5, 3]) {
       const scenario = { daemons, zones, demand, isHeeded: true };
--- a/packages/backpressure/src/places.ts
+++ b/packages/backpressure/src/places.ts
@@ -5,7 +5,9 @@
  *
  * Each daemon may use a part of the places: half of them are divided evenly, the
  * other half by the recent rates of all that share them, so that the parts never
- * add up to more than there are and still follow the load.
+ * add up to more than there are and still follow the load. A daemon whose part is
+ * less than one place has a whole one for that share of the time: the places go
+ * round among the daemons.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds, RequestRate } from "@peridotvalve/types";
@@ -16,6 +18,7 @@
   type SharingGroup,
 } from "./limits.ts";
 import type { Statements } from "./statements.ts";
+import { hashToUnit } from "./unit_hash.ts";
 
 export interface PlacedReplica extends PacedReplica {
   readonly service: string;
@@ -61,17 +64,36 @@
 const REFUSAL_FACTOR = 0.8;
 const MIN_FACTOR = 0.3;
 
+/**
+ * Time after a refusal for want of room in which the daemon sends the replica
+ * nothing, so that it does not have all waiting requests refused in a row.
+ */
+const REFUSAL_PAUSE: Milliseconds = 250;
+
 /** Time in which the factor returns from 0 to 1. */
 const RECOVERY_TIME: Milliseconds = 8_000;
 
+/**
+ * Time in which a place goes round all daemons of a group. Handovers overlap by
+ * the rest of a request, so a turn has to last longer than one: 300 ms for a
+ * part of a sixtieth of a place.
+ */
+const ROTATION_PERIOD: Milliseconds = 20_000;
+
+/** Share of places that go round; the rest covers overlapping handovers. */
+const HANDOVER_SHARE = 0.9;
+
 /** More replicas than a fleet has. */
 const MAX_SHARES = 2_000;
 
 interface Share {
-  /** Random number in [0, 1) that decides over a part of a place. */
-  readonly draw: number;
+  /** Number in [0, 1) at which the rotation of the replica's places starts. */
+  readonly start: number;
+  /** Position of this daemon where the group does not tell it, in [0, 1). */
+  readonly position: number;
   factor: number;
   at: Milliseconds;
+  pausedUntil: Milliseconds;
 }
 
 export function createPlaces(options: PlacesOptions): Places {
@@ -102,7 +124,11 @@
     const known = shares.get(key);
     if (known === undefined) {
       if (shares.size >= MAX_SHARES) shares.clear();
-      const share = { draw: random(), factor: 1, at: now };
+      const start = hashToUnit(key);
+      const share = {
+        ...{ start, position: random(), factor: 1, at: now },
+        pausedUntil: -Infinity,
+      };
       shares.set(key, share);
       return share;
     }
@@ -112,11 +138,25 @@
     return known;
   }
 
+  /**
+   * True for the given part of each rotation. The daemons are spread evenly over
+   * it, so that those that have a place at one time add up to the places that
+   * there are. The start differs between replicas.
+   */
+  function hasTurn(replica: PlacedReplica, part: number): boolean {
+    const share = shareOf(replica);
+    const position = groupOf(replica).position ?? share.position;
+    const time = clock.now() / ROTATION_PERIOD;
+    return (share.start + position + time) % 1 < part;
+  }
+
   /** Places that this daemon may use, as a fraction as well. */
   function partOf(replica: PlacedReplica, factor: number): number {
     const { fraction, members, live } = groupOf(replica);
     const whole = Math.max(1, replica.slots) * fraction * factor;
     const all = Math.max(1, live, members);
+    // Where places go round, rates show who has them and not who needs them.
+    if (whole < all) return HANDOVER_SHARE * whole / all;
     const since = statements.find(replica, "brittle")?.since ?? Infinity;
     // The rates of the others are on their way.
     if (clock.monotonic() - since < SETTLING_TIME) return whole / all;
@@ -131,10 +171,12 @@
 
     override hasRoom(replica: PlacedReplica): boolean {
       if (!isBrittle(replica.service)) return true;
-      const { draw, factor } = shareOf(replica);
+      const { factor, pausedUntil } = shareOf(replica);
+      if (clock.monotonic() < pausedUntil) return false;
       const part = partOf(replica, factor);
-      // Of daemons with less than one place each, some have a whole one.
-      const allowed = part < 1 ? Number(draw < part) : Math.floor(part);
+      const allowed = part < 1
+        ? Number(hasTurn(replica, part))
+        : Math.floor(part);
       return inFlight(replica.id) < allowed;
     }
 
@@ -142,6 +184,7 @@
       if (!isBrittle(replica.service)) return;
       const share = shareOf(replica);
       share.factor = Math.max(MIN_FACTOR, share.factor * REFUSAL_FACTOR);
+      share.pausedUntil = clock.monotonic() + REFUSAL_PAUSE;
     }
   })();
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -416,7 +416,8 @@
   function listNeighborhood(): Neighborhood {
     return mesh?.neighborhood() ?? {
       zone: settings.topology.zone,
-      ...{ isWholeFleet: true, members: peerCount(), live: 1, fleetShare: 1 },
+      ...{ isWholeFleet: true, members: peerCount(), live: 1 },
+      ...{ rank: 0, fleetShare: 1 },
     };
   }
 
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -296,12 +296,14 @@
   first.statements.record(replica, { limit: 9.5 });
   first.mesh.announce();
   await advance(clock, 1_500);
-  for (const { zone, statements, mesh } of daemons) {
+  for (const { name, zone, statements, mesh } of daemons) {
     const limit = statements.find(replica, "limit")?.value;
+    const names = daemons.filter((other) => other.zone === zone)
+      .map((neighbor) => neighbor.name).sort();
     expect(limit).toEqual(zone === first.zone ? 9.5 : undefined);
     expect(mesh.neighborhood()).toEqual({
       ...{ zone, isWholeFleet: false, fleetShare: 0.5 },
-      ...{ members: 10, live: 10 },
+      ...{ members: 10, live: 10, rank: names.indexOf(name) },
     });
   }
   first.statements.record(replica, {});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -238,6 +238,7 @@
       ? listed.length
       : listed.filter((peer) => peer.zone === zone).length;
     const heard = membership.peers();
+    const live = heard.filter(({ state }) => state !== "dead");
     // Rows of daemons that are gone for good stay listed.
     const members = Math.max(
       1,
@@ -247,7 +248,8 @@
       zone,
       isWholeFleet,
       members,
-      live: 1 + heard.filter(({ state }) => state !== "dead").length,
+      live: 1 + live.length,
+      rank: live.filter((peer) => peer.name < name).length,
       fleetShare: isWholeFleet
         ? 1
         : Math.min(1, inGroup / Math.max(1, listed.length)),
