Log each attempt that a replica breaks off, with a fingerprint of its request

Requests that a caller repeats bear a new id, so the log could not tell that replicas ended under the same request again and again, and nothing said why an attempt that was broken off gave no evidence of a crash. attempt_broken_off states both.

--- a/packages/dispatch/src/dispatch_request.ts
+++ b/packages/dispatch/src/dispatch_request.ts
@@ -32,6 +32,11 @@
   readonly cacheGroup?: string;
   /** Present for requests to a model. */
   readonly prompt?: PromptMetadata;
+  /**
+   * Hash of the caller and the content, which requests that a caller repeats
+   * share.
+   */
+  readonly fingerprint?: string;
   /** Arrival time, on the monotonic clock. */
   readonly arrivedAt: Milliseconds;
   /** Deadline of the final response, on the monotonic clock. */
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -446,6 +446,11 @@
     message:
       "A replica broke off attempts, counted by whether an event had arrived; isCrash is false when data from it followed.",
   }),
+  attempt_broken_off: defineEvent(3031, "warn", {
+    fields: { fingerprint: S, hasBegun: "boolean", evidence: S },
+    message:
+      "A replica broke off an attempt; requests that a caller repeats share the fingerprint, and evidence states whether a crash was recorded, or why not.",
+  }),
   replica_statement: defineEvent(3027, "warn", {
     fields: { kind: S, value: N, isInForce: "boolean" },
     message:
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -90,6 +90,9 @@
 /** An announcement includes the news of this time. */
 const ANNOUNCEMENT_GAP: Milliseconds = 100;
 
+/** Whether an attempt that was broken off is evidence of a crash. */
+type LossEvidence = "recorded" | "answer began" | "planned end" | "no parts";
+
 interface EndedReplica {
   beforeEvent: number;
   afterEvent: number;
@@ -109,12 +112,39 @@
     if (!stopped.aborted) options.announce();
   }
 
+  /** Logs an attempt that was broken off and what it says of its request. */
+  function recordBrokenOff(
+    request: DispatchRequest,
+    replica: ReplicaEntry,
+    hasEvent: boolean,
+  ): void {
+    if (stopped.aborted) return;
+    const parts = sharedParts(request);
+    const evidence = classifyLoss(replica, parts, hasEvent);
+    logger.log("attempt_broken_off", {
+      fingerprint: request.fingerprint ?? "",
+      hasBegun: hasEvent,
+      evidence,
+    }, { request: request.id, upstream: replica.id });
+    if (evidence === "planned end" || evidence === "no parts") return;
+    recordLoss(replica, parts, hasEvent);
+  }
+
+  function classifyLoss(
+    replica: ReplicaEntry,
+    parts: readonly string[],
+    hasEvent: boolean,
+  ): LossEvidence {
+    if (isPlannedEnd(replica)) return "planned end";
+    if (parts.length === 0) return "no parts";
+    return hasEvent ? "answer began" : "recorded";
+  }
+
   function recordLoss(
     replica: ReplicaEntry,
     parts: readonly string[],
     hasEvent: boolean,
   ): void {
-    if (stopped.aborted || isPlannedEnd(replica)) return;
     const key = incarnationKey(replica);
     if (!hasEvent) crashes.recordLoss({ replica: key, parts });
     const known = ended.get(key);
@@ -169,7 +199,6 @@
       replica: ReplicaEntry,
     ): GuardedAdmission {
       const parts = sharedParts(request);
-      if (parts.length === 0) return UNGUARDED;
       const admission = crashes.admit(parts);
       if (admission.kind === "condemned") {
         const { remaining } = admission.condemned;
@@ -180,7 +209,7 @@
       const recordEvent = () => {
         if (hasEvent) return;
         hasEvent = true;
-        crashes.recordSuccess(parts);
+        if (parts.length > 0) crashes.recordSuccess(parts);
       };
       const attempt: GuardedAttempt = {
         recordReceived: () => crashes.recordReceived(key),
@@ -188,7 +217,7 @@
         recordEnd(outcome, wasBrokenOff) {
           if (outcome.kind === "done" && outcome.status === 200) recordEvent();
           if (wasBrokenOff && isLoss(outcome)) {
-            recordLoss(replica, parts, hasEvent);
+            recordBrokenOff(request, replica, hasEvent);
           }
         },
         release: admission.end,
@@ -210,16 +239,6 @@
   })();
 }
 
-const UNGUARDED: GuardedAdmission = {
-  kind: "admitted",
-  attempt: {
-    recordReceived() {},
-    recordEvent() {},
-    recordEnd() {},
-    release() {},
-  },
-};
-
 /**
  * Returns true when the answer is missing or incomplete. The connection of a
  * refusal can end inside its body, which is not read.
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -31,6 +31,7 @@
 import { countTurns } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import type { createRelay, Ending } from "./relay.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 import type { ActiveState, StateHolder } from "./state_holder.ts";
 
 export interface FrontendOptions {
@@ -158,7 +159,12 @@
       return decline({ status: 503, reason: "no service" }, route);
     }
     const patience = metadata.patience ?? route.timeout;
-    const dispatchRequest: DispatchRequest = {
+    const content = {
+      method: request.method ?? "GET",
+      path,
+      body: body.bytes,
+    };
+    const unidentified: DispatchRequest = {
       id: metadata.id,
       route,
       service,
@@ -168,11 +174,11 @@
       arrivedAt,
       deadline: arrivedAt + Math.min(route.timeout, patience),
     };
+    const fingerprint = fingerprintOf(unidentified, content);
+    const dispatchRequest = { ...unidentified, fingerprint };
     const result = await relay(dispatchRequest, {
-      method: request.method ?? "GET",
-      path,
+      ...content,
       headers: request.rawHeaders,
-      body: body.bytes,
       ...(metadata.lastEvent === undefined
         ? {}
         : { lastEvent: metadata.lastEvent }),
