--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -35,6 +35,10 @@
    * empty for none.
    */
   readonly crashOnPart: string;
+  /** Path and body of the plain request on which the replica crashes. */
+  readonly crashOnRequest:
+    | { readonly path: string; readonly body: string }
+    | undefined;
   /**
    * Requests per second that the replica names as its limit in all its answers;
    * 0 for no limit. It does not enforce the limit.
@@ -119,6 +123,7 @@
   wrongRequestId: false,
   loseOrderAnswers: false,
   crashOnPart: "",
+  crashOnRequest: undefined,
   limit: 0,
   leaving: false,
 };
@@ -126,6 +131,9 @@
 /** Time from a request to the first event, or to the crash. */
 const PREFILL_MILLISECONDS = 150;
 
+/** Time from a plain request to the crash. */
+const RUN_MILLISECONDS = 100;
+
 /** Time after which a crashed engine accepts connections again. */
 const RESTART_MILLISECONDS = 2_500;
 
@@ -150,9 +158,13 @@
   let faults = NO_FAULTS;
   let version = 1;
   let crashes = 0;
+  let born: number | undefined;
   let restart: NodeJS.Timeout | undefined;
 
-  /** Ends all connections, and accepts new ones after the restart. */
+  /**
+   * Ends all connections, and accepts new ones after the restart, as another
+   * incarnation with the same id.
+   */
   function crash(): void {
     if (restart !== undefined) return;
     crashes += 1;
@@ -161,6 +173,7 @@
     server.closeAllConnections();
     restart = setTimeout(() => {
       restart = undefined;
+      born = Date.now();
       server.listen(port, "127.0.0.1");
     }, RESTART_MILLISECONDS);
   }
@@ -265,6 +278,11 @@
     });
     if (faults.silent) return;
     if (model !== undefined) return await streamEvents(request, response);
+    const { crashOnRequest } = faults;
+    if (crashOnRequest?.path === request.url && crashOnRequest?.body === body) {
+      await new Promise((resolve) => setTimeout(resolve, RUN_MILLISECONDS));
+      return crash();
+    }
     if (faults.loseAnswers) {
       request.socket.destroy();
       return;
@@ -339,6 +357,7 @@
         ? []
         : [{ name: model, version, adapters: [] }],
       seq: 1,
+      ...(born === undefined ? {} : { born }),
     }),
     setFaults(change) {
       faults = { ...faults, ...change };
