--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -146,7 +146,7 @@
     hasEvent: boolean,
   ): void {
     const key = incarnationKey(replica);
-    if (!hasEvent) crashes.recordLoss({ replica: key, parts });
+    if (!hasEvent) crashes.recordLoss({ replica: key, suspects: parts });
     const known = ended.get(key);
     const counts = known ?? { beforeEvent: 0, afterEvent: 0 };
     if (hasEvent) counts.afterEvent += 1;
@@ -226,7 +226,7 @@
     }
 
     override recordVerdict(verdict: Verdict): void {
-      const { part: key, crashes: count, strikes, hold } = verdict;
+      const { suspect: key, crashes: count, strikes, hold } = verdict;
       const part = idOf(key);
       logger.log("part_condemned", { part, crashes: count, strikes, hold });
       // The daemon that decided it has told it already.
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -7,8 +7,8 @@
 import { type Delta, digestSchema } from "@peridotvalve/load";
 import {
   type CrashNews,
-  MAX_PART_LENGTH,
-  MAX_TOLD_PARTS,
+  MAX_SUSPECT_LENGTH,
+  MAX_TOLD_SUSPECTS,
 } from "@peridotvalve/retries";
 import { MAX_ERA } from "@peridotvalve/tables";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
@@ -66,16 +66,18 @@
 const count = z.number().nonnegative();
 const names = z.array(name).max(64);
 const cacheEvent = z.tuple([name, name, count]);
-const part = z.string().max(MAX_PART_LENGTH);
+const suspect = z.string().max(MAX_SUSPECT_LENGTH);
 /**
  * Verdicts, crash records and proofs. They are checked apart from the digest, so
  * that a fault in them doesn't cost the load, tables and caches beside them.
  */
 const CRASHES = z.tuple([
-  z.array(z.tuple([part, count, count, z.number().int().min(1).max(64)]))
+  z.array(z.tuple([suspect, count, count, z.number().int().min(1).max(64)]))
     .max(16),
-  z.array(z.tuple([name, count, z.array(part).max(MAX_TOLD_PARTS)])).max(32),
-  z.array(z.tuple([part, count])).max(32),
+  z.array(z.tuple([name, count, z.array(suspect).max(MAX_TOLD_SUSPECTS)])).max(
+    32,
+  ),
+  z.array(z.tuple([suspect, count])).max(32),
 ]);
 
 const PEER_DIGEST = z.object({
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -252,14 +252,14 @@
   const [first, second] = daemons;
   const third = daemons.find(({ zone }) => zone === "vaasa");
   for (const [index, daemon] of [first, second, third].entries()) {
-    daemon?.crashes.recordLoss({ replica: `i-${index}`, parts: ["s", "p"] });
+    daemon?.crashes.recordLoss({ replica: `i-${index}`, suspects: ["s", "p"] });
     await advance(clock, 300);
     daemon?.mesh.announce();
   }
   daemons.at(-1)?.crashes.recordSuccess(["s"]);
   await advance(clock, 3_000);
   const refusing = daemons.filter(({ crashes }) =>
-    crashes.check(["s", "p"])?.part === "p"
+    crashes.check(["s", "p"])?.suspect === "p"
   );
   expect(refusing.length).toEqual(daemons.length);
   expect(daemons.filter(({ crashes }) => crashes.check(["s"]))).toEqual([]);
--- a/packages/retries/src/crash_digest.ts
+++ b/packages/retries/src/crash_digest.ts
@@ -5,15 +5,23 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
-import { compare, type Observations, rankParts } from "./crash_attribution.ts";
+import {
+  compare,
+  type Observations,
+  rankSuspects,
+} from "./crash_attribution.ts";
 import {
   type Audience,
   type CrashRecord,
   isUsable,
   RECORD_EXPIRY,
 } from "./crash_records.ts";
-import type { Proof, ProofReport } from "./part_proofs.ts";
-import { holdOf, MAX_STRIKES, type PartVerdicts } from "./part_verdicts.ts";
+import type { Proof, ProofReport } from "./suspect_proofs.ts";
+import {
+  holdOf,
+  MAX_STRIKES,
+  type SuspectVerdicts,
+} from "./suspect_verdicts.ts";
 
 /**
  * Age at which a crash record is told to others, so that data of a live replica
@@ -21,7 +29,7 @@
  */
 export const TELL_DELAY: Milliseconds = 250;
 
-/** Minimum interval between two reports of the same part's proof. */
+/** Minimum interval between two reports of the same suspect's proof. */
 const PROOF_INTERVAL: Milliseconds = 1_000;
 
 /**
@@ -33,8 +41,8 @@
 /** Reports of a proof that no newer one replaces, as datagrams can be lost. */
 const PROOF_ROUNDS = 3;
 
-/** Parts of one crash record in a datagram. */
-export const MAX_TOLD_PARTS = 64;
+/** Suspects of one crash record in a datagram. */
+export const MAX_TOLD_SUSPECTS = 64;
 const MAX_TOLD_VERDICTS = 8;
 const MAX_TOLD_PROOFS = 16;
 
@@ -43,7 +51,7 @@
 /** What daemons tell each other; all times are ages or remaining times. */
 export interface CrashNews {
   readonly verdicts: readonly (readonly [
-    part: string,
+    suspect: string,
     age: Milliseconds,
     remaining: Milliseconds,
     strikes: number,
@@ -51,15 +59,15 @@
   readonly records: readonly (readonly [
     replica: string,
     age: Milliseconds,
-    parts: readonly string[],
+    suspects: readonly string[],
   ])[];
-  /** Newest proofs that parts are sound. */
-  readonly proofs: readonly (readonly [part: string, age: Milliseconds])[];
+  /** Newest proofs that suspects are sound. */
+  readonly proofs: readonly (readonly [suspect: string, age: Milliseconds])[];
 }
 
 export interface CrashDigestOptions extends Observations {
   readonly clock: Clock;
-  readonly verdicts: PartVerdicts;
+  readonly verdicts: SuspectVerdicts;
 }
 
 export abstract class CrashDigest {
@@ -76,28 +84,29 @@
 
   function listProofs(audience: Audience): CrashNews["proofs"] {
     const now = clock.monotonic();
-    const condemned = verdicts.list().map(({ part }) => part);
-    const named = new Set([...condemned, ...records.listParts()]);
-    const isCondemned = (part: string) => verdicts.find(part) !== undefined;
+    const condemned = verdicts.list().map(({ suspect }) => suspect);
+    const named = new Set([...condemned, ...records.listSuspects()]);
+    const isCondemned = (suspect: string) =>
+      verdicts.find(suspect) !== undefined;
     const due: (readonly [string, Proof])[] = [];
-    for (const part of named) {
-      const proof = proofs.find(part);
+    for (const suspect of named) {
+      const proof = proofs.find(suspect);
       if (proof === undefined) continue;
       const told = proof.told?.[audience] ?? UNTOLD;
       if (now - told.at < PROOF_INTERVAL) continue;
       const isNew = proof.at - told.proof >= PROOF_STEP;
-      if (isNew || told.rounds < PROOF_ROUNDS) due.push([part, proof]);
+      if (isNew || told.rounds < PROOF_ROUNDS) due.push([suspect, proof]);
     }
-    due.sort(([part, a], [other, b]) =>
-      Number(isCondemned(other)) - Number(isCondemned(part)) ||
-      records.count(other) - records.count(part) ||
+    due.sort(([suspect, a], [other, b]) =>
+      Number(isCondemned(other)) - Number(isCondemned(suspect)) ||
+      records.count(other) - records.count(suspect) ||
       compare(
         (a.told?.[audience] ?? UNTOLD).at,
         (b.told?.[audience] ?? UNTOLD).at,
       )
     );
     return due.slice(0, MAX_TOLD_PROOFS)
-      .map(([part, { at }]) => [part, Math.ceil(now - at)] as const);
+      .map(([suspect, { at }]) => [suspect, Math.ceil(now - at)] as const);
   }
 
   function listVerdicts(): CrashNews["verdicts"] {
@@ -105,9 +114,9 @@
     return verdicts.list().filter(({ until }) => until > now)
       .sort((a, b) => b.since - a.since)
       .slice(0, MAX_TOLD_VERDICTS)
-      .map(({ part, since, until, strikes }) =>
+      .map(({ suspect, since, until, strikes }) =>
         [
-          part,
+          suspect,
           Math.floor(now - since),
           Math.floor(until - now),
           strikes,
@@ -156,16 +165,18 @@
         const base = measure([record.replica, age, []]) + 1;
         if (base >= left) return undefined;
         left -= base;
-        const parts = take(
-          rankParts(options, record.parts).slice(0, MAX_TOLD_PARTS),
+        const suspects = take(
+          rankSuspects(options, record.suspects).slice(0, MAX_TOLD_SUSPECTS),
         );
-        if (parts.length > 0) return [record.replica, age, parts] as const;
+        if (suspects.length > 0) {
+          return [record.replica, age, suspects] as const;
+        }
         left += base;
         return undefined;
       }
       const toldProofs = take(listProofs(audience));
-      for (const [part] of toldProofs) {
-        const proof = proofs.find(part);
+      for (const [suspect] of toldProofs) {
+        const proof = proofs.find(suspect);
         if (proof === undefined) continue;
         const { proof: last, rounds } = proof.told?.[audience] ?? UNTOLD;
         const isNew = proof.at - last >= PROOF_STEP;
@@ -182,26 +193,26 @@
 
     override apply(news: CrashNews): void {
       const now = clock.monotonic();
-      // Proofs first, so that no part is condemned that they show to be sound.
-      for (const [part, age] of news.proofs) {
-        if (!isUsable(part)) continue;
+      // Proofs first, so that no suspect is condemned that they show sound.
+      for (const [suspect, age] of news.proofs) {
+        if (!isUsable(suspect)) continue;
         if (proofs.recordAnswer(now - age)) verdicts.noteAnswer();
-        if (proofs.recordProof(part, now - age)) verdicts.noteProof(part);
+        if (proofs.recordProof(suspect, now - age)) verdicts.noteProof(suspect);
       }
       const changed: CrashRecord[] = [];
-      for (const [replica, age, parts] of news.records) {
+      for (const [replica, age, suspects] of news.records) {
         if (age >= RECORD_EXPIRY) continue;
-        const { record, isChanged } = records.add(replica, now - age, parts);
+        const { record, isChanged } = records.add(replica, now - age, suspects);
         if (!isChanged) continue;
         verdicts.noteRecords();
         record.isFromPeer = true;
         changed.push(record);
       }
-      for (const [part, age, remaining, told] of news.verdicts) {
-        if (!isUsable(part) || told < 1) continue;
+      for (const [suspect, age, remaining, told] of news.verdicts) {
+        if (!isUsable(suspect) || told < 1) continue;
         const strikes = Math.min(MAX_STRIKES, told);
         verdicts.merge({
-          part,
+          suspect,
           strikes,
           since: now - age,
           until: now + Math.min(remaining, holdOf(strikes)),
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -43,7 +43,7 @@
   /** Each crash ends another replica, as its requests are sent elsewhere. */
   async function crash(...parts: readonly string[]): Promise<void> {
     crashed += 1;
-    evidence.recordLoss({ replica: `r${crashed}`, parts });
+    evidence.recordLoss({ replica: `r${crashed}`, suspects: parts });
     await clock.advance(GAP);
   }
 
@@ -75,9 +75,9 @@
   evidence.recordSuccess([POPULAR]);
   await crash(POPULAR, DEADLY, "c");
   expect(isCondemned(evidence, DEADLY)).toEqual(true);
-  expect(condemned.map(({ part }) => part)).toEqual([DEADLY]);
+  expect(condemned.map(({ suspect }) => suspect)).toEqual([DEADLY]);
   const refused = evidence.check([POPULAR, DEADLY, "new"]);
-  expect(refused?.part).toEqual(DEADLY);
+  expect(refused?.suspect).toEqual(DEADLY);
   expect((refused?.remaining ?? 0) > INITIAL_HOLD / 2).toEqual(true);
 });
 
@@ -90,7 +90,7 @@
   for (const conversation of ["a", "b", "c", "d", "e"]) {
     await crash(POPULAR, "customer's", DEADLY, conversation);
   }
-  expect(condemned.map(({ part }) => part)).toEqual([DEADLY]);
+  expect(condemned.map(({ suspect }) => suspect)).toEqual([DEADLY]);
   expect(evidence.check([POPULAR, "customer's", "f"])).toEqual(undefined);
 });
 
@@ -119,7 +119,7 @@
     await crash(POPULAR, DEADLY, `a${round}`, "other", `b${round}`);
     evidence.recordSuccess([POPULAR, "other"]);
   }
-  expect(condemned.map(({ part }) => part)).toEqual([DEADLY]);
+  expect(condemned.map(({ suspect }) => suspect)).toEqual([DEADLY]);
 });
 
 // Guards against verdicts because of connections that were reset under a live
@@ -127,7 +127,7 @@
 test("a reset of connections is no crash when data follows", async () => {
   const { clock, evidence, crash } = createDaemon();
   for (const replica of ["x", "y", "z"]) {
-    evidence.recordLoss({ replica, parts: [DEADLY] });
+    evidence.recordLoss({ replica, suspects: [DEADLY] });
     await clock.advance(GAP);
     evidence.recordReceived(replica);
     expect(evidence.hasRecord(replica)).toEqual(false);
@@ -142,7 +142,7 @@
 // against a void record that hides the crash of the same replica right after.
 test("a void record stays void, and a later crash of the replica counts", async () => {
   const { clock, evidence } = createDaemon();
-  const loss = { replica: "x", parts: [DEADLY] };
+  const loss = { replica: "x", suspects: [DEADLY] };
   evidence.recordLoss(loss);
   await clock.advance(GAP);
   evidence.recordReceived("x");
@@ -166,7 +166,7 @@
     other.evidence.apply({ verdicts: [], records: [record], proofs: [] });
   }
   for (const _age of ages) {
-    one.evidence.recordLoss({ replica: "x", parts: [DEADLY] });
+    one.evidence.recordLoss({ replica: "x", suspects: [DEADLY] });
     await clock.advance(1_600);
   }
   for (const { evidence, condemned, crash } of [one, other]) {
@@ -184,7 +184,7 @@
 // before its end is processed just after it, or the replica is back.
 test("data from before the crash or after the restart voids nothing", async () => {
   const { clock, evidence } = createDaemon();
-  evidence.recordLoss({ replica: "x", parts: [DEADLY] });
+  evidence.recordLoss({ replica: "x", suspects: [DEADLY] });
   await clock.advance(20);
   evidence.recordReceived("x");
   await clock.advance(2_000);
@@ -196,7 +196,10 @@
 test("an outage of many replicas counts as one crash", async () => {
   const { clock, evidence, condemned } = createDaemon();
   for (let replica = 0; replica < 20; replica += 1) {
-    evidence.recordLoss({ replica: `r${replica}`, parts: [POPULAR, "other"] });
+    evidence.recordLoss({
+      replica: `r${replica}`,
+      suspects: [POPULAR, "other"],
+    });
     await clock.advance(3);
   }
   await clock.advance(2 * PROOF_VALIDITY);
@@ -229,7 +232,7 @@
   for (let wave = 0; wave < 4; wave += 1) {
     for (let replica = 0; replica < 6; replica += 1) {
       const part = replica === 0 ? "unlucky" : `other${wave}-${replica}`;
-      evidence.recordLoss({ replica: `r${wave}-${replica}`, parts: [part] });
+      evidence.recordLoss({ replica: `r${wave}-${replica}`, suspects: [part] });
       await clock.advance(30);
     }
     await clock.advance(2 * PROOF_VALIDITY);
@@ -275,7 +278,7 @@
   evidence.recordSuccess(parts);
   await clock.advance(PROOF_VALIDITY);
   for (let crash = 0; crash < 32; crash += 1) {
-    evidence.recordLoss({ replica: `r${crash}`, parts: [...parts, DEADLY] });
+    evidence.recordLoss({ replica: `r${crash}`, suspects: [...parts, DEADLY] });
     await clock.advance(120);
   }
   expect(isCondemned(evidence, DEADLY)).toEqual(true);
@@ -390,7 +393,7 @@
     await crash(DEADLY);
     const parts = isFirst ? [DEADLY, "sound"] : ["sound", DEADLY];
     for (const part of parts) {
-      evidence.recordLoss({ replica: "shared", parts: [part] });
+      evidence.recordLoss({ replica: "shared", suspects: [part] });
     }
     if (trial.kind === "admitted") trial.end();
     expect(evidence.check(["sound"])).toEqual(undefined);
@@ -423,7 +426,7 @@
 // Guards against a report of a reset connection as a crash.
 test("a daemon tells of a crash only after data could have voided it", async () => {
   const { clock, evidence } = createDaemon();
-  evidence.recordLoss({ replica: "x", parts: [DEADLY] });
+  evidence.recordLoss({ replica: "x", suspects: [DEADLY] });
   expect(evidence.compose(LIMIT, "neighbors")).toEqual(undefined);
   await clock.advance(TELL_DELAY);
   const news = evidence.compose(LIMIT, "neighbors");
@@ -437,7 +440,7 @@
   const daemons = Array.from({ length: 5 }, () => createDaemon(clock));
   const all = daemons.map(({ evidence }) => evidence);
   for (const [index, { evidence }] of daemons.slice(0, 3).entries()) {
-    evidence.recordLoss({ replica: `r${index}`, parts: [POPULAR, DEADLY] });
+    evidence.recordLoss({ replica: `r${index}`, suspects: [POPULAR, DEADLY] });
     await clock.advance(GAP);
   }
   all.at(-1)?.recordSuccess([POPULAR]);
@@ -465,7 +468,7 @@
   const long = "l".repeat(10_000);
   for (let crash = 0; crash < 200; crash += 1) {
     const parts = Array.from({ length: 200 }, (_, n) => `${crash}-${n}`);
-    evidence.recordLoss({ replica: `r${crash}`, parts: [...parts, long] });
+    evidence.recordLoss({ replica: `r${crash}`, suspects: [...parts, long] });
     evidence.recordSuccess([`ok-${crash}`, long]);
     await clock.advance(120);
   }
@@ -494,10 +497,10 @@
     for (let request = 0; request < 30; request += 1) {
       evidence.recordLoss({
         replica: `r${crash}`,
-        parts: [`a${crash}-${request}`, `b${crash}-${request}`],
+        suspects: [`a${crash}-${request}`, `b${crash}-${request}`],
       });
     }
-    evidence.recordLoss({ replica: `r${crash}`, parts: [POPULAR, DEADLY] });
+    evidence.recordLoss({ replica: `r${crash}`, suspects: [POPULAR, DEADLY] });
     await clock.advance(GAP);
   }
   expect(isCondemned(evidence, DEADLY)).toEqual(true);
@@ -565,7 +568,7 @@
   test(`an outage with crashes ${spacing} ms apart condemns no part proven before`, async () => {
     const { clock, evidence, condemned } = createDaemon();
     const crashOne = async (replica: string, ...parts: readonly string[]) => {
-      evidence.recordLoss({ replica, parts });
+      evidence.recordLoss({ replica, suspects: parts });
       await clock.advance(spacing);
     };
     evidence.recordSuccess([POPULAR]);
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -1,40 +1,40 @@
 /**
- * Finds prompt parts that crash every replica that begins to write an answer on
- * them, from the replicas that ended under requests and from the answers that
- * began. Requests with such a part are to be refused, until a trial shows that
- * the part is sound again.
+ * Finds what of requests crashes every replica that runs it, from the replicas
+ * that ended under requests and from the answers that began. What can be the
+ * cause is a suspect: a part that prompts share. Requests with a condemned
+ * suspect are to be refused, until a trial shows that it is sound again.
  *
  * - All attempts that one replica broke off before an event form one crash
- *   record with the parts of these requests. Data from the same incarnation
+ *   record with the suspects of these requests. Data from the same incarnation
  *   soon afterwards shows that only connections were reset, and voids it. So
  *   does a later loss: an incarnation crashes at most once.
- * - An answer that begins proves the parts of its request sound at that time:
- *   only crashes after it count against them.
- * - A part is condemned after three crashes that are most of those in their
- *   time, or after five if it was sound just before, unless other parts explain
- *   them: those that stand in the same crash records and were proven sound less
- *   recently, or never.
- * - A part that was sound before is condemned only if answers on other parts
- *   began while it crashed replicas, which an outage does not admit.
+ * - An answer that begins proves the suspects of its request sound at that
+ *   time: only crashes after it count against them.
+ * - A suspect is condemned after three crashes that are most of those in their
+ *   time, or after five if it was sound just before, unless other suspects
+ *   explain them: those that stand in the same crash records and were proven
+ *   sound less recently, or never.
+ * - A suspect that was sound before is condemned only if answers on other
+ *   suspects began while it crashed replicas, which an outage does not admit.
  *
  * Daemons exchange crash records, proofs and verdicts. Times travel as ages and
- * appear later by the delays on the way, which the tolerances allow for.
- * News that repeat what a daemon holds, at the same times, change nothing. Of
- * different news, the order can matter: a verdict that starts here has the times
- * of the crashes known then, and a proof up to `MAX_NEWS_DELAY` after the first
- * of the last three crashes prevents the verdict when it arrives before them,
- * but does not lift it when it arrives after them.
+ * appear later by the delays on the way, which the tolerances allow for. News
+ * that repeat what a daemon holds, at the same times, change nothing. Of
+ * different news, the order can matter: a verdict that starts here has the
+ * times of the crashes known then, and a proof up to `MAX_NEWS_DELAY` after the
+ * first of the last three crashes prevents the verdict when it arrives before
+ * them, but does not lift it when it arrives after them.
  *
- * Memory is bounded whatever parts callers invent: `MAX_RECORDS` crash records
- * of at most `MAX_PARTS` parts, `MAX_VERDICTS` verdicts and `MAX_PROOFS` times
- * of proofs, 1.6 MB as measured with ids of 64 characters. Work for one request is
- * bounded by the parts of the request and the crash records, and does not
- * depend on the numbers of daemons and replicas.
+ * Memory is bounded whatever suspects callers invent: `MAX_RECORDS` crash
+ * records of at most `MAX_SUSPECTS` suspects, `MAX_VERDICTS` verdicts and
+ * `MAX_PROOFS` times of proofs, 1.6 MB as measured with ids of 64 characters.
+ * Work for one request is bounded by the suspects of the request and the crash
+ * records, and does not depend on the numbers of daemons and replicas.
  *
- * This module states the interface and connects the parts: `crash_records.ts`
- * and `part_proofs.ts` hold what was observed, `crash_attribution.ts` decides
- * which crashes count against a part, `part_verdicts.ts` holds the verdicts, and
- * `crash_digest.ts` exchanges all of them with other daemons.
+ * This module states the interface and connects the modules: `crash_records.ts`
+ * and `suspect_proofs.ts` hold what was observed, `crash_attribution.ts`
+ * decides which crashes count against a suspect, `suspect_verdicts.ts` holds
+ * the verdicts, and `crash_digest.ts` exchanges all of them with other daemons.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes } from "@peridotvalve/types";
@@ -42,7 +42,7 @@
   CRASHES_TO_SUSPECT,
   findCrashes,
   type Observations,
-  rankParts,
+  rankSuspects,
 } from "./crash_attribution.ts";
 import { type CrashNews, createCrashDigest } from "./crash_digest.ts";
 import {
@@ -50,12 +50,12 @@
   createCrashRecords,
   isUsable,
 } from "./crash_records.ts";
-import { createPartProofs } from "./part_proofs.ts";
+import { createSuspectProofs } from "./suspect_proofs.ts";
 import {
-  type CondemnedPart,
-  createPartVerdicts,
+  type CondemnedSuspect,
+  createSuspectVerdicts,
   type Verdict,
-} from "./part_verdicts.ts";
+} from "./suspect_verdicts.ts";
 
 export {
   CRASHES_DESPITE_PROOF,
@@ -63,31 +63,35 @@
   CRASHES_TO_SUSPECT,
   PROOF_VALIDITY,
 } from "./crash_attribution.ts";
-export { type CrashNews, MAX_TOLD_PARTS, TELL_DELAY } from "./crash_digest.ts";
+export {
+  type CrashNews,
+  MAX_TOLD_SUSPECTS,
+  TELL_DELAY,
+} from "./crash_digest.ts";
 export {
   type Audience,
-  MAX_PART_LENGTH,
+  MAX_SUSPECT_LENGTH,
   RECORD_EXPIRY,
 } from "./crash_records.ts";
 export {
-  type CondemnedPart,
+  type CondemnedSuspect,
   INITIAL_HOLD,
   MAX_HOLD,
   MAX_STRIKES,
   type Verdict,
-} from "./part_verdicts.ts";
+} from "./suspect_verdicts.ts";
 
 /** A replica that ended under requests. */
 export interface Loss {
   /** Key of the replica's incarnation. */
   readonly replica: string;
-  /** Keys of the request's parts that other requests can share. */
-  readonly parts: readonly string[];
+  /** Keys of what of the request can be the cause of a crash. */
+  readonly suspects: readonly string[];
 }
 
 export type Admission =
   | { readonly kind: "admitted"; readonly end: () => void }
-  | { readonly kind: "condemned"; readonly condemned: CondemnedPart };
+  | { readonly kind: "condemned"; readonly condemned: CondemnedSuspect };
 
 export abstract class CrashEvidence {
   /**
@@ -97,22 +101,22 @@
    * the first loss of a crash.
    */
   abstract recordLoss(loss: Loss): boolean;
-  /** Records that an answer on these parts began. */
-  abstract recordSuccess(parts: readonly string[]): void;
+  /** Records that an answer on these suspects began. */
+  abstract recordSuccess(suspects: readonly string[]): void;
   /** Records that data was received from a replica's incarnation. */
   abstract recordReceived(replica: string): void;
-  /** Returns the part for which a request must not be sent now. */
-  abstract check(parts: readonly string[]): CondemnedPart | undefined;
+  /** Returns the suspect for which a request must not be sent now. */
+  abstract check(suspects: readonly string[]): CondemnedSuspect | undefined;
   /**
-   * Admits one attempt, or returns the part for which it must not be sent. After
-   * a verdict lapses, one attempt with the part is admitted at a time.
+   * Admits one attempt, or returns the suspect for which it must not be sent.
+   * After a verdict lapses, one attempt with the suspect is admitted at a time.
    */
-  abstract admit(parts: readonly string[]): Admission;
+  abstract admit(suspects: readonly string[]): Admission;
   /**
-   * Returns true when the crashes so far may be due to a part of the request,
-   * which therefore must not be repeated after a crash.
+   * Returns true when the crashes so far may be due to a suspect of the
+   * request, which therefore must not be repeated after a crash.
    */
-  abstract isSuspect(parts: readonly string[]): boolean;
+  abstract isSuspect(suspects: readonly string[]): boolean;
   /**
    * Takes the news for one datagram, at most `limit` bytes of JSON. Each crash
    * record is returned a limited number of times to each audience.
@@ -128,20 +132,20 @@
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly onCondemned?: (verdict: Verdict) => void;
-  readonly onLifted?: (part: string) => void;
+  readonly onLifted?: (suspect: string) => void;
 }
 
 export function createCrashEvidence(
   options: CrashEvidenceOptions,
 ): CrashEvidence {
   const { clock } = options;
-  const proofs = createPartProofs(clock);
+  const proofs = createSuspectProofs(clock);
   const records = createCrashRecords(
     clock,
-    (parts) => rankParts(observations, parts),
+    (suspects) => rankSuspects(observations, suspects),
   );
   const observations: Observations = { records, proofs };
-  const verdicts = createPartVerdicts({ ...options, ...observations });
+  const verdicts = createSuspectVerdicts({ ...options, ...observations });
   const digest = createCrashDigest({ clock, verdicts, ...observations });
 
   function isEmpty(): boolean {
@@ -154,31 +158,31 @@
     verdicts.dropExpired();
   }
 
-  function check(parts: readonly string[]): CondemnedPart | undefined {
+  function check(suspects: readonly string[]): CondemnedSuspect | undefined {
     if (isEmpty()) return undefined;
     dropExpired();
     verdicts.evaluate();
-    return verdicts.findCondemned(parts);
+    return verdicts.findCondemned(suspects);
   }
 
   return new (class extends CrashEvidence {
-    override recordLoss({ replica, parts }: Loss): boolean {
+    override recordLoss({ replica, suspects }: Loss): boolean {
       dropExpired();
       const now = clock.monotonic();
-      const { record, isNew, isChanged } = records.add(replica, now, parts);
+      const { record, isNew, isChanged } = records.add(replica, now, suspects);
       if (isChanged) verdicts.noteRecords();
       verdicts.judge(record);
       return isNew;
     }
 
-    override recordSuccess(parts: readonly string[]): void {
+    override recordSuccess(suspects: readonly string[]): void {
       const now = clock.monotonic();
       if (records.list().length > 0 && proofs.recordAnswer(now)) {
         verdicts.noteAnswer();
       }
-      for (const part of parts) {
-        if (!isUsable(part)) continue;
-        if (proofs.recordProof(part, now)) verdicts.noteProof(part);
+      for (const suspect of suspects) {
+        if (!isUsable(suspect)) continue;
+        if (proofs.recordProof(suspect, now)) verdicts.noteProof(suspect);
       }
     }
 
@@ -186,14 +190,14 @@
       if (records.voidByData(replica)) verdicts.noteRecords();
     }
 
-    override check(parts: readonly string[]): CondemnedPart | undefined {
-      return check(parts);
+    override check(suspects: readonly string[]): CondemnedSuspect | undefined {
+      return check(suspects);
     }
 
-    override admit(parts: readonly string[]): Admission {
-      const condemned = check(parts);
+    override admit(suspects: readonly string[]): Admission {
+      const condemned = check(suspects);
       if (condemned !== undefined) return { kind: "condemned", condemned };
-      const tried = parts.flatMap((part) => verdicts.find(part) ?? []);
+      const tried = suspects.flatMap((suspect) => verdicts.find(suspect) ?? []);
       for (const verdict of tried) verdict.isTried = true;
       const end = () => {
         for (const verdict of tried) verdict.isTried = false;
@@ -201,11 +205,11 @@
       return { kind: "admitted", end };
     }
 
-    override isSuspect(parts: readonly string[]): boolean {
+    override isSuspect(suspects: readonly string[]): boolean {
       if (records.list().length < CRASHES_TO_SUSPECT) return false;
       dropExpired();
-      return parts.some((part) =>
-        findCrashes(observations, part, CRASHES_TO_SUSPECT) !== undefined
+      return suspects.some((suspect) =>
+        findCrashes(observations, suspect, CRASHES_TO_SUSPECT) !== undefined
       );
     }
 
--- a/packages/retries/src/crash_records.ts
+++ b/packages/retries/src/crash_records.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps the records of crashes: which replica ended when, and under which
- * parts. Joins the losses of one crash, voids records of replicas that were
- * alive afterwards, and bounds the number of records and of their parts. Counts
- * the records by part, so that parts without crashes cost nothing.
+ * suspects. Joins the losses of one crash, voids records of replicas that were
+ * alive afterwards, and bounds the number of records and of their suspects.
+ * Counts the records by suspect, so that suspects without crashes cost nothing.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -30,19 +30,19 @@
 
 /**
  * Changes after which a record is told again. Daemons that know more than
- * `MAX_PARTS` parts of one crash may keep different ones, and would otherwise
- * tell each other about them until the record expires.
+ * `MAX_SUSPECTS` suspects of one crash may keep different ones, and would
+ * otherwise tell each other about them until the record expires.
  */
 const MAX_RETOLD_CHANGES = 8;
 
 const MAX_RECORDS = 32;
-const MAX_PARTS = 128;
+const MAX_SUSPECTS = 128;
 
 /**
  * Longer keys are ignored, which bounds the memory and the news. Admits ids of
  * 128 characters with the scope of their evidence.
  */
-export const MAX_PART_LENGTH = 140;
+export const MAX_SUSPECT_LENGTH = 140;
 
 /** News are counted separately for neighbors and for other zones. */
 export type Audience = "neighbors" | "zones";
@@ -52,7 +52,7 @@
   at: Milliseconds;
   /** Time of the first report here; it is told `TELL_DELAY` later. */
   readonly notedAt: Milliseconds;
-  readonly parts: Set<string>;
+  readonly suspects: Set<string>;
   isFromPeer: boolean;
   /** Time of data from the same incarnation, which voids the record. */
   voidedAt?: Milliseconds;
@@ -61,7 +61,7 @@
   readonly roundsLeft: Record<Audience, number>;
 }
 
-/** What the addition of parts to a record led to. */
+/** What the addition of suspects to a record led to. */
 export interface RecordChange {
   readonly record: CrashRecord;
   readonly isNew: boolean;
@@ -71,18 +71,18 @@
 export abstract class CrashRecords {
   /** Ordered by time; void ones are kept until their reports stop. */
   abstract list(): readonly CrashRecord[];
-  /** Parts of all records, with repetitions. */
-  abstract listParts(): Iterable<string>;
-  /** Number of records with a part, also of those before its last proof. */
-  abstract count(part: string): number;
+  /** Suspects of all records, with repetitions. */
+  abstract listSuspects(): Iterable<string>;
+  /** Number of records with a suspect, also of those before its last proof. */
+  abstract count(suspect: string): number;
   /**
-   * Adds parts to the record of a crash. Returns the record and whether that
+   * Adds suspects to the record of a crash. Returns the record and whether that
    * changed anything.
    */
   abstract add(
     replica: string,
     at: Milliseconds,
-    parts: readonly string[],
+    suspects: readonly string[],
   ): RecordChange;
   /**
    * Voids the record of a replica that sends data soon after its loss. Returns
@@ -93,18 +93,20 @@
   abstract dropExpired(): boolean;
 }
 
-/** Orders parts for a record with too many: the first ones are kept. */
-export type PartRanking = (parts: Iterable<string>) => readonly string[];
+/** Orders suspects for a record with too many: the first ones are kept. */
+export type SuspectRanking = (suspects: Iterable<string>) => readonly string[];
 
 export function createCrashRecords(
   clock: Clock,
-  rankParts: PartRanking,
+  rankSuspects: SuspectRanking,
 ): CrashRecords {
   let records: CrashRecord[] = [];
-  /** Number of records by part; undefined after records were dropped. */
+  /** Number of records by suspect; undefined after records were dropped. */
   let recordCounts: Map<string, number> | undefined;
 
-  /** The record of the same crash: the closest one, as times differ by delays. */
+  /**
+   * The record of the same crash: the closest one, as times differ by delays.
+   */
   function findRecord(
     replica: string,
     at: Milliseconds,
@@ -119,7 +121,7 @@
   /**
    * Voids all records of a replica but the last. The replica was alive until
    * then, so that one live replica whose connections are reset again and again
-   * counts at most once against a part.
+   * counts at most once against a suspect.
    */
   function voidEarlier(replica: string): void {
     const own = records.filter((record) => record.replica === replica);
@@ -131,24 +133,24 @@
     }
   }
 
-  function trimParts(record: CrashRecord): void {
-    if (record.parts.size <= MAX_PARTS) return;
-    for (const part of rankParts(record.parts).slice(MAX_PARTS)) {
-      changeParts(record, part, -1);
+  function trimSuspects(record: CrashRecord): void {
+    if (record.suspects.size <= MAX_SUSPECTS) return;
+    for (const suspect of rankSuspects(record.suspects).slice(MAX_SUSPECTS)) {
+      changeSuspects(record, suspect, -1);
     }
   }
 
-  /** Adds a part to a record or removes it, and counts it. */
-  function changeParts(
-    { parts, voidedAt }: CrashRecord,
-    part: string,
+  /** Adds a suspect to a record or removes it, and counts it. */
+  function changeSuspects(
+    { suspects, voidedAt }: CrashRecord,
+    suspect: string,
     change: 1 | -1,
   ): void {
-    if (change > 0 === parts.has(part)) return;
-    if (change > 0) parts.add(part);
-    else parts.delete(part);
+    if (change > 0 === suspects.has(suspect)) return;
+    if (change > 0) suspects.add(suspect);
+    else suspects.delete(suspect);
     if (recordCounts === undefined || voidedAt !== undefined) return;
-    recordCounts.set(part, (recordCounts.get(part) ?? 0) + change);
+    recordCounts.set(suspect, (recordCounts.get(suspect) ?? 0) + change);
   }
 
   return new (class extends CrashRecords {
@@ -156,47 +158,47 @@
       return records;
     }
 
-    override *listParts(): Iterable<string> {
-      for (const { parts } of records) yield* parts;
+    override *listSuspects(): Iterable<string> {
+      for (const { suspects } of records) yield* suspects;
     }
 
-    override count(part: string): number {
+    override count(suspect: string): number {
       if (recordCounts === undefined) {
         recordCounts = new Map();
-        for (const { parts, voidedAt } of records) {
+        for (const { suspects, voidedAt } of records) {
           if (voidedAt !== undefined) continue;
-          for (const one of parts) {
+          for (const one of suspects) {
             recordCounts.set(one, (recordCounts.get(one) ?? 0) + 1);
           }
         }
       }
-      return recordCounts.get(part) ?? 0;
+      return recordCounts.get(suspect) ?? 0;
     }
 
     override add(
       replica: string,
       at: Milliseconds,
-      parts: readonly string[],
+      suspects: readonly string[],
     ): RecordChange {
       const known = findRecord(replica, at);
       const record = known ?? {
         replica,
         at,
         notedAt: clock.monotonic(),
-        parts: new Set<string>(),
+        suspects: new Set<string>(),
         isFromPeer: false,
         changes: 0,
         roundsLeft: { neighbors: TOLD_ROUNDS, zones: TOLD_ROUNDS },
       };
       if (known === undefined) records.push(record);
       record.at = Math.min(record.at, at);
-      const added = parts.filter((part) =>
-        isUsable(part) && !record.parts.has(part)
+      const added = suspects.filter((suspect) =>
+        isUsable(suspect) && !record.suspects.has(suspect)
       );
-      for (const part of added) changeParts(record, part, 1);
-      trimParts(record);
+      for (const suspect of added) changeSuspects(record, suspect, 1);
+      trimSuspects(record);
       const isChanged = known === undefined ||
-        added.some((part) => record.parts.has(part));
+        added.some((suspect) => record.suspects.has(suspect));
       records.sort((a, b) => a.at - b.at);
       if (known === undefined) voidEarlier(replica);
       if (records.length > MAX_RECORDS) {
@@ -239,7 +241,7 @@
   })();
 }
 
-/** Returns true when the key of a part is short enough to be recorded. */
-export function isUsable(part: string): boolean {
-  return part.length <= MAX_PART_LENGTH;
+/** Returns true when the key of a suspect is short enough to be recorded. */
+export function isUsable(suspect: string): boolean {
+  return suspect.length <= MAX_SUSPECT_LENGTH;
 }
--- a/packages/retries/src/part_proofs.ts
+++ b/packages/retries/src/suspect_proofs.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps when answers began: the last time for each part, which proves the part
- * sound then, and the recent times on any parts, which show that the service was
- * alive. The number of parts is bounded by dropping the least recently proven
- * ones.
+ * Keeps when answers began: the last time for each suspect, which proves the
+ * suspect sound then, and the recent times on any suspects, which show that the
+ * service was alive. The number of suspects is bounded by dropping the least
+ * recently proven ones.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -17,7 +17,7 @@
 const MAX_PROOFS = 4_096;
 const PROOFS_DROPPED = 512;
 
-/** The last report of a part's proof to one audience. */
+/** The last report of a suspect's proof to one audience. */
 export interface ProofReport {
   readonly at: Milliseconds;
   readonly proof: Milliseconds;
@@ -31,29 +31,29 @@
   told?: Partial<Record<Audience, ProofReport>>;
 }
 
-export abstract class PartProofs {
-  abstract find(part: string): Proof | undefined;
-  /** Time of the last answer on a part; `-Infinity` if none is known. */
-  abstract lastProof(part: string): Milliseconds;
-  /** Records an answer on a part. Returns true when it is the last one. */
-  abstract recordProof(part: string, at: Milliseconds): boolean;
-  /** Records an answer on any part. Returns true when its time is new. */
+export abstract class SuspectProofs {
+  abstract find(suspect: string): Proof | undefined;
+  /** Time of the last answer on a suspect; `-Infinity` if none is known. */
+  abstract lastProof(suspect: string): Milliseconds;
+  /** Records an answer on a suspect. Returns true when it is the last one. */
+  abstract recordProof(suspect: string, at: Milliseconds): boolean;
+  /** Records an answer on any suspect. Returns true when its time is new. */
   abstract recordAnswer(at: Milliseconds): boolean;
   /**
-   * Returns true when an answer on any part began after the second crash and
-   * before the last. Without one, the crashes of a part that was sound before
-   * can be those of an outage, and if all requests have the part, its refusal
-   * would protect no other.
+   * Returns true when an answer on any suspect began after the second crash and
+   * before the last. Without one, the crashes of a suspect that was sound
+   * before can be those of an outage, and if all requests have the suspect, its
+   * refusal would protect no other.
    */
   abstract hasAnswerBetween(crashes: readonly Milliseconds[]): boolean;
-  /** Drops answers on any parts that are older than all records. */
+  /** Drops answers on any suspects that are older than all records. */
   abstract dropExpired(): void;
 }
 
-export function createPartProofs(clock: Clock): PartProofs {
-  /** Intervals of `ANSWER_PRECISION` in which answers on any parts began. */
+export function createSuspectProofs(clock: Clock): SuspectProofs {
+  /** Intervals of `ANSWER_PRECISION` in which answers on any suspects began. */
   const answerIntervals = new Set<number>();
-  /** Least recently proven parts first. */
+  /** Least recently proven suspects first. */
   const proofs = new Map<string, Proof>();
 
   /**
@@ -62,31 +62,31 @@
    */
   function dropOldestProofs(): void {
     let excess = PROOFS_DROPPED;
-    for (const part of proofs.keys()) {
+    for (const suspect of proofs.keys()) {
       if (excess <= 0) return;
-      proofs.delete(part);
+      proofs.delete(suspect);
       excess -= 1;
     }
   }
 
-  return new (class extends PartProofs {
-    override find(part: string): Proof | undefined {
-      return proofs.get(part);
+  return new (class extends SuspectProofs {
+    override find(suspect: string): Proof | undefined {
+      return proofs.get(suspect);
     }
 
-    override lastProof(part: string): Milliseconds {
-      return proofs.get(part)?.at ?? -Infinity;
+    override lastProof(suspect: string): Milliseconds {
+      return proofs.get(suspect)?.at ?? -Infinity;
     }
 
-    override recordProof(part: string, at: Milliseconds): boolean {
-      const known = proofs.get(part);
+    override recordProof(suspect: string, at: Milliseconds): boolean {
+      const known = proofs.get(suspect);
       if (known === undefined) {
-        proofs.set(part, { at });
+        proofs.set(suspect, { at });
       } else {
         if (at <= known.at) return false;
         known.at = at;
-        proofs.delete(part);
-        proofs.set(part, known);
+        proofs.delete(suspect);
+        proofs.set(suspect, known);
       }
       if (proofs.size >= MAX_PROOFS) dropOldestProofs();
       return true;
--- a/packages/retries/src/part_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -1,8 +1,8 @@
 /**
- * Keeps the verdicts on parts: starts one when enough crashes count against a
- * part, renews it when a trial crashes a replica, merges those of other daemons,
- * lifts it when an answer or a more likely cause contradicts it, and forgets it
- * when it lapsed long ago.
+ * Keeps the verdicts on suspects: starts one when enough crashes count against
+ * a suspect, renews it when a trial crashes a replica, merges those of other
+ * daemons, lifts it when an answer or a more likely cause contradicts it, and
+ * forgets it when it lapsed long ago.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -38,12 +38,12 @@
 const MAX_TRIAL_DELAY = 0.5;
 
 /**
- * Minimum interval between evaluations of all parts because of proofs. Answers
- * begin all the time on parts that many requests share.
+ * Minimum interval between evaluations of all suspects because of proofs.
+ * Answers begin all the time on suspects that many requests share.
  */
 const EVALUATION_INTERVAL: Milliseconds = 50;
 
-/** Wait stated for a part while another request tries it. */
+/** Wait stated for a suspect while another request tries it. */
 const TRIAL_WAIT: Milliseconds = 1_000;
 
 /**
@@ -53,33 +53,34 @@
 const SAME_TIME: Milliseconds = 500;
 
 /**
- * Delay by which the reported proof of a peer appears later than it was. A part
- * that was sound just before its first crash would otherwise seem sound after
- * it, and its verdict would be lifted and adopted again with each heartbeat.
+ * Delay by which the reported proof of a peer appears later than it was. A
+ * suspect that was sound just before its first crash would otherwise seem sound
+ * after it, and its verdict would be lifted and adopted again with each
+ * heartbeat.
  */
 const MAX_NEWS_DELAY: Milliseconds = 100;
 
 const MAX_VERDICTS = 64;
 
-/** A part whose requests are refused. */
+/** A suspect whose requests are refused. */
 export interface Verdict {
-  readonly part: string;
-  /** Crashes that count against the part. */
+  readonly suspect: string;
+  /** Crashes that count against the suspect. */
   readonly crashes: number;
-  /** Number of times that the part was condemned in succession. */
+  /** Number of times that the suspect was condemned in succession. */
   readonly strikes: number;
   readonly hold: Milliseconds;
 }
 
 /** Why a request must not be sent now. */
-export interface CondemnedPart {
-  readonly part: string;
-  /** Time left until a request with the part may be tried. */
+export interface CondemnedSuspect {
+  readonly suspect: string;
+  /** Time left until a request with the suspect may be tried. */
   readonly remaining: Milliseconds;
 }
 
 export interface ActiveVerdict {
-  readonly part: string;
+  readonly suspect: string;
   /** Answers that began after this time contradict the verdict. */
   since: Milliseconds;
   until: Milliseconds;
@@ -97,65 +98,69 @@
 /** The content of a verdict that daemons tell each other. */
 export type VerdictTerms = Pick<
   ActiveVerdict,
-  "part" | "since" | "until" | "strikes"
+  "suspect" | "since" | "until" | "strikes"
 >;
 
-export interface PartVerdictsOptions extends Observations {
+export interface SuspectVerdictsOptions extends Observations {
   readonly clock: Clock;
   /** Returns a number from 0 up to 1. */
   readonly random: () => number;
   readonly onCondemned?: (verdict: Verdict) => void;
-  readonly onLifted?: (part: string) => void;
+  readonly onLifted?: (suspect: string) => void;
 }
 
-export abstract class PartVerdicts {
+export abstract class SuspectVerdicts {
   abstract list(): readonly ActiveVerdict[];
-  abstract find(part: string): ActiveVerdict | undefined;
+  abstract find(suspect: string): ActiveVerdict | undefined;
   /** Returns true when there are no verdicts. */
   abstract isEmpty(): boolean;
-  /** Returns the part with the longest wait among those refused now. */
-  abstract findCondemned(parts: readonly string[]): CondemnedPart | undefined;
+  /** Returns the suspect with the longest wait among those refused now. */
+  abstract findCondemned(
+    suspects: readonly string[],
+  ): CondemnedSuspect | undefined;
   /** Renews and starts the verdicts that a crash leads to. */
   abstract judge(record: CrashRecord): void;
   /**
-   * Condemns parts whose crashes lost their other explanation: by a proof of
-   * the part that explained them, or by a record that was voided or dropped.
+   * Condemns suspects whose crashes lost their other explanation: by a proof of
+   * the suspect that explained them, or by a record that was voided or dropped.
    */
   abstract evaluate(): void;
   /** Takes a verdict of another daemon if it is later and not contradicted. */
   abstract merge(offered: VerdictTerms): void;
   /** Makes the next evaluation regard changes of the crash records. */
   abstract noteRecords(): void;
-  /** Makes the next evaluation regard a new answer on any part. */
+  /** Makes the next evaluation regard a new answer on any suspect. */
   abstract noteAnswer(): void;
   /**
-   * Lifts the verdict that a new proof of the part contradicts, and makes the
-   * next evaluation regard the proof.
+   * Lifts the verdict that a new proof of the suspect contradicts, and makes
+   * the next evaluation regard the proof.
    */
-  abstract noteProof(part: string): void;
+  abstract noteProof(suspect: string): void;
   /** Forgets verdicts that lapsed long ago without a trial's renewal. */
   abstract dropExpired(): void;
 }
 
-export function createPartVerdicts(options: PartVerdictsOptions): PartVerdicts {
+export function createSuspectVerdicts(
+  options: SuspectVerdictsOptions,
+): SuspectVerdicts {
   const { clock, random, records, proofs } = options;
   const verdicts = new Map<string, ActiveVerdict>();
-  /** Changes since the last evaluation of all parts. */
+  /** Changes since the last evaluation of all suspects. */
   let staleness: "none" | "by proofs" | "by records" = "none";
   let evaluatedAt: Milliseconds = -Infinity;
 
-  function condemn(part: string): void {
-    if (verdicts.has(part)) return;
-    const crashes = findCrashes(options, part, CRASHES_TO_CONDEMN);
+  function condemn(suspect: string): void {
+    if (verdicts.has(suspect)) return;
+    const crashes = findCrashes(options, suspect, CRASHES_TO_CONDEMN);
     if (crashes === undefined) return;
-    const isProven = proofs.lastProof(part) > -Infinity;
+    const isProven = proofs.lastProof(suspect) > -Infinity;
     if (isProven && !proofs.hasAnswerBetween(crashes)) return;
     // With an answer after this crash, too few would be left.
     const since = crashes.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
     const last = crashes.at(-1) ?? since;
-    putVerdict({ part, since, until: last + INITIAL_HOLD, strikes: 1 });
+    putVerdict({ suspect, since, until: last + INITIAL_HOLD, strikes: 1 });
     options.onCondemned?.({
-      part,
+      suspect,
       strikes: 1,
       crashes: crashes.length,
       hold: INITIAL_HOLD,
@@ -163,80 +168,83 @@
   }
 
   /**
-   * Renews the verdict of a part that crashed a replica in a trial, unless
-   * another part of the record explains the crash. The losses of one crash
-   * arrive one after the other, so that a part of a later one may explain it.
+   * Renews the verdict of a suspect that crashed a replica in a trial, unless
+   * another suspect of the record explains the crash. The losses of one crash
+   * arrive one after the other, so that a suspect of a later one may explain
+   * it.
    */
-  function renew(part: string, record: CrashRecord): void {
-    const verdict = verdicts.get(part);
+  function renew(suspect: string, record: CrashRecord): void {
+    const verdict = verdicts.get(suspect);
     if (verdict === undefined) return;
     const { at } = record;
     const { renewal } = verdict;
     if (renewal?.record === record) {
-      if (isTrialExplained(part, record)) verdicts.set(part, renewal.previous);
+      if (isTrialExplained(suspect, record)) {
+        verdicts.set(suspect, renewal.previous);
+      }
       return;
     }
-    if (at <= verdict.until || at <= proofs.lastProof(part)) return;
-    if (isTrialExplained(part, record)) return;
+    if (at <= verdict.until || at <= proofs.lastProof(suspect)) return;
+    if (isTrialExplained(suspect, record)) return;
     const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
     const hold = holdOf(strikes);
-    putVerdict({ part, since: at, until: at + hold, strikes });
+    putVerdict({ suspect, since: at, until: at + hold, strikes });
     // Keeps no chain of all earlier verdicts in memory.
     delete verdict.renewal;
-    const renewed = verdicts.get(part);
+    const renewed = verdicts.get(suspect);
     if (renewed !== undefined) renewed.renewal = { record, previous: verdict };
-    options.onCondemned?.({ part, strikes, crashes: 1, hold });
+    options.onCondemned?.({ suspect, strikes, crashes: 1, hold });
   }
 
   /**
-   * Two crashes of the other part suffice, because a trial that is explained
-   * wrongly costs one more replica, while a renewal refuses a sound part for a
-   * long time.
+   * Two crashes of the other suspect suffice, because a trial that is explained
+   * wrongly costs one more replica, while a renewal refuses a sound suspect for
+   * a long time.
    */
-  function isTrialExplained(part: string, record: CrashRecord): boolean {
-    const crashes = listCrashes(countedRecords(options, part)).length;
-    return isExplained(options, part, [record], crashes, CRASHES_TO_SUSPECT);
+  function isTrialExplained(suspect: string, record: CrashRecord): boolean {
+    const crashes = listCrashes(countedRecords(options, suspect)).length;
+    return isExplained(options, suspect, [record], crashes, CRASHES_TO_SUSPECT);
   }
 
   function putVerdict(verdict: VerdictTerms): void {
     const range = MAX_TRIAL_DELAY - MIN_TRIAL_DELAY;
-    verdicts.delete(verdict.part);
-    verdicts.set(verdict.part, {
+    verdicts.delete(verdict.suspect);
+    verdicts.set(verdict.suspect, {
       ...verdict,
       trialDelay: MIN_TRIAL_DELAY + random() * range,
       isTried: false,
     });
     if (verdicts.size <= MAX_VERDICTS) return;
     const [first] = [...verdicts.values()].sort((a, b) => a.until - b.until);
-    if (first !== undefined) verdicts.delete(first.part);
+    if (first !== undefined) verdicts.delete(first.suspect);
   }
 
   /**
-   * Returns true when an answer on the part began after its crashes, or when
+   * Returns true when an answer on the suspect began after its crashes, or when
    * the crashes known here have a more likely cause: the daemon that condemned
-   * the part may not have known its last proof.
+   * the suspect may not have known its last proof.
    */
   function isContradicted(
-    { part, since, strikes }: Pick<
+    { suspect, since, strikes }: Pick<
       ActiveVerdict,
-      "part" | "since" | "strikes"
+      "suspect" | "since" | "strikes"
     >,
   ): boolean {
-    if (proofs.lastProof(part) - since > MAX_NEWS_DELAY) return true;
+    if (proofs.lastProof(suspect) - since > MAX_NEWS_DELAY) return true;
     if (strikes > 1) return false;
-    const counted = countedRecords(options, part);
+    const counted = countedRecords(options, suspect);
     const crashes = listCrashes(counted).length;
     return crashes >= CRASHES_TO_CONDEMN &&
-      isExplained(options, part, counted, crashes, CRASHES_TO_CONDEMN);
+      isExplained(options, suspect, counted, crashes, CRASHES_TO_CONDEMN);
   }
 
-  return new (class extends PartVerdicts {
+  return new (class extends SuspectVerdicts {
     override list(): readonly ActiveVerdict[] {
       return [...verdicts.values()];
     }
 
-    override find(part: string): ActiveVerdict | undefined {
-      return verdicts.get(part);
+    override find(suspect: string): ActiveVerdict | undefined {
+      return verdicts.get(suspect);
     }
 
     override isEmpty(): boolean {
@@ -244,26 +252,26 @@
     }
 
     override findCondemned(
-      parts: readonly string[],
-    ): CondemnedPart | undefined {
+      suspects: readonly string[],
+    ): CondemnedSuspect | undefined {
       const now = clock.monotonic();
-      let worst: CondemnedPart | undefined;
-      for (const part of parts) {
-        const verdict = verdicts.get(part);
+      let worst: CondemnedSuspect | undefined;
+      for (const suspect of suspects) {
+        const verdict = verdicts.get(suspect);
         if (verdict === undefined) continue;
         const left = lapseOf(verdict) - now;
         const wait = verdict.isTried ? TRIAL_WAIT : 0;
         const remaining = left > 0 ? left : wait;
-        if (remaining > (worst?.remaining ?? 0)) worst = { part, remaining };
+        if (remaining > (worst?.remaining ?? 0)) worst = { suspect, remaining };
       }
       return worst;
     }
 
     override judge(record: CrashRecord): void {
       if (record.voidedAt !== undefined) return;
-      for (const part of record.parts) {
-        renew(part, record);
-        condemn(part);
+      for (const suspect of record.suspects) {
+        renew(suspect, record);
+        condemn(suspect);
       }
     }
 
@@ -275,13 +283,13 @@
       if (staleness === "by proofs") evaluatedAt = now;
       staleness = "none";
       if (records.list().length < CRASHES_TO_CONDEMN) return;
-      for (const part of new Set(records.listParts())) condemn(part);
+      for (const suspect of new Set(records.listSuspects())) condemn(suspect);
     }
 
     override merge(offered: VerdictTerms): void {
-      const { part, strikes, since, until } = offered;
+      const { suspect, strikes, since, until } = offered;
       if (isContradicted(offered)) return;
-      const known = verdicts.get(part);
+      const known = verdicts.get(suspect);
       if (known !== undefined && !isLater(offered, known)) return;
       const isRenewal = known !== undefined && since > known.until;
       if (known !== undefined && known.strikes === strikes && !isRenewal) {
@@ -291,7 +299,7 @@
       }
       putVerdict(offered);
       const hold = holdOf(strikes);
-      options.onCondemned?.({ part, strikes, crashes: 0, hold });
+      options.onCondemned?.({ suspect, strikes, crashes: 0, hold });
     }
 
     override noteRecords(): void {
@@ -304,22 +312,22 @@
       }
     }
 
-    override noteProof(part: string): void {
-      if (staleness === "none" && records.count(part) > 0) {
+    override noteProof(suspect: string): void {
+      if (staleness === "none" && records.count(suspect) > 0) {
         staleness = "by proofs";
       }
-      const verdict = verdicts.get(part);
+      const verdict = verdicts.get(suspect);
       if (verdict === undefined || !isContradicted(verdict)) return;
-      verdicts.delete(part);
+      verdicts.delete(suspect);
       staleness = "by records";
-      options.onLifted?.(part);
+      options.onLifted?.(suspect);
     }
 
     override dropExpired(): void {
       const now = clock.monotonic();
-      for (const [part, { until }] of verdicts) {
+      for (const [suspect, { until }] of verdicts) {
         if (now < until + FORGET_AFTER) continue;
-        verdicts.delete(part);
+        verdicts.delete(suspect);
         staleness = "by records";
       }
     }
@@ -331,8 +339,8 @@
 }
 
 /**
- * Orders the verdicts on one part. That of the latest crash prevails, so that an
- * answer that contradicts it contradicts all.
+ * Orders the verdicts on one suspect. That of the latest crash prevails, so
+ * that an answer that contradicts it contradicts all.
  */
 function isLater(
   offered: Pick<ActiveVerdict, "since" | "until" | "strikes">,
