BUDGET: judge whole requests by the crashes of replicas

Cause: the evidence of crashes covered shared prompt parts only. A request without them left no crash record and met no check.

Change: a request has one more suspect, itself, by the hash of its service, caller and content. Records, proofs, verdicts and their exchange are those of parts. Crashes of a request count however close they are, by its service alone and for 15 minutes, its complete answer proves it sound, and one that was never answered is refused for 240 s at first, as each trial can crash one more replica. Prompts of one part, the last part and streams that crash a replica after the first event are covered where callers repeat the request.

The test of attempt_broken_off expects recorded evidence for whole requests now.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -480,6 +480,16 @@
     message:
       "Requests with a prompt part are served again, because an answer on it began.",
   }),
+  request_condemned: defineEvent(3032, "error", {
+    fields: { fingerprint: S, crashes: N, strikes: N, hold: N },
+    message:
+      "A request that crashes replicas is refused when callers repeat it; crashes is 0 when a peer decided it.",
+  }),
+  request_released: defineEvent(3033, "warn", {
+    fields: { fingerprint: S },
+    message:
+      "A request is served again, because a replica has answered it completely.",
+  }),
   entry_rejected: defineEvent(3023, "warn", {
     fields: { key: S, reason: S },
     message: "An entry of the replica list cannot be parsed.",
--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -12,7 +12,13 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import type { AttemptOutcome } from "./attempt_watch.ts";
-import { CONDEMNED, createCrashGuard, SUSPECT } from "./crash_guard.ts";
+import {
+  CONDEMNED,
+  CONDEMNED_REQUEST,
+  createCrashGuard,
+  SUSPECT,
+  SUSPECT_REQUEST,
+} from "./crash_guard.ts";
 
 const BROKEN: AttemptOutcome = { kind: "lost", reason: "other side closed" };
 const REFUSED: AttemptOutcome = {
@@ -291,12 +297,124 @@
   breakOff(request, 1);
   breakOff(request, 2, { hasEvent: true });
   breakOff(plain, 3);
+  const { fingerprint: _fingerprint, ...unknown } = plain;
+  breakOff(unknown, 4);
   const lines = logged.filter(([name]) => name === "attempt_broken_off");
   const fingerprint = "s/f";
   expect(lines.map(([, fields]) => fields)).toEqual([
     { fingerprint, hasBegun: false, evidence: "recorded" },
     { fingerprint, hasBegun: false, evidence: "planned end" },
-    { fingerprint, hasBegun: true, evidence: "answer began" },
-    { fingerprint, hasBegun: false, evidence: "no parts" },
+    { fingerprint, hasBegun: true, evidence: "recorded" },
+    { fingerprint, hasBegun: false, evidence: "recorded" },
+    { fingerprint: "", hasBegun: false, evidence: "no suspects" },
   ]);
 });
+
+/** A request without a prompt that callers repeat. */
+function createPlainRequest(fingerprint: string): DispatchRequest {
+  const { prompt: _prompt, ...request } = createRequest();
+  return { ...request, fingerprint: `shop-1/${fingerprint}` };
+}
+
+function createOnePartPrompt(fingerprint: string): DispatchRequest {
+  return { ...createRequest(), fingerprint: `shop-1/${fingerprint}` };
+}
+
+const KINDS: Readonly<
+  Record<string, readonly [(name: string) => DispatchRequest, boolean]>
+> = {
+  "a request without a prompt": [createPlainRequest, false],
+  "a prompt of one part": [createOnePartPrompt, false],
+  "a stream after its first event": [createOnePartPrompt, true],
+};
+
+for (const [name, [create, hasEvent]] of Object.entries(KINDS)) {
+  // Guards against a request that crashes one replica after the other, because
+  // no part that it shares with others explains the crashes.
+  test(`${name} that crashes three replicas is refused`, async () => {
+    const { clock, guard, logged, entryOf } = createSetup();
+    const breakOff = async (number: number) => {
+      const admission = guard.admit(create("deadly"), entryOf(number));
+      if (admission.kind === "refused") throw new Error(admission.reason);
+      const { attempt } = admission;
+      if (hasEvent) attempt.recordEvent();
+      attempt.recordEnd({ kind: "broken", reason: "closed" }, true);
+      attempt.release();
+      await clock.advance(GAP);
+    };
+    const check = (request: string, hasCrashed: boolean) =>
+      guard.check(create(request), hasCrashed)?.reason;
+    await breakOff(0);
+    expect(check("deadly", true)).toEqual(undefined);
+    await breakOff(1);
+    expect(check("deadly", false)).toEqual(undefined);
+    expect(check("deadly", true)).toEqual(SUSPECT_REQUEST);
+    await breakOff(2);
+    expect(check("deadly", false)).toEqual(CONDEMNED_REQUEST);
+    expect(check("other", true)).toEqual(undefined);
+    const late = guard.admit(create("deadly"), entryOf(4));
+    expect(late.kind).toEqual("refused");
+    const condemned = logged.filter(([line]) => line === "request_condemned");
+    expect(condemned.map(([, fields]) => fields)).toEqual([
+      {
+        ...{ fingerprint: "shop-1/deadly", crashes: 3 },
+        ...{ strikes: 4, hold: 240_000 },
+      },
+    ]);
+    expect(logged.some(([line]) => line === "part_condemned")).toEqual(false);
+  });
+}
+
+const ANSWERS: Readonly<Record<string, AttemptOutcome>> = {
+  "a complete answer": { kind: "done", status: 200 },
+  "a client error of the replica": { kind: "done", status: 404 },
+  "a failure of the replica": { kind: "failed", status: 500 },
+};
+
+for (const [name, outcome] of Object.entries(ANSWERS)) {
+  // Guards against sound requests that are refused for minutes because they were
+  // on replicas that ended.
+  test(`${name} lifts the verdict on a request`, async () => {
+    const { clock, guard, logged, entryOf } = createSetup();
+    const request = createPlainRequest("sound");
+    const admit = (number: number) => {
+      const admission = guard.admit(request, entryOf(number));
+      if (admission.kind === "refused") throw new Error(admission.reason);
+      return admission.attempt;
+    };
+    const attempts = [0, 1, 2, 3].map(admit);
+    const last = attempts.pop();
+    for (const attempt of attempts) {
+      attempt.recordEnd(BROKEN, true);
+      await clock.advance(GAP);
+    }
+    expect(guard.check(request, false)?.reason).toEqual(CONDEMNED_REQUEST);
+    last?.recordEnd(outcome, false);
+    expect(guard.check(request, false)).toEqual(undefined);
+    expect(logged.at(-1)).toEqual([
+      "request_released",
+      { fingerprint: "shop-1/sound" },
+    ]);
+  });
+}
+
+// Guards against refusals because of ends that say nothing about a request.
+test("a request on replicas that leave or refuse it is not condemned", () => {
+  const { guard, entryOf, replicas } = createSetup();
+  const request = createPlainRequest("sound");
+  const end = (number: number, outcome: AttemptOutcome, isBroken: boolean) => {
+    const admission = guard.admit(request, entryOf(number));
+    if (admission.kind === "refused") throw new Error(admission.reason);
+    admission.attempt.recordEnd(outcome, isBroken);
+  };
+  for (const number of [0, 1, 2]) {
+    replicas.put({ ...entryOf(number), state: "leaving" });
+    end(number, BROKEN, true);
+  }
+  for (const number of [3, 4, 5]) {
+    end(number, REFUSED, true);
+    end(number, BROKEN, false);
+    end(number, { kind: "unsent", reason: "connect ECONNREFUSED" }, false);
+  }
+  expect(guard.check(request, true)).toEqual(undefined);
+});
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -1,6 +1,7 @@
 /**
- * Keeps requests with a prompt part that crashes replicas from them: passes the
- * ends of attempts on to the crash evidence, and refuses requests by it.
+ * Keeps requests that crash replicas from them, because of a part of their
+ * prompts or as a whole: passes the ends of attempts on to the crash evidence,
+ * and refuses requests by it.
  */
 import { incarnationKey } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
@@ -11,7 +12,11 @@
 } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import {
+  type CondemnedSuspect,
   type CrashEvidence,
+  fingerprintOfSuspect,
+  isRequest,
+  requestSuspect,
   TELL_DELAY,
   type Verdict,
 } from "@peridotvalve/retries";
@@ -19,7 +24,7 @@
 import { createHash } from "node:crypto";
 import type { AttemptOutcome } from "./attempt_watch.ts";
 
-/** One attempt at a replica with the shared parts of its request. */
+/** One attempt at a replica with the suspects of its request. */
 export interface GuardedAttempt {
   /** Records that data has been received from the replica. */
   recordReceived(): void;
@@ -31,7 +36,7 @@
    * incomplete counts as a loss.
    */
   recordEnd(outcome: AttemptOutcome, wasBrokenOff: boolean): void;
-  /** Lets another request try the same part. */
+  /** Lets another request try the same suspects. */
   release(): void;
 }
 
@@ -61,8 +66,8 @@
   ): GuardedAdmission;
   /** Logs a verdict and tells the other daemons of it. */
   abstract recordVerdict(verdict: Verdict): void;
-  /** Logs that the verdict on the part with the key no longer holds. */
-  abstract recordRelease(key: string): void;
+  /** Logs that the verdict on the suspect no longer holds. */
+  abstract recordRelease(suspect: string): void;
 }
 
 export interface CrashGuardOptions {
@@ -80,8 +85,11 @@
 export const CONDEMNED = "a prompt part crashes replicas";
 /** Reason of a request that is not repeated after a crash. */
 export const SUSPECT = "a prompt part may crash replicas";
+/** Reasons where the request as a whole is the suspect. */
+export const CONDEMNED_REQUEST = "the request crashes replicas";
+export const SUSPECT_REQUEST = "the request may crash replicas";
 
-/** Wait stated for a request whose part is only suspected. */
+/** Wait stated for a request that is only suspected, or whose part is. */
 const SUSPECT_WAIT: Milliseconds = 2_000;
 
 /** Allows for timers that fire early. */
@@ -91,7 +99,7 @@
 const ANNOUNCEMENT_GAP: Milliseconds = 100;
 
 /** Whether an attempt that was broken off is evidence of a crash. */
-type LossEvidence = "recorded" | "answer began" | "planned end" | "no parts";
+type LossEvidence = "recorded" | "planned end" | "no suspects";
 
 interface EndedReplica {
   beforeEvent: number;
@@ -119,34 +127,35 @@
     hasEvent: boolean,
   ): void {
     if (stopped.aborted) return;
-    const parts = sharedParts(request);
-    const evidence = classifyLoss(replica, parts, hasEvent);
+    // A part crashes replicas before the first event, a request at any time.
+    const { own, all } = suspectsOf(request);
+    const suspects = hasEvent ? own : all;
+    const evidence = classifyLoss(replica, suspects);
     logger.log("attempt_broken_off", {
       fingerprint: request.fingerprint ?? "",
       hasBegun: hasEvent,
       evidence,
     }, { request: request.id, upstream: replica.id });
-    if (evidence === "planned end" || evidence === "no parts") return;
-    recordLoss(replica, parts, hasEvent);
+    if (evidence === "planned end") return;
+    const key = incarnationKey(replica);
+    if (evidence === "recorded") crashes.recordLoss({ replica: key, suspects });
+    countLoss(replica, key, hasEvent);
   }
 
   function classifyLoss(
     replica: ReplicaEntry,
-    parts: readonly string[],
-    hasEvent: boolean,
+    suspects: readonly string[],
   ): LossEvidence {
     if (isPlannedEnd(replica)) return "planned end";
-    if (parts.length === 0) return "no parts";
-    return hasEvent ? "answer began" : "recorded";
+    return suspects.length === 0 ? "no suspects" : "recorded";
   }
 
-  function recordLoss(
+  /** Counts the attempts that a replica broke off, and logs them together. */
+  function countLoss(
     replica: ReplicaEntry,
-    parts: readonly string[],
+    key: string,
     hasEvent: boolean,
   ): void {
-    const key = incarnationKey(replica);
-    if (!hasEvent) crashes.recordLoss({ replica: key, suspects: parts });
     const known = ended.get(key);
     const counts = known ?? { beforeEvent: 0, afterEvent: 0 };
     if (hasEvent) counts.afterEvent += 1;
@@ -184,13 +193,14 @@
       request: DispatchRequest,
       hasCrashed: boolean,
     ): Barrier | undefined {
-      const parts = sharedParts(request);
-      if (parts.length === 0) return undefined;
-      const condemned = crashes.check(parts);
-      if (condemned !== undefined) {
-        return { reason: CONDEMNED, wait: condemned.remaining };
+      const { own, all } = suspectsOf(request);
+      const condemned = crashes.check(all);
+      if (condemned !== undefined) return toBarrier(condemned);
+      if (!hasCrashed) return undefined;
+      if (crashes.isSuspect(own)) {
+        return { reason: SUSPECT_REQUEST, wait: SUSPECT_WAIT };
       }
-      if (!hasCrashed || !crashes.isSuspect(parts)) return undefined;
+      if (!crashes.isSuspect(all)) return undefined;
       return { reason: SUSPECT, wait: SUSPECT_WAIT };
     }
 
@@ -198,24 +208,24 @@
       request: DispatchRequest,
       replica: ReplicaEntry,
     ): GuardedAdmission {
-      const parts = sharedParts(request);
-      const admission = crashes.admit(parts);
+      const { parts, own, all } = suspectsOf(request);
+      const admission = crashes.admit(all);
       if (admission.kind === "condemned") {
-        const { remaining } = admission.condemned;
-        return { kind: "refused", reason: CONDEMNED, wait: remaining };
+        return { kind: "refused", ...toBarrier(admission.condemned) };
       }
       const key = incarnationKey(replica);
       let hasEvent = false;
       const recordEvent = () => {
         if (hasEvent) return;
         hasEvent = true;
-        if (parts.length > 0) crashes.recordSuccess(parts);
+        crashes.recordSuccess(parts);
       };
       const attempt: GuardedAttempt = {
         recordReceived: () => crashes.recordReceived(key),
         recordEvent,
         recordEnd(outcome, wasBrokenOff) {
           if (outcome.kind === "done" && outcome.status === 200) recordEvent();
+          if (isComplete(outcome)) crashes.recordSuccess(own);
           if (wasBrokenOff && isLoss(outcome)) {
             recordBrokenOff(request, replica, hasEvent);
           }
@@ -226,15 +236,25 @@
     }
 
     override recordVerdict(verdict: Verdict): void {
-      const { suspect: key, crashes: count, strikes, hold } = verdict;
-      const part = idOf(key);
-      logger.log("part_condemned", { part, crashes: count, strikes, hold });
+      const { suspect, crashes: count, strikes, hold } = verdict;
+      const terms = { crashes: count, strikes, hold };
+      if (isRequest(suspect)) {
+        const fingerprint = fingerprintOfSuspect(suspect);
+        logger.log("request_condemned", { fingerprint, ...terms });
+      } else {
+        logger.log("part_condemned", { part: idOf(suspect), ...terms });
+      }
       // The daemon that decided it has told it already.
       if (count > 0) void announceSoon();
     }
 
-    override recordRelease(key: string): void {
-      logger.log("part_released", { part: idOf(key) });
+    override recordRelease(suspect: string): void {
+      if (isRequest(suspect)) {
+        const fingerprint = fingerprintOfSuspect(suspect);
+        logger.log("request_released", { fingerprint });
+      } else {
+        logger.log("part_released", { part: idOf(suspect) });
+      }
     }
   })();
 }
@@ -247,22 +267,50 @@
   return kind === "lost" || kind === "broken";
 }
 
+/**
+ * Returns true when the replica has answered the request to the end, with
+ * whatever status, and so has not crashed on it.
+ */
+function isComplete({ kind }: AttemptOutcome): boolean {
+  return kind === "done" || kind === "failed";
+}
+
+function toBarrier({ suspect, remaining }: CondemnedSuspect): Barrier {
+  const reason = isRequest(suspect) ? CONDEMNED_REQUEST : CONDEMNED;
+  return { reason, wait: remaining };
+}
+
 /** Characters of a key before the id of its part. */
 const SCOPE_LENGTH = 8;
 
-/** Keys of requests, which are checked in each pass of the queue. */
-const knownKeys = new WeakMap<DispatchRequest, readonly string[]>();
+/** What of a request can be the cause of a crash. */
+interface Suspects {
+  /** Keys of the parts that other requests can share. */
+  readonly parts: readonly string[];
+  /** Key of the request as a whole; none for one without a fingerprint. */
+  readonly own: readonly string[];
+  readonly all: readonly string[];
+}
+
+/** Suspects of requests, which are checked in each pass of the queue. */
+const knownSuspects = new WeakMap<DispatchRequest, Suspects>();
 
-/** Keys of the parts that other requests can share. */
-function sharedParts(request: DispatchRequest): readonly string[] {
+function suspectsOf(request: DispatchRequest): Suspects {
+  const known = knownSuspects.get(request);
+  if (known !== undefined) return known;
+  const { fingerprint } = request;
+  const parts = listSharedParts(request);
+  const own = fingerprint === undefined ? [] : [requestSuspect(fingerprint)];
+  const suspects = { parts, own, all: [...parts, ...own] };
+  knownSuspects.set(request, suspects);
+  return suspects;
+}
+
+function listSharedParts(request: DispatchRequest): readonly string[] {
   const { prompt } = request;
   if (prompt === undefined || prompt.parts.length < 2) return [];
-  const known = knownKeys.get(request);
-  if (known !== undefined) return known;
   const scope = scopeOf(request, prompt.model);
-  const keys = prompt.parts.slice(0, -1).map(({ id }) => `${scope}:${id}`);
-  knownKeys.set(request, keys);
-  return keys;
+  return prompt.parts.slice(0, -1).map(({ id }) => `${scope}:${id}`);
 }
 
 /**
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -82,6 +82,8 @@
 const REASON_LABELS: readonly (readonly [word: string, label: string])[] = [
   ["shutting down", "stopping"],
   ["prompt part", "crashing part"],
+  ["the request crashes", "crashing request"],
+  ["the request may crash", "crashing request"],
   ["no retries left", "retry budget"],
   ["too many wait", "too many wait"],
   ["no room", "no room"],
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -43,6 +43,8 @@
     "connection reset, no retries left": "retry budget",
     "a prompt part crashes replicas": "crashing part",
     "a prompt part may crash replicas": "crashing part",
+    "the request crashes replicas": "crashing request",
+    "the request may crash replicas": "crashing request",
     "Connect Timeout Error (attempted address: 10.0.0.1:80, timeout: 1500ms)":
       "timeout",
     "Body Timeout Error": "connection",
--- a/packages/retries/src/crash_attribution.ts
+++ b/packages/retries/src/crash_attribution.ts
@@ -7,6 +7,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import type { CrashRecord, CrashRecords } from "./crash_records.ts";
 import type { SuspectProofs } from "./suspect_proofs.ts";
+import { groupOf, isRequest } from "./suspects.ts";
 
 /**
  * Two can be due to chance: the loss of one replica and of the replica that
@@ -28,8 +29,10 @@
 const MIN_SHARE = 0.5;
 
 /**
- * Crashes within this time count once against a suspect, because an outage ends
- * many replicas at once.
+ * Crashes within this time count once against a part, because an outage ends
+ * many replicas at once. Each counts against a request: few copies of a sound
+ * one run at the same time, and a repeated one crashes the next replica within
+ * this time.
  */
 const CRASH_SPACING: Milliseconds = 100;
 
@@ -58,14 +61,13 @@
   if (records.count(suspect) < needed) return undefined;
   const counted = countedRecords(observations, suspect);
   if (counted.length < needed) return undefined;
-  const crashes = listCrashes(counted);
+  const crashes = listCrashes(suspect, counted);
   if (crashes.length < needed) return undefined;
   const last = crashes.at(-1) ?? -Infinity;
   const isProven = last - proofs.lastProof(suspect) < PROOF_VALIDITY;
   if (isProven && crashes.length < CRASHES_DESPITE_PROOF) return undefined;
-  if (!isCommon(observations, counted, crashes.at(-needed) ?? last)) {
-    return undefined;
-  }
+  const start = crashes.at(-needed) ?? last;
+  if (!isCommon(observations, suspect, { counted, start })) return undefined;
   if (isExplained(observations, suspect, counted, crashes.length, needed)) {
     return undefined;
   }
@@ -86,10 +88,14 @@
 }
 
 /** Crashes that count against a suspect, by their times. */
-export function listCrashes(counted: readonly CrashRecord[]): Milliseconds[] {
+export function listCrashes(
+  suspect: string,
+  counted: readonly CrashRecord[],
+): Milliseconds[] {
+  const spacing = isRequest(suspect) ? 0 : CRASH_SPACING;
   const crashes: Milliseconds[] = [];
   for (const { at } of counted) {
-    if (at - (crashes.at(-1) ?? -Infinity) >= CRASH_SPACING) crashes.push(at);
+    if (at - (crashes.at(-1) ?? -Infinity) >= spacing) crashes.push(at);
   }
   return crashes;
 }
@@ -114,10 +120,15 @@
     const otherProof = proofs.lastProof(other);
     const isCandidate = otherProof <= proof && records.count(other) >= needed;
     const otherCrashes = isCandidate
-      ? listCrashes(countedRecords(observations, other)).length
+      ? listCrashes(other, countedRecords(observations, other)).length
       : 0;
+    // A part with the same crashes may be sound in other requests.
+    const isNarrower = isRequest(other) && !isRequest(suspect);
+    const hasMore = isNarrower
+      ? otherCrashes >= crashes
+      : otherCrashes > crashes;
     const result = other !== suspect && otherCrashes >= needed &&
-      (otherProof < proof || otherCrashes > crashes);
+      (otherProof < proof || hasMore);
     known.set(other, result);
     return result;
   };
@@ -126,17 +137,20 @@
 
 /**
  * Returns true when the records are at least the stated share of all records
- * of their time.
+ * of the suspect's group in their time.
  */
 function isCommon(
-  observations: Observations,
-  counted: readonly CrashRecord[],
-  start: Milliseconds,
+  { records }: Observations,
+  suspect: string,
+  { counted, start }: {
+    readonly counted: readonly CrashRecord[];
+    readonly start: Milliseconds;
+  },
 ): boolean {
-  const { records } = observations;
+  const group = groupOf(suspect);
   const end = counted.at(-1)?.at ?? start;
-  const isWithin = ({ at, voidedAt }: CrashRecord) =>
-    voidedAt === undefined && at >= start && at <= end;
+  const isWithin = ({ at, voidedAt, groups }: CrashRecord) =>
+    voidedAt === undefined && at >= start && at <= end && groups.has(group);
   return counted.filter(isWithin).length >=
     records.list().filter(isWithin).length * MIN_SHARE;
 }
--- a/packages/retries/src/crash_digest.ts
+++ b/packages/retries/src/crash_digest.ts
@@ -16,6 +16,7 @@
   isUsable,
   RECORD_EXPIRY,
 } from "./crash_records.ts";
+import { groupOf } from "./suspects.ts";
 import type { Proof, ProofReport } from "./suspect_proofs.ts";
 import {
   holdOf,
@@ -85,7 +86,9 @@
   function listProofs(audience: Audience): CrashNews["proofs"] {
     const now = clock.monotonic();
     const condemned = verdicts.list().map(({ suspect }) => suspect);
-    const named = new Set([...condemned, ...records.listSuspects()]);
+    const recent = records.list().filter(({ isTrimmed }) => !isTrimmed)
+      .flatMap(({ suspects }) => [...suspects]);
+    const named = new Set([...condemned, ...recent]);
     const isCondemned = (suspect: string) =>
       verdicts.find(suspect) !== undefined;
     const due: (readonly [string, Proof])[] = [];
@@ -196,7 +199,9 @@
       // Proofs first, so that no suspect is condemned that they show sound.
       for (const [suspect, age] of news.proofs) {
         if (!isUsable(suspect)) continue;
-        if (proofs.recordAnswer(now - age)) verdicts.noteAnswer();
+        if (proofs.recordAnswer(groupOf(suspect), now - age)) {
+          verdicts.noteAnswer();
+        }
         if (proofs.recordProof(suspect, now - age)) verdicts.noteProof(suspect);
       }
       const changed: CrashRecord[] = [];
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -1,21 +1,29 @@
 /**
  * Finds what of requests crashes every replica that runs it, from the replicas
  * that ended under requests and from the answers that began. What can be the
- * cause is a suspect: a part that prompts share. Requests with a condemned
- * suspect are to be refused, until a trial shows that it is sound again.
+ * cause is a suspect: a part that prompts share, or a request as a whole, which
+ * callers repeat. Requests with a condemned suspect are to be refused, until a
+ * trial shows that it is sound again.
  *
- * - All attempts that one replica broke off before an event form one crash
- *   record with the suspects of these requests. Data from the same incarnation
- *   soon afterwards shows that only connections were reset, and voids it. So
- *   does a later loss: an incarnation crashes at most once.
+ * - All attempts that one replica broke off form one crash record with the
+ *   suspects of these requests. Data from the same incarnation soon afterwards
+ *   shows that only connections were reset, and voids it. So does a later loss:
+ *   an incarnation crashes at most once.
  * - An answer that begins proves the suspects of its request sound at that
- *   time: only crashes after it count against them.
+ *   time: only crashes after it count against them. A request is proven sound
+ *   only by its complete answer, as it may crash a replica at any time.
  * - A suspect is condemned after three crashes that are most of those in their
  *   time, or after five if it was sound just before, unless other suspects
  *   explain them: those that stand in the same crash records and were proven
  *   sound less recently, or never.
  * - A suspect that was sound before is condemned only if answers on other
  *   suspects began while it crashed replicas, which an outage does not admit.
+ * - Requests are judged by the crashes and answers of their service alone, and
+ *   for longer than parts, as a caller may repeat one after minutes. One that
+ *   was never answered is refused for longer, because each trial can crash one
+ *   more replica.
+ * - A request explains the crashes of its parts until another request with them
+ *   crashes a replica too.
  *
  * Daemons exchange crash records, proofs and verdicts. Times travel as ages and
  * appear later by the delays on the way, which the tolerances allow for. News
@@ -26,10 +34,11 @@
  * them, but does not lift it when it arrives after them.
  *
  * Memory is bounded whatever suspects callers invent: `MAX_RECORDS` crash
- * records of at most `MAX_SUSPECTS` suspects, `MAX_VERDICTS` verdicts and
- * `MAX_PROOFS` times of proofs, 1.6 MB as measured with ids of 64 characters.
- * Work for one request is bounded by the suspects of the request and the crash
- * records, and does not depend on the numbers of daemons and replicas.
+ * records of at most `MAX_SUSPECTS` suspects, `MAX_VERDICTS` verdicts, and
+ * `MAX_PROOFS` times of proofs for parts and as many for requests, 1.5 MB as
+ * measured with ids of 64 characters. Work for one request is bounded by the
+ * suspects of the request and the crash records, and does not depend on the
+ * numbers of daemons and replicas.
  *
  * This module states the interface and connects the modules: `crash_records.ts`
  * and `suspect_proofs.ts` hold what was observed, `crash_attribution.ts`
@@ -50,6 +59,7 @@
   createCrashRecords,
   isUsable,
 } from "./crash_records.ts";
+import { groupOf } from "./suspects.ts";
 import { createSuspectProofs } from "./suspect_proofs.ts";
 import {
   type CondemnedSuspect,
@@ -72,12 +82,16 @@
   type Audience,
   MAX_SUSPECT_LENGTH,
   RECORD_EXPIRY,
+  REQUEST_RECORD_EXPIRY,
 } from "./crash_records.ts";
+export { fingerprintOfSuspect, isRequest, requestSuspect } from "./suspects.ts";
 export {
   type CondemnedSuspect,
+  holdOf,
   INITIAL_HOLD,
   MAX_HOLD,
   MAX_STRIKES,
+  UNANSWERED_REQUEST_STRIKES,
   type Verdict,
 } from "./suspect_verdicts.ts";
 
@@ -140,10 +154,11 @@
 ): CrashEvidence {
   const { clock } = options;
   const proofs = createSuspectProofs(clock);
-  const records = createCrashRecords(
+  const records = createCrashRecords({
     clock,
-    (suspects) => rankSuspects(observations, suspects),
-  );
+    rankSuspects: (suspects) => rankSuspects(observations, suspects),
+    lastProof: (suspect) => proofs.lastProof(suspect),
+  });
   const observations: Observations = { records, proofs };
   const verdicts = createSuspectVerdicts({ ...options, ...observations });
   const digest = createCrashDigest({ clock, verdicts, ...observations });
@@ -177,11 +192,12 @@
 
     override recordSuccess(suspects: readonly string[]): void {
       const now = clock.monotonic();
-      if (records.list().length > 0 && proofs.recordAnswer(now)) {
-        verdicts.noteAnswer();
-      }
       for (const suspect of suspects) {
         if (!isUsable(suspect)) continue;
+        const isWatched = records.list().length > 0;
+        if (isWatched && proofs.recordAnswer(groupOf(suspect), now)) {
+          verdicts.noteAnswer();
+        }
         if (proofs.recordProof(suspect, now)) verdicts.noteProof(suspect);
       }
     }
--- a/packages/retries/src/crash_records.ts
+++ b/packages/retries/src/crash_records.ts
@@ -6,10 +6,17 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
+import { groupOf, isRequest } from "./suspects.ts";
 
-/** Age after which a crash record is dropped. */
+/** Age after which a crash does not count against parts. */
 export const RECORD_EXPIRY: Milliseconds = 30_000;
 
+/**
+ * Age after which a crash does not count against requests. A caller may repeat
+ * one after minutes, and most requests stand in no second record.
+ */
+export const REQUEST_RECORD_EXPIRY: Milliseconds = 15 * 60_000;
+
 /**
  * Losses of one replica within this time belong to one crash. A replica that
  * starts again needs longer.
@@ -53,6 +60,10 @@
   /** Time of the first report here; it is told `TELL_DELAY` later. */
   readonly notedAt: Milliseconds;
   readonly suspects: Set<string>;
+  /** Groups of all suspects that the record ever had. */
+  readonly groups: Set<string>;
+  /** True once the suspects were removed that no longer count. */
+  isTrimmed: boolean;
   isFromPeer: boolean;
   /** Time of data from the same incarnation, which voids the record. */
   voidedAt?: Milliseconds;
@@ -89,16 +100,25 @@
    * true when there was one.
    */
   abstract voidByData(replica: string): boolean;
-  /** Drops old records. Returns true when there were any. */
+  /**
+   * Drops old records, and from the others the parts that no longer count and
+   * the requests that were answered since. Returns true when anything changed.
+   */
   abstract dropExpired(): boolean;
 }
 
 /** Orders suspects for a record with too many: the first ones are kept. */
 export type SuspectRanking = (suspects: Iterable<string>) => readonly string[];
 
+export interface CrashRecordsOptions {
+  readonly clock: Clock;
+  readonly rankSuspects: SuspectRanking;
+  /** Time of the last answer on a suspect. */
+  readonly lastProof: (suspect: string) => Milliseconds;
+}
+
 export function createCrashRecords(
-  clock: Clock,
-  rankSuspects: SuspectRanking,
+  { clock, rankSuspects, lastProof }: CrashRecordsOptions,
 ): CrashRecords {
   let records: CrashRecord[] = [];
   /** Number of records by suspect; undefined after records were dropped. */
@@ -140,6 +160,15 @@
     }
   }
 
+  function dropOutdated(record: CrashRecord): void {
+    record.isTrimmed = true;
+    for (const suspect of record.suspects) {
+      const counts = isRequest(suspect) && record.voidedAt === undefined &&
+        lastProof(suspect) < record.at;
+      if (!counts) record.suspects.delete(suspect);
+    }
+  }
+
   /** Adds a suspect to a record or removes it, and counts it. */
   function changeSuspects(
     { suspects, voidedAt }: CrashRecord,
@@ -186,6 +215,8 @@
         at,
         notedAt: clock.monotonic(),
         suspects: new Set<string>(),
+        groups: new Set<string>(),
+        isTrimmed: false,
         isFromPeer: false,
         changes: 0,
         roundsLeft: { neighbors: TOLD_ROUNDS, zones: TOLD_ROUNDS },
@@ -195,7 +226,10 @@
       const added = suspects.filter((suspect) =>
         isUsable(suspect) && !record.suspects.has(suspect)
       );
-      for (const suspect of added) changeSuspects(record, suspect, 1);
+      for (const suspect of added) {
+        changeSuspects(record, suspect, 1);
+        record.groups.add(groupOf(suspect));
+      }
       trimSuspects(record);
       const isChanged = known === undefined ||
         added.some((suspect) => record.suspects.has(suspect));
@@ -233,8 +267,14 @@
 
     override dropExpired(): boolean {
       const now = clock.monotonic();
-      if (!records.some(({ at }) => now - at >= RECORD_EXPIRY)) return false;
-      records = records.filter(({ at }) => now - at < RECORD_EXPIRY);
+      const old = records.filter(({ at }) => now - at >= RECORD_EXPIRY);
+      const isDue = ({ at, isTrimmed }: CrashRecord) =>
+        !isTrimmed || now - at >= REQUEST_RECORD_EXPIRY;
+      if (!old.some(isDue)) return false;
+      for (const record of old) dropOutdated(record);
+      records = records.filter(({ at, suspects, isTrimmed }) =>
+        !isTrimmed || (suspects.size > 0 && now - at < REQUEST_RECORD_EXPIRY)
+      );
       recordCounts = undefined;
       return true;
     }
--- a/packages/retries/src/suspect_proofs.ts
+++ b/packages/retries/src/suspect_proofs.ts
@@ -7,6 +7,7 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
 import { type Audience, RECORD_EXPIRY } from "./crash_records.ts";
+import { isRequest } from "./suspects.ts";
 
 /**
  * Precision of the times at which answers began. Exact times would need memory
@@ -14,6 +15,7 @@
  */
 const ANSWER_PRECISION: Milliseconds = 100;
 
+/** Proofs of parts, and as many of requests, which are seldom repeated. */
 const MAX_PROOFS = 4_096;
 const PROOFS_DROPPED = 512;
 
@@ -37,30 +39,41 @@
   abstract lastProof(suspect: string): Milliseconds;
   /** Records an answer on a suspect. Returns true when it is the last one. */
   abstract recordProof(suspect: string, at: Milliseconds): boolean;
-  /** Records an answer on any suspect. Returns true when its time is new. */
-  abstract recordAnswer(at: Milliseconds): boolean;
   /**
-   * Returns true when an answer on any suspect began after the second crash and
+   * Records an answer on any suspect of a group. Returns true when its time is
+   * new.
+   */
+  abstract recordAnswer(group: string, at: Milliseconds): boolean;
+  /**
+   * Returns true when an answer on any suspect of the group began after the second crash and
    * before the last. Without one, the crashes of a suspect that was sound
    * before can be those of an outage, and if all requests have the suspect, its
    * refusal would protect no other.
    */
-  abstract hasAnswerBetween(crashes: readonly Milliseconds[]): boolean;
+  abstract hasAnswerBetween(
+    group: string,
+    crashes: readonly Milliseconds[],
+  ): boolean;
   /** Drops answers on any suspects that are older than all records. */
   abstract dropExpired(): void;
 }
 
 export function createSuspectProofs(clock: Clock): SuspectProofs {
-  /** Intervals of `ANSWER_PRECISION` in which answers on any suspects began. */
-  const answerIntervals = new Set<number>();
+  /** Intervals of `ANSWER_PRECISION` in which answers began, by group. */
+  const answerIntervals = new Map<string, Set<number>>();
   /** Least recently proven suspects first. */
-  const proofs = new Map<string, Proof>();
+  const partProofs = new Map<string, Proof>();
+  const requestProofs = new Map<string, Proof>();
+
+  function proofsFor(suspect: string): Map<string, Proof> {
+    return isRequest(suspect) ? requestProofs : partProofs;
+  }
 
   /**
    * Drops many at once, because a map finds its first entry only after a pass
    * over those that were deleted before.
    */
-  function dropOldestProofs(): void {
+  function dropOldest(proofs: Map<string, Proof>): void {
     let excess = PROOFS_DROPPED;
     for (const suspect of proofs.keys()) {
       if (excess <= 0) return;
@@ -71,14 +84,15 @@
 
   return new (class extends SuspectProofs {
     override find(suspect: string): Proof | undefined {
-      return proofs.get(suspect);
+      return proofsFor(suspect).get(suspect);
     }
 
     override lastProof(suspect: string): Milliseconds {
-      return proofs.get(suspect)?.at ?? -Infinity;
+      return proofsFor(suspect).get(suspect)?.at ?? -Infinity;
     }
 
     override recordProof(suspect: string, at: Milliseconds): boolean {
+      const proofs = proofsFor(suspect);
       const known = proofs.get(suspect);
       if (known === undefined) {
         proofs.set(suspect, { at });
@@ -88,22 +102,27 @@
         proofs.delete(suspect);
         proofs.set(suspect, known);
       }
-      if (proofs.size >= MAX_PROOFS) dropOldestProofs();
+      if (proofs.size >= MAX_PROOFS) dropOldest(proofs);
       return true;
     }
 
-    override recordAnswer(at: Milliseconds): boolean {
+    override recordAnswer(group: string, at: Milliseconds): boolean {
       if (clock.monotonic() - at >= RECORD_EXPIRY) return false;
       const interval = intervalOf(at);
-      if (answerIntervals.has(interval)) return false;
-      answerIntervals.add(interval);
+      const known = answerIntervals.get(group) ?? new Set();
+      if (known.has(interval)) return false;
+      known.add(interval);
+      answerIntervals.set(group, known);
       return true;
     }
 
-    override hasAnswerBetween(crashes: readonly Milliseconds[]): boolean {
+    override hasAnswerBetween(
+      group: string,
+      crashes: readonly Milliseconds[],
+    ): boolean {
       const second = intervalOf(crashes[1] ?? Infinity);
       const last = intervalOf(crashes.at(-1) ?? -Infinity);
-      for (const interval of answerIntervals) {
+      for (const interval of answerIntervals.get(group) ?? []) {
         if (interval > second && interval < last) return true;
       }
       return false;
@@ -111,9 +130,12 @@
 
     override dropExpired(): void {
       const oldest = intervalOf(clock.monotonic() - RECORD_EXPIRY);
-      for (const interval of answerIntervals) {
-        if (interval >= oldest) break;
-        answerIntervals.delete(interval);
+      for (const [group, intervals] of answerIntervals) {
+        for (const interval of intervals) {
+          if (interval >= oldest) break;
+          intervals.delete(interval);
+        }
+        if (intervals.size === 0) answerIntervals.delete(group);
       }
     }
   })();
--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -16,6 +16,7 @@
   type Observations,
 } from "./crash_attribution.ts";
 import type { CrashRecord } from "./crash_records.ts";
+import { groupOf, isRequest } from "./suspects.ts";
 
 /** First duration of a verdict; it doubles with each renewal. */
 export const INITIAL_HOLD: Milliseconds = 30_000;
@@ -27,6 +28,12 @@
  */
 export const MAX_STRIKES = 1 + Math.ceil(Math.log2(MAX_HOLD / INITIAL_HOLD));
 
+/**
+ * Strikes of the first verdict on a request that no replica has ever answered.
+ * Each trial may crash one more replica, and only its callers need the answer.
+ */
+export const UNANSWERED_REQUEST_STRIKES = 4;
+
 /** Time after its end at which a verdict is forgotten that no trial renewed. */
 const FORGET_AFTER: Milliseconds = 15 * 60_000;
 
@@ -154,17 +161,16 @@
     const crashes = findCrashes(options, suspect, CRASHES_TO_CONDEMN);
     if (crashes === undefined) return;
     const isProven = proofs.lastProof(suspect) > -Infinity;
-    if (isProven && !proofs.hasAnswerBetween(crashes)) return;
+    const group = groupOf(suspect);
+    if (isProven && !proofs.hasAnswerBetween(group, crashes)) return;
     // With an answer after this crash, too few would be left.
     const since = crashes.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
     const last = crashes.at(-1) ?? since;
-    putVerdict({ suspect, since, until: last + INITIAL_HOLD, strikes: 1 });
-    options.onCondemned?.({
-      suspect,
-      strikes: 1,
-      crashes: crashes.length,
-      hold: INITIAL_HOLD,
-    });
+    const isUnanswered = isRequest(suspect) && !isProven;
+    const strikes = isUnanswered ? UNANSWERED_REQUEST_STRIKES : 1;
+    const hold = holdOf(strikes);
+    putVerdict({ suspect, since, until: last + hold, strikes });
+    options.onCondemned?.({ suspect, strikes, crashes: crashes.length, hold });
   }
 
   /**
@@ -202,7 +208,8 @@
    * a long time.
    */
   function isTrialExplained(suspect: string, record: CrashRecord): boolean {
-    const crashes = listCrashes(countedRecords(options, suspect)).length;
+    const crashes =
+      listCrashes(suspect, countedRecords(options, suspect)).length;
     return isExplained(options, suspect, [record], crashes, CRASHES_TO_SUSPECT);
   }
 
@@ -233,7 +240,7 @@
     if (proofs.lastProof(suspect) - since > MAX_NEWS_DELAY) return true;
     if (strikes > 1) return false;
     const counted = countedRecords(options, suspect);
-    const crashes = listCrashes(counted).length;
+    const crashes = listCrashes(suspect, counted).length;
     return crashes >= CRASHES_TO_CONDEMN &&
       isExplained(options, suspect, counted, crashes, CRASHES_TO_CONDEMN);
   }
