Tell all suspects of a crash in turn

A replica can end under more requests than one datagram has room for. Each round told the same suspects of a crash record, so that three daemons that knew one crash each never heard of the others' crashes of the same request. Suspects of one crash are now told in turn, those of several crashes in each round.

--- a/packages/retries/src/crash_digest.ts
+++ b/packages/retries/src/crash_digest.ts
@@ -127,6 +127,18 @@
       );
   }
 
+  /**
+   * Suspects of several crashes first, then those told least often: a datagram
+   * may have no room for all requests that were on a replica.
+   */
+  function orderToTell(record: CrashRecord, audience: Audience): string[] {
+    const told = record.told[audience];
+    const roundsOf = (suspect: string) =>
+      records.count(suspect) > 1 ? -1 : told.get(suspect) ?? 0;
+    return rankSuspects(options, record.suspects)
+      .sort((a, b) => roundsOf(a) - roundsOf(b));
+  }
+
   function isDue(record: CrashRecord, audience: Audience): boolean {
     return record.voidedAt === undefined && record.roundsLeft[audience] > 0 &&
       (record.isFromPeer ||
@@ -169,8 +181,12 @@
         if (base >= left) return undefined;
         left -= base;
         const suspects = take(
-          rankSuspects(options, record.suspects).slice(0, MAX_TOLD_SUSPECTS),
+          orderToTell(record, audience).slice(0, MAX_TOLD_SUSPECTS),
         );
+        const rounds = record.told[audience];
+        for (const suspect of suspects) {
+          rounds.set(suspect, (rounds.get(suspect) ?? 0) + 1);
+        }
         if (suspects.length > 0) {
           return [record.replica, age, suspects] as const;
         }
--- a/packages/retries/src/crash_records.ts
+++ b/packages/retries/src/crash_records.ts
@@ -70,6 +70,8 @@
   /** Number of times that the rounds were started again. */
   changes: number;
   readonly roundsLeft: Record<Audience, number>;
+  /** Number of rounds in which each suspect was told. */
+  readonly told: Record<Audience, Map<string, number>>;
 }
 
 /** What the addition of suspects to a record led to. */
@@ -162,6 +164,7 @@
 
   function dropOutdated(record: CrashRecord): void {
     record.isTrimmed = true;
+    for (const rounds of Object.values(record.told)) rounds.clear();
     for (const suspect of record.suspects) {
       const counts = isRequest(suspect) && record.voidedAt === undefined &&
         lastProof(suspect) < record.at;
@@ -220,6 +223,7 @@
         isFromPeer: false,
         changes: 0,
         roundsLeft: { neighbors: TOLD_ROUNDS, zones: TOLD_ROUNDS },
+        told: { neighbors: new Map(), zones: new Map() },
       };
       if (known === undefined) records.push(record);
       record.at = Math.min(record.at, at);
--- a/packages/retries/src/crashing_requests.test.ts
+++ b/packages/retries/src/crashing_requests.test.ts
@@ -158,6 +158,35 @@
   expect(isCondemned(fresh.evidence, DEADLY)).toEqual(true);
 });
 
+// Guards against a request that no daemon condemns, because each knows one of
+// its crashes and its datagram has no room for all that was on the replica.
+test("daemons that each know one crash condemn the request among many", async () => {
+  const clock = createManualClock();
+  const daemons = [1, 2, 3, 4].map(() => createDaemon(clock));
+  for (const [number, { evidence }] of daemons.slice(0, 3).entries()) {
+    const others = Array.from(
+      { length: 20 },
+      (_, index) => [`part${number}-${index}`, `~shop-1/a${number}-${index}`],
+    );
+    const suspects = [...others.flat(), DEADLY];
+    evidence.recordLoss({ replica: `x${number}`, suspects });
+    await clock.advance(GAP);
+  }
+  for (let round = 0; round < 8; round += 1) {
+    await clock.advance(300);
+    for (const { evidence: from } of daemons) {
+      const news = from.compose(LIMIT, "neighbors");
+      if (news === undefined) continue;
+      for (const { evidence } of daemons) {
+        if (evidence !== from) evidence.apply(JSON.parse(JSON.stringify(news)));
+      }
+    }
+  }
+  for (const { evidence } of daemons) {
+    expect(isCondemned(evidence, DEADLY)).toEqual(true);
+  }
+});
+
 // Guards against memory and datagrams that grow with the requests of callers.
 test("answers without crashes are not told, and are bounded in number", () => {
   const { evidence } = createDaemon();
