--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -446,6 +446,11 @@
     message:
       "A replica broke off attempts, counted by whether an event had arrived; isCrash is false when data from it followed.",
   }),
+  attempt_broken_off: defineEvent(3031, "warn", {
+    fields: { fingerprint: S, hasBegun: "boolean", evidence: S },
+    message:
+      "A replica broke off an attempt; requests that a caller repeats share the fingerprint, and evidence states whether a crash was recorded, or why not.",
+  }),
   replica_statement: defineEvent(3027, "warn", {
     fields: { kind: S, value: N, isInForce: "boolean" },
     message:
@@ -475,6 +480,16 @@
     message:
       "Requests with a prompt part are served again, because an answer on it began.",
   }),
+  request_condemned: defineEvent(3032, "error", {
+    fields: { fingerprint: S, crashes: N, strikes: N, hold: N },
+    message:
+      "A request that crashes replicas is refused when callers repeat it; crashes is 0 when a peer decided it.",
+  }),
+  request_released: defineEvent(3033, "warn", {
+    fields: { fingerprint: S },
+    message:
+      "A request is served again, because a replica has answered it completely.",
+  }),
   entry_rejected: defineEvent(3023, "warn", {
     fields: { key: S, reason: S },
     message: "An entry of the replica list cannot be parsed.",
