Log responses that are not taken for the answer to their request

The log lines of a daemon could not tell whether a refusal was believed on the connection of an earlier attempt, or whether answers on a connection were shifted by one: the id in a response and the connection of an attempt were not in them.

Change: response_mismatched has the status and the id of such a response, and attempt_placed says whether the attempt has a connection of its own. The fixture of bounded_log.test.ts gets the new field; its checks are the same.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -430,13 +430,20 @@
       candidates: N,
       fetched: N,
       remaining: N,
+      isRepeat: "boolean",
     },
-    message: "An attempt of a request was placed on a replica.",
+    message:
+      "An attempt of a request was placed on a replica; isRepeat is true for one on a connection of its own, because a replica at the address has answered the request before.",
   }),
   attempt_ended: defineEvent(3021, "info", {
     fields: { number: N, outcome: S, reason: S, elapsed: N },
     message: "An attempt of a request ended without a usable response.",
   }),
+  response_mismatched: defineEvent(3033, "warn", {
+    fields: { number: N, status: N, answered: S, isRefusal: "boolean" },
+    message:
+      "A replica sent a response that is not taken for the answer to the request of its connection; answered is the request id in the response.",
+  }),
   replica_changed: defineEvent(3022, "info", {
     fields: { service: S, change: S, address: S },
     message: "The known state of a replica has changed.",
--- a/packages/gateway/src/bounded_log.test.ts
+++ b/packages/gateway/src/bounded_log.test.ts
@@ -37,6 +37,7 @@
   candidates: 1,
   fetched: 0,
   remaining: 1,
+  isRepeat: false,
 };
 const LOST = {
   route: "r",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -584,12 +584,13 @@
       const started = clock.monotonic();
       const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
         started;
+      const isRepeat = answeredAt.has(entry.address);
       const attempt = pools.open({
         mayStart: () =>
           sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
-        isRepeat: answeredAt.has(entry.address),
+        isRepeat,
         method: forwarded.method,
         path: forwarded.path,
         body: forwarded.body,
@@ -625,6 +626,7 @@
         candidates: choice.candidates,
         fetched: choice.fetched,
         remaining: Math.round(timeLeft),
+        isRepeat,
       }, { ...subject, upstream: entry.id });
       replicas.recordSent(entry.id, prefillTimeOf(request, choice));
       const watch = watchAttempt(attempt, {
@@ -696,7 +698,7 @@
 
     /** Reads the head of the response, and whether it is the request's own. */
     async function receive(
-      { attempt, choice, watch, guarded }: SentAttempt,
+      { number, attempt, choice, watch, guarded }: SentAttempt,
     ): Promise<Reception<ResponseHead>> {
       const ended = (outcome: AttemptOutcome) =>
         ({ kind: "ended", outcome }) as const;
@@ -717,6 +719,12 @@
       const metadata = headerCodec.readResponse(head.status, head.headers);
       const mismatch = findMismatch(metadata);
       if (mismatch !== undefined) {
+        logger.log("response_mismatched", {
+          number,
+          status: head.status,
+          answered: metadata.requestId ?? "",
+          isRefusal: metadata.isRefusal,
+        }, { ...subject, upstream: entry.id });
         attempt.cancel(mismatch);
         return ended({ kind: "lost", reason: mismatch });
       }
