Close a connection with an answer to another request at its head

Cause: the relay compared the ids once the head had reached it. A short answer is read whole in one go, so the request had ended for undici by then, cancel found nothing to abort, and the connection stayed in use with the answer still to come: every later answer on it belonged to the request before.

Change: the ids are compared as the head arrives, inside the attempt, and the connection is reset there. The comparison moves from relay.ts to response_check.ts.

'a connection with an answer to another request is closed at once' fails when the request is failed at the head and its connection is aborted one microtask later.

--- a/packages/gateway/src/connection_pools.test.ts
+++ b/packages/gateway/src/connection_pools.test.ts
@@ -3,7 +3,10 @@
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { expect } from "earl";
-import { createConnectionPools } from "./connection_pools.ts";
+import {
+  createConnectionPools,
+  type ResponseHead,
+} from "./connection_pools.ts";
 
 async function listen(
   context: TestContext,
@@ -150,3 +153,35 @@
   const head = await pools.open(request(origin)).head;
   expect(head.isErr() && head.error.kind).toEqual("lost");
 });
+
+// Guards against answers that are shifted by one: a connection that has delivered
+// an answer to another request goes to a request that waits for it, although its
+// own answer is still to come.
+test("a connection with an answer to another request is closed at once", async (t) => {
+  const pools = createConnectionPools();
+  t.after(() => pools.close("the test ends"));
+  let connections = 0;
+  const origin = await listen(t, (socket) => {
+    connections += 1;
+    const isFirst = connections === 1;
+    socket.on("data", () => {
+      const id = isFirst ? "earlier" : "own";
+      socket.write(
+        `HTTP/1.1 503 Full\r\nid: ${id}\r\ncontent-length: 0\r\n\r\n`,
+      );
+    });
+  });
+  const checked = {
+    ...request(origin),
+    findMismatch: ({ headers }: ResponseHead) =>
+      headers["id"] === "own" ? undefined : "mismatch",
+  };
+  const [first, waiting] = [pools.open(checked), pools.open(checked)];
+  const head = await first.head;
+  expect(head.isErr() && head.error).toEqual({
+    ...{ kind: "lost", reason: "mismatch" },
+  });
+  expect(first.wasBrokenOff()).toEqual(false);
+  assert((await waiting.head).isOk());
+  expect(connections).toEqual(2);
+});
--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -31,6 +31,14 @@
    * fails unsent with the reason `LATE_START`.
    */
   readonly mayStart?: () => boolean;
+  /**
+   * Asked when the head of the response arrives. When it returns a reason, the
+   * response is not the answer to the request: the attempt fails with that
+   * reason, and its connection is reset before another request can use it. A
+   * short response ends in the same read as its head, so a later `cancel` would
+   * leave the connection in use with the answer still to come.
+   */
+  readonly findMismatch?: (head: ResponseHead) => string | undefined;
 }
 
 /** Reason of an attempt whose connection was ready too late. */
@@ -197,6 +205,13 @@
     wake();
   }
 
+  function cancel(reason: string): void {
+    if (end !== undefined || cancelReason !== undefined) return;
+    cancelReason = reason;
+    closeByReset(() => controller?.abort(new Error(reason)));
+    fail(reason);
+  }
+
   const handler: Dispatcher.DispatchHandler = {
     onRequestStart(started) {
       // Runs before the first byte is written. `undici` keeps the connection
@@ -208,7 +223,10 @@
     onResponseStart(started, status, headers) {
       if (status < 200) return;
       const rawHeaders = decodeHeaders(started.rawHeaders);
-      settleHead(Ok({ status, headers, rawHeaders }));
+      const received = { status, headers, rawHeaders };
+      const mismatch = request.findMismatch?.(received);
+      if (mismatch === undefined) settleHead(Ok(received));
+      else cancel(mismatch);
     },
     onResponseData(started, chunk) {
       buffered.push(chunk);
@@ -262,12 +280,7 @@
       return body();
     }
 
-    override cancel(reason: string): void {
-      if (end !== undefined || cancelReason !== undefined) return;
-      cancelReason = reason;
-      closeByReset(() => controller?.abort(new Error(reason)));
-      fail(reason);
-    }
+    override cancel = cancel;
 
     override wasBrokenOff(): boolean {
       return end?.failure?.kind === "lost" && cancelReason === undefined;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -60,6 +60,7 @@
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
 import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
+import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import { createSuccession, type Reception } from "./succession.ts";
 
 export interface RelayOptions {
@@ -144,6 +145,7 @@
   readonly number: number;
   readonly startedAt: Milliseconds;
   readonly attempt: Attempt;
+  readonly check: ResponseCheck;
   readonly watch: AttemptWatch;
   readonly choice: Choice;
   readonly trackedRequest: TrackedRequest;
@@ -412,20 +414,6 @@
         : wait;
     }
 
-    /**
-     * Returns why the answer is not taken as one to this request: a replica may
-     * write an answer to an earlier request of the connection once more. A
-     * refusal without an id is believed only where a second run does no harm.
-     */
-    function findMismatch(
-      { requestId, isRefusal }: ResponseMetadata,
-    ): string | undefined {
-      if (requestId === request.id) return undefined;
-      const isAnonymousRefusal = isRefusal && requestId === undefined;
-      if (!isAnonymousRefusal) return "answer to another request";
-      return retryable ? undefined : "refusal without a request id";
-    }
-
     async function waitForPlace(
       deadline: Milliseconds,
     ): Promise<Placed | undefined> {
@@ -585,12 +573,26 @@
       const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
         started;
       const isRepeat = answeredAt.has(entry.address);
+      const check = createResponseCheck({
+        ...{ request, headerCodec },
+        onResponse() {
+          replicas.recordReceived(entry.id);
+          guarded.recordReceived();
+          answeredAt.add(entry.address);
+        },
+        onMismatch(fields) {
+          const upstream = entry.id;
+          const event = { number, ...fields };
+          logger.log("response_mismatched", event, { ...subject, upstream });
+        },
+      });
       const attempt = pools.open({
         mayStart: () =>
           sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         isRepeat,
+        findMismatch: check.findMismatch,
         method: forwarded.method,
         path: forwarded.path,
         body: forwarded.body,
@@ -644,7 +646,7 @@
         },
       });
       const sent = {
-        ...{ number, startedAt: started, attempt, watch },
+        ...{ number, startedAt: started, attempt, check, watch },
         ...{ choice, trackedRequest, guarded },
       };
       return { ...sent, reception: receive(sent) };
@@ -696,9 +698,9 @@
       queue.retry();
     }
 
-    /** Reads the head of the response, and whether it is the request's own. */
+    /** Reads the head of the response. */
     async function receive(
-      { number, attempt, choice, watch, guarded }: SentAttempt,
+      { attempt, check, choice, watch }: SentAttempt,
     ): Promise<Reception<ResponseHead>> {
       const ended = (outcome: AttemptOutcome) =>
         ({ kind: "ended", outcome }) as const;
@@ -711,27 +713,12 @@
           cause === undefined || isUnsent ? toOutcome(result.error) : cause,
         );
       }
-      const { entry } = choice.replica;
-      replicas.recordReceived(entry.id);
-      guarded.recordReceived();
-      answeredAt.add(entry.address);
       const head = result.value;
-      const metadata = headerCodec.readResponse(head.status, head.headers);
-      const mismatch = findMismatch(metadata);
-      if (mismatch !== undefined) {
-        logger.log("response_mismatched", {
-          number,
-          status: head.status,
-          answered: metadata.requestId ?? "",
-          isRefusal: metadata.isRefusal,
-        }, { ...subject, upstream: entry.id });
-        attempt.cancel(mismatch);
-        return ended({ kind: "lost", reason: mismatch });
-      }
+      const metadata = check.metadata();
       recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
       if (metadata.isRefusal) {
-        if (!metadata.isMisdirected) places.recordRefusal(entry);
+        if (!metadata.isMisdirected) places.recordRefusal(choice.replica.entry);
         await discardBody(attempt);
         const reason = `replica refused with ${head.status}`;
         const misdirected = metadata.isMisdirected;
--- /dev/null
+++ b/packages/gateway/src/response_check.ts
@@ -0,0 +1,55 @@
+/**
+ * Decides whether a response is the answer to the request of its connection. A
+ * replica may write an answer to an earlier request of the connection once more.
+ */
+import { type DispatchRequest, isRetryable } from "@peridotvalve/dispatch";
+import type { EventFields } from "@peridotvalve/events";
+import type { ResponseHead } from "./connection_pools.ts";
+import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
+
+export interface ResponseCheckOptions {
+  readonly request: DispatchRequest;
+  readonly headerCodec: HeaderCodec;
+  /** Called for each response, whichever request it belongs to. */
+  readonly onResponse: () => void;
+  /** Called for a response that is not taken for the answer. */
+  readonly onMismatch: (
+    fields: Omit<EventFields<"response_mismatched">, "number">,
+  ) => void;
+}
+
+export interface ResponseCheck {
+  /** Returns why the response is not taken for the answer to the request. */
+  readonly findMismatch: (head: ResponseHead) => string | undefined;
+  /** Contents of the head that was checked; empty before. */
+  readonly metadata: () => ResponseMetadata;
+}
+
+export function createResponseCheck(
+  { request, headerCodec, onResponse, onMismatch }: ResponseCheckOptions,
+): ResponseCheck {
+  let metadata: ResponseMetadata = { isRefusal: false, isMisdirected: false };
+
+  /** A refusal without an id is believed only where a second run is harmless. */
+  function compareIds(): string | undefined {
+    const { requestId, isRefusal } = metadata;
+    if (requestId === request.id) return undefined;
+    const isAnonymousRefusal = isRefusal && requestId === undefined;
+    if (!isAnonymousRefusal) return "answer to another request";
+    return isRetryable(request) ? undefined : "refusal without a request id";
+  }
+
+  return {
+    findMismatch({ status, headers }) {
+      onResponse();
+      metadata = headerCodec.readResponse(status, headers);
+      const mismatch = compareIds();
+      if (mismatch !== undefined) {
+        const { requestId: answered = "", isRefusal } = metadata;
+        onMismatch({ status, answered, isRefusal });
+      }
+      return mismatch;
+    },
+    metadata: () => metadata,
+  };
+}
