REFUSED: promise nothing that the replica has not stated

Callers saw: 503, 429 or 408 to an order that its replica may have run. The status promises that the request has not run and never will.

Cause: only a response with Not-Executed (or 421) states that a replica did not run a request, and the relay took only those for refusals. The status of any other response was passed on as it came, and a caller cannot tell it from a refusal.

Change: a request that may run once gets 502 instead, without Retry-After. The check stands with that for a missing seal in response_check.ts.

Evidence: "a refusal that does not say 'not run' makes no promise" failed before (503 where 502 is expected) and passes. Whether replicas of the operators answer in this way is not known.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -168,9 +168,6 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
-/** Reason of a success that does not count, as its origin is not proved. */
-const UNSEALED = "success without a seal";
-
 /** Reason of requests that no replica can be reached for. */
 const NO_CONTACT = "no replica can be reached";
 
@@ -727,9 +724,10 @@
           answer: metadata,
         });
       }
-      if (isSuccess(head) && metadata.isSealed !== true) {
-        attempt.cancel(UNSEALED);
-        return ended({ kind: "lost", reason: UNSEALED });
+      const flaw = check.findFlaw(head);
+      if (flaw !== undefined) {
+        attempt.cancel(flaw);
+        return ended({ kind: "lost", reason: flaw });
       }
       return { kind: "accepted", head };
     }
@@ -797,10 +795,6 @@
   };
 }
 
-function isSuccess({ status }: ResponseHead): boolean {
-  return status >= 200 && status < 300;
-}
-
 const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
 
 function isEventStream({ status, headers }: ResponseHead): boolean {
--- a/packages/gateway/src/response_check.ts
+++ b/packages/gateway/src/response_check.ts
@@ -21,10 +21,22 @@
 export interface ResponseCheck {
   /** Returns why the response is not taken for the answer to the request. */
   readonly findMismatch: (head: ResponseHead) => string | undefined;
+  /**
+   * Returns why an answer that is no refusal cannot be passed on. Without a
+   * statement that the request did not run, the status of a refusal would
+   * promise it all the same.
+   */
+  readonly findFlaw: (head: ResponseHead) => string | undefined;
   /** Contents of the head that was checked; empty before. */
   readonly metadata: () => ResponseMetadata;
 }
 
+/** Statuses that state to a caller that its request has not run and never will. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Reason of a success that does not count, as its origin is not proved. */
+const UNSEALED = "success without a seal";
+
 export function createResponseCheck(
   { request, headerCodec, onResponse, onMismatch }: ResponseCheckOptions,
 ): ResponseCheck {
@@ -50,6 +62,12 @@
       }
       return mismatch;
     },
+    findFlaw({ status }) {
+      const isSuccess = status >= 200 && status < 300;
+      if (isSuccess) return metadata.isSealed === true ? undefined : UNSEALED;
+      const isUnproved = PROMISES.has(status) && !isRetryable(request);
+      return isUnproved ? `replica answered ${status}` : undefined;
+    },
     metadata: () => metadata,
   };
 }
