--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -60,6 +60,7 @@
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
 import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
+import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import { createSuccession, type Reception } from "./succession.ts";
 
 export interface RelayOptions {
@@ -144,6 +145,7 @@
   readonly number: number;
   readonly startedAt: Milliseconds;
   readonly attempt: Attempt;
+  readonly check: ResponseCheck;
   readonly watch: AttemptWatch;
   readonly choice: Choice;
   readonly trackedRequest: TrackedRequest;
@@ -166,9 +168,6 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
-/** Reason of a success that does not count, as its origin is not proved. */
-const UNSEALED = "success without a seal";
-
 /** Reason of requests that no replica can be reached for. */
 const NO_CONTACT = "no replica can be reached";
 
@@ -412,20 +411,6 @@
         : wait;
     }
 
-    /**
-     * Returns why the answer is not taken as one to this request: a replica may
-     * write an answer to an earlier request of the connection once more. A
-     * refusal without an id is believed only where a second run does no harm.
-     */
-    function findMismatch(
-      { requestId, isRefusal }: ResponseMetadata,
-    ): string | undefined {
-      if (requestId === request.id) return undefined;
-      const isAnonymousRefusal = isRefusal && requestId === undefined;
-      if (!isAnonymousRefusal) return "answer to another request";
-      return retryable ? undefined : "refusal without a request id";
-    }
-
     async function waitForPlace(
       deadline: Milliseconds,
     ): Promise<Placed | undefined> {
@@ -584,12 +569,27 @@
       const started = clock.monotonic();
       const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
         started;
+      const isRepeat = answeredAt.has(entry.address);
+      const check = createResponseCheck({
+        ...{ request, headerCodec },
+        onResponse() {
+          replicas.recordReceived(entry.id);
+          guarded.recordReceived();
+          answeredAt.add(entry.address);
+        },
+        onMismatch(fields) {
+          const upstream = entry.id;
+          const event = { number, ...fields };
+          logger.log("response_mismatched", event, { ...subject, upstream });
+        },
+      });
       const attempt = pools.open({
         mayStart: () =>
           sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
-        isRepeat: answeredAt.has(entry.address),
+        isRepeat,
+        findMismatch: check.findMismatch,
         method: forwarded.method,
         path: forwarded.path,
         body: forwarded.body,
@@ -625,6 +625,7 @@
         candidates: choice.candidates,
         fetched: choice.fetched,
         remaining: Math.round(timeLeft),
+        isRepeat,
       }, { ...subject, upstream: entry.id });
       replicas.recordSent(entry.id, prefillTimeOf(request, choice));
       const watch = watchAttempt(attempt, {
@@ -642,7 +643,7 @@
         },
       });
       const sent = {
-        ...{ number, startedAt: started, attempt, watch },
+        ...{ number, startedAt: started, attempt, check, watch },
         ...{ choice, trackedRequest, guarded },
       };
       return { ...sent, reception: receive(sent) };
@@ -694,9 +695,9 @@
       queue.retry();
     }
 
-    /** Reads the head of the response, and whether it is the request's own. */
+    /** Reads the head of the response. */
     async function receive(
-      { attempt, choice, watch, guarded }: SentAttempt,
+      { attempt, check, choice, watch }: SentAttempt,
     ): Promise<Reception<ResponseHead>> {
       const ended = (outcome: AttemptOutcome) =>
         ({ kind: "ended", outcome }) as const;
@@ -709,21 +710,12 @@
           cause === undefined || isUnsent ? toOutcome(result.error) : cause,
         );
       }
-      const { entry } = choice.replica;
-      replicas.recordReceived(entry.id);
-      guarded.recordReceived();
-      answeredAt.add(entry.address);
       const head = result.value;
-      const metadata = headerCodec.readResponse(head.status, head.headers);
-      const mismatch = findMismatch(metadata);
-      if (mismatch !== undefined) {
-        attempt.cancel(mismatch);
-        return ended({ kind: "lost", reason: mismatch });
-      }
+      const metadata = check.metadata();
       recordStatement(choice, metadata);
       replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
       if (metadata.isRefusal) {
-        if (!metadata.isMisdirected) places.recordRefusal(entry);
+        if (!metadata.isMisdirected) places.recordRefusal(choice.replica.entry);
         await discardBody(attempt);
         const reason = `replica refused with ${head.status}`;
         const misdirected = metadata.isMisdirected;
@@ -732,9 +724,10 @@
           answer: metadata,
         });
       }
-      if (isSuccess(head) && metadata.isSealed !== true) {
-        attempt.cancel(UNSEALED);
-        return ended({ kind: "lost", reason: UNSEALED });
+      const flaw = check.findFlaw(head);
+      if (flaw !== undefined) {
+        attempt.cancel(flaw);
+        return ended({ kind: "lost", reason: flaw });
       }
       return { kind: "accepted", head };
     }
@@ -802,10 +795,6 @@
   };
 }
 
-function isSuccess({ status }: ResponseHead): boolean {
-  return status >= 200 && status < 300;
-}
-
 const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
 
 function isEventStream({ status, headers }: ResponseHead): boolean {
