--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -16,6 +16,8 @@
   readonly silent: boolean;
   /** Refuses every request with 503 and marks it as not executed. */
   readonly overloaded: boolean;
+  /** `Retry-After` of all refusals with 503; empty for none. */
+  readonly retryAfter: string;
   /** Number of the event in the middle of which a stream is cut; 0 for none. */
   readonly breakAtEvent: number;
   /** Status code of the responses to plain requests. */
@@ -56,6 +58,14 @@
   readonly isDropped: () => boolean;
 }
 
+/** A request that reached the replica, whether it ran or was refused. */
+export interface Arrival {
+  readonly id: string;
+  /** Time of arrival in milliseconds, on the clock of `performance.now`. */
+  readonly at: number;
+  readonly isRefused: boolean;
+}
+
 export interface ReceivedOrder {
   readonly version: number;
   readonly holder: string;
@@ -68,6 +78,8 @@
   /** Host and port. */
   readonly address: string;
   readonly requests: readonly ReceivedRequest[];
+  /** All requests but the calls of the control endpoints. */
+  readonly arrivals: readonly Arrival[];
   readonly orders: readonly ReceivedOrder[];
   /** Number of times that the engine crashed. */
   crashes(): number;
@@ -111,6 +123,7 @@
 const NO_FAULTS: ReplicaFaults = {
   silent: false,
   overloaded: false,
+  retryAfter: "",
   breakAtEvent: 0,
   status: 200,
   length: 0,
@@ -146,6 +159,7 @@
     pause = DEFAULT_EVENT_INTERVAL_MILLISECONDS,
   } = options;
   const requests: ReceivedRequest[] = [];
+  const arrivals: Arrival[] = [];
   const orders: ReceivedOrder[] = [];
   let faults = NO_FAULTS;
   let version = 1;
@@ -187,10 +201,13 @@
       readonly status: number;
     },
   ): void {
+    const requestId = String(headers["request-id"] ?? "");
+    const mayName = status === 503 && faults.retryAfter !== "";
     response.writeHead(status, {
-      "Request-Id": String(headers["request-id"] ?? ""),
+      "Request-Id": requestId,
       "Not-Executed": "1",
       "Replica-Id": id,
+      ...(mayName && { "Retry-After": faults.retryAfter }),
     }).end();
   }
 
@@ -310,6 +327,11 @@
       response.setHeader("Server-Limit", String(faults.limit));
     }
     if (faults.leaving) response.setHeader("Server-Leaving", "1");
+    arrivals.push({
+      id: String(request.headers["request-id"]),
+      at: performance.now(),
+      isRefused: faults.overloaded,
+    });
     await runRequest(request, response, body);
   }
 
@@ -324,6 +346,7 @@
     id,
     address,
     requests,
+    arrivals,
     orders,
     crashes: () => crashes,
     isRunning: () => server.listening,
