Read and log the Retry-After of a replica's refusal

The logs could not tell whether requests reached a replica within the time that it had asked for. The time is kept by incarnation for this daemon, and event 3036 names its begin. Nothing acts on it yet.

--- a/packages/backpressure/src/mod.ts
+++ b/packages/backpressure/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./incarnation.ts";
 export * from "./limits.ts";
 export * from "./places.ts";
+export * from "./pushback.ts";
 export * from "./statement.ts";
 export { type StatementNews } from "./statement_news.ts";
 export * from "./statements.ts";
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -451,6 +451,11 @@
     message:
       "What a replica says of itself in its answers has changed; isInForce is false when it no longer says so.",
   }),
+  replica_pushback: defineEvent(3036, "warn", {
+    fields: { delay: N },
+    message:
+      "A replica has refused a request and wants none from this daemon for the time.",
+  }),
   replicas_lost: defineEvent(3029, "warn", {
     fields: { silent: N },
     message:
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {
   createLimits,
   createPlaces,
+  createPushback,
   createStatements,
   divideLimit,
   type Neighborhood,
@@ -178,6 +179,12 @@
       logger.log("statement_rejected", { reason }, { upstream: id });
     },
   });
+  const pushback = createPushback({
+    clock,
+    onBegin({ id }, delay) {
+      logger.log("replica_pushback", { delay }, { upstream: id });
+    },
+  });
   const limits = createLimits({
     clock,
     statements,
@@ -311,6 +318,7 @@
     pools,
     replicas,
     statements,
+    pushback,
     limits,
     places,
     load,
--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -53,7 +53,12 @@
   readonly weights?: number;
   /** What the replica says of itself; absent when it says nothing. */
   readonly statement?: Statement;
-  /** Names and values of statements that cannot be read; they are left out. */
+  /** Time for which the replica wants no requests from this daemon. */
+  readonly retryAfter?: Milliseconds;
+  /**
+   * Names and values of statements that cannot be read and are left out, or that
+   * are out of range and bounded.
+   */
   readonly malformed?: readonly string[];
 }
 
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -12,7 +12,12 @@
   SendGate,
   ShutdownAdmission,
 } from "@peridotvalve/admission";
-import type { Limits, Places, Statements } from "@peridotvalve/backpressure";
+import type {
+  Limits,
+  Places,
+  Pushback,
+  Statements,
+} from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
   type AnswerTimes,
@@ -69,6 +74,7 @@
   readonly pools: ConnectionPools;
   readonly replicas: ReplicaTable;
   readonly statements: Statements;
+  readonly pushback: Pushback;
   readonly limits: Limits;
   readonly places: Places;
   readonly load: LoadView;
@@ -185,7 +191,7 @@
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
-  const { statements, limits, places, sendGate } = options;
+  const { statements, pushback, limits, places, sendGate } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -199,12 +205,15 @@
 
   function recordStatement(
     { replica: { entry } }: Choice,
-    { replica, isMisdirected, statement = {}, malformed }: ResponseMetadata,
+    { replica, isMisdirected, statement = {}, ...metadata }: ResponseMetadata,
   ): void {
+    const { malformed, retryAfter = 0 } = metadata;
     for (const reason of malformed ?? []) statements.reject(entry, reason);
     // Another incarnation at the same address answers a misdirected request.
     const sender = replica ?? (isMisdirected ? undefined : entry.id);
-    if (sender === entry.id) statements.record(entry, statement);
+    if (sender !== entry.id) return;
+    statements.record(entry, statement);
+    pushback.record(entry, retryAfter);
   }
 
   function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
