BUDGET: send nothing to a replica in the time that it asked for

Cause: a replica that refused with 503 and Retry-After was avoided for 250 ms, and not at all while no other was left. Requests, retries and resumed streams reached it on and on, from each daemon.

Change: each daemon keeps the time by incarnation, with a spread of at most a tenth or 0.5 s, and leaves the replica out of placement, the queue, second attempts and probes until then; a request that is still held in a connection pool is placed again. While all replicas that may take a request push back, it waits if the time fits what it has left, and is refused at once otherwise, with the time that is left as Retry-After. Replicas that fail are not used in place of ones that push back. A retry that is refused here no longer takes from the retry budget.

--- a/packages/backpressure/src/pushback.test.ts
+++ b/packages/backpressure/src/pushback.test.ts
@@ -13,10 +13,12 @@
   pushback.record(A, 1_500);
   expect(pushback.isActive(A)).toEqual(true);
   expect(pushback.isActive(B)).toEqual(false);
+  expect(pushback.isAnyActive()).toEqual(true);
   await clock.advance(1_499);
   expect(pushback.isActive(A)).toEqual(true);
   await clock.advance(1);
   expect(pushback.isActive(A)).toEqual(false);
+  expect(pushback.isAnyActive()).toEqual(false);
 });
 
 // Guards against a shorter time of a later refusal that ends an earlier one, and
--- a/packages/backpressure/src/pushback.ts
+++ b/packages/backpressure/src/pushback.ts
@@ -11,6 +11,8 @@
 export abstract class Pushback {
   /** Records that the replica wants no requests for the delay. */
   abstract record(replica: Incarnation, delay: Milliseconds): void;
+  /** Returns true while a replica wants no requests. */
+  abstract isAnyActive(): boolean;
   /** Returns true while the replica wants no requests. */
   abstract isActive(replica: Incarnation): boolean;
   /**
@@ -42,9 +44,17 @@
   const { clock, onBegin = () => {}, random = Math.random } = options;
   /** End of each pushback on the monotonic clock, by incarnation. */
   const ends = new Map<string, Milliseconds>();
+  let lastEnd: Milliseconds = -Infinity;
+
+  function isAnyActive(): boolean {
+    if (ends.size === 0) return false;
+    if (clock.monotonic() < lastEnd) return true;
+    ends.clear();
+    return false;
+  }
 
   function timeLeft(replica: Incarnation): Milliseconds {
-    if (ends.size === 0) return 0;
+    if (!isAnyActive()) return 0;
     const key = incarnationHash(replica);
     const left = (ends.get(key) ?? -Infinity) - clock.monotonic();
     if (left > 0) return left;
@@ -61,19 +71,23 @@
       const spread = Math.min(MAX_SPREAD, delay * SPREAD_SHARE) * random();
       const key = incarnationHash(replica);
       ends.delete(key);
-      ends.set(key, clock.monotonic() + delay + spread);
+      const end = clock.monotonic() + delay + spread;
+      ends.set(key, end);
+      lastEnd = Math.max(lastEnd, end);
       for (const oldest of ends.keys()) {
         if (ends.size <= MAX_REPLICAS) break;
         ends.delete(oldest);
       }
     }
 
+    override isAnyActive = isAnyActive;
+
     override isActive(replica: Incarnation): boolean {
       return timeLeft(replica) > 0;
     }
 
     override estimateWait(replicas: readonly Incarnation[]): Milliseconds {
-      if (ends.size === 0 || replicas.length === 0) return 0;
+      if (!isAnyActive() || replicas.length === 0) return 0;
       return Math.min(...replicas.map(timeLeft));
     }
   })();
--- a/packages/dispatch/src/replica.test.ts
+++ b/packages/dispatch/src/replica.test.ts
@@ -147,3 +147,30 @@
   table.correctWeights("a", "m", 2);
   expect(table.find("a")?.weights.get("m")).toEqual(2);
 });
+
+// Guards against requests that are sent to failing replicas, or refused, while
+// others only ask for time.
+test("replicas that push back are waited for", async () => {
+  const clock = createManualClock();
+  const pushingBack = new Set<string>();
+  const table = createReplicaTable({
+    clock,
+    onChange: () => {},
+    isPushingBack: ({ id }) => pushingBack.has(id),
+  });
+  const usable = () => table.usable("llm").map((replica) => replica.entry.id);
+  table.replaceAll([entry("a"), entry("b"), entry("c")]);
+  pushingBack.add("a");
+  expect(usable()).toEqual(["a", "b", "c"]);
+  table.recordFailure("b");
+  table.avoid("c", 100);
+  expect(usable()).toEqual(["a", "c"]);
+  await clock.advance(100);
+  expect(usable()).toEqual(["a", "c"]);
+  table.recordFailure("c");
+  expect(usable()).toEqual(["a"]);
+  table.recordFailure("a");
+  expect(usable()).toEqual(["a", "b", "c"]);
+  await clock.advance(10_000);
+  expect(usable()).toEqual(["a", "b", "c"]);
+});
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -92,7 +92,8 @@
   /**
    * Replicas that accept requests. Avoided and unresponsive replicas are
    * included only when no other is left, and then for a short time also one that
-   * has said that it leaves.
+   * has said that it leaves. While all others push back, those that were only
+   * busy are included.
    */
   abstract usable(service: string): readonly Replica[];
   /** True when the list or the replica itself says that it leaves. */
@@ -135,6 +136,8 @@
    * the list says; undefined when it has not.
    */
   readonly leavingSince?: (entry: ReplicaEntry) => Milliseconds | undefined;
+  /** True while the replica wants no requests from this daemon. */
+  readonly isPushingBack?: (entry: ReplicaEntry) => boolean;
   /** Time for which a replica that leaves may still get requests. */
   readonly drainLimit?: () => Milliseconds;
 }
@@ -151,6 +154,7 @@
     onChange,
     onReceived = () => {},
     leavingSince = () => undefined,
+    isPushingBack = () => false,
     drainLimit = () => 0,
   }: ReplicaTableOptions,
 ): ReplicaTable {
@@ -276,7 +280,18 @@
       const healthy = staying.filter(({ avoidedUntil, entry }) =>
         avoidedUntil <= now && !isUnresponsive(entry.id)
       );
-      return healthy.length > 0 ? healthy : staying;
+      const pushingBack = staying.filter(({ entry }) => isPushingBack(entry));
+      if (pushingBack.length === 0) {
+        return healthy.length > 0 ? healthy : staying;
+      }
+      if (healthy.some((replica) => !pushingBack.includes(replica))) {
+        return healthy;
+      }
+      // A request is better off waiting than at a replica that fails.
+      const working = staying.filter(({ failures, entry }) =>
+        failures === 0 && !isUnresponsive(entry.id)
+      );
+      return working.length > 0 ? working : staying;
     }
 
     override isLeaving(entry: ReplicaEntry): boolean {
--- a/packages/gateway/src/contact_watch.ts
+++ b/packages/gateway/src/contact_watch.ts
@@ -3,6 +3,7 @@
  * one answers.
  */
 import type { ReplicaContact } from "@peridotvalve/admission";
+import type { Pushback } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import type { Replica, ReplicaTable } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
@@ -14,6 +15,7 @@
   readonly logger: EventLogger;
   readonly contact: ReplicaContact;
   readonly replicas: ReplicaTable;
+  readonly pushback: Pick<Pushback, "isActive">;
   readonly control: Pick<ReplicaControl, "isReachable">;
 }
 
@@ -30,7 +32,7 @@
   options: ContactWatchOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const { clock, logger, contact, replicas, control } = options;
+  const { clock, logger, contact, replicas, pushback, control } = options;
   let lostSince: Milliseconds | undefined;
 
   function logChange(): void {
@@ -54,7 +56,10 @@
       signal,
     );
     if (contact.isLost() || contact.mayBeLost(replicas.silent().length)) {
-      const chosen = chooseSome(replicas.all());
+      const chosen = chooseSome(
+        replicas.all().filter(({ entry }) => !pushback.isActive(entry)),
+      );
+      if (chosen.length === 0) continue;
       const answers = await Promise.all(
         chosen.map((replica) => control.isReachable(replica)),
       );
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -164,6 +164,7 @@
       if (change !== "weights") cacheFeed.refresh();
     },
     leavingSince: (entry) => statements.find(entry, "leaving")?.since,
+    isPushingBack: (entry) => pushback.isActive(entry),
     drainLimit: () => settings.drainLimit,
   });
 
@@ -261,7 +262,9 @@
     transfers,
     prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
-    hasRoom: (replica) => limits.hasRoom(replica) && places.hasRoom(replica),
+    hasRoom: (replica) =>
+      !pushback.isActive(replica) && limits.hasRoom(replica) &&
+      places.hasRoom(replica),
   });
   const budget = createWindowBudget({
     clock,
@@ -584,7 +587,10 @@
       meters.watchEventLoop(signal),
       followCachesAfterDiscovery(signal),
       loopLag.run(signal),
-      watchContact({ clock, logger, contact, replicas, control }, signal),
+      watchContact(
+        { clock, logger, contact, replicas, pushback, control },
+        signal,
+      ),
       ...(mesh === undefined ? [] : [mesh.run(signal)]),
     ];
     for (const task of tasks) {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -178,6 +178,9 @@
 /** Reason of requests that no replica can be reached for. */
 const NO_CONTACT = "no replica can be reached";
 
+/** Reason of requests that no replica wants before it is too late. */
+const PUSHED_BACK = "all replicas ask for time";
+
 /** Delay after which a caller may retry on another daemon. */
 const CONTACT_RETRY_AFTER: Milliseconds = 100;
 
@@ -320,9 +323,10 @@
         ? `replica answered ${outcome.status}`
         : outcome.reason;
       // A replica that refused only because of its weight version may be tried
-      // again.
+      // again, and one that named a time after it.
       const mayReturn = outcome.kind === "not run" &&
-        (outcome.misdirected || caller.hasStarted());
+        (outcome.misdirected || caller.hasStarted() ||
+          pushback.isActive(replica.entry));
       if (!mayReturn) excluded.add(replica.entry.id);
       if (outcome.kind === "not run") refusedBy.add(replica.entry.id);
       else if (caller.hasStarted()) {
@@ -347,14 +351,15 @@
       if (!mayRetry || !placement.hasCandidates(request, excluded)) {
         return fail(lastReason, 502);
       }
-      if (sends > 0 && !takeRetry()) {
-        return fail(`${lastReason}, no retries left`, 502);
-      }
       const wait = estimateWait();
       const lastStart = Math.min(request.deadline, waitDeadline());
+      if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
       if (clock.monotonic() + wait > lastStart) {
         return fail(`${lastReason}, too many wait`, 502, wait);
       }
+      if (sends > 0 && !takeRetry()) {
+        return fail(`${lastReason}, no retries left`, 502);
+      }
       if (!endsBeforeExit(wait)) return refuseAtShutdown();
       if (sends > 0) meters.recordRetry(request.service);
       const queuedAt = clock.monotonic();
@@ -365,6 +370,7 @@
         if (isOutOfContact()) {
           return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
         }
+        if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
         return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
@@ -391,6 +397,20 @@
       return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
     }
 
+    /** Time until a replica that may take the request wants one. */
+    function pushbackTime(
+      without: ReadonlySet<string> = excluded,
+    ): Milliseconds {
+      if (!pushback.isAnyActive()) return 0;
+      return pushback.estimateWait(placement.candidates(request, without));
+    }
+
+    /** True when all replicas ask for more time than the request has. */
+    function isPushedBackBeyond(lastStart: Milliseconds): boolean {
+      const time = pushbackTime();
+      return time > 0 && clock.monotonic() + time > lastStart;
+    }
+
     /** True when the request cannot be served; a started stream may wait. */
     function isOutOfContact(): boolean {
       return options.contact.isLost() && !caller.hasStarted();
@@ -404,7 +424,8 @@
 
     /**
      * Plain services have a short queue of their own, so their requests wait here
-     * only for a limit, or where that queue must not overflow.
+     * only for a limit, for replicas that push back, or where that queue must not
+     * overflow.
      */
     function mayWait(): boolean {
       return request.prompt !== undefined || places.isBrittle(request.service);
@@ -415,7 +436,11 @@
       const rank = priorityOf(request);
       const ahead = queue.countAhead(rank, request.service);
       const candidates = placement.candidates(request, excluded);
-      const wait = limits.estimateWait(candidates, ahead + 1);
+      const open = candidates.filter((replica) => !pushback.isActive(replica));
+      const wait = Math.max(
+        pushback.estimateWait(candidates),
+        limits.estimateWait(open.length > 0 ? open : candidates, ahead + 1),
+      );
       return mayWait()
         ? Math.max(wait, queue.estimateWait(rank, request.service))
         : wait;
@@ -449,6 +474,7 @@
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) || isOutOfContact() ||
+          isPushedBackBeyond(deadline) ||
           crashGuard.check(request, hasCrashed) !== undefined,
         place: () => place(),
       });
@@ -547,13 +573,14 @@
      * has no use for it, or the answer would come too late.
      */
     function waitDeadline(): Milliseconds {
+      const lastStart = request.deadline - answerTimes.estimate(request);
       if (request.prompt === undefined && mayWait()) {
-        const lastStart = request.deadline - answerTimes.estimate(request);
         return Math.max(clock.monotonic(), lastStart);
       }
       const isNew = progress.firstEvent === 0;
       const start = isNew ? request.arrivedAt : clock.monotonic();
-      return start + gapLimit(request.route);
+      const end = start + gapLimit(request.route);
+      return isNew && pushbackTime() > 0 ? Math.min(end, lastStart) : end;
     }
 
     /** Sends the final response of a request that no replica has served. */
@@ -568,8 +595,9 @@
         return end({ kind: "lost", reason, status: 0 });
       }
       if (executions === 0 && status !== 504) {
+        const earliest = Math.max(wait, pushbackTime(new Set()));
         const spread = Math.max(RETRY_JITTER, wait / 2);
-        const retryAfter = wait + Math.random() * spread;
+        const retryAfter = earliest + Math.random() * spread;
         caller.refuse({ status: 503, reason, retryAfter });
         return end({ kind: "refused", reason, status: 503, retryAfter });
       }
@@ -595,7 +623,8 @@
         started;
       const attempt = pools.open({
         mayStart: () =>
-          sendGate.isRecent(readUpTo) || !options.loopLag.isLate(),
+          !pushback.isActive(entry) &&
+          (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         isRepeat: answeredAt.has(entry.address),
