BUDGET: state the time that is left once a connection is free

Replicas got more time than was left.

Cause: the headers are composed when a request is placed. A request that then waited for a connection, or for a slow handshake, still stated the time that was left before.

Change: an attempt that could start only 0.2 s after its placement is not sent and is placed again. This does not count as a failed attempt; the deadline bounds it.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -169,6 +169,12 @@
 /** Pause after which a started stream may return to a replica that was full. */
 const REFUSAL_PAUSE: Milliseconds = BUSY_AVOIDANCE + 50;
 
+/**
+ * Wait for a connection after which an attempt is composed anew, because its
+ * headers state the time that was left before.
+ */
+const MAX_CONNECTION_WAIT: Milliseconds = 200;
+
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
@@ -292,6 +298,10 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
+          if (outcome.reason === LATE_START && isOutdated(started)) {
+            limits.giveBack(replica.entry);
+            continue;
+          }
           unsent += 1;
           if (unsent >= MAX_UNSENT) return fail(outcome.reason, 502);
           // Another replica would start no earlier, and the connection to this
@@ -397,6 +407,11 @@
       return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
     }
 
+    /** True when the time left that an attempt states is too long by now. */
+    function isOutdated({ startedAt }: { readonly startedAt: Milliseconds }) {
+      return clock.monotonic() - startedAt > MAX_CONNECTION_WAIT;
+    }
+
     /** Time until a replica that may take the request wants one. */
     function pushbackTime(
       without: ReadonlySet<string> = excluded,
@@ -623,7 +638,7 @@
         started;
       const attempt = pools.open({
         mayStart: () =>
-          !pushback.isActive(entry) &&
+          !pushback.isActive(entry) && !isOutdated({ startedAt: started }) &&
           (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
