RECOVER: tell neighbors of weights that replicas have loaded

Callers saw: prompts refused with "no replica" by all daemons but one for several seconds, although the replicas had the weights.

Cause: a daemon that starts after weights were named sends no prompt below them. What a replica has loaded it learns from the list of replicas or from an answer. While the list is behind there are no answers either, since nothing is sent. Each daemon learned it only when it took the lease itself, one after another.

Change: the daemon that ordered the weights tells its neighbors of each load in four heartbeats. A wrong word costs a refusal with 421, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -559,6 +559,12 @@
         return loading;
       },
       onBusy: avoidBusy,
+      takeLoaded: () => rollouts.takeLoaded(),
+      onLoaded(loaded) {
+        for (const { replica, model, version } of loaded) {
+          replicas.recordWeights(replica, model, version);
+        }
+      },
       // When this daemon still receives data from a replica, the network
       // between the peer and that replica has failed; the replica stays in use
       // here.
--- a/packages/gateway/src/peer_digest.test.ts
+++ b/packages/gateway/src/peer_digest.test.ts
@@ -22,6 +22,7 @@
     { table: "servers", contentVersion: 90 },
   ],
   busy: ["a"],
+  loaded: [{ replica: "c", model: "m", version: 2 }],
   silent: ["b"],
   receivedAge: 30,
   load: { c: "abcde1,2,3,4;", s: ["", null] },
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -29,12 +29,21 @@
   readonly parts: readonly (readonly [id: string, tokens: number])[];
 }
 
+/** Weights that a replica has loaded. */
+export interface LoadedWeights {
+  readonly replica: string;
+  readonly model: string;
+  readonly version: number;
+}
+
 export interface PeerDigest {
   readonly tables: readonly TableNews[];
   /** Era of the store, as the sender has read it; absent while it has none. */
   readonly storeEra?: number;
   /** Replicas that load weights. */
   readonly busy: readonly string[];
+  /** Loads that have ended on the sender's order. */
+  readonly loaded?: readonly LoadedWeights[];
   /** Replicas that do not respond to the sender. */
   readonly silent: readonly string[];
   /** Time since the sender received data from any replica. */
@@ -64,6 +73,7 @@
 
 const name = z.string().max(200);
 const count = z.number().nonnegative();
+const version = z.number().int().nonnegative();
 const names = z.array(name).max(64);
 const cacheEvent = z.tuple([name, name, count]);
 const part = z.string().max(MAX_PART_LENGTH);
@@ -84,6 +94,7 @@
   b: names.optional(),
   s: names.optional(),
   a: count.optional(),
+  w: z.array(z.tuple([name, name, version])).max(64).optional(),
   l: digestSchema.optional(),
   z: z.tuple([name, digestSchema]).optional(),
   p: z.array(z.tuple([name, name, z.array(z.tuple([name, count])).max(16)]))
@@ -114,6 +125,13 @@
     })),
     ...(data.e === undefined ? {} : { storeEra: data.e }),
     busy: data.b ?? [],
+    ...(data.w === undefined ? {} : {
+      loaded: data.w.map(([replica, model, version]) => ({
+        replica,
+        model,
+        version,
+      })),
+    }),
     silent: data.s ?? [],
     ...(data.a === undefined ? {} : { receivedAge: data.a }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
@@ -136,7 +154,7 @@
 
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
-  const { crashes, statements, storeEra, receivedAge } = digest;
+  const { crashes, statements, storeEra, receivedAge, loaded = [] } = digest;
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
@@ -145,6 +163,9 @@
     ]),
     ...(storeEra !== undefined && { e: storeEra }),
     ...(busy.length > 0 && { b: busy }),
+    ...(loaded.length > 0 && {
+      w: loaded.map(({ replica, model, version }) => [replica, model, version]),
+    }),
     ...(silent.length > 0 && { s: silent }),
     ...(receivedAge !== undefined && { a: Math.round(receivedAge) }),
     ...(load !== undefined && { l: load }),
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -163,6 +163,8 @@
     sentParts: createSentPartsQueue({ cache, isNeeded: () => true }),
     passesStoresOn: () => true,
     busy: () => [],
+    takeLoaded: () => [],
+    onLoaded: () => {},
     onSilent: () => {},
     onBusy: () => {},
     onChange: () => {},
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -35,6 +35,7 @@
   decodeZoneDigest,
   encodePeerDigest,
   encodeZoneDigest,
+  type LoadedWeights,
   measureJson,
   type PeerDigest,
   type TableNews,
@@ -74,6 +75,10 @@
   readonly passesStoresOn: () => boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
   readonly busy: () => readonly string[];
+  /** Takes loads that have ended on this daemon's order, to be told once. */
+  readonly takeLoaded: () => readonly LoadedWeights[];
+  /** Called when a peer reports loads that have ended on its order. */
+  readonly onLoaded: (loaded: readonly LoadedWeights[]) => void;
   /** Called when a peer reports that replicas are not responding to it. */
   readonly onSilent: (replicas: readonly string[]) => void;
   /** Called when a peer reports that replicas are busy loading weights. */
@@ -300,10 +305,12 @@
 
   function composeDigest(limit: Bytes): PeerDigest {
     const era = options.storeEra.current();
+    const loaded = options.takeLoaded();
     const base: PeerDigest = {
       tables: listTableNews(),
       ...(era > 0 && { storeEra: era }),
       busy: listBusy(),
+      ...(loaded.length > 0 && { loaded }),
       silent: options.contact.isLost()
         ? []
         : options.replicas.silent().slice(0, MAX_NAMES),
@@ -339,6 +346,7 @@
     if (digest === undefined) return reject(peer);
     if (digest.storeEra !== undefined) options.storeEra.hear(digest.storeEra);
     if (digest.busy.length > 0) options.onBusy(digest.busy);
+    if (digest.loaded !== undefined) options.onLoaded(digest.loaded);
     if (digest.receivedAge !== undefined) {
       options.contact.recordPeerReceived(digest.receivedAge);
     }
--- a/packages/gateway/src/rollouts.ts
+++ b/packages/gateway/src/rollouts.ts
@@ -14,6 +14,7 @@
 import type { EventLogger } from "@peridotvalve/events";
 import type { Lease } from "@peridotvalve/lease";
 import type { Milliseconds } from "@peridotvalve/types";
+import type { LoadedWeights } from "./peer_digest.ts";
 import type { ReplicaControl } from "./replica_control.ts";
 
 export interface RolloutOptions {
@@ -44,6 +45,11 @@
   abstract isHolder(): boolean;
   /** Ids of the replicas that load weights on this daemon's order. */
   abstract loading(): readonly string[];
+  /**
+   * Takes some loads that have ended, for the peers. Each is taken
+   * `TOLD_ROUNDS` times.
+   */
+  abstract takeLoaded(): readonly LoadedWeights[];
 }
 
 /** Interval between checks of the replicas' versions. */
@@ -70,9 +76,20 @@
 /** Time after which an unfinished load is left to a later check. */
 const LOAD_TIMEOUT: Milliseconds = 6_000;
 
+/** Times that peers are told of a load, as datagrams can be lost. */
+const TOLD_ROUNDS = 4;
+
+/** Loads that fit beside the other contents of a heartbeat. */
+const MAX_TOLD_LOADS = 8;
+
 export function createRollouts(options: RolloutOptions): Rollouts {
   const { clock, logger, lease, replicas, weights, control } = options;
   const loading = new Set<string>();
+  /** Loads that peers are told of, by replica, the one told last at the end. */
+  const told = new Map<
+    string,
+    { readonly load: LoadedWeights; readonly roundsLeft: number }
+  >();
   /** Time at which the next loads of a model may start, by model. */
   const nextLoads = new Map<
     string,
@@ -117,6 +134,11 @@
     if (lease.token() !== undefined && !isRecent()) await lease.release();
   }
 
+  function recordLoaded(load: LoadedWeights): void {
+    replicas.recordWeights(load.replica, load.model, load.version);
+    told.set(load.replica, { load, roundsLeft: TOLD_ROUNDS });
+  }
+
   function startLoads(): void {
     for (const model of weights.models()) {
       const target = weights.target(model);
@@ -172,7 +194,9 @@
       const { isBusy, orders, weights: present } = read.value;
       const version = present.get(model) ?? 0;
       replicas.recordWeights(id, model, version);
-      if (version >= target) return;
+      if (version >= target) {
+        return recordLoaded({ replica: id, model, version });
+      }
       // The report may not show the accepted order yet.
       if (isBusy || (ordered !== undefined && orders <= ordered)) {
         if (!isBusy) ordered = undefined;
@@ -197,8 +221,7 @@
         answer,
       }, { upstream: id });
       if (answer === "already holds") {
-        replicas.recordWeights(id, model, target);
-        return;
+        return recordLoaded({ replica: id, model, version: target });
       }
       if (answer === "accepted") ordered = orders;
       if (answer === "misdirected" || answer === "rejected") return;
@@ -232,6 +255,15 @@
       return [...loading];
     }
 
+    override takeLoaded(): readonly LoadedWeights[] {
+      const taken = [...told].slice(0, MAX_TOLD_LOADS);
+      for (const [id, { load, roundsLeft }] of taken) {
+        told.delete(id);
+        if (roundsLeft > 1) told.set(id, { load, roundsLeft: roundsLeft - 1 });
+      }
+      return taken.map(([, { load }]) => load);
+    }
+
     override isHolder(): boolean {
       return lease.token() !== undefined;
     }
