--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,6 +10,7 @@
 import {
   createLimits,
   createPlaces,
+  createPushback,
   createStatements,
   divideLimit,
   type Neighborhood,
@@ -163,6 +164,7 @@
       if (change !== "weights") cacheFeed.refresh();
     },
     leavingSince: (entry) => statements.find(entry, "leaving")?.since,
+    isPushingBack: (entry) => pushback.isActive(entry),
     drainLimit: () => settings.drainLimit,
   });
 
@@ -178,6 +180,12 @@
       logger.log("statement_rejected", { reason }, { upstream: id });
     },
   });
+  const pushback = createPushback({
+    clock,
+    onBegin({ id }, delay) {
+      logger.log("replica_pushback", { delay }, { upstream: id });
+    },
+  });
   const limits = createLimits({
     clock,
     statements,
@@ -254,7 +262,9 @@
     transfers,
     prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
-    hasRoom: (replica) => limits.hasRoom(replica) && places.hasRoom(replica),
+    hasRoom: (replica) =>
+      !pushback.isActive(replica) && limits.hasRoom(replica) &&
+      places.hasRoom(replica),
   });
   const budget = createWindowBudget({
     clock,
@@ -311,6 +321,7 @@
     pools,
     replicas,
     statements,
+    pushback,
     limits,
     places,
     load,
@@ -549,6 +560,12 @@
         return loading;
       },
       onBusy: avoidBusy,
+      takeLoaded: () => rollouts.takeLoaded(),
+      onLoaded(loaded) {
+        for (const { replica, model, version } of loaded) {
+          replicas.recordWeights(replica, model, version);
+        }
+      },
       // When this daemon still receives data from a replica, the network
       // between the peer and that replica has failed; the replica stays in use
       // here.
@@ -577,7 +594,10 @@
       meters.watchEventLoop(signal),
       followCachesAfterDiscovery(signal),
       loopLag.run(signal),
-      watchContact({ clock, logger, contact, replicas, control }, signal),
+      watchContact(
+        { clock, logger, contact, replicas, pushback, control },
+        signal,
+      ),
       ...(mesh === undefined ? [] : [mesh.run(signal)]),
     ];
     for (const task of tasks) {
