Test: callers that repeat sound requests, requests without shared parts

In the simulated fleet the callers of broken requests send them again. The test of requests that were never judged now has requests with fingerprints, each of which is judged by its own crashes; the checks that it had remain.

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -150,13 +150,23 @@
 });
 
 // Guards against the last part of a prompt, which no other request has, that
-// fills the evidence, and against refusals of requests without prompts.
-test("the last part of a prompt and requests without one are not judged", async () => {
-  const { check, end, guard } = createSetup();
+// fills the evidence, and against refusals of requests that share nothing with
+// those on replicas that ended.
+test("requests without shared parts are judged only by their own crashes", async () => {
+  const { check, clock, end, guard, entryOf } = createSetup();
   for (const number of [0, 1, 2, 3]) await end(number, []);
   expect(check(true)).toEqual(undefined);
   const { prompt: _prompt, ...plain } = createRequest("p");
   expect(guard.check(plain, true)).toEqual(undefined);
+  for (const number of [4, 5, 6, 7]) {
+    const request = createPlainRequest(`sound${number}`);
+    const admission = guard.admit(request, entryOf(number));
+    if (admission.kind === "refused") throw new Error(admission.reason);
+    admission.attempt.recordEnd(BROKEN, true);
+    await clock.advance(GAP);
+    expect(guard.check(request, true)).toEqual(undefined);
+  }
+  expect(guard.check(createPlainRequest("new"), true)).toEqual(undefined);
 });
 
 const SCOPES: Readonly<Record<string, readonly [Scope, Scope, boolean]>> = {
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -35,7 +35,7 @@
  *
  * Memory is bounded whatever suspects callers invent: `MAX_RECORDS` crash
  * records of at most `MAX_SUSPECTS` suspects, `MAX_VERDICTS` verdicts, and
- * `MAX_PROOFS` times of proofs for parts and as many for requests, 1.5 MB as
+ * `MAX_PROOFS` times of proofs for parts and as many for requests, 1.8 MB as
  * measured with ids of 64 characters. Work for one request is bounded by the
  * suspects of the request and the crash records, and does not depend on the
  * numbers of daemons and replicas.
--- a/packages/retries/src/crashing_requests.test.ts
+++ b/packages/retries/src/crashing_requests.test.ts
@@ -218,6 +218,7 @@
 const TICK: Milliseconds = 10;
 const RUN: Milliseconds = 80;
 const RESTART: Milliseconds = 3_000;
+const REPEAT: Milliseconds = 100;
 const HEARTBEAT: Milliseconds = 500;
 const LOSS = 0.3;
 const CONTACT: Milliseconds = 3_000;
@@ -273,6 +274,8 @@
     upAt: 0,
     sent: [] as Sent[],
   }));
+  /** Broken requests that their callers send again. */
+  const repeats: { readonly at: Milliseconds; readonly key: string }[] = [];
   const deadlySends: Milliseconds[] = [];
   const crashes: Milliseconds[] = [];
   let soundAfter = 0;
@@ -323,7 +326,8 @@
       }
     }
     for (const { key, daemon, attempt } of broken) {
-      send(key, daemon, attempt + 1);
+      if (attempt < MAX_ATTEMPTS) send(key, daemon, attempt + 1);
+      else if (key !== DEADLY) repeats.push({ at: now() + REPEAT, key });
     }
   }
 
@@ -350,6 +354,11 @@
         tell(from);
       }
     }
+    for (const due of repeats.splice(0)) {
+      const other = Math.floor(random() * DAEMONS);
+      if (due.at <= at) send(due.key, other, 1);
+      else repeats.push(due);
+    }
     const arrives = (rate: number) => random() < (rate * TICK) / 1_000;
     const daemon = Math.floor(random() * DAEMONS);
     if (at > 3_000 && arrives(perSecond)) send(DEADLY, daemon, 1);
