REFUSED: send orders to plain services over a connection of their own

Callers saw: 503 for an order that ran, where the service had written the refusal of an earlier order once more on the connection.

An answer was taken for that to the request of its connection, and plain services return no id that could tell otherwise; nothing protected an order but the claim on its key, which stored the wrong answer.

Change: an order opens a connection of its own, which closes after it, so that no answer to an earlier call can arrive on it.

--- a/packages/daemon/src/services/order.ts
+++ b/packages/daemon/src/services/order.ts
@@ -101,6 +101,7 @@
       timeout: order.timeout,
       // Never aborted: the order may have run when the caller disconnects.
       signal: new AbortController().signal,
+      ownConnection: true,
     });
     if (answer.isOk()) {
       await waitForStore(runtime, claim.complete(toOutcome(answer.value)));
--- a/packages/upstreams/src/http_client.ts
+++ b/packages/upstreams/src/http_client.ts
@@ -29,6 +29,12 @@
   readonly signal?: AbortSignal;
   /** Called before the first byte is written; false withdraws the request. */
   readonly shouldSend?: () => boolean;
+  /**
+   * Uses a new connection for this request only, so that no answer to an earlier
+   * request can arrive on it. For requests that may run once and whose answers
+   * bear no id.
+   */
+  readonly ownConnection?: boolean;
 }
 
 export interface HttpClientOptions {
@@ -111,11 +117,24 @@
     timedOut.close().finally(() => closingPools.delete(timedOut));
   }
 
+  /** Creates a pool of one connection, which closes after its first request. */
+  function createSinglePool(): Pool {
+    const single = createPool(base, { ...options, connections: 1 });
+    closingPools.add(single);
+    return single;
+  }
+
+  function closeAfterUse(single: Pool): void {
+    // Rejects only when the pool has been destroyed.
+    single.close().catch(() => {}).finally(() => closingPools.delete(single));
+  }
+
   async function open(
     request: HttpRequest,
     limits: RequestLimits,
   ): Promise<Result<HttpExchange, HttpFailure>> {
-    const currentPool = pool;
+    const isSingle = limits.ownConnection === true;
+    const currentPool = isSingle ? createSinglePool() : pool;
     const exchange = createHttpExchange(clock, {
       onTimeout: () => replacePool(currentPool),
       ...(limits.signal === undefined ? {} : { signal: limits.signal }),
@@ -136,6 +155,7 @@
         exchange.fail("protocol", String(error));
       }
     }
+    if (isSingle) closeAfterUse(currentPool);
     const failure = await exchange.waitForHeaders(limits.timeout);
     return failure === undefined ? Ok(exchange) : Err(failure);
   }
--- a/packages/upstreams/src/http_plain_service.ts
+++ b/packages/upstreams/src/http_plain_service.ts
@@ -2,11 +2,11 @@
  * Client of a plain service over HTTP. Forwards calls and responses unchanged,
  * except for hop-by-hop headers.
  */
-import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { isEndToEndHeader } from "./headers.ts";
 import { createHttpClient, type HttpClientOptions } from "./http_client.ts";
 import {
+  type CallLimits,
   PlainService,
   type ServiceCall,
   type ServiceFailure,
@@ -28,7 +28,7 @@
 
     override async call(
       call: ServiceCall,
-      limits: { readonly timeout: Milliseconds; readonly signal: AbortSignal },
+      limits: CallLimits,
     ): Promise<Result<ServiceResponse, ServiceFailure>> {
       const request = { ...call, headers: removeHopByHopHeaders(call.headers) };
       const response = await client.send(request, limits);
--- a/packages/upstreams/src/plain_service.ts
+++ b/packages/upstreams/src/plain_service.ts
@@ -32,12 +32,23 @@
   readonly message: string;
 }
 
+export interface CallLimits {
+  readonly timeout: Milliseconds;
+  readonly signal: AbortSignal;
+  /**
+   * Sends the call over a connection of its own. Services return no id, so on a
+   * connection that has carried other calls a late copy of an earlier answer
+   * cannot be told from the answer to this one.
+   */
+  readonly ownConnection?: boolean;
+}
+
 export abstract class PlainService {
   abstract readonly address: string;
 
   /** Sends a call at most once; no lower layer retries it. */
   abstract call(
     call: ServiceCall,
-    options: { readonly timeout: Milliseconds; readonly signal: AbortSignal },
+    limits: CallLimits,
   ): Promise<Result<ServiceResponse, ServiceFailure>>;
 }
