--- a/packages/tables/src/mod.ts
+++ b/packages/tables/src/mod.ts
@@ -13,5 +13,6 @@
   createHttpClient,
   type Exchange,
   type HttpClient,
+  type HttpRequest,
 } from "./http_client.ts";
 export * from "./feed.ts";
