Received bytes: memory follows from the length, not from the chunks

Callers saw: eight replicas that send a body or a stream in chunks of one byte without end bring a daemon to its heap limit (--max-old-space-size=120); it ends, and the requests of all its callers with it.

Cause: limits on responses count bytes, but each received chunk was kept as a buffer object of its own, over a hundred bytes for a chunk of one byte. So 4 MiB of an event page, or 128 KiB of an answer on each connection, took more than the heap.

The bytes are now copied into shared blocks (createByteQueue), in the pools of the gateway, the client of tables and control calls, and the client of packages/upstreams.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -5,6 +5,7 @@
  */
 import {
   closeByReset,
+  createByteQueue,
   createConnector,
   isEndedByReset,
 } from "@peridotvalve/connections";
@@ -178,8 +179,7 @@
 }
 
 function openAttempt(pool: Pool, request: AttemptRequest): Attempt {
-  const buffered: Uint8Array[] = [];
-  let bufferedBytes = 0;
+  const buffered = createByteQueue();
   let controller: Dispatcher.DispatchController | undefined;
   let cancelReason: string | undefined;
   let end: { readonly failure?: AttemptFailure } | undefined;
@@ -212,8 +212,7 @@
     },
     onResponseData(started, chunk) {
       buffered.push(chunk);
-      bufferedBytes += chunk.length;
-      if (bufferedBytes > MAX_BUFFERED_BYTES) started.pause();
+      if (buffered.size > MAX_BUFFERED_BYTES) started.pause();
       wake();
     },
     onResponseEnd() {
@@ -243,8 +242,7 @@
     for (;;) {
       const chunk = buffered.shift();
       if (chunk !== undefined) {
-        bufferedBytes -= chunk.length;
-        if (controller?.paused === true && bufferedBytes === 0) {
+        if (controller?.paused === true && buffered.size === 0) {
           controller.resume();
         }
         yield chunk;
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -5,6 +5,7 @@
  * forwarded as it arrives.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { createByteQueue } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { AttemptOutcome, AttemptWatch } from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
@@ -145,7 +146,7 @@
   const { clock, attempt, head, caller, watch, progress, arrivedAt } = options;
   const { status, rawHeaders } = head;
   const isResumed = caller.hasStarted();
-  const chunks: Uint8Array[] = [];
+  const buffered = createByteQueue();
   let size: Bytes = 0;
   for (const body = attempt.body();;) {
     const next = await body.next();
@@ -158,7 +159,7 @@
       }
       if (isResumed) continue;
       if (caller.hasStarted()) await caller.write(next.value);
-      else chunks.push(next.value);
+      else buffered.push(next.value);
       if (size > MAX_BUFFERED && !caller.hasStarted()) await begin(rawHeaders);
       continue;
     }
@@ -179,7 +180,11 @@
     // Another replica could not continue the response.
     watch.limitSilence(Infinity);
     caller.writeHead(status, headers);
-    for (const chunk of chunks.splice(0)) await caller.write(chunk);
+    for (;;) {
+      const chunk = buffered.shift();
+      if (chunk === undefined) return;
+      await caller.write(chunk);
+    }
   }
 }
 
--- a/packages/tables/src/http_client.ts
+++ b/packages/tables/src/http_client.ts
@@ -4,6 +4,7 @@
  * written certainly has no effect.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { createByteQueue } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Pool } from "undici";
 
@@ -118,12 +119,12 @@
     let abort: ((reason: Error) => void) | undefined;
     let status = 0;
     let headers: Readonly<Record<string, string | string[] | undefined>> = {};
-    let size = 0;
-    const chunks: Uint8Array[] = [];
+    const received = createByteQueue();
 
     function finish(exchange: Exchange): void {
       if (finished.signal.aborted) return;
       finished.abort();
+      received.clear();
       resolve(exchange);
     }
 
@@ -166,16 +167,14 @@
         headers = responseHeaders;
       },
       onResponseData(controller, chunk) {
-        size += chunk.length;
-        if (size <= maxResponseBytes) {
-          chunks.push(chunk);
-          return;
-        }
+        if (finished.signal.aborted) return;
+        received.push(chunk);
+        if (received.size <= maxResponseBytes) return;
         fail(`answer is longer than ${maxResponseBytes} bytes`);
         controller.abort(new Error("response too long"));
       },
       onResponseEnd() {
-        const body = Buffer.concat(chunks).toString("utf8");
+        const body = received.drain().toString("utf8");
         finish({ kind: "answered", status, headers, body });
       },
       onResponseError(_controller, error) {
--- a/packages/upstreams/src/http_exchange.ts
+++ b/packages/upstreams/src/http_exchange.ts
@@ -6,7 +6,11 @@
  * request counts as sent, whatever happens to the connection.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { closeByReset, isEndedByReset } from "@peridotvalve/connections";
+import {
+  closeByReset,
+  createByteQueue,
+  isEndedByReset,
+} from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "undici";
@@ -49,12 +53,11 @@
   clock: Clock,
   options: ExchangeOptions,
 ): HttpExchange {
-  const chunks: Uint8Array[] = [];
+  const received = createByteQueue();
   let controller: Dispatcher.DispatchController | undefined;
   let failure: HttpFailure | undefined;
   let status = 0;
   let headers: Readonly<Record<string, string>> = {};
-  let buffered: Bytes = 0;
   let ended = false;
   let released = false;
   let onChange: (() => void) | undefined;
@@ -106,10 +109,8 @@
     },
     onResponseData(_, chunk) {
       if (released) return;
-      // Copied, because the parser reuses its buffer after this call.
-      chunks.push(Uint8Array.from(chunk));
-      buffered += chunk.length;
-      if (buffered > MAX_BUFFERED_BYTES) controller?.pause();
+      received.push(chunk);
+      if (received.size > MAX_BUFFERED_BYTES) controller?.pause();
       signalChange();
     },
     onResponseEnd() {
@@ -151,31 +152,28 @@
   async function read(
     timeout: Milliseconds,
   ): Promise<Result<Uint8Array | undefined, HttpFailure>> {
-    const hasNext = chunks.length > 0 || ended;
+    const hasNext = received.size > 0 || ended;
     if (!hasNext && failure === undefined) await waitForChange(timeout);
-    const chunk = chunks.shift();
+    const chunk = received.shift();
     if (chunk === undefined) {
       return failure === undefined ? Ok(undefined) : Err(failure);
     }
-    buffered -= chunk.length;
-    if (chunks.length === 0 && controller?.paused) controller.resume();
+    if (received.size === 0 && controller?.paused) controller.resume();
     return Ok(chunk);
   }
 
   async function readAll(
     limits: { readonly deadline: Milliseconds; readonly bytes: Bytes },
   ): Promise<Result<Uint8Array, HttpFailure>> {
-    const parts: Uint8Array[] = [];
-    let length: Bytes = 0;
+    const parts = createByteQueue();
     for (;;) {
       const part = await read(limits.deadline - clock.monotonic());
       if (part.isErr()) return part;
-      if (part.value === undefined) return Ok(Buffer.concat(parts));
+      if (part.value === undefined) return Ok(parts.drain());
       if (clock.monotonic() > limits.deadline) {
         return Err(fail("timeout", "a deadline has passed"));
       }
-      length += part.value.length;
-      if (length > limits.bytes) {
+      if (parts.size + part.value.length > limits.bytes) {
         return Err(fail("protocol", "the response body is too large"));
       }
       parts.push(part.value);
@@ -186,7 +184,7 @@
     if (ended || failure !== undefined) return;
     released = true;
     if (controller?.paused) controller.resume();
-    chunks.length = 0;
+    received.clear();
     const done = new AbortController();
     onChange = () => done.abort();
     await clock.sleep(RELEASE_TIMEOUT, done.signal);
