Refusals: bound the time for which a body is read

Callers saw: a replica that refuses a request and sends the body of the refusal slowly holds the request until its deadline. The caller then gets 504, although the request has not run and another replica has room. Found by reading; shown by a test, not by a deployment.

Cause: the body of a refusal is read so that its connection can be used again. That was bounded by 64 KiB, but not in time.

The reading now ends after 100 ms with a reset of the connection; what the head says holds as before.

--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -4,6 +4,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { AttemptWatch } from "./attempt_watch.ts";
 import { Caller } from "./caller.ts";
 import { createConnectionPools } from "./connection_pools.ts";
@@ -175,6 +176,26 @@
   expectBounded(server.sent(), before);
 });
 
+// Guards against a refused request that waits until its deadline for the end of
+// the refusal, and then fails instead of being sent to another replica.
+test("a refusal that trickles is not read to its end", async (context) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n");
+    const timer = setInterval(() => socket.write("x"), 10);
+    socket.on("close", () => clearInterval(timer));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const { attempt } = await openAttempt(`127.0.0.1:${port}`);
+  context.after(() => attempt.cancel("the test ends"));
+  const late = sleep(5_000, "still reading", { ref: false });
+  const read = discardBody(attempt).then(() => "discarded");
+  expect(await Promise.race([read, late])).toEqual("discarded");
+});
+
 test("a head without end fails the attempt", async (context) => {
   const before = process.memoryUsage.rss();
   const server = await startEndlessServer(context, {
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -137,6 +137,12 @@
 /** Bytes of a refusal that are read to use its connection again. */
 const MAX_DISCARDED: Bytes = 64 * 1_024;
 
+/**
+ * Time for which a refusal is read to use its connection again. Its request may
+ * wait for another replica meanwhile; ten milliseconds separate two regions.
+ */
+const MAX_DISCARD_TIME: Milliseconds = 100;
+
 /** Reason of a response that is broken off because it does not end. */
 export const ENDLESS = "endless response";
 
@@ -188,17 +194,17 @@
   }
 }
 
-/** Reads and discards the rest of a response, or closes a long one. */
+/** Reads and discards the rest of a response, or closes a long or slow one. */
 export async function discardBody(attempt: Attempt): Promise<void> {
+  const timer = setTimeout(() => attempt.cancel(ENDLESS), MAX_DISCARD_TIME);
   let size: Bytes = 0;
   for (const body = attempt.body();;) {
     const next = await body.next();
-    if (next.done) return;
+    if (next.done) break;
     size += next.value.length;
-    if (size <= MAX_DISCARDED) continue;
-    attempt.cancel(ENDLESS);
-    return;
+    if (size > MAX_DISCARDED) attempt.cancel(ENDLESS);
   }
+  clearTimeout(timer);
 }
 
 /** Sets the length of a complete body, whatever framing the replica used. */
