Plain responses: bound the bytes that are buffered together

What could happen: each plain response is buffered up to 256 KiB, and a daemon may have dozens of connections to each replica. Eight replicas that send 250 kB on each and then a byte now and then bring a daemon beyond the memory of a VM.

Beyond 24 MiB together, responses are forwarded as they arrive. The byte queue keeps a long chunk without a copy, as each copy leaves its buffer to the garbage collector. relay.ts only creates the budget and passes it on.

--- a/packages/connections/src/byte_queue.test.ts
+++ b/packages/connections/src/byte_queue.test.ts
@@ -20,14 +20,14 @@
   }));
 });
 
-// Guards against bytes that change after they were received: the parser of
-// `undici` uses its buffer again.
-test("a queue keeps its own copy", () => {
+// Guards against a short chunk that keeps the whole buffer of a read in memory.
+test("a queue does not keep the buffer of a short chunk", () => {
   const queue = createByteQueue();
-  const chunk = Buffer.from("first");
-  queue.push(chunk);
-  chunk.fill("x");
-  expect(String(queue.shift())).toEqual("first");
+  const received = Buffer.alloc(65_536, "x");
+  queue.push(received.subarray(0, 20_000));
+  expect(queue.shift()?.buffer === received.buffer).toEqual(false);
+  queue.push(received.subarray(0, 40_000));
+  expect(queue.shift()?.buffer === received.buffer).toEqual(true);
 });
 
 test("blocks are not longer than the limit", () => {
--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -1,4 +1,5 @@
 import { createSystemClock } from "@peridotvalve/clock";
+import { createByteBudget } from "@peridotvalve/connections";
 import { createHttpClient } from "@peridotvalve/tables";
 import { expect } from "earl";
 import { once } from "node:events";
@@ -159,6 +160,7 @@
       ...{ caller: createSilentCaller().caller, watch: idleWatch },
       ...{ head: opened.head.unwrap(), progress: createProgress() },
       arrivedAt: 0,
+      memory: createByteBudget(MEBIBYTE),
       mayRetry: () => false,
       onData: () => {},
     });
@@ -167,6 +169,45 @@
   });
 }
 
+// Guards against the buffers of many plain responses that together exceed the
+// memory of the VM, each of them within its limit.
+test("plain responses beyond the budget are not buffered", async (context) => {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    sockets.push(socket);
+    socket.write(PLAIN_HEAD + "x".repeat(60_000));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const memory = createByteBudget(100_000);
+  const forward = async () => {
+    const opened = await openAttempt(`127.0.0.1:${port}`);
+    const { caller, received } = createSilentCaller();
+    const outcome = forwardPlainResponse({
+      ...{ clock: createSystemClock(), attempt: opened.attempt },
+      ...{ caller, watch: idleWatch, progress: createProgress() },
+      ...{ head: opened.head.unwrap(), arrivedAt: 0, memory },
+      mayRetry: () => false,
+      onData: () => {},
+    });
+    return { outcome, received };
+  };
+  const both = await Promise.all([forward(), forward()]);
+  const early = () =>
+    both.map(({ received }) => received()).sort((a, b) => a - b);
+  for (let at = 0; at < 100 && early()[1] !== 60_000; at += 1) await sleep(50);
+  expect(early()).toEqual([0, 60_000]);
+  for (const socket of sockets) socket.end();
+  for (const { outcome } of both) {
+    expect(await outcome).toEqual({ kind: "done", status: 200 });
+  }
+  expect(both.map(({ received }) => received())).toEqual([60_000, 60_000]);
+  expect(memory.tryTake(100_000)).toEqual(true);
+});
+
 test("the body of a refusal is not read to its end", async (context) => {
   const before = process.memoryUsage.rss();
   const head = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n";
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -14,6 +14,7 @@
 } from "@peridotvalve/admission";
 import type { Limits, Places, Statements } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
+import { createByteBudget } from "@peridotvalve/connections";
 import {
   type AnswerTimes,
   type CacheView,
@@ -37,6 +38,7 @@
   discardBody,
   forwardPlainResponse,
   forwardStream,
+  MAX_BUFFERED_TOGETHER,
   type ResponseProgress,
 } from "./response_forwarding.ts";
 import {
@@ -187,6 +189,7 @@
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
   const { statements, limits, places, sendGate } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
+  const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
 
   /** Time for which the replica prefills before it sends the first token. */
   function prefillTimeOf(
@@ -790,6 +793,7 @@
       }
       return await forwardPlainResponse({
         ...common,
+        memory,
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
           succession.keepPresent();
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -5,7 +5,11 @@
  * forwarded as it arrives.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { createByteQueue } from "@peridotvalve/connections";
+import {
+  type ByteBudget,
+  type ByteQueue,
+  createByteQueue,
+} from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { AttemptOutcome, AttemptWatch } from "./attempt_watch.ts";
 import type { Caller } from "./caller.ts";
@@ -121,15 +125,21 @@
    * replica.
    */
   readonly mayRetry: () => boolean;
+  /** Shared by the buffers of all plain responses of the daemon. */
+  readonly memory: ByteBudget;
   /** Called when data has been received from the replica. */
   readonly onData: () => void;
 }
 
+/** Maximum number of buffered bytes of a plain response. */
+const MAX_BUFFERED: Bytes = 256 * 1_024;
+
 /**
- * Maximum number of buffered bytes of a plain response. 200 concurrent requests
- * use 50 MB of the 120 MB to which a daemon's heap may grow.
+ * Maximum number of buffered bytes of all plain responses; a quarter of the 98
+ * MiB that an idle daemon leaves of the smallest VM. Beyond it, responses are
+ * forwarded as they arrive.
  */
-const MAX_BUFFERED: Bytes = 256 * 1_024;
+export const MAX_BUFFERED_TOGETHER: Bytes = 24 * 1_024 * 1_024;
 
 /** A longer plain response is taken for one without an end. */
 const MAX_PLAIN_RESPONSE: Bytes = 16 * 1_024 * 1_024;
@@ -148,11 +158,24 @@
 
 export async function forwardPlainResponse(
   options: PlainForwarding,
+): Promise<AttemptOutcome> {
+  const buffered = createByteQueue();
+  try {
+    return await forwardBuffered(options, buffered);
+  } finally {
+    options.memory.giveBack(buffered.size);
+  }
+}
+
+/** The bytes in `buffered` have been taken from the budget. */
+async function forwardBuffered(
+  options: PlainForwarding,
+  buffered: ByteQueue,
 ): Promise<AttemptOutcome> {
   const { clock, attempt, head, caller, watch, progress, arrivedAt } = options;
+  const { memory } = options;
   const { status, rawHeaders } = head;
   const isResumed = caller.hasStarted();
-  const buffered = createByteQueue();
   let size: Bytes = 0;
   for (const body = attempt.body();;) {
     const next = await body.next();
@@ -164,9 +187,13 @@
         return { kind: "lost", reason: ENDLESS };
       }
       if (isResumed) continue;
-      if (caller.hasStarted()) await caller.write(next.value);
-      else buffered.push(next.value);
-      if (size > MAX_BUFFERED && !caller.hasStarted()) await begin(rawHeaders);
+      const mayBuffer = !caller.hasStarted() && size <= MAX_BUFFERED;
+      if (mayBuffer && memory.tryTake(next.value.length)) {
+        buffered.push(next.value);
+        continue;
+      }
+      if (!caller.hasStarted()) await begin(rawHeaders);
+      await caller.write(next.value);
       continue;
     }
     if (next.value === undefined) break;
@@ -189,6 +216,7 @@
     for (;;) {
       const chunk = buffered.shift();
       if (chunk === undefined) return;
+      memory.giveBack(chunk.length);
       await caller.write(chunk);
     }
   }
