Control calls: bound the bytes of long responses together

What could happen: each response to a control call is bounded by 4 MiB, and each replica and store has two connections for them. Eight replicas and four stores could send 96 MiB at once, all that an idle daemon leaves of the smallest VM (178 MiB).

--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -248,6 +248,46 @@
   expectBounded(server.sent(), before);
 });
 
+// Guards against control calls to many replicas that together exceed the memory
+// of the VM, each of them within its limit.
+test("long answers to control calls share a budget", async (context) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", (request) => {
+      const length = String(request).startsWith("GET /short") ? 100 : 600_000;
+      socket.write(PLAIN_HEAD + "x".repeat(length));
+      if (length === 100) socket.end();
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const client = createHttpClient({
+    origin: `http://127.0.0.1:${port}`,
+    clock: createSystemClock(),
+    connections: 4,
+    maxResponseBytes: MEBIBYTE,
+    memory: createByteBudget(MEBIBYTE),
+    createHeaders: () => ({}),
+  });
+  context.after(() => client.close());
+  const send = (path: string) => client.send({ method: "GET", path }, 4_000);
+  const long = [send("/long"), send("/long")];
+  const refused = await Promise.race(long);
+  expect(refused).toEqual({
+    ...{ kind: "lost", reason: "no memory for a long answer" },
+  });
+  expect((await send("/short")).kind).toEqual("answered");
+  expect(
+    (await Promise.all(long)).map((exchange) =>
+      "reason" in exchange ? exchange.reason : ""
+    ).sort(),
+  ).toEqual(["no answer within 4000 ms", "no memory for a long answer"]);
+  const again = await send("/short");
+  expect(again.kind).toEqual("answered");
+});
+
 // The client of the store, of replicas' control calls and of peers.
 test("a control call is not read to its end", async (context) => {
   const before = process.memoryUsage.rss();
--- a/packages/tables/src/http_client.ts
+++ b/packages/tables/src/http_client.ts
@@ -4,7 +4,7 @@
  * written certainly has no effect.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { createByteQueue } from "@peridotvalve/connections";
+import { type ByteBudget, createByteQueue } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Pool } from "undici";
 
@@ -34,6 +34,8 @@
   readonly clock: Clock;
   readonly connections: number;
   readonly maxResponseBytes: Bytes;
+  /** Shared by the long responses of several clients. */
+  readonly memory?: ByteBudget;
   readonly createHeaders: () => Readonly<Record<string, string>>;
 }
 
@@ -48,6 +50,12 @@
 // Closes idle connections before common load balancers drop their state.
 const KEEP_ALIVE_TIMEOUT: Milliseconds = 4_000;
 
+/**
+ * Length up to which a response takes nothing from the budget, so that long ones
+ * keep no short one out.
+ */
+const FREE_RESPONSE_BYTES: Bytes = 64 * 1_024;
+
 // A lost handshake packet is retransmitted after 1 s. Two packets may be lost
 // before the attempt fails and frees its place in the pool.
 const CONNECT_TIMEOUT: Milliseconds = 4_000;
@@ -109,6 +117,7 @@
   {
     clock,
     maxResponseBytes,
+    memory,
     createHeaders,
     timeout,
     onTimeout,
@@ -120,11 +129,13 @@
     let status = 0;
     let headers: Readonly<Record<string, string | string[] | undefined>> = {};
     const received = createByteQueue();
+    let budgeted: Bytes = 0;
 
     function finish(exchange: Exchange): void {
       if (finished.signal.aborted) return;
       finished.abort();
       received.clear();
+      memory?.giveBack(budgeted);
       resolve(exchange);
     }
 
@@ -132,6 +143,17 @@
       finish({ kind: abort === undefined ? "not sent" : "lost", reason });
     }
 
+    /** Takes what the received bytes need beyond the free length. */
+    function takeMemory(): boolean {
+      const needed = Math.max(0, received.size - FREE_RESPONSE_BYTES) -
+        budgeted;
+      if (memory === undefined || memory.tryTake(needed)) {
+        budgeted += needed;
+        return true;
+      }
+      return false;
+    }
+
     clock.sleep(timeout, finished.signal).then(() => {
       if (finished.signal.aborted) return;
       const written = abort !== undefined;
@@ -169,8 +191,10 @@
       onResponseData(controller, chunk) {
         if (finished.signal.aborted) return;
         received.push(chunk);
-        if (received.size <= maxResponseBytes) return;
-        fail(`answer is longer than ${maxResponseBytes} bytes`);
+        if (received.size > maxResponseBytes) {
+          fail(`answer is longer than ${maxResponseBytes} bytes`);
+        } else if (takeMemory()) return;
+        else fail("no memory for a long answer");
         controller.abort(new Error("response too long"));
       },
       onResponseEnd() {
