--- a/packages/upstreams/src/http_client.test.ts
+++ b/packages/upstreams/src/http_client.test.ts
@@ -234,3 +234,30 @@
     },
   );
 });
+
+const ONE_BYTE_CHUNKS = "1\r\nx\r\n".repeat(1_000_000);
+
+/** Twenty times the body; a buffer object for each byte takes over a hundred. */
+const MAX_GROWTH = 20_000_000;
+
+// Guards against an upstream that sends a body in chunks of one byte without
+// end: each chunk took a buffer object of its own.
+test("memory follows from the length of a body", async () => {
+  await withRawServer((socket) => {
+    socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+    socket.write(ONE_BYTE_CHUNKS);
+  }, async (client) => {
+    const opened = await client.open(ORDER_REQUEST, LIMITS);
+    const exchange = opened.unwrap();
+    const deadline = performance.now() + 3_000;
+    const before = process.memoryUsage().heapUsed;
+    let peak = 0;
+    const timer = setInterval(() => {
+      peak = Math.max(peak, process.memoryUsage().heapUsed - before);
+    }, 20);
+    const body = await exchange.readAll({ deadline, bytes: 500_000 });
+    clearInterval(timer);
+    expect(body.unwrapErr().message).toEqual("the response body is too large");
+    expect(peak < MAX_GROWTH).toEqual(true);
+  });
+});
