--- a/packages/gateway/src/endless_responses.test.ts
+++ b/packages/gateway/src/endless_responses.test.ts
@@ -1,9 +1,11 @@
 import { createSystemClock } from "@peridotvalve/clock";
+import { createByteBudget } from "@peridotvalve/connections";
 import { createHttpClient } from "@peridotvalve/tables";
 import { expect } from "earl";
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { AttemptWatch } from "./attempt_watch.ts";
 import { Caller } from "./caller.ts";
 import { createConnectionPools } from "./connection_pools.ts";
@@ -158,6 +160,7 @@
       ...{ caller: createSilentCaller().caller, watch: idleWatch },
       ...{ head: opened.head.unwrap(), progress: createProgress() },
       arrivedAt: 0,
+      memory: createByteBudget(MEBIBYTE),
       mayRetry: () => false,
       onData: () => {},
     });
@@ -166,6 +169,45 @@
   });
 }
 
+// Guards against the buffers of many plain responses that together exceed the
+// memory of the VM, each of them within its limit.
+test("plain responses beyond the budget are not buffered", async (context) => {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    sockets.push(socket);
+    socket.write(PLAIN_HEAD + "x".repeat(60_000));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const memory = createByteBudget(100_000);
+  const forward = async () => {
+    const opened = await openAttempt(`127.0.0.1:${port}`);
+    const { caller, received } = createSilentCaller();
+    const outcome = forwardPlainResponse({
+      ...{ clock: createSystemClock(), attempt: opened.attempt },
+      ...{ caller, watch: idleWatch, progress: createProgress() },
+      ...{ head: opened.head.unwrap(), arrivedAt: 0, memory },
+      mayRetry: () => false,
+      onData: () => {},
+    });
+    return { outcome, received };
+  };
+  const both = await Promise.all([forward(), forward()]);
+  const early = () =>
+    both.map(({ received }) => received()).sort((a, b) => a - b);
+  for (let at = 0; at < 100 && early()[1] !== 60_000; at += 1) await sleep(50);
+  expect(early()).toEqual([0, 60_000]);
+  for (const socket of sockets) socket.end();
+  for (const { outcome } of both) {
+    expect(await outcome).toEqual({ kind: "done", status: 200 });
+  }
+  expect(both.map(({ received }) => received())).toEqual([60_000, 60_000]);
+  expect(memory.tryTake(100_000)).toEqual(true);
+});
+
 test("the body of a refusal is not read to its end", async (context) => {
   const before = process.memoryUsage.rss();
   const head = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n";
@@ -175,6 +217,26 @@
   expectBounded(server.sent(), before);
 });
 
+// Guards against a refused request that waits until its deadline for the end of
+// the refusal, and then fails instead of being sent to another replica.
+test("a refusal that trickles is not read to its end", async (context) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.write("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\n\r\n");
+    const timer = setInterval(() => socket.write("x"), 10);
+    socket.on("close", () => clearInterval(timer));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const { attempt } = await openAttempt(`127.0.0.1:${port}`);
+  context.after(() => attempt.cancel("the test ends"));
+  const late = sleep(5_000, "still reading", { ref: false });
+  const read = discardBody(attempt).then(() => "discarded");
+  expect(await Promise.race([read, late])).toEqual("discarded");
+});
+
 test("a head without end fails the attempt", async (context) => {
   const before = process.memoryUsage.rss();
   const server = await startEndlessServer(context, {
@@ -186,6 +248,46 @@
   expectBounded(server.sent(), before);
 });
 
+// Guards against control calls to many replicas that together exceed the memory
+// of the VM, each of them within its limit.
+test("long answers to control calls share a budget", async (context) => {
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", (request) => {
+      const length = String(request).startsWith("GET /short") ? 100 : 600_000;
+      socket.write(PLAIN_HEAD + "x".repeat(length));
+      if (length === 100) socket.end();
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  context.after(() => server.close());
+  const { port } = server.address() as AddressInfo;
+  const client = createHttpClient({
+    origin: `http://127.0.0.1:${port}`,
+    clock: createSystemClock(),
+    connections: 4,
+    maxResponseBytes: MEBIBYTE,
+    memory: createByteBudget(MEBIBYTE),
+    createHeaders: () => ({}),
+  });
+  context.after(() => client.close());
+  const send = (path: string) => client.send({ method: "GET", path }, 4_000);
+  const long = [send("/long"), send("/long")];
+  const refused = await Promise.race(long);
+  expect(refused).toEqual({
+    ...{ kind: "lost", reason: "no memory for a long answer" },
+  });
+  expect((await send("/short")).kind).toEqual("answered");
+  expect(
+    (await Promise.all(long)).map((exchange) =>
+      "reason" in exchange ? exchange.reason : ""
+    ).sort(),
+  ).toEqual(["no answer within 4000 ms", "no memory for a long answer"]);
+  const again = await send("/short");
+  expect(again.kind).toEqual("answered");
+});
+
 // The client of the store, of replicas' control calls and of peers.
 test("a control call is not read to its end", async (context) => {
   const before = process.memoryUsage.rss();
--- a/packages/tables/src/http_client.ts
+++ b/packages/tables/src/http_client.ts
@@ -4,6 +4,7 @@
  * written certainly has no effect.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { type ByteBudget, createByteQueue } from "@peridotvalve/connections";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Pool } from "undici";
 
@@ -33,6 +34,8 @@
   readonly clock: Clock;
   readonly connections: number;
   readonly maxResponseBytes: Bytes;
+  /** Shared by the long responses of several clients. */
+  readonly memory?: ByteBudget;
   readonly createHeaders: () => Readonly<Record<string, string>>;
 }
 
@@ -47,6 +50,12 @@
 // Closes idle connections before common load balancers drop their state.
 const KEEP_ALIVE_TIMEOUT: Milliseconds = 4_000;
 
+/**
+ * Length up to which a response takes nothing from the budget, so that long ones
+ * keep no short one out.
+ */
+const FREE_RESPONSE_BYTES: Bytes = 64 * 1_024;
+
 // A lost handshake packet is retransmitted after 1 s. Two packets may be lost
 // before the attempt fails and frees its place in the pool.
 const CONNECT_TIMEOUT: Milliseconds = 4_000;
@@ -108,6 +117,7 @@
   {
     clock,
     maxResponseBytes,
+    memory,
     createHeaders,
     timeout,
     onTimeout,
@@ -118,12 +128,14 @@
     let abort: ((reason: Error) => void) | undefined;
     let status = 0;
     let headers: Readonly<Record<string, string | string[] | undefined>> = {};
-    let size = 0;
-    const chunks: Uint8Array[] = [];
+    const received = createByteQueue();
+    let budgeted: Bytes = 0;
 
     function finish(exchange: Exchange): void {
       if (finished.signal.aborted) return;
       finished.abort();
+      received.clear();
+      memory?.giveBack(budgeted);
       resolve(exchange);
     }
 
@@ -131,6 +143,17 @@
       finish({ kind: abort === undefined ? "not sent" : "lost", reason });
     }
 
+    /** Takes what the received bytes need beyond the free length. */
+    function takeMemory(): boolean {
+      const needed = Math.max(0, received.size - FREE_RESPONSE_BYTES) -
+        budgeted;
+      if (memory === undefined || memory.tryTake(needed)) {
+        budgeted += needed;
+        return true;
+      }
+      return false;
+    }
+
     clock.sleep(timeout, finished.signal).then(() => {
       if (finished.signal.aborted) return;
       const written = abort !== undefined;
@@ -166,16 +189,16 @@
         headers = responseHeaders;
       },
       onResponseData(controller, chunk) {
-        size += chunk.length;
-        if (size <= maxResponseBytes) {
-          chunks.push(chunk);
-          return;
-        }
-        fail(`answer is longer than ${maxResponseBytes} bytes`);
+        if (finished.signal.aborted) return;
+        received.push(chunk);
+        if (received.size > maxResponseBytes) {
+          fail(`answer is longer than ${maxResponseBytes} bytes`);
+        } else if (takeMemory()) return;
+        else fail("no memory for a long answer");
         controller.abort(new Error("response too long"));
       },
       onResponseEnd() {
-        const body = Buffer.concat(chunks).toString("utf8");
+        const body = received.drain().toString("utf8");
         finish({ kind: "answered", status, headers, body });
       },
       onResponseError(_controller, error) {
