REFUSED: take no response with the status line of another in its head

Callers saw (in a test; whether the operators' replicas do so is not known): 503 with Retry-After to an order that its replica had run.

Cause: bytes behind a complete answer belong to no request, and they may end within a head. The parser reads that head on into the answer that is due, so one head has the status and Not-Executed of a refusal and the id of the answer. Ids tell nothing then.

Change: an attempt fails as lost when a status line stands in the reason phrase or in a header of its response, and its connection is reset. A cut at any other place of a head is a parse error already.

Evidence: 'a refusal whose head runs on in the answer is not believed' failed before (503 where 502 is expected) and passes, for 503 and for a bare 421.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -44,6 +44,9 @@
 /** Reason of an attempt whose connection was ready too late. */
 export const LATE_START = "the process runs late";
 
+/** Reason of an attempt whose response has a head made of two. */
+const MERGED_HEADS = "a response begins within the head of another";
+
 export interface ResponseHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -220,9 +223,12 @@
       if (request.mayStart?.() === false) throw new Error(LATE_START);
       controller = started;
     },
-    onResponseStart(started, status, headers) {
+    onResponseStart(started, status, headers, statusText) {
       if (status < 200) return;
       const rawHeaders = decodeHeaders(started.rawHeaders);
+      if (containsStatusLine([statusText ?? "", ...rawHeaders])) {
+        return cancel(MERGED_HEADS);
+      }
       const received = { status, headers, rawHeaders };
       const mismatch = request.findMismatch?.(received);
       if (mismatch === undefined) settleHead(Ok(received));
@@ -288,6 +294,17 @@
   })();
 }
 
+const STATUS_LINE = /HTTP\/1\.[01] \d{3}/;
+
+/**
+ * A replica may break off in the head of an extra response. The parser then takes
+ * the status line of the next response for a part of that head, whose status and
+ * headers belong to another request than its id.
+ */
+function containsStatusLine(texts: readonly string[]): boolean {
+  return texts.some((text) => STATUS_LINE.test(text));
+}
+
 function decodeHeaders(raw: unknown): readonly string[] {
   if (!Array.isArray(raw)) return [];
   return raw.map((item: unknown) =>
