REFUSED: answer no invalid bytes behind a request that runs

Callers saw (in a test; whether callers of the operators send such bytes is not known): 408 to an order that was running at a replica.

Cause: without a listener for clientError Node.js itself writes 408, 400 or 431 when a request is not valid or its head does not arrive, also while the connection owes the response to the request before. The caller takes it for that response.

Change: a connection that owes a response is closed without one, which promises nothing. Otherwise the statuses are as before.

--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -11,6 +11,8 @@
 export interface ServerConnections {
   /** Records a request until its response or its connection has closed. */
   begin(socket: Socket, response: ServerResponse): void;
+  /** Returns true while the connection owes a response. */
+  isBusy(socket: Socket): boolean;
   /** Number of requests whose responses are not complete. */
   inFlight(): number;
   /**
@@ -51,6 +53,7 @@
         exchanges.set(socket, open - 1);
       });
     },
+    isBusy: (socket) => (exchanges.get(socket) ?? 0) > 0,
     inFlight: () => inFlight,
     endAfterResponse(socket) {
       if ((exchanges.get(socket) ?? 0) > 1) return false;
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -20,6 +20,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import {
   createCaller,
   readBody,
@@ -71,6 +72,13 @@
  */
 const IDLE_MARGIN: Milliseconds = 2_000;
 
+/** Statuses of requests that are invalid, by error code of the parser. */
+const INVALID_REQUEST_STATUSES: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+  HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+};
+
 /**
  * Delay after which a caller may retry while this daemon has no desired state.
  */
@@ -92,6 +100,18 @@
     });
   });
   const connections = trackServerConnections(server);
+  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    // The caller would take the refusal for the answer to the request before,
+    // which may run.
+    if (!socket.writable || connections.isBusy(socket)) {
+      socket.destroy();
+      return;
+    }
+    const status = INVALID_REQUEST_STATUSES[error.code ?? ""] ??
+      "400 Bad Request";
+    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+    socket.destroySoon();
+  });
 
   function applyLimits({ state: { limits } }: ActiveState): void {
     server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
