Serve look-ups that have waited for a connection while their time lasts

Callers saw: 503 to requests with seconds left, 1.4 s after their arrival, when a replica gives few connections.

Cause: since a request that has waited 0.2 s for a connection is placed again. Placement of requests to plain services is limited to 0.7 of the gap after which a caller leaves a stream, which was met by further attempts only.

Change: after a wait for a connection the deadline, less the usual time of an answer, is the limit.

Evidence: 'a request is served after a long wait for a connection' failed before (503 to 6 of 18) and passes; the test of Deadline-Ms in the same file passes as before.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -247,6 +247,7 @@
     let hasCrashed = false;
     let unsent = 0;
     let refusals = 0;
+    let hasWaitedForConnection = false;
     /** Refusals by other replicas while the present one was silent. */
     let refusedMoves = 0;
     const refusedBy = new Set<string>();
@@ -299,6 +300,7 @@
           sends -= 1;
           if (outcome.reason === LATE_START && isOutdated(started)) {
             limits.giveBack(replica.entry);
+            hasWaitedForConnection = true;
             continue;
           }
           unsent += 1;
@@ -574,7 +576,8 @@
      */
     function waitDeadline(): Milliseconds {
       const lastStart = request.deadline - answerTimes.estimate(request);
-      if (request.prompt === undefined && mayWait()) {
+      const mayTakeLong = mayWait() || hasWaitedForConnection;
+      if (request.prompt === undefined && mayTakeLong) {
         return Math.max(clock.monotonic(), lastStart);
       }
       const isNew = progress.firstEvent === 0;
