--- a/packages/daemon/src/lifecycle/bad_input.test.ts
+++ b/packages/daemon/src/lifecycle/bad_input.test.ts
@@ -2,6 +2,7 @@
 import { type Deployment, startDeployment } from "@peridotvalve/testbed";
 import { expect } from "earl";
 import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ask, keyOf } from "./testing.ts";
 
 const DAEMON = "espoo-1";
@@ -9,6 +10,9 @@
 const BODY_LIMIT_BYTES = 20_000;
 const TIMEOUT_MILLISECONDS = 1_000;
 
+/** Time in which an order reaches its service. */
+const ORDER_MILLISECONDS = 500;
+
 let deployment: Deployment;
 
 /**
@@ -344,6 +348,22 @@
   expect(customers).toEqual(["coat-club"]);
 });
 
+// Guards against a refusal of bytes behind an order that its caller takes for the
+// answer to the order: it says that nothing ran, and the order runs.
+test("bytes that are no request are no answer to an order", async () => {
+  const known = (await listCalls("bookings")).length;
+  const answer = await sendRaw(
+    compose({
+      path: "/services/bookings/orders",
+      headers: ["idempotency-key: behind-an-order"],
+      body: "{}",
+    }) + "hello\r\n\r\n",
+  );
+  await sleep(ORDER_MILLISECONDS);
+  const calls = (await listCalls("bookings")).length - known;
+  expect([calls, answer.ran]).not.toEqual([1, "no"]);
+});
+
 // Guards against passing on output that is not the engine's answer to the
 // caller's request.
 test("a protocol violation of an engine gives a typed outcome", async () => {
