--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -497,7 +497,7 @@
     message:
       "A request that crashes replicas is refused when callers repeat it; crashes is 0 when a peer decided it.",
   }),
-  request_released: defineEvent(3033, "warn", {
+  request_released: defineEvent(3037, "warn", {
     fields: { fingerprint: S },
     message:
       "A request is served again, because a replica has answered it completely.",
