Log bytes of callers that are no valid request

Node.js closed such connections without a line. The event names the code of the parser and whether a request before them was not answered yet. The number of lines is bounded as for other warnings. invalid_requests.test.ts covers the path; it was not run for this line alone.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -439,6 +439,11 @@
     fields: { number: N, outcome: S, reason: S, elapsed: N },
     message: "An attempt of a request ended without a usable response.",
   }),
+  request_malformed: defineEvent(3038, "warn", {
+    fields: { code: S, isBehindRequest: "boolean" },
+    message:
+      "Bytes of a caller are no valid request, and its connection is closed; it gets no answer when they came behind a request that is not answered yet.",
+  }),
   response_mismatched: defineEvent(3033, "warn", {
     fields: { number: N, status: N, answered: S, isRefusal: "boolean" },
     message:
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -101,14 +101,19 @@
   });
   const connections = trackServerConnections(server);
   server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+    const { code = "" } = error;
+    const isBehindRequest = connections.isBusy(socket);
+    // Other codes are those of connections that callers have reset.
+    if (/^(HPE|ERR_HTTP)_/.test(code)) {
+      logger.log("request_malformed", { code, isBehindRequest });
+    }
     // The caller would take the refusal for the answer to the request before,
     // which may run.
-    if (!socket.writable || connections.isBusy(socket)) {
+    if (!socket.writable || isBehindRequest) {
       socket.destroy();
       return;
     }
-    const status = INVALID_REQUEST_STATUSES[error.code ?? ""] ??
-      "400 Bad Request";
+    const status = INVALID_REQUEST_STATUSES[code] ?? "400 Bad Request";
     socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
     socket.destroySoon();
   });
