State nothing about an order when invalid bytes come behind it

Callers saw (in a test): 400 with "ran": "no" to an order that its service ran.

Cause: the listener for clientError refuses the bytes on a connection that owes the response to the request before.

Change: such a connection is closed without a failure, once a request on it has been read whole. A body that breaks off is refused as before.

Evidence: 'bytes that are no request are no answer to an order' of bad_input.test.ts failed before and passes, as do the other tests of the file.

--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -240,7 +240,20 @@
     socket.setKeepAlive(true, KEEP_ALIVE_PROBE_DELAY);
     socket.setNoDelay(true);
   });
-  server.on("clientError", sendClientError);
+  /** Requests that are not answered, by connection. */
+  const open = new WeakMap<Socket, Set<IncomingMessage>>();
+  server.on("request", (request, response) => {
+    const requests = open.get(request.socket) ?? new Set();
+    open.set(request.socket, requests.add(request));
+    response.once("close", () => requests.delete(request));
+  });
+  server.on("clientError", (error: Error, socket: Socket) => {
+    const requests = [...open.get(socket) ?? []];
+    // The caller would take the failure for that of the request before, which
+    // may run.
+    if (requests.some(({ complete }) => complete)) socket.destroy();
+    else sendClientError(error, socket);
+  });
 }
 
 /** Responds to invalid HTTP and to headers that did not arrive in time. */
