--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -90,8 +90,10 @@
       console.log(`known red: ${outcome.id}: ${state}`);
       continue;
     }
-    if (outcome.skipped) skipped += 1;
-    else if (outcome.passed) passed += 1;
+    if (outcome.skipped) {
+      skipped += 1;
+      console.log(`skipped ${outcome.id}`);
+    } else if (outcome.passed) passed += 1;
     else failed += 1;
     if (!outcome.passed) console.log(`FAILED ${outcome.id}\n${outcome.detail}`);
   }
