Name the reason of attempts whose start is put off for what it says

A start is also put off while the replica has asked for time, and after a wait for a connection. The lines of such attempts said that the process ran late. Only the name and the text change; the tests of the connection pools, of the feedback, of deadlines and of Retry-After pass.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -29,7 +29,7 @@
   readonly isRepeat?: boolean;
   /**
    * Asked before the first byte is written; when it returns false, the attempt
-   * fails unsent with the reason `LATE_START`.
+   * fails unsent with the reason `START_PUT_OFF`.
    */
   readonly mayStart?: () => boolean;
   /**
@@ -42,8 +42,8 @@
   readonly findMismatch?: (head: ResponseHead) => string | undefined;
 }
 
-/** Reason of an attempt whose connection was ready too late. */
-export const LATE_START = "the process runs late";
+/** Reason of an attempt that may not start when its connection is ready. */
+export const START_PUT_OFF = "the start was put off";
 
 /** Reason of an attempt whose response has a head made of two. */
 const MERGED_HEADS = "a response begins within the head of another";
@@ -220,7 +220,7 @@
       // Runs before the first byte is written. `undici` keeps the connection
       // open for other requests when this throws, and closes it on an abort.
       if (cancelReason !== undefined) throw new Error(cancelReason);
-      if (request.mayStart?.() === false) throw new Error(LATE_START);
+      if (request.mayStart?.() === false) throw new Error(START_PUT_OFF);
       controller = started;
     },
     onResponseStart(started, status, headers, statusText) {
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -57,8 +57,8 @@
   type Attempt,
   type AttemptFailure,
   type ConnectionPools,
-  LATE_START,
   type ResponseHead,
+  START_PUT_OFF,
 } from "./connection_pools.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
@@ -301,7 +301,7 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
-          if (outcome.reason === LATE_START && isOutdated(started)) {
+          if (outcome.reason === START_PUT_OFF && isOutdated(started)) {
             limits.giveBack(replica.entry);
             hasWaitedForConnection = true;
             continue;
@@ -310,7 +310,7 @@
           if (unsent >= MAX_UNSENT) return fail(outcome.reason, 502);
           // Another replica would start no earlier, and the connection to this
           // one is open now.
-          if (outcome.reason === LATE_START) continue;
+          if (outcome.reason === START_PUT_OFF) continue;
           break;
         case "not run":
           refusals += 1;
--- a/packages/gateway/src/replica_feedback.test.ts
+++ b/packages/gateway/src/replica_feedback.test.ts
@@ -6,7 +6,7 @@
 } from "@peridotvalve/dispatch";
 import { expect } from "earl";
 import { test } from "node:test";
-import { createConnectionPools, LATE_START } from "./connection_pools.ts";
+import { createConnectionPools, START_PUT_OFF } from "./connection_pools.ts";
 import { createReplicaFeedback } from "./replica_feedback.ts";
 
 // Guards against a daemon short of processor time that avoids sound replicas,
@@ -33,7 +33,7 @@
   };
   feedback.recordOutcome(choice, undefined, {
     kind: "unsent",
-    reason: LATE_START,
+    reason: START_PUT_OFF,
   });
   expect(replicas.find("a")?.failures).toEqual(0);
   feedback.recordOutcome(choice, undefined, {
--- a/packages/gateway/src/replica_feedback.ts
+++ b/packages/gateway/src/replica_feedback.ts
@@ -9,7 +9,7 @@
 } from "@peridotvalve/dispatch";
 import type { Milliseconds } from "@peridotvalve/types";
 import { type AttemptOutcome, SILENT } from "./attempt_watch.ts";
-import { type ConnectionPools, LATE_START } from "./connection_pools.ts";
+import { type ConnectionPools, START_PUT_OFF } from "./connection_pools.ts";
 import type { ResponseMetadata } from "./header_codec.ts";
 
 /** Avoidance of a replica that loads weights or is full. */
@@ -76,7 +76,7 @@
           return replicas.recordSuccess(id);
         case "unsent":
           // The delay was in this process.
-          if (end.reason === LATE_START) return;
+          if (end.reason === START_PUT_OFF) return;
           return replicas.recordFailure(id);
         case "lost":
         case "broken":
