Followed tables: fetch rows of a neighbor once that differ in a heartbeat only

Seen: six real processes on, of which five took the list of replicas from the sixth each 250 ms (peer_rows_taken, the same version each time) although nothing had changed.

Cause: the version of the newest change is raised by rows that matter. A row that two daemons have read at different heartbeats matters to neither, so the one with the older row stayed behind for good.

Change: an update names the version of the sender's newest change, and whoever takes the update has it. Test: followed_rows.test.ts, 'a peer that has the newest change needs no further update', failed before (3, expected 4).

--- a/packages/gateway/src/followed_rows.test.ts
+++ b/packages/gateway/src/followed_rows.test.ts
@@ -58,6 +58,16 @@
   expect(other.contentVersion()).toEqual(reader.contentVersion());
 });
 
+// Guards against a table that is fetched again with each message of a neighbor
+// that has read the same row at a later heartbeat.
+test("a peer that has the newest change needs no further update", () => {
+  const [reader, other] = [createRows(), createRows()];
+  other.replaceAll([row("a", "r1", 3)], 3);
+  reader.replaceAll([row("a", "r2", 4)], 4);
+  other.adopt(reader.changesSince(positionOf(other)));
+  expect(other.contentVersion()).toEqual(reader.contentVersion());
+});
+
 // Guards against a state that falls back because an update arrives late.
 test("an older row or removal never wins", () => {
   const rows = createRows();
--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -14,6 +14,11 @@
 export interface TableUpdate {
   /** Version up to which the sender knows the table. */
   readonly version: number;
+  /**
+   * Version of the newest change that the sender knows; daemons of earlier
+   * releases do not state it.
+   */
+  readonly content?: number;
   readonly isWhole: boolean;
   readonly rows: readonly FeedRow[];
   readonly removed: readonly (readonly [key: string, version: number])[];
@@ -202,6 +207,9 @@
       const removed = absent.filter(([key, at]) => remove(key, at))
         .map(([key]) => key);
       version = Math.max(version, update.version);
+      // A row that differs only in its heartbeat raises nothing by itself, and
+      // would be fetched again with each message of the sender.
+      content = Math.max(content, update.content ?? 0);
       if (update.isWhole) forgottenUpTo = update.version;
       return { changed, removed };
     },
@@ -212,6 +220,7 @@
       );
       return {
         version,
+        content,
         isWhole,
         rows: rows.map(({ row }) => row),
         removed: isWhole ? [] : [...removals].filter(([, { at }]) => at > since)
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -36,6 +36,7 @@
 
 const UPDATE = z.object({
   version: VERSION,
+  content: VERSION.optional(),
   isWhole: z.boolean(),
   rows: z.array(z.object({
     key: z.string(),
