CONFIG: read a table whose news cannot be fetched from a neighbor

Callers saw: a confirmed change that a daemon does not have, for as long as it hears its neighbors (404 for a new route, an old service, an old key).

Cause: a daemon that does not read a table counted the reads that its neighbors report, also while it lacked the rows that they announce. When datagrams pass and calls do not, as on a link that is cut one way, it never read the table itself.

Evidence: peer_mesh.test.ts, 'a daemon that cannot call its neighbors reads the table itself', failed before (1, expected 9).

Change: a reported read counts only when its rows are known here, and a daemon that cannot fetch announced rows reads the table at once. That keeps within the limit wherever the store can be reached, whatever the neighbors say.

--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -32,6 +32,9 @@
 const SALT = "m@1";
 const ZONES = ["espoo", "vaasa"];
 
+/** Time within which a state must be in force. */
+const CONFIGURATION_LIMIT = 2_500;
+
 const silentLogger = new (class extends EventLogger {
   override log(): void {}
 })();
@@ -77,6 +80,8 @@
     })
   );
   const followers = new Map<string, TableFollower>();
+  /** Names of the daemons whose calls reach nobody; datagrams still pass. */
+  const cutCallers = new Set<string>();
   const calls = new (class implements PeerClient {
     readRows(
       address: string,
@@ -95,9 +100,19 @@
     close(): void {}
   })();
   const daemons = peers.map((peer) =>
-    startDaemon(peer, { clock, network, peers, followers, calls, store })
+    startDaemon(peer, {
+      ...{ clock, network, peers, followers, store },
+      calls: {
+        readStore: calls.readStore,
+        close: calls.close,
+        readRows: (address, query) =>
+          cutCallers.has(peer.name)
+            ? Promise.resolve(Err("unreachable"))
+            : calls.readRows(address, query),
+      },
+    })
   );
-  return { clock, network, store, daemons };
+  return { clock, network, store, daemons, cutCallers };
 }
 
 function startDaemon(peer: PeerAddress, fleet: {
@@ -213,6 +228,20 @@
   for (const { stop } of daemons) stop.abort();
 });
 
+// Guards against CONFIG: a daemon that hears of the reads of its neighbors and
+// cannot fetch the rows, as when a link is cut one way, keeps its old state.
+test("a daemon that cannot call its neighbors reads the table itself", async () => {
+  const { clock, store, daemons, cutCallers } = createFleet(10);
+  await advance(clock, 5_000);
+  const cut = daemons.find(({ mesh }) => mesh.rank("table op") > 0);
+  if (cut === undefined) throw new Error("no daemon that does not read");
+  cutCallers.add(cut.name);
+  store.setVersion(9);
+  await advance(clock, CONFIGURATION_LIMIT);
+  expect(cut.follower.contentVersion()).toEqual(9);
+  for (const { stop } of daemons) stop.abort();
+});
+
 test("load is known in the zone at once and in other zones soon", async () => {
   const { clock, daemons } = createFleet(10);
   await advance(clock, 3_000);
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -388,20 +388,30 @@
   function applyTableNews(peer: string, news: TableNews): void {
     const follower = tables.get(news.table);
     if (follower === undefined) return;
-    if (news.age !== undefined) follower.recordPeerRead(news.age);
-    if (news.contentVersion <= follower.contentVersion()) return;
-    if (!follower.needsPeers()) return;
-    void fetchRows(peer, news.table, follower);
+    if (news.contentVersion <= follower.contentVersion()) {
+      recordPeerRead(follower, news);
+    } else if (follower.needsPeers()) void fetchRows(peer, follower, news);
+  }
+
+  /** Counts the read of a peer, whose rows must be known here. */
+  function recordPeerRead(
+    follower: TableFollower,
+    news: Pick<TableNews, "age">,
+    elapsed: Milliseconds = 0,
+  ): void {
+    if (news.age !== undefined) follower.recordPeerRead(news.age + elapsed);
   }
 
   async function fetchRows(
     peer: string,
-    table: string,
     follower: TableFollower,
+    news: Pick<TableNews, "table" | "age">,
   ): Promise<void> {
+    const { table } = news;
     const address = registration.find(peer)?.calls;
     if (address === undefined || fetching.has(table)) return;
     fetching.add(table);
+    const start = clock.monotonic();
     const position = {
       content: follower.contentVersion(),
       version: follower.version(),
@@ -410,8 +420,11 @@
     fetching.delete(table);
     if (read.isErr()) {
       logger.log("peer_unreachable", { peer, reason: read.error });
+      follower.requestRead();
     } else if (follower.adopt(read.value)) {
       const { version } = read.value;
+      const elapsed = clock.monotonic() - start;
+      recordPeerRead(follower, news, elapsed);
       logger.log("peer_rows_taken", { peer, table, version });
     }
   }
@@ -445,7 +458,7 @@
       if (peer === undefined) continue;
       for (const [table, follower] of unknown) {
         if (follower.version() !== 0) continue;
-        await fetchRows(peer.name, table, follower);
+        await fetchRows(peer.name, follower, { table });
       }
     }
   }
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -53,6 +53,11 @@
    * not read the table or its own reads fail.
    */
   abstract needsPeers(): boolean;
+  /**
+   * Reads the table from the store once, whoever reads it for the neighbors,
+   * because their rows cannot be had.
+   */
+  abstract requestRead(): void;
   /** Returns true while this daemon reads the table from the store. */
   abstract isReading(): boolean;
   abstract rows(): readonly FeedRow[];
@@ -99,6 +104,7 @@
   });
   let needsSnapshot = true;
   let isReading = false;
+  let isReadRequested = false;
   let lastContact = -Infinity;
   let lastOwnRead = -Infinity;
   let lostSince: Milliseconds | undefined;
@@ -169,7 +175,8 @@
     override async run(signal: AbortSignal): Promise<void> {
       let backoff = INITIAL_BACKOFF;
       while (!signal.aborted) {
-        isReading = mayRead(clock.monotonic() - lastContact);
+        const isDue = mayRead(clock.monotonic() - lastContact);
+        isReading = isDue || isReadRequested;
         if (!isReading) {
           lostSince = undefined;
           await clock.sleep(DUTY_CHECK_PERIOD, signal);
@@ -179,6 +186,7 @@
           ? await readSnapshot()
           : await readChanges();
         if (isRead) {
+          isReadRequested = needsSnapshot && isReadRequested;
           backoff = INITIAL_BACKOFF;
           if (!needsSnapshot && pause > 0) await clock.sleep(pause, signal);
           continue;
@@ -203,6 +211,10 @@
       return clock.monotonic() - lastOwnRead > allowed;
     }
 
+    override requestRead(): void {
+      isReadRequested = true;
+    }
+
     override isReading(): boolean {
       return isReading;
     }
