--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -483,6 +483,11 @@
     message:
       "Replicas can be reached again, or the neighbors reach none either.",
   }),
+  request_passed_on: defineEvent(3039, "info", {
+    fields: { address: S, outcome: S, elapsed: N },
+    message:
+      "A request was passed on to a neighbor, because this daemon reaches no replica.",
+  }),
   statement_rejected: defineEvent(3028, "warn", {
     fields: { reason: S },
     message: "A replica said something of itself that cannot be read.",
--- /dev/null
+++ b/packages/gateway/src/forwarded_request.ts
@@ -0,0 +1,17 @@
+/**
+ * The parts of a caller's request that are forwarded.
+ */
+import type { Milliseconds } from "@peridotvalve/types";
+
+export interface ForwardedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly string[];
+  readonly body: Uint8Array | undefined;
+  /** Id of the last event that the caller already has. */
+  readonly lastEvent?: number;
+  /** Time until which the caller waits, on the monotonic clock. */
+  readonly callerDeadline: Milliseconds;
+  /** True when a neighbor has passed the request on to this daemon. */
+  readonly isPassedOn: boolean;
+}
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -5,7 +5,10 @@
  */
 import type { ReplicaContact } from "@peridotvalve/admission";
 import type { Clock } from "@peridotvalve/clock";
-import { trackServerConnections } from "@peridotvalve/connections";
+import {
+  type ServerConnections,
+  trackServerConnections,
+} from "@peridotvalve/connections";
 import {
   chooseTarget,
   type Customer,
@@ -48,6 +51,8 @@
 
 export abstract class Frontend {
   abstract readonly server: Server;
+  /** Takes requests that neighbors pass on because they reach no replica. */
+  abstract readonly neighborServer: Server;
   abstract inFlight(): number;
   /** Closes each connection after its current response. */
   abstract disableKeepAlive(): void;
@@ -59,6 +64,13 @@
   abstract closeIntake(): void;
 }
 
+interface Listener {
+  readonly server: Server;
+  readonly connections: ServerConnections;
+  /** True when requests come from neighbors that pass them on. */
+  readonly isForNeighbors: boolean;
+}
+
 /** Maximum header size that any desired state may allow. */
 const MAX_HEADER_BYTES = 64 * 1_024;
 
@@ -88,35 +100,45 @@
   const { clock, logger, headerCodec, holder, relay, meters } = options;
   let isKeepAliveDisabled = false;
   let isIntakeClosed = false;
-  const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
-    requestTimeout: 0,
-    noDelay: true,
-  }, (request, response) => {
-    handle(request, response).catch((error: unknown) => {
-      logger.log("handler_failed", { reason: String(error) });
-      response.destroy();
+  const callers = createListener({ isForNeighbors: false });
+  const neighbors = createListener({ isForNeighbors: true });
+  const { server } = callers;
+
+  function createListener(
+    { isForNeighbors }: { readonly isForNeighbors: boolean },
+  ): Listener {
+    const server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
+      requestTimeout: 0,
+      noDelay: true,
+    }, (request, response) => {
+      handle(request, response, listener).catch((error: unknown) => {
+        logger.log("handler_failed", { reason: String(error) });
+        response.destroy();
+      });
     });
-  });
-  const connections = trackServerConnections(server);
-  server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
-    const { code = "" } = error;
-    const isBehindRequest = connections.isBusy(socket);
-    // Other codes are those of connections that callers have reset.
-    if (/^(HPE|ERR_HTTP)_/.test(code)) {
-      logger.log("request_malformed", { code, isBehindRequest });
-    }
-    // The caller would take the refusal for the answer to the request before,
-    // which may run.
-    if (!socket.writable || isBehindRequest) {
-      socket.destroy();
-      return;
-    }
-    const status = INVALID_REQUEST_STATUSES[code] ?? "400 Bad Request";
-    socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
-    socket.destroySoon();
-  });
+    const connections = trackServerConnections(server);
+    const listener = { server, connections, isForNeighbors };
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
+      const { code = "" } = error;
+      const isBehindRequest = connections.isBusy(socket);
+      // Other codes are those of connections that callers have reset.
+      if (/^(HPE|ERR_HTTP)_/.test(code)) {
+        logger.log("request_malformed", { code, isBehindRequest });
+      }
+      // The caller would take the refusal for the answer to the request before,
+      // which may run.
+      if (!socket.writable || isBehindRequest) {
+        socket.destroy();
+        return;
+      }
+      const status = INVALID_REQUEST_STATUSES[code] ?? "400 Bad Request";
+      socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+      socket.destroySoon();
+    });
+    return listener;
+  }
 
   function applyLimits({ state: { limits } }: ActiveState): void {
     server.keepAliveTimeout = limits.idleTimeout + IDLE_MARGIN;
@@ -126,6 +148,7 @@
   async function handle(
     request: IncomingMessage,
     response: ServerResponse,
+    { connections, isForNeighbors }: Listener,
   ): Promise<void> {
     const arrivedAt = clock.monotonic();
     const metadata = headerCodec.readRequest(request.headers);
@@ -208,6 +231,7 @@
         ? {}
         : { lastEvent: metadata.lastEvent }),
       callerDeadline: arrivedAt + patience,
+      isPassedOn: isForNeighbors,
     }, caller);
     recordEnding(result.ending, result.sends);
 
@@ -296,8 +320,10 @@
   return new (class extends Frontend {
     override readonly server = server;
 
+    override readonly neighborServer = neighbors.server;
+
     override inFlight(): number {
-      return connections.inFlight();
+      return callers.connections.inFlight() + neighbors.connections.inFlight();
     }
 
     override disableKeepAlive(): void {
@@ -305,9 +331,11 @@
     }
 
     override closeIntake(): void {
-      if (!isIntakeClosed) server.close();
+      for (const listener of [callers, neighbors]) {
+        if (!isIntakeClosed) listener.server.close();
+        listener.connections.closeIdle();
+      }
       isIntakeClosed = true;
-      connections.closeIdle();
     }
   })();
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import { watchContact } from "./contact_watch.ts";
 import { createCrashGuard } from "./crash_guard.ts";
 import { takeChangedSettings } from "./changed_settings.ts";
+import { createDetour } from "./detour.ts";
 import { createFollowedCaches } from "./followed_caches.ts";
 import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
 import { createFrontend } from "./frontend.ts";
@@ -342,6 +343,10 @@
     sendGate: createSendGate({ clock }),
     crashGuard,
     contact,
+    detour: createDetour({
+      ...{ clock, logger, pools, headerCodec },
+      neighbors: () => mesh?.listInContact() ?? [],
+    }),
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -520,6 +525,7 @@
       [ready, settings.ready],
     ];
     bindings.push([peerServer, settings.peers]);
+    bindings.push([frontend.neighborServer, settings.datagrams]);
     if (settings.metrics !== undefined) {
       bindings.push([openStatusServer(), settings.metrics]);
     }
--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -72,6 +72,14 @@
     headers: readonly string[],
     terms: AttemptMetadata,
   ): string[];
+  /**
+   * Composes the headers for a neighbor that takes the request over, from the
+   * caller's flat list.
+   */
+  abstract composePassedOn(
+    headers: readonly string[],
+    terms: Pick<AttemptMetadata, "remaining">,
+  ): string[];
   abstract readResponse(
     status: number,
     headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -32,7 +32,10 @@
   readonly ready: Address;
   /** Address at which peers call this daemon. */
   readonly peers: Address;
-  /** Address of the datagrams between peers. */
+  /**
+   * Address of the datagrams between peers, and of the connections over which
+   * they pass requests on.
+   */
   readonly datagrams: Address;
   readonly metrics?: Address & { readonly path: string };
   /** Peers to contact before the store has listed any. */
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -48,6 +48,8 @@
   readonly silent: readonly string[];
   /** Time since the sender received data from any replica. */
   readonly receivedAge?: Milliseconds;
+  /** True when the sender reaches no replica although others do. */
+  readonly isOutOfContact?: true;
   readonly load?: Delta;
   /** Load of the replicas of another zone. */
   readonly zoneLoad?: readonly [zone: string, load: Delta];
@@ -96,6 +98,7 @@
   b: names.optional(),
   s: names.optional(),
   a: count.optional(),
+  o: z.literal(true).optional(),
   w: z.array(z.tuple([name, name, version])).max(64).optional(),
   l: digestSchema.optional(),
   z: z.tuple([name, digestSchema]).optional(),
@@ -136,6 +139,7 @@
     }),
     silent: data.s ?? [],
     ...(data.a === undefined ? {} : { receivedAge: data.a }),
+    ...(data.o === undefined ? {} : { isOutOfContact: data.o }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
     ...(data.z === undefined
       ? {}
@@ -170,6 +174,7 @@
     }),
     ...(silent.length > 0 && { s: silent }),
     ...(receivedAge !== undefined && { a: Math.round(receivedAge) }),
+    ...(digest.isOutOfContact === true && { o: true }),
     ...(load !== undefined && { l: load }),
     ...(zoneLoad !== undefined && { z: zoneLoad }),
     ...(sent.length > 0 && {
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -97,6 +97,11 @@
   abstract liveCount(): number;
   /** Number of groups of neighbors in the fleet. */
   abstract groupCount(): number;
+  /**
+   * Addresses of the live neighbors that reach replicas, those of the own zone
+   * first and otherwise in a random order.
+   */
+  abstract listInContact(): readonly string[];
   /** The neighbors of this daemon, with itself. */
   abstract neighborhood(): Neighborhood;
 }
@@ -154,6 +159,8 @@
   const { cache, journal, copies, sentParts, calls, crashes } = options;
   const fetching = new Set<string>();
   const unknownSenders = new Set<string>();
+  /** Names of the neighbors that reach no replica. */
+  const outOfContact = new Set<string>();
   const storeFetches = new Map<string, Milliseconds>();
   /** Load of other zones: passed on once, and dropped when it is old. */
   const zoneLoads = new Map<
@@ -267,7 +274,10 @@
     const { kind, peer } = change;
     const isGone = kind === "dead" || kind === "restarted" ||
       kind === "forgotten";
-    if (isGone) load.removePeer(peer.name);
+    if (isGone) {
+      load.removePeer(peer.name);
+      outOfContact.delete(peer.name);
+    }
     options.onChange();
   }
 
@@ -313,9 +323,9 @@
       ...(era > 0 && { storeEra: era }),
       busy: listBusy(),
       ...(loaded.length > 0 && { loaded }),
-      silent: options.contact.isLost()
-        ? []
-        : options.replicas.silent().slice(0, MAX_NAMES),
+      ...(options.contact.isLost()
+        ? { silent: [], isOutOfContact: true }
+        : { silent: options.replicas.silent().slice(0, MAX_NAMES) }),
       ...receivedField(options.contact.age()),
       sent: [],
       pages: [],
@@ -352,6 +362,8 @@
     if (digest.receivedAge !== undefined) {
       options.contact.recordPeerReceived(digest.receivedAge);
     }
+    if (digest.isOutOfContact === true) outOfContact.add(peer);
+    else outOfContact.delete(peer);
     if (digest.silent.length > 0) options.onSilent(digest.silent);
     if (digest.load !== undefined) {
       const applied = load.applyDigest(peer, digest.load);
@@ -516,6 +528,16 @@
       return knownNeighborhood;
     }
 
+    override listInContact(): readonly string[] {
+      const found = membership.peers()
+        .filter(({ name: peer, state }) =>
+          state === "live" && !outOfContact.has(peer)
+        )
+        .flatMap((peer) => registration.find(peer.name) ?? []);
+      return sortRandomly(found, (peer) => peer.zone === zone ? 0 : 1)
+        .map(({ datagrams }) => datagrams);
+    }
+
     override groupCount(): number {
       if (isSingleGroup()) return 1;
       return new Set(registration.peers().map((peer) => peer.zone)).size;
@@ -534,6 +556,16 @@
   return `zone ${zone}`;
 }
 
+/** Sorts by rank, and those of one rank randomly. */
+function sortRandomly<Item>(
+  items: readonly Item[],
+  rankOf: (item: Item) => number,
+): readonly Item[] {
+  return items.map((item) => ({ item, order: rankOf(item) + Math.random() }))
+    .sort((left, right) => left.order - right.order)
+    .map(({ item }) => item);
+}
+
 function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(":"));
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -60,6 +60,8 @@
   type ResponseHead,
   START_PUT_OFF,
 } from "./connection_pools.ts";
+import type { Detour } from "./detour.ts";
+import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
@@ -102,22 +104,11 @@
   readonly sendGate: SendGate;
   readonly crashGuard: CrashGuard;
   readonly contact: Pick<ReplicaContact, "isLost">;
+  readonly detour: Detour;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
 
-/** The parts of a request that are forwarded to a replica. */
-export interface ForwardedRequest {
-  readonly method: string;
-  readonly path: string;
-  readonly headers: readonly string[];
-  readonly body: Uint8Array | undefined;
-  /** Id of the last event that the caller already has. */
-  readonly lastEvent?: number;
-  /** Time until which the caller waits, on the monotonic clock. */
-  readonly callerDeadline: Milliseconds;
-}
-
 /** Result of a request, for the log and the metrics. */
 export type Ending =
   | {
@@ -266,7 +257,8 @@
     let lastReason = "no replica";
     /** The attempt whose response is forwarded. */
     let present: RunningAttempt | undefined;
-    budget.recordFirstAttempt(request.service);
+    // The daemon that has passed a request on has counted it.
+    if (!forwarded.isPassedOn) budget.recordFirstAttempt(request.service);
 
     const remaining = () => request.deadline - clock.monotonic();
     const succession = createSuccession<ResponseHead, RunningAttempt>({
@@ -356,9 +348,7 @@
       let readUpTo = await sendGate.pass();
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
-      if (isOutOfContact()) {
-        return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
-      }
+      if (isOutOfContact()) return await passOn();
       const barred = crashGuard.check(request, hasCrashed);
       if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
@@ -381,9 +371,7 @@
       if (placed === undefined) {
         if (caller.hasDisconnected()) return end({ kind: "abandoned" });
         if (!endsBeforeExit(0)) return refuseAtShutdown();
-        if (isOutOfContact()) {
-          return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
-        }
+        if (isOutOfContact()) return await passOn();
         if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
@@ -589,6 +577,26 @@
       return isNew && pushbackTime() > 0 ? Math.min(end, lastStart) : end;
     }
 
+    /** Passes the request on; refuses it when no neighbor can take it. */
+    async function passOn(): Promise<RelayResult> {
+      const outcome = forwarded.isPassedOn
+        ? { kind: "unsent" as const }
+        : await options.detour(request, forwarded, caller);
+      switch (outcome.kind) {
+        case "done":
+          return end({ ...outcome, kind: "answered", maxEventGap: 0 });
+        case "left":
+          return end({ kind: "abandoned" });
+        case "overdue":
+          return fail("timeout", 504);
+        case "lost":
+          executions += 1;
+          return fail(outcome.reason, 502);
+        case "unsent":
+          return fail(NO_CONTACT, 502, CONTACT_RETRY_AFTER);
+      }
+    }
+
     /** Sends the final response of a request that no replica has served. */
     function fail(
       reason: string,
