--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -22,6 +22,8 @@
   readonly state: "ready" | "leaving";
   /** Start time of the incarnation; absent when the entry has none. */
   readonly born?: Timestamp;
+  /** Version of the replica's software; absent when the entry has none. */
+  readonly software?: string;
   /** Weight version by model. */
   readonly weights: ReadonlyMap<string, number>;
 }
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -421,6 +421,7 @@
     fields: {
       number: N,
       version: N,
+      software: S,
       unread: N,
       held: N,
       waiting: N,
@@ -435,6 +436,11 @@
     message:
       "An attempt of a request was placed on a replica; isRepeat is true for one on a connection of its own, because a replica at the address has answered the request before.",
   }),
+  stream_taken_up: defineEvent(3040, "info", {
+    fields: { resumes: S, lastEvent: N },
+    message:
+      "A caller takes up the stream of an earlier request, which it names in resumes, after an event.",
+  }),
   attempt_ended: defineEvent(3021, "info", {
     fields: { number: N, outcome: S, reason: S, elapsed: N },
     message: "An attempt of a request ended without a usable response.",
--- a/packages/gateway/src/bounded_log.test.ts
+++ b/packages/gateway/src/bounded_log.test.ts
@@ -28,6 +28,7 @@
 const PLACED = {
   number: 1,
   version: 1,
+  software: "v1",
   unread: 1,
   held: 0,
   waiting: 0,
--- a/packages/gateway/src/forwarded_request.ts
+++ b/packages/gateway/src/forwarded_request.ts
@@ -10,6 +10,8 @@
   readonly body: Uint8Array | undefined;
   /** Id of the last event that the caller already has. */
   readonly lastEvent?: number;
+  /** Id of the request that brought the first event of the stream. */
+  readonly resumes?: string;
   /** Time until which the caller waits, on the monotonic clock. */
   readonly callerDeadline: Milliseconds;
   /** True when a neighbor has passed the request on to this daemon. */
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -230,6 +230,7 @@
       ...(metadata.lastEvent === undefined
         ? {}
         : { lastEvent: metadata.lastEvent }),
+      ...(metadata.resumes === undefined ? {} : { resumes: metadata.resumes }),
       callerDeadline: arrivedAt + patience,
       isPassedOn: isForNeighbors,
     }, caller);
--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -19,6 +19,8 @@
   readonly model?: PromptMetadata;
   /** Id of the last event that the caller received of the stream it resumes. */
   readonly lastEvent?: number;
+  /** Id of the request that brought the first event of that stream. */
+  readonly resumes?: string;
 }
 
 /** Contents of the headers sent to a replica with one attempt. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -257,6 +257,10 @@
     let lastReason = "no replica";
     /** The attempt whose response is forwarded. */
     let present: RunningAttempt | undefined;
+    if (isTakenUp(request, forwarded)) {
+      const { resumes = "", lastEvent = 0 } = forwarded;
+      logger.log("stream_taken_up", { resumes, lastEvent }, subject);
+    }
     // The daemon that has passed a request on has counted it.
     if (!forwarded.isPassedOn) budget.recordFirstAttempt(request.service);
 
@@ -683,6 +687,7 @@
       logger.log("attempt_placed", {
         number,
         version: version ?? 0,
+        software: entry.software ?? "",
         unread: choice.unread,
         held: choice.held,
         waiting: choice.load.unread,
@@ -870,6 +875,14 @@
   return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
 }
 
+/** True when the caller has events of the stream from an earlier request. */
+function isTakenUp(
+  { route }: DispatchRequest,
+  { resumes, lastEvent = 0 }: ForwardedRequest,
+): boolean {
+  return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
+}
+
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
