--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -101,6 +101,8 @@
   readonly zone: string;
   /** Present for model engines. */
   readonly model?: string;
+  /** Version of the software that the entry names. */
+  readonly software?: string;
   /** Number of events in a stream. */
   readonly events?: number;
   /** Milliseconds between the events of a stream. */
@@ -163,6 +165,7 @@
     service,
     zone,
     model,
+    software = "v1",
     events = DEFAULT_EVENT_COUNT,
     pause = DEFAULT_EVENT_INTERVAL_MILLISECONDS,
   } = options;
@@ -372,7 +375,7 @@
       service,
       address,
       zone,
-      version: "v1",
+      version: software,
       slots: options.slots ?? DEFAULT_SLOTS,
       state,
       cold_remaining_ms: 0,
