ORDER: continue streams only at the software version that began them

Both a daemon that continues a stream in one answer and one at which a caller takes a stream up chose any replica.

Change: a request is bound to the version of the replica that writes its first event, and placement considers its replicas only. A daemon remembers where its streams began. While a service has or has lately had several versions, a row for each stream is saved in the store in batches, and a row for each service names the versions, so that a daemon that starts after a power loss knows whether streams of a version that has left may be taken up.

--- a/packages/dispatch/src/dispatch_request.ts
+++ b/packages/dispatch/src/dispatch_request.ts
@@ -32,6 +32,11 @@
   readonly cacheGroup?: string;
   /** Present for requests to a model. */
   readonly prompt?: PromptMetadata;
+  /**
+   * Software version at which the stream began; only its replicas can go on with
+   * it. Absent before the first event.
+   */
+  readonly software?: string;
   /**
    * Hash of the caller and the content, which requests that a caller repeats
    * share.
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -323,9 +323,9 @@
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): Choice | undefined {
-      const usable = replicas.usable(request.service).filter(({ entry }) =>
-        !excluded.has(entry.id) && hasRoom(entry)
-      );
+      const usable = replicas.usable(request.service, request.software).filter((
+        { entry },
+      ) => !excluded.has(entry.id) && hasRoom(entry));
       return request.prompt === undefined
         ? choosePlain(usable)
         : chooseForPrompt(request, request.prompt, usable);
@@ -335,16 +335,16 @@
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): boolean {
-      return replicas.usable(request.service).some((replica) =>
-        isCandidate(replica, request, excluded)
-      );
+      return replicas.usable(request.service, request.software).some((
+        replica,
+      ) => isCandidate(replica, request, excluded));
     }
 
     override candidates(
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): readonly ReplicaEntry[] {
-      return replicas.usable(request.service)
+      return replicas.usable(request.service, request.software)
         .filter((replica) => isCandidate(replica, request, excluded))
         .map(({ entry }) => entry);
     }
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -28,6 +28,11 @@
   readonly weights: ReadonlyMap<string, number>;
 }
 
+/** Entries without a software version count as one of their own. */
+export function softwareOf({ software = "" }: ReplicaEntry): string {
+  return software;
+}
+
 export type ReplicaChange =
   | "added"
   | "leaving"
@@ -95,9 +100,10 @@
    * Replicas that accept requests. Avoided and unresponsive replicas are
    * included only when no other is left, and then for a short time also one that
    * has said that it leaves. While all others push back, those that were only
-   * busy are included.
+   * busy are included. With a software version, only its replicas are
+   * considered.
    */
-  abstract usable(service: string): readonly Replica[];
+  abstract usable(service: string, software?: string): readonly Replica[];
   /** True when the list or the replica itself says that it leaves. */
   abstract isLeaving(entry: ReplicaEntry): boolean;
   abstract find(id: string): Replica | undefined;
@@ -265,10 +271,14 @@
       graceUntil = clock.monotonic() + REMOVAL_GRACE;
     }
 
-    override usable(service: string): readonly Replica[] {
+    override usable(
+      service: string,
+      software?: string,
+    ): readonly Replica[] {
       const now = clock.monotonic();
       const ready = [...replicas.values()].filter(({ entry }) =>
-        entry.service === service && entry.state === "ready"
+        entry.service === service && entry.state === "ready" &&
+        (software === undefined || softwareOf(entry) === software)
       );
       const staying = ready.filter(({ entry }) =>
         leavingSince(entry) === undefined
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -437,9 +437,19 @@
       "An attempt of a request was placed on a replica; isRepeat is true for one on a connection of its own, because a replica at the address has answered the request before.",
   }),
   stream_taken_up: defineEvent(3040, "info", {
-    fields: { resumes: S, lastEvent: N },
+    fields: { resumes: S, lastEvent: N, service: S, software: S },
     message:
-      "A caller takes up the stream of an earlier request, which it names in resumes, after an event.",
+      "A caller takes up the stream of an earlier request, which it names in resumes, after an event; service and software say where the stream began and are empty when that is not known.",
+  }),
+  software_changed: defineEvent(3041, "info", {
+    fields: { service: S, versions: S },
+    message:
+      "The software versions that may have begun streams of a service were recorded.",
+  }),
+  streams_unsaved: defineEvent(3042, "warn", {
+    fields: { streams: N, outcome: S },
+    message:
+      "Records of where streams began could not be saved and are tried again.",
   }),
   attempt_ended: defineEvent(3021, "info", {
     fields: { number: N, outcome: S, reason: S, elapsed: N },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -28,6 +28,7 @@
   createWeightTargets,
   isOutdatedSalt,
   readSalt,
+  softwareOf,
   type StoreTraits,
 } from "@peridotvalve/dispatch";
 import { createLease } from "@peridotvalve/lease";
@@ -62,6 +63,7 @@
 import { createSentPartsQueue } from "./sent_parts.ts";
 import { createStatusServer, listen } from "./status_server.ts";
 import { createStateHolder } from "./state_holder.ts";
+import { createStreamRecords } from "./stream_records.ts";
 
 export abstract class Gateway {
   /** Counts a call to the platform's store in the metrics. */
@@ -230,6 +232,7 @@
   });
   options.storeEra.onReturn(() => {
     replicas.recordListReturn();
+    streams.renew();
     registration.renew();
     mesh?.announce();
   });
@@ -315,6 +318,17 @@
     announce: () => mesh?.announce(),
     stopped: stopController.signal,
   });
+  const streams = createStreamRecords({
+    ...{ clock, logger, store: options.store, name: settings.name },
+    services: listStreamServices,
+    versionsOf: (service) =>
+      new Set(
+        replicas.all().filter(({ entry }) => entry.service === service)
+          .map(({ entry }) => softwareOf(entry)),
+      ),
+    daemons: peerCount,
+    rank: () => rank("stream records"),
+  });
   const relay = createRelay({
     clock,
     logger,
@@ -347,6 +361,7 @@
       ...{ clock, logger, pools, headerCodec },
       neighbors: () => mesh?.listInContact() ?? [],
     }),
+    streams,
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -452,6 +467,19 @@
     });
   }
 
+  /** Services whose streams callers may take up. */
+  function listStreamServices(): readonly string[] {
+    const routes = holder.current()?.state.routes ?? [];
+    const resumable = routes.filter(({ isResumable }) => isResumable);
+    return [
+      ...new Set(
+        resumable.flatMap(({ targets }) =>
+          targets.map(({ service }) => service)
+        ),
+      ),
+    ];
+  }
+
   function listStores(): readonly StoreTraits[] {
     const services = holder.current()?.state.services.values() ?? [];
     return [...services].flatMap(({ store }) => store ?? []);
@@ -596,6 +624,7 @@
       ...[...tables.byName.values()].map((table) => table.run(signal)),
       registration.run(signal),
       rollouts.run(signal),
+      streams.run(signal),
       cacheCleaner.run(signal),
       meters.watchEventLoop(signal),
       followCachesAfterDiscovery(signal),
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -32,6 +32,7 @@
   type PrefillRates,
   priorityOf,
   type ReplicaTable,
+  softwareOf,
   type TransferPlanner,
   type WeightTargets,
 } from "@peridotvalve/dispatch";
@@ -68,6 +69,7 @@
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
+import type { StreamRecords } from "./stream_records.ts";
 import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
 import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import { createSuccession, type Reception } from "./succession.ts";
@@ -105,6 +107,7 @@
   readonly crashGuard: CrashGuard;
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly detour: Detour;
+  readonly streams: Pick<StreamRecords, "find" | "record">;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -182,6 +185,12 @@
 /** Delay after which a caller may retry on another daemon. */
 const CONTACT_RETRY_AFTER: Milliseconds = 100;
 
+/** Reason of streams that may go on at no replica that is known. */
+const NO_ORIGIN = "no replica can go on with the stream";
+
+/** A replica that has crashed is back after some seconds. */
+const ORIGIN_RETRY_AFTER: Milliseconds = 2_000;
+
 const RETRY_AFTER: Milliseconds = 250;
 /**
  * Spreads the retries of refused callers, so that they do not arrive together.
@@ -224,10 +233,12 @@
   }
 
   return async function relay(
-    request: DispatchRequest,
+    received: DispatchRequest,
     forwarded: ForwardedRequest,
     caller: Caller,
   ): Promise<RelayResult> {
+    /** Names the software version once an event of the stream is known. */
+    let request = received;
     const excluded = new Set<string>();
     const conversation = request.prompt?.parts.at(-2)?.id;
     const subject = {
@@ -257,10 +268,6 @@
     let lastReason = "no replica";
     /** The attempt whose response is forwarded. */
     let present: RunningAttempt | undefined;
-    if (isTakenUp(request, forwarded)) {
-      const { resumes = "", lastEvent = 0 } = forwarded;
-      logger.log("stream_taken_up", { resumes, lastEvent }, subject);
-    }
     // The daemon that has passed a request on has counted it.
     if (!forwarded.isPassedOn) budget.recordFirstAttempt(request.service);
 
@@ -278,9 +285,19 @@
       return { ending, sends };
     };
 
+    if (isTakenUp(request, forwarded) && !await bindToOrigin()) {
+      if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+      return fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER);
+    }
+
     for (;;) {
       if (options.stopped.aborted) return fail(lastReason, 502);
-      const started = succession.take() ?? await startNext();
+      const successor = succession.take();
+      if (successor !== undefined && !mayGoOnAt(successor.choice)) {
+        withdraw(successor);
+        continue;
+      }
+      const started = successor ?? await startNext();
       if ("ending" in started) return started;
       const { replica } = started.choice;
       const outcome = await finish(started);
@@ -344,6 +361,36 @@
       }
     }
 
+    /** Finds where the stream began; returns false when it cannot go on there. */
+    async function bindToOrigin(): Promise<boolean> {
+      const { resumes, lastEvent = 0 } = forwarded;
+      const { service, route: { targets } } = request;
+      const origin = await options.streams.find(resumes, service);
+      const isRouted = targets.some((target) =>
+        target.service === origin?.service
+      );
+      if (origin !== undefined && isRouted) request = { ...request, ...origin };
+      logger.log("stream_taken_up", {
+        ...{ resumes: resumes ?? "", lastEvent },
+        ...{ service: origin?.service ?? "", software: origin?.software ?? "" },
+      }, subject);
+      return origin !== undefined && isRouted;
+    }
+
+    /** Binds the stream to the replica that has written its first event. */
+    function recordOrigin({ replica: { entry } }: Choice): void {
+      if (request.software !== undefined) return;
+      const software = softwareOf(entry);
+      request = { ...request, software };
+      const { id, service, route } = request;
+      if (route.isResumable) options.streams.record(id, { service, software });
+    }
+
+    function mayGoOnAt({ replica: { entry } }: Choice): boolean {
+      const { software } = request;
+      return software === undefined || softwareOf(entry) === software;
+    }
+
     /**
      * Waits for a place and starts an attempt; returns the result of the request
      * when none may be made.
@@ -357,7 +404,9 @@
       if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
       if (!mayRetry || !placement.hasCandidates(request, excluded)) {
-        return fail(lastReason, 502);
+        return request.software === undefined
+          ? fail(lastReason, 502)
+          : fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER);
       }
       const wait = estimateWait();
       const lastStart = Math.min(request.deadline, waitDeadline());
@@ -850,7 +899,10 @@
             replicas.recordReceived(choice.replica.entry.id);
             guarded.recordReceived();
           },
-          onEvent: guarded.recordEvent,
+          onEvent() {
+            recordOrigin(choice);
+            guarded.recordEvent();
+          },
         });
       }
       return await forwardPlainResponse({
--- a/packages/retries/src/mod.ts
+++ b/packages/retries/src/mod.ts
@@ -11,4 +11,6 @@
 export * from "./hedge.ts";
 export * from "./latency_window.ts";
 export * from "./relay.ts";
+export * from "./software_versions.ts";
+export * from "./stream_origins.ts";
 export * from "./window_budget.ts";
