--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -75,6 +75,8 @@
 
 /** Time after which a record that another daemon had not saved yet is there. */
 const LOOKUP_PAUSE: Milliseconds = 250;
+
+/** Lookups at once; further streams are taken for unknown. */
 const MAX_LOOKUPS = 64;
 
 /** Time for which the recorded versions of a service are not read again. */
@@ -253,9 +255,11 @@
       const known = key === undefined ? undefined : origins.find(key);
       if (known !== undefined || lookups >= MAX_LOOKUPS) return known;
       lookups += 1;
-      const origin = await lookUp(key, service);
-      lookups -= 1;
-      return origin;
+      try {
+        return await lookUp(key, service);
+      } finally {
+        lookups -= 1;
+      }
     },
     renew() {
       recorded.clear();
