Large fleets: collect the records of streams at one daemon in eight

By reckoning, 89 daemons that keep to 100 calls a second together save each 0.9 s, 195 each 1.95 s, longer than most streams last: callers of a killed daemon would be refused (LOST). A daemon gives its records to a collector of its group now, which saves and removes them. With 360 daemons 45 collectors save each 0.45 s, and the others send each 0.15 s. Fleets up to 16 daemons save as before.

No large fleet was run.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -447,9 +447,9 @@
       "The software versions that may have begun streams of a service were recorded.",
   }),
   streams_unsaved: defineEvent(3042, "warn", {
-    fields: { streams: N, outcome: S },
+    fields: { streams: N, collector: S },
     message:
-      "Records of where streams began could not be saved and are tried again.",
+      "Records of where streams began could not be saved, in the store or at a collector, and are tried again.",
   }),
   attempt_ended: defineEvent(3021, "info", {
     fields: { number: N, outcome: S, reason: S, elapsed: N },
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,7 +55,11 @@
 import { createMeters, type ReplicaLimit } from "./meters.ts";
 import type { Address, GatewayOptions, GatewaySettings } from "./options.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
-import { createPeerMesh, type PeerMesh } from "./peer_mesh.ts";
+import {
+  createPeerMesh,
+  DAEMONS_PER_COLLECTOR,
+  type PeerMesh,
+} from "./peer_mesh.ts";
 import { createRegistration } from "./registration.ts";
 import { createReplicaClock } from "./replica_clock.ts";
 import { createRelay } from "./relay.ts";
@@ -114,6 +118,9 @@
 /** A replica that sent data within this time is not treated as silent here. */
 const MAX_LOCAL_SILENCE: Milliseconds = 900;
 
+/** Duty of saving the records of streams. */
+const STREAM_DUTY = "stream records";
+
 /** Reason of attempts that are still open at the end of the grace period. */
 const STOPPING = "the daemon stops";
 
@@ -326,8 +333,13 @@
         replicas.all().filter(({ entry }) => entry.service === service)
           .map(({ entry }) => softwareOf(entry)),
       ),
-    daemons: peerCount,
-    rank: () => rank("stream records"),
+    writers: () =>
+      (mesh?.groupCount() ?? 1) === 1
+        ? peerCount()
+        : Math.ceil(peerCount() / DAEMONS_PER_COLLECTOR),
+    collector: () => mesh?.collector(STREAM_DUTY),
+    send: peerClient.sendStreams,
+    rank: () => rank(STREAM_DUTY),
   });
   const relay = createRelay({
     clock,
@@ -544,6 +556,7 @@
     const peerServer = createPeerServer({
       tables: tables.byName,
       dumpStore: (store) => journal.dump(store),
+      collect: streams.collect,
       onError: (error) =>
         logger.log("handler_failed", { reason: String(error) }),
     });
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -1,6 +1,6 @@
 /**
  * Calls between daemons for what does not fit a datagram: the rows of a followed
- * table, and the contents of a store of cached parts.
+ * table, the contents of a store of cached parts, and records of streams.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { JournalDump } from "@peridotvalve/dispatch";
@@ -12,10 +12,17 @@
   toVersion,
 } from "@peridotvalve/tables";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
-import { createServer, type Server } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { Err, Ok, Result } from "ts-results-es";
 import { z } from "zod";
+import { readBody } from "./caller.ts";
 import type { TablePosition, TableUpdate } from "./followed_rows.ts";
+import type { OriginRecord } from "./stream_records.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 const CALL_TIMEOUT: Milliseconds = 1_000;
@@ -28,8 +35,11 @@
 
 const MAX_RESPONSE_BYTES: Bytes = 8 * 1_024 * 1_024;
 
+const MAX_REQUEST_BYTES: Bytes = 64 * 1_024;
+
 const ROWS_PATH = "/rows/";
 const STORES_PATH = "/stores/";
+const STREAMS_PATH = "/streams";
 
 /** A larger one would keep the rows of the store out for good. */
 const VERSION = z.number().int().nonnegative().max(toVersion(MAX_ERA, 0));
@@ -56,16 +66,23 @@
   })),
 });
 
+const STREAMS = z.array(z.tuple([
+  z.string().regex(/^[0-9a-f]{32}$/),
+  z.object({ service: z.string().max(200), software: z.string().max(200) }),
+])).max(100);
+
 export interface PeerServerOptions {
   /** Followed tables that peers may read, by name. */
   readonly tables: ReadonlyMap<string, TableFollower>;
   readonly dumpStore: (store: string) => JournalDump | undefined;
+  /** Takes the records of streams of a peer. */
+  readonly collect: (records: readonly OriginRecord[]) => void;
   /** Called when a call cannot be answered; the peer gets 500. */
   readonly onError: (error: unknown) => void;
 }
 
 export function createPeerServer(
-  { tables, dumpStore, onError }: PeerServerOptions,
+  { tables, dumpStore, collect, onError }: PeerServerOptions,
 ): Server {
   function find(url: URL): unknown {
     const path = decodeURIComponent(url.pathname);
@@ -80,10 +97,27 @@
       ?.changesSince({ content, version });
   }
 
+  async function takeStreams(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const body = await readBody(request, MAX_REQUEST_BYTES);
+    const text = body.kind === "complete" && body.bytes !== undefined
+      ? Buffer.from(body.bytes).toString()
+      : "";
+    const read = STREAMS.safeParse(parseJson(text));
+    if (read.success) collect(read.data);
+    response.writeHead(read.success ? 200 : 400).end();
+  }
+
   return createServer({ keepAliveTimeout: IDLE_TIMEOUT }, (
     request,
     response,
   ) => {
+    if (request.method === "POST" && request.url === STREAMS_PATH) {
+      takeStreams(request, response).catch(onError);
+      return;
+    }
     const composed = Result.wrap(() => {
       const body = find(new URL(request.url ?? "/", "http://peer"));
       return body === undefined ? undefined : JSON.stringify(body);
@@ -112,6 +146,11 @@
     address: string,
     store: string,
   ): Promise<Result<JournalDump, string>>;
+  /** Gives records of streams to a collector; returns false on a failure. */
+  sendStreams(
+    address: string,
+    records: readonly OriginRecord[],
+  ): Promise<boolean>;
   close(): void;
 }
 
@@ -156,6 +195,13 @@
       const path = `${STORES_PATH}${encodeURIComponent(store)}`;
       return call(address, path, DUMP);
     },
+    async sendStreams(address, records) {
+      const exchange = await clientOf(address).send({
+        ...{ method: "POST", path: STREAMS_PATH },
+        body: JSON.stringify(records),
+      }, CALL_TIMEOUT);
+      return exchange.kind === "answered" && exchange.status === 200;
+    },
     close() {
       for (const client of clients.values()) {
         // The process ends; there is nobody left to tell.
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -97,6 +97,7 @@
     readStore(): ReturnType<PeerClient["readStore"]> {
       return Promise.resolve(Err("not asked in this test"));
     }
+    sendStreams = () => Promise.resolve(false);
     close(): void {}
   })();
   const daemons = peers.map((peer) =>
@@ -104,6 +105,7 @@
       ...{ clock, network, peers, followers, store },
       calls: {
         readStore: calls.readStore,
+        sendStreams: calls.sendStreams,
         close: calls.close,
         readRows: (address, query) =>
           cutCallers.has(peer.name)
@@ -345,6 +347,27 @@
   for (const { stop } of daemons) stop.abort();
 });
 
+// Guards against records of streams that wait for the calls to the store of a
+// large fleet, and against all of them at one daemon.
+test("a few daemons of each zone collect for the others", async () => {
+  const { clock, daemons } = createFleet(10);
+  await advance(clock, 3_000);
+  for (const zone of ZONES) {
+    const members = daemons.filter((daemon) => daemon.zone === zone);
+    const collectors = members.filter(({ mesh }) =>
+      mesh.collector("records") === undefined
+    );
+    expect(collectors.length).toEqual(2);
+    const chosen = members.flatMap(({ mesh }) =>
+      mesh.collector("records") ?? []
+    );
+    expect(chosen.length).toEqual(8);
+    const addresses = collectors.map(({ calls }) => calls);
+    expect(new Set(chosen)).toEqual(new Set(addresses));
+  }
+  for (const { stop } of daemons) stop.abort();
+});
+
 // Guards against DRAIN after the store returned from a copy: a daemon that does
 // not read the list gives missing replicas their time too late.
 test("neighbors tell each other that the store has returned", async () => {
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -94,6 +94,11 @@
   abstract setDraining(): void;
   /** Place of this daemon among the live neighbors for a duty; 0 goes first. */
   abstract rank(duty: string): number;
+  /**
+   * Address for calls of the neighbor that collects for this daemon, in a fleet
+   * with several groups; undefined when this daemon is a collector itself.
+   */
+  abstract collector(duty: string): string | undefined;
   abstract liveCount(): number;
   /** Number of groups of neighbors in the fleet. */
   abstract groupCount(): number;
@@ -109,6 +114,9 @@
 /** Fleets of at most this size have one group of neighbors. */
 const MAX_SINGLE_GROUP = 16;
 
+/** Daemons of one group whose records one of them collects. */
+export const DAEMONS_PER_COLLECTOR = 8;
+
 const PACE: Pace = {
   bytesPerSecond: 48_000,
   datagramsPerSecond: 50,
@@ -519,6 +527,19 @@
       return rank < 0 ? membership.live().length : rank;
     }
 
+    override collector(duty: string): string | undefined {
+      if (isSingleGroup()) return undefined;
+      const ranked = membership.readers(duty, Infinity);
+      const collectors = Math.ceil(ranked.length / DAEMONS_PER_COLLECTOR);
+      const place = ranked.indexOf(name);
+      const chosen = place < collectors
+        ? undefined
+        : ranked[place % collectors];
+      return chosen === undefined
+        ? undefined
+        : registration.find(chosen)?.calls;
+    }
+
     override liveCount(): number {
       return membership.live().length;
     }
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import { test } from "node:test";
 import { Err, Ok } from "ts-results-es";
-import { createStreamRecords } from "./stream_records.ts";
+import { createStreamRecords, type StreamRecords } from "./stream_records.ts";
 
 const SERVICE = "llm";
 const unavailable = { kind: "unavailable", reason: "away" } as const;
@@ -73,6 +73,7 @@
   clock: ManualClock,
   store: Store,
   versions: readonly string[],
+  collector?: StreamRecords,
 ) {
   const present = new Set(versions);
   const stop = new AbortController();
@@ -80,7 +81,12 @@
     ...{ clock, logger: silentLogger, store, name: "front" },
     services: () => [SERVICE],
     versionsOf: () => present,
-    daemons: () => 6,
+    writers: () => 6,
+    collector: () => collector === undefined ? undefined : "10.0.0.1:8000",
+    send(_collector, sent) {
+      collector?.collect(sent);
+      return Promise.resolve(true);
+    },
     rank: () => 0,
   });
   void records.run(stop.signal);
@@ -133,6 +139,24 @@
   next.end();
 });
 
+// Guards against streams of a large fleet that are not known after a power loss.
+test("a collector saves and removes the records of its neighbors", async () => {
+  const clock = createManualClock();
+  const { store, countOf } = createStore();
+  const collector = startDaemon(clock, store, ["v1", "v2"]);
+  const other = startDaemon(clock, store, ["v1", "v2"], collector.records);
+  await advance(clock, 1_000);
+  other.records.record("a", { service: SERVICE, software: "v1" });
+  await advance(clock, 400);
+  other.end();
+  expect(countOf("streams")).toEqual(1);
+  const next = startDaemon(clock, store, ["v2"]);
+  expect(await find(clock, next, "a")).toEqual("v1");
+  await advance(clock, 31_000);
+  expect(countOf("streams")).toEqual(0);
+  for (const { end } of [collector, next]) end();
+});
+
 // Guards against ORDER while the store is away: the only listed version is taken
 // for that of a stream whose version has left.
 test("nothing is assumed while the recorded versions cannot be read", async () => {
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -2,13 +2,16 @@
  * Knows at which software version a stream began that a caller takes up. A
  * daemon remembers the streams that it has begun. Beyond its own memory, the
  * store holds a row for each service with the versions that streams may have
- * begun at, and, for services with several versions, a row for each stream.
+ * begun at, and, for services with several versions, a row for each stream. In a
+ * large fleet a few neighbors collect the rows of the others, so that the calls to
+ * the store do not delay the records.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
 import {
   createSoftwareVersions,
   createStreamOrigins,
+  type OriginBatch,
   type StreamOrigin,
 } from "@peridotvalve/retries";
 import type { Json, Platform, Row, RowWrite } from "@peridotvalve/tables";
@@ -16,6 +19,9 @@
 import { createHash } from "node:crypto";
 import { z } from "zod";
 
+/** Where the stream with a key began. */
+export type OriginRecord = readonly [key: string, origin: StreamOrigin];
+
 export interface StreamRecords {
   /** Records the first event of a stream. */
   record(request: string, origin: StreamOrigin): void;
@@ -28,6 +34,8 @@
     request: string | undefined,
     service: string,
   ): Promise<StreamOrigin | undefined>;
+  /** Takes records of a neighbor, to save and to remove them in its place. */
+  collect(records: readonly OriginRecord[]): void;
   /** Saves the records anew, because the store may have lost them. */
   renew(): void;
   run(signal: AbortSignal): Promise<void>;
@@ -42,8 +50,18 @@
   readonly services: () => readonly string[];
   /** Software versions of the listed replicas of a service. */
   readonly versionsOf: (service: string) => ReadonlySet<string>;
-  /** Number of daemons that write records. */
-  readonly daemons: () => number;
+  /** Number of daemons that write records to the store. */
+  readonly writers: () => number;
+  /**
+   * Address of the neighbor that saves the records of this daemon; undefined
+   * when it saves them itself.
+   */
+  readonly collector: () => string | undefined;
+  /** Gives records to a collector; returns false when it has not taken them. */
+  readonly send: (
+    collector: string,
+    records: readonly OriginRecord[],
+  ) => Promise<boolean>;
   /** Place of this daemon for the removal of what ended daemons have left. */
   readonly rank: () => number;
 }
@@ -162,10 +180,7 @@
     recorded.set(service, toText(wanted));
   }
 
-  async function saveOrigins(): Promise<void> {
-    const batch = origins.takeBatch(MAX_ENTRIES);
-    const { saves, removals } = batch;
-    if (saves.length + removals.length === 0) return;
+  async function save({ saves, removals }: OriginBatch): Promise<boolean> {
     const settled = await transact([
       ...saves.map(([key, origin]) => ({
         ...{ table: ORIGIN_TABLE, key },
@@ -173,12 +188,20 @@
       })),
       ...removals.map((key) => ({ table: ORIGIN_TABLE, key, value: null })),
     ]);
-    if (settled.kind === "done") return;
+    return settled.kind === "done";
+  }
+
+  async function saveOrigins(collector: string | undefined): Promise<void> {
+    const batch = origins.takeBatch(MAX_ENTRIES);
+    const streams = batch.saves.length;
+    if (streams + batch.removals.length === 0) return;
+    // A collector removes the records itself that it has taken.
+    const isSaved = collector === undefined
+      ? await save(batch)
+      : streams === 0 || await options.send(collector, batch.saves);
+    if (isSaved) return;
     origins.giveBack(batch);
-    logger.log("streams_unsaved", {
-      streams: saves.length,
-      outcome: settled.kind,
-    });
+    logger.log("streams_unsaved", { streams, collector: collector ?? "" });
   }
 
   async function keepVersions(signal: AbortSignal): Promise<void> {
@@ -191,8 +214,11 @@
 
   async function keepOrigins(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await saveOrigins();
-      const period = options.daemons() * FLEET_WRITE_INTERVAL;
+      const collector = options.collector();
+      await saveOrigins(collector);
+      const period = collector === undefined
+        ? options.writers() * FLEET_WRITE_INTERVAL
+        : 0;
       await clock.sleep(Math.max(CHECK_PERIOD, period), signal);
     }
   }
@@ -261,6 +287,9 @@
         lookups -= 1;
       }
     },
+    collect(records) {
+      for (const [key, origin] of records) origins.record(key, origin);
+    },
     renew() {
       recorded.clear();
       versionsReadAt.clear();
