LOST: read what has been sent before the intake closes at a shutdown

Cause: a process that comes late runs the timer that closes the intake before it reads its sockets, and accepts one connection in a turn of the event loop.

Change: the daemon reads until three turns brought nothing, for 0.3 s at most, before it closes the intake.

--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -56,6 +56,8 @@
   abstract inFlight(): number;
   /** Closes each connection after its current response. */
   abstract disableKeepAlive(): void;
+  /** Accepts and reads what has been sent so far, for a limited time. */
+  abstract readBacklog(): Promise<void>;
   /**
    * Accepts no more connections, closes those without a request, and refuses
    * each further request. May be called again, for connections that have become
@@ -91,6 +93,16 @@
   HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
 };
 
+/**
+ * Turns of the event loop without a new connection or request after which
+ * everything that was sent before has been read: a connection is accepted in one
+ * turn and read in the next.
+ */
+const QUIET_TURNS = 3;
+
+/** Time for which a daemon that closes its intake reads what has been sent. */
+const MAX_BACKLOG_TIME: Milliseconds = 300;
+
 /**
  * Delay after which a caller may retry while this daemon has no desired state.
  */
@@ -100,6 +112,8 @@
   const { clock, logger, headerCodec, holder, relay, meters } = options;
   let isKeepAliveDisabled = false;
   let isIntakeClosed = false;
+  /** Connections and requests so far. */
+  let arrivals = 0;
   const callers = createListener({ isForNeighbors: false });
   const neighbors = createListener({ isForNeighbors: true });
   const { server } = callers;
@@ -113,11 +127,13 @@
       requestTimeout: 0,
       noDelay: true,
     }, (request, response) => {
+      arrivals += 1;
       handle(request, response, listener).catch((error: unknown) => {
         logger.log("handler_failed", { reason: String(error) });
         response.destroy();
       });
     });
+    server.on("connection", () => arrivals += 1);
     const connections = trackServerConnections(server);
     const listener = { server, connections, isForNeighbors };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
@@ -331,6 +347,16 @@
       isKeepAliveDisabled = true;
     }
 
+    override async readBacklog(): Promise<void> {
+      const end = clock.monotonic() + MAX_BACKLOG_TIME;
+      let quietTurns = 0;
+      while (quietTurns < QUIET_TURNS && clock.monotonic() < end) {
+        const before = arrivals;
+        await new Promise((resolve) => setImmediate(resolve));
+        quietTurns = arrivals === before ? quietTurns + 1 : 0;
+      }
+    }
+
     override closeIntake(): void {
       for (const listener of [callers, neighbors]) {
         if (!isIntakeClosed) listener.server.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -690,6 +690,8 @@
       const end = started + settings.grace - GRACE_MARGIN;
       shutdown.begin(end);
       await clock.sleep(Math.min(READINESS_NOTICE, settings.grace / 2));
+      // A late process runs its timers before it reads what waits.
+      await frontend.readBacklog();
       frontend.closeIntake();
       while (frontend.inFlight() > 0 && clock.monotonic() < end) {
         await clock.sleep(DRAIN_POLL_PERIOD);
