Log records of streams that cannot be read from the store

A lookup that failed left only a line with an empty origin, so that a store that could not be read looked like a record that was never saved. stream_records.test.ts and the tests of events pass; nothing decides differently.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -446,6 +446,11 @@
     message:
       "The software versions that may have begun streams of a service were recorded.",
   }),
+  streams_unread: defineEvent(3043, "warn", {
+    fields: { table: S, reason: S },
+    message:
+      "Records of streams or of software versions cannot be read from the store.",
+  }),
   streams_unsaved: defineEvent(3042, "warn", {
     fields: { streams: N, collector: S },
     message:
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -14,7 +14,7 @@
   type OriginBatch,
   type StreamOrigin,
 } from "@peridotvalve/retries";
-import type { Json, Platform, Row, RowWrite } from "@peridotvalve/tables";
+import type { Platform, Row, RowWrite } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import { createHash } from "node:crypto";
 import { z } from "zod";
@@ -138,6 +138,10 @@
     return store.transact({ id, checks, writes }, STORE_TIMEOUT);
   }
 
+  function logUnread(table: string, reason: string): void {
+    logger.log("streams_unread", { table, reason });
+  }
+
   /** Reads the row of a service; undefined when the store does not answer. */
   async function recall(
     service: string,
@@ -147,7 +151,10 @@
   > {
     const key = { table: VERSION_TABLE, key: service };
     const read = await store.readRow(key, timeout);
-    if (read.isErr()) return undefined;
+    if (read.isErr()) {
+      logUnread(VERSION_TABLE, read.error.reason);
+      return undefined;
+    }
     const parsed = VERSIONS.safeParse(read.value?.value ?? []);
     if (!parsed.success) {
       logger.log("entry_rejected", { key: service, reason: "not versions" });
@@ -231,7 +238,10 @@
       if (signal.aborted || options.rank() > 0) continue;
       const range = { table: ORIGIN_TABLE, prefix: "", limit: MAX_SWEPT };
       const read = await store.readRows(range, STORE_TIMEOUT);
-      if (read.isErr()) continue;
+      if (read.isErr()) {
+        logUnread(ORIGIN_TABLE, read.error.reason);
+        continue;
+      }
       const nameOf = ({ key, version }: Row) => `${key}@${version}`;
       const left = read.value.rows.filter((row) => earlier.has(nameOf(row)));
       earlier = new Set(read.value.rows.map(nameOf));
@@ -249,9 +259,14 @@
   async function readOrigin(key: string): Promise<StreamOrigin | undefined> {
     const row = { table: ORIGIN_TABLE, key };
     const read = await store.readRow(row, LOOKUP_TIMEOUT);
-    const value: Json | undefined = read.unwrapOr(undefined)?.value;
-    const origin = ORIGIN.safeParse(value).data;
+    if (read.isErr()) {
+      logUnread(ORIGIN_TABLE, read.error.reason);
+      return undefined;
+    }
+    if (read.value === undefined) return undefined;
+    const origin = ORIGIN.safeParse(read.value.value).data;
     if (origin !== undefined) origins.remember(key, origin);
+    else logger.log("entry_rejected", { key, reason: "not an origin" });
     return origin;
   }
 
