LOST: save origins of streams sooner, and name no wait for unknown ones

Cause: origins were saved each 150 ms, so that streams begun just before the end were unknown, and their callers were told to come back after 2 s, although a record that the store does not have will not come.

Change: origins are saved each 50 ms, or 10 ms times the daemons that write. A stream of which the store has no record gets the usual Retry-After; 2 s are named only while the records cannot be read.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -285,9 +285,9 @@
       return { ending, sends };
     };
 
-    if (isTakenUp(request, forwarded) && !await bindToOrigin()) {
-      if (caller.hasDisconnected()) return end({ kind: "abandoned" });
-      return fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER);
+    if (isTakenUp(request, forwarded)) {
+      const refused = await bindToOrigin();
+      if (refused !== undefined) return refused;
     }
 
     for (;;) {
@@ -361,20 +361,25 @@
       }
     }
 
-    /** Finds where the stream began; returns false when it cannot go on there. */
-    async function bindToOrigin(): Promise<boolean> {
+    /** Binds a stream to where it began; refuses one that cannot go on there. */
+    async function bindToOrigin(): Promise<RelayResult | undefined> {
       const { resumes, lastEvent = 0 } = forwarded;
-      const { service, route: { targets } } = request;
-      const origin = await options.streams.find(resumes, service);
-      const isRouted = targets.some((target) =>
-        target.service === origin?.service
-      );
-      if (origin !== undefined && isRouted) request = { ...request, ...origin };
+      const found = await options.streams.find(resumes, request.service);
+      const origin = typeof found === "string" ? undefined : found;
       logger.log("stream_taken_up", {
         ...{ resumes: resumes ?? "", lastEvent },
         ...{ service: origin?.service ?? "", software: origin?.software ?? "" },
       }, subject);
-      return origin !== undefined && isRouted;
+      if (caller.hasDisconnected()) return end({ kind: "abandoned" });
+      const { targets } = request.route;
+      if (targets.some(({ service }) => service === origin?.service)) {
+        request = { ...request, ...origin };
+        return undefined;
+      }
+      // To wait is of use only where the records may be read later.
+      return found === "unread"
+        ? fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER)
+        : fail(NO_ORIGIN, 502);
     }
 
     /** Binds the stream to the replica that has written its first event. */
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -105,7 +105,8 @@
 ) {
   const found = records.find(id, SERVICE);
   await advance(clock, 500);
-  return (await found)?.software;
+  const origin = await found;
+  return typeof origin === "object" ? origin.software : origin;
 }
 
 test("a service with one version costs no calls but the first", async () => {
@@ -135,7 +136,7 @@
   const next = startDaemon(clock, store, ["v2"]);
   expect(await find(clock, next, "a")).toEqual("v1");
   expect(await find(clock, next, "b")).toEqual("v2");
-  expect(await find(clock, next, "c")).toEqual(undefined);
+  expect(await find(clock, next, "c")).toEqual("unknown");
   next.end();
 });
 
@@ -165,7 +166,7 @@
   setAway(true);
   const daemon = startDaemon(clock, store, ["v2"]);
   await advance(clock, 1_000);
-  expect(await find(clock, daemon, "a")).toEqual(undefined);
+  expect(await find(clock, daemon, "a")).toEqual("unread");
   daemon.records.record("b", { service: SERVICE, software: "v2" });
   expect(await find(clock, daemon, "b")).toEqual("v2");
   setAway(false);
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -19,6 +19,12 @@
 import { createHash } from "node:crypto";
 import { z } from "zod";
 
+/**
+ * Where a stream began. "unknown": no daemon has saved it, and none will.
+ * "unread": the records could not be read now.
+ */
+export type FoundOrigin = StreamOrigin | "unknown" | "unread";
+
 /** Where the stream with a key began. */
 export type OriginRecord = readonly [key: string, origin: StreamOrigin];
 
@@ -26,14 +32,10 @@
   /** Records the first event of a stream. */
   record(request: string, origin: StreamOrigin): void;
   /**
-   * Finds where the stream of a request began; undefined when it is not known.
-   * Without a request, as when the caller names none, it is known while the
-   * service has had one version only.
+   * Finds where the stream of a request began. Without a request, as when the
+   * caller names none, it is known while the service has had one version only.
    */
-  find(
-    request: string | undefined,
-    service: string,
-  ): Promise<StreamOrigin | undefined>;
+  find(request: string | undefined, service: string): Promise<FoundOrigin>;
   /** Takes records of a neighbor, to save and to remove them in its place. */
   collect(records: readonly OriginRecord[]): void;
   /** Saves the records anew, because the store may have lost them. */
@@ -74,6 +76,12 @@
 
 const CHECK_PERIOD: Milliseconds = 150;
 
+/**
+ * Interval between two batches. What is not saved when a daemon is killed cannot
+ * be taken up.
+ */
+const SAVE_PERIOD: Milliseconds = 50;
+
 /** All daemons together make at most 100 writing calls a second. */
 const FLEET_WRITE_INTERVAL: Milliseconds = 10;
 
@@ -92,9 +100,9 @@
 const LOOKUP_TIMEOUT: Milliseconds = 400;
 
 /** Time after which a record that another daemon had not saved yet is there. */
-const LOOKUP_PAUSE: Milliseconds = 250;
+const LOOKUP_PAUSE: Milliseconds = 200;
 
-/** Lookups at once; further streams are taken for unknown. */
+/** Lookups at once; further callers come back. */
 const MAX_LOOKUPS = 64;
 
 /** Time for which the recorded versions of a service are not read again. */
@@ -226,7 +234,7 @@
       const period = collector === undefined
         ? options.writers() * FLEET_WRITE_INTERVAL
         : 0;
-      await clock.sleep(Math.max(CHECK_PERIOD, period), signal);
+      await clock.sleep(Math.max(SAVE_PERIOD, period), signal);
     }
   }
 
@@ -256,33 +264,36 @@
     }
   }
 
-  async function readOrigin(key: string): Promise<StreamOrigin | undefined> {
+  async function readOrigin(key: string): Promise<FoundOrigin> {
     const row = { table: ORIGIN_TABLE, key };
     const read = await store.readRow(row, LOOKUP_TIMEOUT);
     if (read.isErr()) {
       logUnread(ORIGIN_TABLE, read.error.reason);
-      return undefined;
+      return "unread";
     }
-    if (read.value === undefined) return undefined;
+    if (read.value === undefined) return "unknown";
     const origin = ORIGIN.safeParse(read.value.value).data;
-    if (origin !== undefined) origins.remember(key, origin);
-    else logger.log("entry_rejected", { key, reason: "not an origin" });
+    if (origin === undefined) {
+      logger.log("entry_rejected", { key, reason: "not an origin" });
+      return "unknown";
+    }
+    origins.remember(key, origin);
     return origin;
   }
 
   async function lookUp(
     key: string | undefined,
     service: string,
-  ): Promise<StreamOrigin | undefined> {
+  ): Promise<FoundOrigin> {
     observe();
     const age = clock.monotonic() - (versionsReadAt.get(service) ?? -Infinity);
     // Another daemon may have seen a further version before this one.
     if (age > VERSIONS_EXPIRY) await recall(service, LOOKUP_TIMEOUT);
     const software = versions.sole(service);
     if (software !== undefined) return { service, software };
-    if (key === undefined) return undefined;
+    if (key === undefined) return "unknown";
     const origin = await readOrigin(key);
-    if (origin !== undefined) return origin;
+    if (typeof origin === "object") return origin;
     await clock.sleep(LOOKUP_PAUSE);
     return await readOrigin(key);
   }
@@ -294,7 +305,8 @@
     async find(request, service) {
       const key = request === undefined ? undefined : keyOf(request);
       const known = key === undefined ? undefined : origins.find(key);
-      if (known !== undefined || lookups >= MAX_LOOKUPS) return known;
+      if (known !== undefined) return known;
+      if (lookups >= MAX_LOOKUPS) return "unread";
       lookups += 1;
       try {
         return await lookUp(key, service);
