--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -74,6 +74,7 @@
 /** Longer than a stream and all tries of its caller last. */
 const STREAM_LIFETIME: Milliseconds = 30_000;
 
+/** Interval between two looks at the versions of the listed replicas. */
 const CHECK_PERIOD: Milliseconds = 150;
 
 /**
