Relay: move the steps of one attempt into modules of their own

attempt_sending.ts composes the headers of an attempt, records what has been sent and starts the watch. attempt_steps.ts reads the head of the response, forwards the response and records how the attempt ended. The relay keeps placement, retries and the final answer. Behavior is unchanged.

--- /dev/null
+++ b/packages/gateway/src/attempt_steps.ts
@@ -0,0 +1,263 @@
+/**
+ * The steps of one attempt after it has been sent: receives the head of the
+ * response, forwards the response to the caller, and records how the attempt
+ * ended.
+ */
+import type { Places, Statements } from "@peridotvalve/backpressure";
+import { createByteBudget } from "@peridotvalve/connections";
+import type {
+  Choice,
+  PlacementQueue,
+  WeightTargets,
+} from "@peridotvalve/dispatch";
+import type { WindowBudget } from "@peridotvalve/retries";
+import {
+  type AttemptedRequest,
+  type AttemptSending,
+  type AttemptSendingOptions,
+  createAttemptSending,
+  type Placed,
+  type SendTerms,
+  type SentAttempt,
+} from "./attempt_sending.ts";
+import type { AttemptOutcome } from "./attempt_watch.ts";
+import type { AttemptFailure, ResponseHead } from "./connection_pools.ts";
+import type { ResponseMetadata } from "./header_codec.ts";
+import type { Meters } from "./meters.ts";
+import { createReplicaFeedback } from "./replica_feedback.ts";
+import {
+  discardBody,
+  forwardPlainResponse,
+  forwardStream,
+  MAX_BUFFERED_TOGETHER,
+} from "./response_forwarding.ts";
+import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
+import type { Reception } from "./succession.ts";
+
+export interface AttemptStepsOptions extends AttemptSendingOptions {
+  readonly statements: Statements;
+  readonly places: Places;
+  readonly weights: WeightTargets;
+  readonly queue: PlacementQueue;
+  readonly budget: WindowBudget;
+  readonly meters: Meters;
+}
+
+export interface RunningAttempt extends SentAttempt {
+  readonly reception: Promise<Reception<ResponseHead>>;
+}
+
+export interface SteppedRequest extends AttemptedRequest {
+  /** True when another attempt may follow the present one. */
+  readonly mayReplace: () => boolean;
+  /** Called when data of the attempt whose response is forwarded arrives. */
+  readonly keepPresent: () => void;
+  /** Called for each complete event of a stream. */
+  readonly onEvent: (choice: Choice) => void;
+  /** Called when the connection of an attempt was broken off by its replica. */
+  readonly onBreakOff: () => void;
+}
+
+export interface AttemptSteps
+  extends Pick<AttemptSending, "isOutdated" | "prefillTime"> {
+  /** Sends the request to the replica of the place. */
+  start(placed: Placed, terms: SendTerms): RunningAttempt;
+  /** Forwards the response of an attempt; returns how the attempt ended. */
+  finish(running: RunningAttempt): Promise<AttemptOutcome>;
+  /** Records the end of an attempt whose response is not forwarded. */
+  settle(running: RunningAttempt, outcome: AttemptOutcome): void;
+}
+
+export function createAttemptSteps(
+  options: AttemptStepsOptions,
+): (stepped: SteppedRequest) => AttemptSteps {
+  const { clock, logger, pools, replicas, prefillRates, meters } = options;
+  const { statements, pushback, places, queue, budget, weights } = options;
+  const createSending = createAttemptSending(options);
+  const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
+  const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
+
+  function recordStatement(
+    { replica: { entry } }: Choice,
+    { replica, isMisdirected, statement = {}, ...metadata }: ResponseMetadata,
+  ): void {
+    const { malformed, retryAfter = 0 } = metadata;
+    for (const reason of malformed ?? []) statements.reject(entry, reason);
+    // Another incarnation at the same address answers a misdirected request.
+    const sender = replica ?? (isMisdirected ? undefined : entry.id);
+    if (sender !== entry.id) return;
+    statements.record(entry, statement);
+    pushback.record(entry, retryAfter);
+  }
+
+  return (stepped) => {
+    const { current, caller, subject, progress, keepPresent } = stepped;
+    const sending = createSending(stepped);
+    const { isOutdated, prefillTime } = sending;
+
+    function start(placed: Placed, terms: SendTerms): RunningAttempt {
+      const sent = sending.send(placed, terms);
+      return { ...sent, reception: receive(sent) };
+    }
+
+    async function finish(running: RunningAttempt): Promise<AttemptOutcome> {
+      try {
+        const outcome = await awaitOutcome(running);
+        recordEnd(running, outcome);
+        return outcome;
+      } finally {
+        giveBack(running);
+      }
+    }
+
+    function settle(running: RunningAttempt, outcome: AttemptOutcome): void {
+      recordEnd(running, outcome);
+      giveBack(running);
+    }
+
+    function recordEnd(running: RunningAttempt, outcome: AttemptOutcome): void {
+      const { attempt, choice, guarded, number } = running;
+      const request = current();
+      const upstream = choice.replica.entry.id;
+      const wasBrokenOff = attempt.wasBrokenOff();
+      if (wasBrokenOff) stepped.onBreakOff();
+      guarded.recordEnd(outcome, wasBrokenOff);
+      replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
+      const { kind } = outcome;
+      meters.recordAttempt(
+        request.service,
+        kind === "done" ? "answered" : kind,
+      );
+      if (kind !== "done") {
+        logger.log("attempt_ended", {
+          number,
+          outcome: kind,
+          reason: "reason" in outcome ? outcome.reason : "",
+          elapsed: clock.monotonic() - running.startedAt,
+        }, { ...subject, upstream });
+      }
+    }
+
+    function giveBack({ watch, guarded, trackedRequest }: RunningAttempt) {
+      watch.stop();
+      guarded.release();
+      trackedRequest.end();
+      queue.retry();
+    }
+
+    /** Reads the head of the response. */
+    async function receive(
+      { attempt, check, choice, watch }: SentAttempt,
+    ): Promise<Reception<ResponseHead>> {
+      const ended = (outcome: AttemptOutcome) =>
+        ({ kind: "ended", outcome }) as const;
+      const result = await attempt.head;
+      if (result.isErr()) {
+        const cause = watch.cause();
+        const isUnsent = result.error.kind === "unsent" &&
+          cause?.kind === "withdrawn";
+        return ended(
+          cause === undefined || isUnsent ? toOutcome(result.error) : cause,
+        );
+      }
+      const head = result.value;
+      const metadata = check.metadata();
+      recordStatement(choice, metadata);
+      replicaFeedback.recordWeights(choice, current().prompt?.model, metadata);
+      if (metadata.isRefusal) {
+        if (!metadata.isMisdirected) places.recordRefusal(choice.replica.entry);
+        await discardBody(attempt);
+        const reason = `replica refused with ${head.status}`;
+        const misdirected = metadata.isMisdirected;
+        return ended({
+          ...{ kind: "not run", reason, misdirected },
+          answer: metadata,
+        });
+      }
+      const flaw = check.findFlaw(head);
+      if (flaw !== undefined) {
+        attempt.cancel(flaw);
+        return ended({ kind: "lost", reason: flaw });
+      }
+      return { kind: "accepted", head };
+    }
+
+    async function awaitOutcome(
+      running: RunningAttempt,
+    ): Promise<AttemptOutcome> {
+      const { attempt, choice, watch, trackedRequest, guarded } = running;
+      const { startedAt } = running;
+      const request = current();
+      const isStream = request.route.kind === "stream";
+      const mayReplace = stepped.mayReplace();
+      const limitPlainSilence = () =>
+        watch.limitSilence(silenceLimit(request.route));
+      if (mayReplace && isStream) {
+        const limit = MAX_SILENCE + sending.prefillTime(choice);
+        watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
+      } else if (mayReplace) limitPlainSilence();
+      const reception = await running.reception;
+      if (reception.kind === "ended") return reception.outcome;
+      keepPresent();
+      const { head } = reception;
+      const common = {
+        clock,
+        attempt,
+        head,
+        caller,
+        watch,
+        progress,
+        arrivedAt: request.arrivedAt,
+      };
+      let hasFirstEvent = false;
+      const recordFirstEvent = () => {
+        hasFirstEvent = true;
+        queue.retry();
+        const elapsed = clock.monotonic() - startedAt;
+        const tokens = choice.load.unread + choice.unread;
+        prefillRates.recordFirstToken(request.service, { tokens, elapsed });
+      };
+      if (isStream && isEventStream(head)) {
+        return await forwardStream({
+          ...common,
+          gapLimit: mayReplace ? gapLimit(request.route) : undefined,
+          onData() {
+            keepPresent();
+            trackedRequest.recordFirstToken();
+            if (!hasFirstEvent) recordFirstEvent();
+            replicas.recordReceived(choice.replica.entry.id);
+            guarded.recordReceived();
+          },
+          onEvent() {
+            stepped.onEvent(choice);
+            guarded.recordEvent();
+          },
+        });
+      }
+      return await forwardPlainResponse({
+        ...common,
+        memory,
+        mayRetry: () => mayReplace && budget.left(request.service) >= 1,
+        onData() {
+          keepPresent();
+          replicas.recordReceived(choice.replica.entry.id);
+          guarded.recordReceived();
+          if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
+        },
+      });
+    }
+
+    return { start, finish, settle, isOutdated, prefillTime };
+  };
+}
+
+const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
+
+function isEventStream({ status, headers }: ResponseHead): boolean {
+  const type = headers["content-type"];
+  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
+}
+
+function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
+  return { kind, reason };
+}
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -9,101 +9,43 @@
  */
 import type {
   ReplicaContact,
-  SendGate,
   ShutdownAdmission,
 } from "@peridotvalve/admission";
-import type {
-  Limits,
-  Places,
-  Pushback,
-  Statements,
-} from "@peridotvalve/backpressure";
-import type { Clock } from "@peridotvalve/clock";
-import { createByteBudget } from "@peridotvalve/connections";
+import type { Limits } from "@peridotvalve/backpressure";
 import {
   type AnswerTimes,
-  type CacheView,
   type Choice,
   type DispatchRequest,
   isRetryable,
-  MAX_FETCH,
   type Placement,
-  type PlacementQueue,
-  type PrefillRates,
   priorityOf,
-  type ReplicaTable,
   softwareOf,
-  type TransferPlanner,
-  type WeightTargets,
 } from "@peridotvalve/dispatch";
-import type { EventLogger } from "@peridotvalve/events";
-import type { LoadView, TrackedRequest } from "@peridotvalve/load";
-import type { WindowBudget } from "@peridotvalve/retries";
-import type { Milliseconds, Timestamp } from "@peridotvalve/types";
-import {
-  discardBody,
-  forwardPlainResponse,
-  forwardStream,
-  MAX_BUFFERED_TOGETHER,
-  type ResponseProgress,
-} from "./response_forwarding.ts";
+import type { LoadView } from "@peridotvalve/load";
+import type { Milliseconds } from "@peridotvalve/types";
+import type { Placed, SendTerms } from "./attempt_sending.ts";
 import {
-  type AttemptOutcome,
-  type AttemptWatch,
-  watchAttempt,
-} from "./attempt_watch.ts";
+  type AttemptStepsOptions,
+  createAttemptSteps,
+  type RunningAttempt,
+} from "./attempt_steps.ts";
 import { type Caller, SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN } from "./caller.ts";
-import type { CrashGuard, GuardedAttempt } from "./crash_guard.ts";
-import {
-  type Attempt,
-  type AttemptFailure,
-  type ConnectionPools,
-  type ResponseHead,
-  START_PUT_OFF,
-} from "./connection_pools.ts";
+import { type ResponseHead, START_PUT_OFF } from "./connection_pools.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import type { Detour } from "./detour.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
-import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
-import type { LoopLag } from "./loop_lag.ts";
-import type { Meters } from "./meters.ts";
-import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
-import type { ReplicaClock } from "./replica_clock.ts";
-import type { SentPartsQueue } from "./sent_parts.ts";
+import { BUSY_AVOIDANCE } from "./replica_feedback.ts";
+import type { ResponseProgress } from "./response_forwarding.ts";
+import { gapLimit } from "./silence_limits.ts";
 import type { StreamRecords } from "./stream_records.ts";
-import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
-import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
-import { createSuccession, type Reception } from "./succession.ts";
-
-export interface RelayOptions {
-  readonly clock: Clock;
-  readonly logger: EventLogger;
-  readonly headerCodec: HeaderCodec;
-  readonly pools: ConnectionPools;
-  readonly replicas: ReplicaTable;
-  readonly statements: Statements;
-  readonly pushback: Pushback;
+import { createSuccession } from "./succession.ts";
+
+export interface RelayOptions extends AttemptStepsOptions {
   readonly limits: Limits;
-  readonly places: Places;
   readonly load: LoadView;
-  readonly cache: CacheView;
-  readonly weights: WeightTargets;
   readonly placement: Placement;
-  readonly queue: PlacementQueue;
-  readonly budget: WindowBudget;
-  readonly transfers: TransferPlanner;
-  readonly sentParts: SentPartsQueue;
-  readonly prefillRates: PrefillRates;
   readonly answerTimes: AnswerTimes;
   readonly shutdown: ShutdownAdmission;
-  readonly replicaClock: ReplicaClock;
-  /**
-   * Number of connections that this daemon may open to one replica of a
-   * service.
-   */
-  readonly maxConnectionsOf: (service: string) => number;
-  readonly meters: Meters;
-  readonly loopLag: LoopLag;
-  readonly sendGate: SendGate;
   readonly crashGuard: CrashGuard;
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly detour: Detour;
@@ -135,29 +77,6 @@
   readonly sends: number;
 }
 
-/**
- * The replica chosen for an attempt, whose load already includes the request.
- */
-interface Placed {
-  readonly choice: Choice;
-  readonly trackedRequest: TrackedRequest;
-}
-
-interface SentAttempt {
-  readonly number: number;
-  readonly startedAt: Milliseconds;
-  readonly attempt: Attempt;
-  readonly check: ResponseCheck;
-  readonly watch: AttemptWatch;
-  readonly choice: Choice;
-  readonly trackedRequest: TrackedRequest;
-  readonly guarded: GuardedAttempt;
-}
-
-interface RunningAttempt extends SentAttempt {
-  readonly reception: Promise<Reception<ResponseHead>>;
-}
-
 /** Unsent attempts after which the request fails. */
 const MAX_UNSENT = 4;
 
@@ -167,12 +86,6 @@
 /** Pause after which a started stream may return to a replica that was full. */
 const REFUSAL_PAUSE: Milliseconds = BUSY_AVOIDANCE + 50;
 
-/**
- * Wait for a connection after which an attempt is composed anew, because its
- * headers state the time that was left before.
- */
-const MAX_CONNECTION_WAIT: Milliseconds = 200;
-
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
@@ -198,39 +111,10 @@
 const RETRY_JITTER: Milliseconds = 500;
 
 export function createRelay(options: RelayOptions) {
-  const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
-  const { placement, budget, weights, transfers, replicaClock } = options;
-  const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
-  const { statements, pushback, limits, places, sendGate } = options;
-  const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
-  const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
-
-  /** Time for which the replica prefills before it sends the first token. */
-  function prefillTimeOf(
-    { service, prompt }: DispatchRequest,
-    { load: { unread }, unread: own }: Choice,
-  ): Milliseconds {
-    if (prompt === undefined) return 0;
-    return prefillRates.timeOf(service, unread + own);
-  }
-
-  function recordStatement(
-    { replica: { entry } }: Choice,
-    { replica, isMisdirected, statement = {}, ...metadata }: ResponseMetadata,
-  ): void {
-    const { malformed, retryAfter = 0 } = metadata;
-    for (const reason of malformed ?? []) statements.reject(entry, reason);
-    // Another incarnation at the same address answers a misdirected request.
-    const sender = replica ?? (isMisdirected ? undefined : entry.id);
-    if (sender !== entry.id) return;
-    statements.record(entry, statement);
-    pushback.record(entry, retryAfter);
-  }
-
-  function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
-    const now = replicaClock.now();
-    return now === undefined ? {} : { fetchEnd: now + MAX_FETCH };
-  }
+  const { clock, logger, load, placement, queue, budget, meters } = options;
+  const { answerTimes, crashGuard, pushback, limits, places } = options;
+  const { sendGate } = options;
+  const createSteps = createAttemptSteps(options);
 
   return async function relay(
     received: DispatchRequest,
@@ -256,8 +140,6 @@
     /** Refusals by other replicas while the present one was silent. */
     let refusedMoves = 0;
     const refusedBy = new Set<string>();
-    /** Addresses at which a replica has answered this request. */
-    const answeredAt = new Set<string>();
     const progress: ResponseProgress = {
       firstEvent: 0,
       lastEvent: forwarded.lastEvent ?? 0,
@@ -276,10 +158,20 @@
       open: openSuccessor,
       settle(running, outcome) {
         if (outcome.kind === "not run") refusedMoves += 1;
-        settle(running, outcome);
+        steps.settle(running, outcome);
       },
       cancel: withdraw,
     });
+    const steps = createSteps({
+      ...{ forwarded, caller, subject, progress, isOutOfContact },
+      current: () => request,
+      mayReplace: () =>
+        retryable && executions + 1 < request.route.maxExecutions,
+      seekOther: succession.seek,
+      keepPresent: succession.keepPresent,
+      onEvent: recordOrigin,
+      onBreakOff: () => hasCrashed = true,
+    });
     const end = (ending: Ending): RelayResult => {
       succession.close();
       return { ending, sends };
@@ -300,7 +192,8 @@
       const started = successor ?? await startNext();
       if ("ending" in started) return started;
       const { replica } = started.choice;
-      const outcome = await finish(started);
+      present = started;
+      const outcome = await steps.finish(started);
       switch (outcome.kind) {
         case "done":
           if (sends === 1 && forwarded.lastEvent === undefined) {
@@ -314,7 +207,7 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
-          if (outcome.reason === START_PUT_OFF && isOutdated(started)) {
+          if (outcome.reason === START_PUT_OFF && steps.isOutdated(started)) {
             limits.giveBack(replica.entry);
             hasWaitedForConnection = true;
             continue;
@@ -444,7 +337,7 @@
         release(placed);
         return end({ kind: "abandoned" });
       }
-      if (!endsBeforeExit(prefillTimeOf(request, choice))) {
+      if (!endsBeforeExit(steps.prefillTime(choice))) {
         release(placed);
         return refuseAtShutdown();
       }
@@ -457,11 +350,6 @@
       return startAttempt(placed, { guarded: guarded.attempt, readUpTo });
     }
 
-    /** True when the time left that an attempt states is too long by now. */
-    function isOutdated({ startedAt }: { readonly startedAt: Milliseconds }) {
-      return clock.monotonic() - startedAt > MAX_CONNECTION_WAIT;
-    }
-
     /** Time until a replica that may take the request wants one. */
     function pushbackTime(
       without: ReadonlySet<string> = excluded,
@@ -604,7 +492,7 @@
         if (outcome.kind === "not run" || outcome.kind === "unsent") {
           executions -= 1;
         }
-        settle(running, outcome);
+        steps.settle(running, outcome);
       });
     }
 
@@ -677,261 +565,16 @@
       return end({ kind: "lost", reason, status });
     }
 
-    /** Sends the request to the replica of the place. */
     function startAttempt(
-      { choice, trackedRequest }: Placed,
-      { guarded, readUpTo }: {
-        readonly guarded: GuardedAttempt;
-        /** Time up to which the sockets of callers have been read. */
-        readonly readUpTo: Milliseconds;
-      },
+      placed: Placed,
+      terms: Omit<SendTerms, "number">,
     ): RunningAttempt {
-      const { replica, version, salt, parts } = choice;
-      const { entry } = replica;
       sends += 1;
-      const number = sends;
-      const started = clock.monotonic();
-      const timeLeft = Math.min(request.deadline, forwarded.callerDeadline) -
-        started;
-      const isRepeat = answeredAt.has(entry.address);
-      const check = createResponseCheck({
-        ...{ request, headerCodec },
-        onResponse() {
-          replicas.recordReceived(entry.id);
-          guarded.recordReceived();
-          answeredAt.add(entry.address);
-        },
-        onMismatch(fields) {
-          const upstream = entry.id;
-          const event = { number, ...fields };
-          logger.log("response_mismatched", event, { ...subject, upstream });
-        },
-      });
-      const attempt = pools.open({
-        mayStart: () =>
-          !pushback.isActive(entry) && !isOutdated({ startedAt: started }) &&
-          (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
-        origin: entry.address,
-        connections: options.maxConnectionsOf(request.service),
-        isRepeat,
-        findMismatch: check.findMismatch,
-        method: forwarded.method,
-        path: forwarded.path,
-        body: forwarded.body,
-        headers: headerCodec.composeRequest(forwarded.headers, {
-          replica: entry.id,
-          remaining: Math.max(1, Math.floor(timeLeft)),
-          ...customerField(request),
-          ...(request.prompt === undefined
-            ? {}
-            : { priority: priorityOf(request) }),
-          ...(version === undefined ? {} : { weights: version }),
-          ...(salt === undefined ? {} : { salt }),
-          ...(parts === undefined ? {} : { parts }),
-          ...(choice.fetched === 0 ? {} : fetchDeadline()),
-          ...(progress.lastEvent > 0 ? { lastEvent: progress.lastEvent } : {}),
-        }),
-      });
-      if (salt !== undefined && request.prompt !== undefined) {
-        const shared = request.prompt.parts.slice(0, -1);
-        options.sentParts.record(entry.id, salt, shared);
-        cache.expect(entry.id, salt, request.prompt.parts);
-        if (parts !== undefined) transfers.recordSent(salt, shared, parts);
-      }
-      logger.log("attempt_placed", {
-        number,
-        version: version ?? 0,
-        software: entry.software ?? "",
-        unread: choice.unread,
-        held: choice.held,
-        waiting: choice.load.unread,
-        running: choice.load.requests,
-        saves: parts?.filter(({ saveTo }) => saveTo !== undefined).length ?? 0,
-        cost: Math.round(choice.cost),
-        candidates: choice.candidates,
-        fetched: choice.fetched,
-        remaining: Math.round(timeLeft),
-        isRepeat,
-      }, { ...subject, upstream: entry.id });
-      replicas.recordSent(entry.id, prefillTimeOf(request, choice));
-      const watch = watchAttempt(attempt, {
-        clock,
-        caller,
-        deadline: request.deadline,
-        silence: () => replicas.silence(entry.id),
-        seekOther() {
-          // Its caller may be served by another daemon.
-          if (isOutOfContact()) return true;
-          succession.seek(watch.leave).catch((error: unknown) =>
-            logger.log("handler_failed", { reason: String(error) }, subject)
-          );
-          return false;
-        },
-      });
-      const sent = {
-        ...{ number, startedAt: started, attempt, check, watch },
-        ...{ choice, trackedRequest, guarded },
-      };
-      return { ...sent, reception: receive(sent) };
-    }
-
-    /** Forwards the response of an attempt; returns how the attempt ended. */
-    async function finish(running: RunningAttempt): Promise<AttemptOutcome> {
-      present = running;
-      try {
-        const outcome = await awaitOutcome(running);
-        recordEnd(running, outcome);
-        return outcome;
-      } finally {
-        giveBack(running);
-      }
-    }
-
-    function settle(running: RunningAttempt, outcome: AttemptOutcome): void {
-      recordEnd(running, outcome);
-      giveBack(running);
-    }
-
-    function recordEnd(running: RunningAttempt, outcome: AttemptOutcome): void {
-      const { attempt, choice, guarded, number } = running;
-      const upstream = choice.replica.entry.id;
-      const wasBrokenOff = attempt.wasBrokenOff();
-      if (wasBrokenOff) hasCrashed = true;
-      guarded.recordEnd(outcome, wasBrokenOff);
-      replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
-      const { kind } = outcome;
-      meters.recordAttempt(
-        request.service,
-        kind === "done" ? "answered" : kind,
-      );
-      if (kind !== "done") {
-        logger.log("attempt_ended", {
-          number,
-          outcome: kind,
-          reason: "reason" in outcome ? outcome.reason : "",
-          elapsed: clock.monotonic() - running.startedAt,
-        }, { ...subject, upstream });
-      }
-    }
-
-    function giveBack({ watch, guarded, trackedRequest }: RunningAttempt) {
-      watch.stop();
-      guarded.release();
-      trackedRequest.end();
-      queue.retry();
-    }
-
-    /** Reads the head of the response. */
-    async function receive(
-      { attempt, check, choice, watch }: SentAttempt,
-    ): Promise<Reception<ResponseHead>> {
-      const ended = (outcome: AttemptOutcome) =>
-        ({ kind: "ended", outcome }) as const;
-      const result = await attempt.head;
-      if (result.isErr()) {
-        const cause = watch.cause();
-        const isUnsent = result.error.kind === "unsent" &&
-          cause?.kind === "withdrawn";
-        return ended(
-          cause === undefined || isUnsent ? toOutcome(result.error) : cause,
-        );
-      }
-      const head = result.value;
-      const metadata = check.metadata();
-      recordStatement(choice, metadata);
-      replicaFeedback.recordWeights(choice, request.prompt?.model, metadata);
-      if (metadata.isRefusal) {
-        if (!metadata.isMisdirected) places.recordRefusal(choice.replica.entry);
-        await discardBody(attempt);
-        const reason = `replica refused with ${head.status}`;
-        const misdirected = metadata.isMisdirected;
-        return ended({
-          ...{ kind: "not run", reason, misdirected },
-          answer: metadata,
-        });
-      }
-      const flaw = check.findFlaw(head);
-      if (flaw !== undefined) {
-        attempt.cancel(flaw);
-        return ended({ kind: "lost", reason: flaw });
-      }
-      return { kind: "accepted", head };
-    }
-
-    async function awaitOutcome(
-      running: RunningAttempt,
-    ): Promise<AttemptOutcome> {
-      const { attempt, choice, watch, trackedRequest, guarded } = running;
-      const { startedAt } = running;
-      const isStream = request.route.kind === "stream";
-      const mayReplace = retryable &&
-        executions + 1 < request.route.maxExecutions;
-      const limitPlainSilence = () =>
-        watch.limitSilence(silenceLimit(request.route));
-      if (mayReplace && isStream) {
-        const limit = MAX_SILENCE + prefillTimeOf(request, choice);
-        watch.limitSilence(limit, Math.max(limit, gapLimit(request.route)));
-      } else if (mayReplace) limitPlainSilence();
-      const reception = await running.reception;
-      if (reception.kind === "ended") return reception.outcome;
-      succession.keepPresent();
-      const { head } = reception;
-      const common = {
-        clock,
-        attempt,
-        head,
-        caller,
-        watch,
-        progress,
-        arrivedAt: request.arrivedAt,
-      };
-      let hasFirstEvent = false;
-      const recordFirstEvent = () => {
-        hasFirstEvent = true;
-        queue.retry();
-        const elapsed = clock.monotonic() - startedAt;
-        const tokens = choice.load.unread + choice.unread;
-        prefillRates.recordFirstToken(request.service, { tokens, elapsed });
-      };
-      if (isStream && isEventStream(head)) {
-        return await forwardStream({
-          ...common,
-          gapLimit: mayReplace ? gapLimit(request.route) : undefined,
-          onData() {
-            succession.keepPresent();
-            trackedRequest.recordFirstToken();
-            if (!hasFirstEvent) recordFirstEvent();
-            replicas.recordReceived(choice.replica.entry.id);
-            guarded.recordReceived();
-          },
-          onEvent() {
-            recordOrigin(choice);
-            guarded.recordEvent();
-          },
-        });
-      }
-      return await forwardPlainResponse({
-        ...common,
-        memory,
-        mayRetry: () => mayReplace && budget.left(request.service) >= 1,
-        onData() {
-          succession.keepPresent();
-          replicas.recordReceived(choice.replica.entry.id);
-          guarded.recordReceived();
-          if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
-        },
-      });
+      return steps.start(placed, { ...terms, number: sends });
     }
   };
 }
 
-const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
-
-function isEventStream({ status, headers }: ResponseHead): boolean {
-  const type = headers["content-type"];
-  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
-}
-
 /** True when the caller has events of the stream from an earlier request. */
 function isTakenUp(
   { route }: DispatchRequest,
@@ -940,10 +583,6 @@
   return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
 }
 
-function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
-  return { kind, reason };
-}
-
 function customerField(
   { customer }: DispatchRequest,
 ): { readonly customer?: string } {
