Gateway: keep requests in the regions that their route and customer allow

Cause: placement, transfers of cached parts and requests passed to neighbors knew regions as a cost only, so a full or failed region sent bodies and cached parts to another one.

Change: `zone_scope.ts` in routing intersects the regions of the route and the customer; `eligibility.ts` in dispatch keeps the result per pair. It is asked where usable replicas are listed (before a last resort is chosen), for stores of transfers, for neighbors, and before the first byte of an attempt that waited for a connection. Salts of restricted requests name the regions. A refusal for lack of an allowed replica says so and counts under the label `region`. The handling of operator rows moves from `gateway.ts` to `operator_rows.ts`, and `isTakenUp` from `relay.ts` to `forwarded_request.ts`.

With the gate turned off in `listUsable`, for stores, for neighbors, in the salt, or without the kept scopes, the test of that decision fails.

--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -38,6 +38,8 @@
   readonly isPublic: boolean;
   /** True when a stream may be resumed after its last event. */
   readonly isResumable: boolean;
+  /** Regions to which its requests are restricted; empty or absent: none. */
+  readonly allowedRegions?: readonly string[];
 }
 
 export interface EngineTraits {
@@ -73,6 +75,8 @@
   readonly isIsolated: boolean;
   /** Overrides the priority of the route. */
   readonly priority?: number;
+  /** Regions to which its requests are restricted; empty or absent: none. */
+  readonly allowedRegions?: readonly string[];
 }
 
 export interface Limits {
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -14,6 +14,11 @@
 import type { LoadView, ReplicaLoad } from "@peridotvalve/load";
 import type { CacheView } from "./cache_view.ts";
 import { createCandidateSample } from "./candidate_sample.ts";
+import {
+  type Barrier,
+  createEligibility,
+  type Eligibility,
+} from "./eligibility.ts";
 import type {
   Replica,
   ReplicaEntry,
@@ -70,6 +75,10 @@
     request: DispatchRequest,
     excluded: ReadonlySet<string>,
   ): readonly ReplicaEntry[];
+  /** Returns true while the replica is in a zone that the request may use. */
+  abstract mayUse(request: DispatchRequest, entry: ReplicaEntry): boolean;
+  /** What keeps the request from replicas of its service, if anything does. */
+  abstract barrierOf(request: DispatchRequest): Barrier | undefined;
 }
 
 export interface PlacementOptions {
@@ -78,6 +87,8 @@
   readonly cache: CacheView;
   readonly weights: WeightTargets;
   readonly topology: Topology;
+  /** By default, the regions of the topology restrict requests. */
+  readonly eligibility?: Eligibility;
   readonly memoryOf: (service: string) => Tokens;
   readonly transfers: TransferPlanner;
   /** Prompt tokens that a replica of a service prefills per millisecond. */
@@ -157,6 +168,7 @@
 export function createPlacement(options: PlacementOptions): Placement {
   const { replicas, load, cache, weights, topology, memoryOf } = options;
   const { transfers, random = Math.random, hasRoom = () => true } = options;
+  const { eligibility = createEligibility(topology) } = options;
   const sample = createCandidateSample({ topology, random });
   const members = new Map<string, RendezvousMember>();
 
@@ -183,10 +195,24 @@
     part: PromptPart | undefined,
   ): ReadonlySet<string> {
     if (part === undefined) return new Set();
-    const salt = saltOf(request, model, Math.max(1, weights.target(model)));
+    const version = Math.max(1, weights.target(model));
+    const salt = saltOf(request, model, version, labelOf(request));
     return new Set(cache.holdersOf(salt, part));
   }
 
+  function labelOf(request: DispatchRequest): string | undefined {
+    return eligibility.scopeOf(request)?.label;
+  }
+
+  /** All choices start here, so that none is made beyond the gate. */
+  function listUsable(request: DispatchRequest): readonly Replica[] {
+    const { service, software } = request;
+    const isOpen = eligibility.gateOf(request);
+    return isOpen === undefined
+      ? replicas.usable(service, software)
+      : replicas.usable(service, software, ({ zone }) => isOpen(zone));
+  }
+
   function choosePlain(usable: readonly Replica[]): Choice | undefined {
     const choices = sample.choose(usable, () => false).map((replica) => {
       const current = load.totalLoad(replica.entry.id);
@@ -228,6 +254,8 @@
     const rank = Math.min(MAX_PENDING_PREFILL.length - 1, priorityOf(request));
     const maxPending = MAX_PENDING_PREFILL[rank] ?? 0;
     const holders = findHolders(request, prompt, shared.at(-1));
+    const label = labelOf(request);
+    const isOpen = eligibility.gateOf(request);
     const candidates = sample.choose(
       usable,
       (id) => id === preferred || holders.has(id),
@@ -258,7 +286,7 @@
       current: ReplicaLoad,
     ): Choice {
       const { id, zone } = replica.entry;
-      const salt = saltOf(request, prompt.model, version);
+      const salt = saltOf(request, prompt.model, version, label);
       const held = cache.held(id, salt, prompt.parts);
       const isCurrent = version >= weights.target(prompt.model);
       const plan = transfers.plan({
@@ -267,6 +295,7 @@
         shared,
         peers: usable,
         mayUseStores: isCurrent,
+        ...(isOpen === undefined ? {} : { isOpen }),
       });
       const fetched = plan.fetched;
       const unread = Math.max(1, prompt.promptTokens - held - fetched);
@@ -323,9 +352,9 @@
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): Choice | undefined {
-      const usable = replicas.usable(request.service, request.software).filter((
-        { entry },
-      ) => !excluded.has(entry.id) && hasRoom(entry));
+      const usable = listUsable(request).filter(({ entry }) =>
+        !excluded.has(entry.id) && hasRoom(entry)
+      );
       return request.prompt === undefined
         ? choosePlain(usable)
         : chooseForPrompt(request, request.prompt, usable);
@@ -335,19 +364,30 @@
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): boolean {
-      return replicas.usable(request.service, request.software).some((
-        replica,
-      ) => isCandidate(replica, request, excluded));
+      return listUsable(request).some((replica) =>
+        isCandidate(replica, request, excluded)
+      );
     }
 
     override candidates(
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): readonly ReplicaEntry[] {
-      return replicas.usable(request.service, request.software)
+      return listUsable(request)
         .filter((replica) => isCandidate(replica, request, excluded))
         .map(({ entry }) => entry);
     }
+
+    override mayUse(request: DispatchRequest, { zone }: ReplicaEntry): boolean {
+      return eligibility.gateOf(request)?.(zone) ?? true;
+    }
+
+    override barrierOf(request: DispatchRequest): Barrier | undefined {
+      const zones = replicas.all()
+        .filter(({ entry }) => entry.service === request.service)
+        .map(({ entry }) => entry.zone);
+      return eligibility.barrierOf(request, zones);
+    }
   })();
 }
 
@@ -359,7 +399,8 @@
 /**
  * Composes the salt under which replicas cache the parts of a prompt. It
  * differs between weight versions, between isolated customers and all others,
- * and between the groups that these others form.
+ * and between the groups that these others form. With a label of the regions to
+ * which a request is restricted, only requests of the same label share parts.
  */
 export function saltOf(
   { customer, cacheGroup = "" }: Pick<
@@ -368,8 +409,10 @@
   >,
   model: string,
   version: number,
+  regions?: string,
 ): string {
-  const scope = `${model}@${version}`;
+  const shared = `${model}@${version}`;
+  const scope = regions === undefined ? shared : `${shared}~${regions}`;
   if (customer?.isIsolated === true) return `${scope}/${customer.name}`;
   return cacheGroup === "" ? scope : `${scope}~${cacheGroup}`;
 }
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -100,10 +100,14 @@
    * Replicas that accept requests. Avoided and unresponsive replicas are
    * included only when no other is left, and then for a short time also one that
    * has said that it leaves. While all others push back, those that were only
-   * busy are included. With a software version, only its replicas are
-   * considered.
+   * busy are included. With a software version or a check, only replicas that
+   * meet it are considered, also as a last resort.
    */
-  abstract usable(service: string, software?: string): readonly Replica[];
+  abstract usable(
+    service: string,
+    software?: string,
+    isEligible?: (entry: ReplicaEntry) => boolean,
+  ): readonly Replica[];
   /** True when the list or the replica itself says that it leaves. */
   abstract isLeaving(entry: ReplicaEntry): boolean;
   abstract find(id: string): Replica | undefined;
@@ -274,11 +278,13 @@
     override usable(
       service: string,
       software?: string,
+      isEligible: (entry: ReplicaEntry) => boolean = () => true,
     ): readonly Replica[] {
       const now = clock.monotonic();
       const ready = [...replicas.values()].filter(({ entry }) =>
         entry.service === service && entry.state === "ready" &&
-        (software === undefined || softwareOf(entry) === software)
+        (software === undefined || softwareOf(entry) === software) &&
+        isEligible(entry)
       );
       const staying = ready.filter(({ entry }) =>
         leavingSince(entry) === undefined
--- a/packages/dispatch/src/transfers.ts
+++ b/packages/dispatch/src/transfers.ts
@@ -50,6 +50,11 @@
   readonly peers: readonly Replica[];
   /** False for an outdated weight version. */
   readonly mayUseStores: boolean;
+  /**
+   * Returns true for zones whose stores the request may use; by default it may
+   * use all. The same for all plans with the same peers.
+   */
+  readonly isOpen?: (zone: string) => boolean;
 }
 
 export abstract class TransferPlanner {
@@ -140,14 +145,21 @@
       : CROSS_REGION_FACTOR;
   }
 
+  function listStores(
+    { isOpen = () => true }: TransferRequest,
+  ): readonly StoreTraits[] {
+    return stores().filter(({ zone }) => isOpen(zone));
+  }
+
   /** Locates the parts once for all candidates of a placement. */
-  function locate({ salt, shared, peers }: TransferRequest): Locations {
+  function locate(request: TransferRequest): Locations {
+    const { salt, shared, peers } = request;
     const known = lastLocations;
     if (
       known !== undefined && known.salt === salt && known.shared === shared &&
       known.peers === peers
     ) return known;
-    const reachable = stores();
+    const reachable = listStores(request);
     const parts = shared.map((part): PartLocation => {
       const holders = new Set(cache.holdersOf(salt, part));
       const saveTargets = new Map<string, string | undefined>();
@@ -260,7 +272,7 @@
     override plan(request: TransferRequest): TransferPlan {
       const { replica, salt, shared, mayUseStores } = request;
       const sameRegionStores = mayUseStores
-        ? stores().filter(({ zone }) => isSameRegion(zone, replica))
+        ? listStores(request).filter(({ zone }) => isSameRegion(zone, replica))
         : [];
       const plans: PartPlan[] = [];
       let fetched: Tokens = 0;
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -545,6 +545,11 @@
     fields: { reason: S },
     message: "A desired state cannot be parsed and was ignored.",
   }),
+  allowed_region_unknown: defineEvent(5020, "warn", {
+    fields: { version: N, regions: S },
+    message:
+      "Routes or customers of a desired state allow regions to which no zone of the settings belongs; such a region allows nothing.",
+  }),
   table_lost: defineEvent(5012, "warn", {
     fields: { table: S, reason: S },
     message: "A table cannot be watched; its last known rows remain in use.",
--- a/packages/gateway/src/detour.ts
+++ b/packages/gateway/src/detour.ts
@@ -5,10 +5,15 @@
  * gets requests.
  *
  * The neighbor decides on the request as on one of its own callers, and its
- * response is forwarded as it is. It does not pass the request on again.
+ * response is forwarded as it is. It does not pass the request on again. Only
+ * neighbors in a region that the request may use receive it.
  */
 import type { Clock } from "@peridotvalve/clock";
-import { type DispatchRequest, isRetryable } from "@peridotvalve/dispatch";
+import {
+  type DispatchRequest,
+  type Eligibility,
+  isRetryable,
+} from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import type { Milliseconds } from "@peridotvalve/types";
 import { watchAttempt } from "./attempt_watch.ts";
@@ -16,14 +21,16 @@
 import type { Attempt, ConnectionPools } from "./connection_pools.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import type { HeaderCodec } from "./header_codec.ts";
+import type { PeerAddress } from "./registration.ts";
 
 export interface DetourOptions {
   readonly clock: Clock;
   readonly logger: EventLogger;
   readonly pools: Pick<ConnectionPools, "open">;
   readonly headerCodec: Pick<HeaderCodec, "composePassedOn" | "readResponse">;
-  /** Addresses of the neighbors that reach replicas, the preferred first. */
-  readonly neighbors: () => readonly string[];
+  readonly eligibility: Pick<Eligibility, "allowsZone">;
+  /** The neighbors that reach replicas, the preferred first. */
+  readonly neighbors: () => readonly Pick<PeerAddress, "zone" | "datagrams">[];
 }
 
 /** How the request ended at the neighbors. */
@@ -53,7 +60,15 @@
 const MISMATCH = "answer to another request";
 
 export function createDetour(options: DetourOptions): Detour {
-  const { clock, logger, pools, headerCodec, neighbors } = options;
+  const { clock, logger, pools, headerCodec, eligibility } = options;
+
+  /** Addresses of the neighbors to try. */
+  function chooseNeighbors(request: DispatchRequest): readonly string[] {
+    return options.neighbors()
+      .filter(({ zone }) => eligibility.allowsZone(request, zone))
+      .slice(0, MAX_NEIGHBORS)
+      .map(({ datagrams }) => datagrams);
+  }
 
   function open(
     neighbor: string,
@@ -132,7 +147,7 @@
 
   return async (request, forwarded, caller) => {
     let outcome: DetourOutcome = { kind: "unsent" };
-    for (const neighbor of neighbors().slice(0, MAX_NEIGHBORS)) {
+    for (const neighbor of chooseNeighbors(request)) {
       outcome = await passOn(neighbor, request, forwarded, caller);
       logger.log("request_passed_on", {
         address: neighbor,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,6 +19,7 @@
   createAnswerTimes,
   createCacheJournal,
   createCacheView,
+  createEligibility,
   createPlacement,
   createPlacementQueue,
   createPrefillRates,
@@ -36,7 +37,6 @@
 import { createUdpTransport } from "@peridotvalve/membership";
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
 import { createCrashEvidence, createWindowBudget } from "@peridotvalve/retries";
-import type { FeedRow } from "@peridotvalve/tables";
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
 import { setMaxListeners } from "node:events";
 import type { Server } from "node:http";
@@ -53,6 +53,7 @@
 import { createFrontend } from "./frontend.ts";
 import { createLoopLag } from "./loop_lag.ts";
 import { createMeters, type ReplicaLimit } from "./meters.ts";
+import { createOperatorRows } from "./operator_rows.ts";
 import type { Address, GatewayOptions, GatewaySettings } from "./options.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
 import {
@@ -130,7 +131,8 @@
   const stopController = new AbortController();
   // Each task of the daemon waits for the signal.
   setMaxListeners(0, stopController.signal);
-  const holder = createStateHolder(logger);
+  const holder = createStateHolder(logger, settings.topology.regions);
+  const eligibility = createEligibility(settings.topology);
   const pools = createConnectionPools();
   const cache = createCacheView({ memoryOf: memoryOfHolder });
   const load = createLoadView(clock, { sharesRate });
@@ -248,7 +250,10 @@
     ...{ clock, logger, codec, settings, replicas, registration },
     feed: options.feed,
     rank,
-    onOperatorRow: applyOperatorRow,
+    onOperatorRow: createOperatorRows({
+      ...{ logger, codec, holder, weights },
+      onState: () => cacheFeed.refresh(),
+    }),
     onReplicasKnown: () => hasReplicaList = true,
     onDaemonsRead: () => cacheFeed.refresh(),
   });
@@ -269,6 +274,7 @@
     cache,
     weights,
     topology: settings.topology,
+    eligibility,
     memoryOf,
     transfers,
     prefillRate: prefillRates.rateOf,
@@ -370,7 +376,7 @@
     crashGuard,
     contact,
     detour: createDetour({
-      ...{ clock, logger, pools, headerCodec },
+      ...{ clock, logger, pools, headerCodec, eligibility },
       neighbors: () => mesh?.listInContact() ?? [],
     }),
     streams,
@@ -522,23 +528,6 @@
     return Math.max(MIN_CONNECTIONS, Math.floor(share));
   }
 
-  function applyOperatorRow({ key, value }: FeedRow, isOld: boolean): void {
-    if (codec.isState(key)) {
-      const state = codec.readState(value);
-      if (state.isOk()) {
-        holder.offer(state.value, "store");
-        cacheFeed.refresh();
-      } else logger.log("state_rejected", { reason: state.error });
-      return;
-    }
-    const named = codec.readWeights(key, value);
-    if (named === undefined) return;
-    const { model, version } = named;
-    if (version <= weights.target(model)) return;
-    weights.name(model, version, { isOld });
-    logger.log("weights_named", { model, version });
-  }
-
   const isReady = () =>
     !isDraining && holder.current() !== undefined && hasReplicaList &&
     !contact.isLost();
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -80,6 +80,7 @@
  * match counts; connection errors have many texts and are the default.
  */
 const REASON_LABELS: readonly (readonly [word: string, label: string])[] = [
+  ["allowed regions", "region"],
   ["shutting down", "stopping"],
   ["prompt part", "crashing part"],
   ["the request crashes", "crashing request"],
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -41,7 +41,7 @@
   type TableNews,
   type ZoneDigest,
 } from "./peer_digest.ts";
-import type { Registration } from "./registration.ts";
+import type { PeerAddress, Registration } from "./registration.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
 import type { TableFollower } from "./table_follower.ts";
 
@@ -103,10 +103,10 @@
   /** Number of groups of neighbors in the fleet. */
   abstract groupCount(): number;
   /**
-   * Addresses of the live neighbors that reach replicas, those of the own zone
-   * first and otherwise in a random order.
+   * The live neighbors that reach replicas, those of the own zone first and
+   * otherwise in a random order.
    */
-  abstract listInContact(): readonly string[];
+  abstract listInContact(): readonly PeerAddress[];
   /** The neighbors of this daemon, with itself. */
   abstract neighborhood(): Neighborhood;
 }
@@ -549,14 +549,13 @@
       return knownNeighborhood;
     }
 
-    override listInContact(): readonly string[] {
+    override listInContact(): readonly PeerAddress[] {
       const found = membership.peers()
         .filter(({ name: peer, state }) =>
           state === "live" && !outOfContact.has(peer)
         )
         .flatMap((peer) => registration.find(peer.name) ?? []);
-      return sortRandomly(found, (peer) => peer.zone === zone ? 0 : 1)
-        .map(({ datagrams }) => datagrams);
+      return sortRandomly(found, (peer) => peer.zone === zone ? 0 : 1);
     }
 
     override groupCount(): number {
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -28,6 +28,7 @@
     "connection reset": "connection",
     "no replica": "no replica",
     "no replica, no room": "no room",
+    "no replica, others are outside the allowed regions": "region",
     "no replica, too many wait": "too many wait",
     "silent, no retries left": "retry budget",
     "silent, no room": "no room",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -62,10 +62,11 @@
   START_PUT_OFF,
 } from "./connection_pools.ts";
 import type { Detour } from "./detour.ts";
-import type { ForwardedRequest } from "./forwarded_request.ts";
+import { type ForwardedRequest, isTakenUp } from "./forwarded_request.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
+import { explainRefusal } from "./refusal_reasons.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
@@ -670,8 +671,10 @@
         const earliest = Math.max(wait, pushbackTime(new Set()));
         const spread = Math.max(RETRY_JITTER, wait / 2);
         const retryAfter = earliest + Math.random() * spread;
-        caller.refuse({ status: 503, reason, retryAfter });
-        return end({ kind: "refused", reason, status: 503, retryAfter });
+        const stated = explainRefusal(reason, placement.barrierOf(request));
+        const refusal = { status: 503, reason: stated, retryAfter };
+        caller.refuse(refusal);
+        return end({ kind: "refused", ...refusal });
       }
       caller.refuse({ status, reason });
       return end({ kind: "lost", reason, status });
@@ -709,6 +712,7 @@
       });
       const attempt = pools.open({
         mayStart: () =>
+          placement.mayUse(request, entry) &&
           !pushback.isActive(entry) && !isOutdated({ startedAt: started }) &&
           (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
@@ -932,14 +936,6 @@
   return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
 }
 
-/** True when the caller has events of the stream from an earlier request. */
-function isTakenUp(
-  { route }: DispatchRequest,
-  { resumes, lastEvent = 0 }: ForwardedRequest,
-): boolean {
-  return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
-}
-
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
--- a/packages/gateway/src/state_holder.ts
+++ b/packages/gateway/src/state_holder.ts
@@ -8,6 +8,7 @@
   nameCacheGroup,
   type RouteTable,
 } from "@peridotvalve/dispatch";
+import { listUnknownRegions } from "@peridotvalve/routing";
 import type { EventLogger } from "@peridotvalve/events";
 
 export interface ActiveState {
@@ -22,9 +23,27 @@
   abstract offer(state: DesiredState, source: string): void;
 }
 
-export function createStateHolder(logger: EventLogger): StateHolder {
+/** Longest list of regions in the log. */
+const MAX_NAMED_REGIONS = 20;
+
+export function createStateHolder(
+  logger: EventLogger,
+  /** Region of each zone of the settings. */
+  regions: ReadonlyMap<string, string>,
+): StateHolder {
   let active: ActiveState | undefined;
 
+  function logUnknownRegions({ version, routes, customers }: DesiredState) {
+    const restricted = [...routes, ...customers?.values() ?? []];
+    const unknown = listUnknownRegions(
+      regions,
+      restricted.map(({ allowedRegions }) => allowedRegions),
+    );
+    if (unknown.length === 0) return;
+    const names = unknown.slice(0, MAX_NAMED_REGIONS).join(", ");
+    logger.log("allowed_region_unknown", { version, regions: names });
+  }
+
   return new (class extends StateHolder {
     override current(): ActiveState | undefined {
       return active;
@@ -40,6 +59,7 @@
         cacheGroup: nameCacheGroup(state.isolatedCustomers),
       };
       logger.log("state_adopted", { version: state.version, source });
+      logUnknownRegions(state);
     }
   })();
 }
--- a/packages/routing/src/mod.ts
+++ b/packages/routing/src/mod.ts
@@ -14,3 +14,4 @@
 export * from "./policies/sticky.ts";
 export * from "./random_source.ts";
 export * from "./slowness.ts";
+export * from "./zone_scope.ts";
