--- a/packages/gateway/src/attempt_sending.ts
+++ b/packages/gateway/src/attempt_sending.ts
@@ -10,6 +10,7 @@
   type Choice,
   type DispatchRequest,
   MAX_FETCH,
+  type Placement,
   type PrefillRates,
   priorityOf,
   type ReplicaTable,
@@ -36,6 +37,7 @@
   readonly headerCodec: HeaderCodec;
   readonly pools: ConnectionPools;
   readonly replicas: ReplicaTable;
+  readonly placement: Pick<Placement, "mayUse">;
   readonly pushback: Pushback;
   readonly cache: CacheView;
   readonly transfers: TransferPlanner;
@@ -161,6 +163,7 @@
       });
       const attempt = pools.open({
         mayStart: () =>
+          options.placement.mayUse(request, entry) &&
           !pushback.isActive(entry) && !isOutdated({ startedAt }) &&
           (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -33,7 +33,8 @@
 import { type ResponseHead, START_PUT_OFF } from "./connection_pools.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import type { Detour } from "./detour.ts";
-import type { ForwardedRequest } from "./forwarded_request.ts";
+import { type ForwardedRequest, isTakenUp } from "./forwarded_request.ts";
+import { explainRefusal } from "./refusal_reasons.ts";
 import { BUSY_AVOIDANCE } from "./replica_feedback.ts";
 import type { ResponseProgress } from "./response_forwarding.ts";
 import { gapLimit } from "./silence_limits.ts";
@@ -558,8 +559,10 @@
         const earliest = Math.max(wait, pushbackTime(new Set()));
         const spread = Math.max(RETRY_JITTER, wait / 2);
         const retryAfter = earliest + Math.random() * spread;
-        caller.refuse({ status: 503, reason, retryAfter });
-        return end({ kind: "refused", reason, status: 503, retryAfter });
+        const stated = explainRefusal(reason, placement.barrierOf(request));
+        const refusal = { status: 503, reason: stated, retryAfter };
+        caller.refuse(refusal);
+        return end({ kind: "refused", ...refusal });
       }
       caller.refuse({ status, reason });
       return end({ kind: "lost", reason, status });
@@ -575,14 +578,6 @@
   };
 }
 
-/** True when the caller has events of the stream from an earlier request. */
-function isTakenUp(
-  { route }: DispatchRequest,
-  { resumes, lastEvent = 0 }: ForwardedRequest,
-): boolean {
-  return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
-}
-
 function customerField(
   { customer }: DispatchRequest,
 ): { readonly customer?: string } {
