Gateway: name the end of fetches in each attempt again

Cause: the function that composes the deadline of fetches returned a field under another name since, and a spread hides that from the type check, so no attempt carried Kv-Until. Change: the field has the name that the codec reads, checked by its type.

--- a/packages/gateway/src/attempt_sending.ts
+++ b/packages/gateway/src/attempt_sending.ts
@@ -24,7 +24,7 @@
 import type { GuardedAttempt } from "./crash_guard.ts";
 import type { Attempt, ConnectionPools } from "./connection_pools.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
-import type { HeaderCodec } from "./header_codec.ts";
+import type { AttemptMetadata, HeaderCodec } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { ReplicaClock } from "./replica_clock.ts";
 import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
@@ -102,6 +102,18 @@
   prefillTime(choice: Choice): Milliseconds;
 }
 
+/**
+ * Ends the fetches of an attempt before a store may free the parts. `now` is the
+ * time on the replicas' clock, undefined while it is not known.
+ */
+export function limitFetches(
+  { fetched }: Pick<Choice, "fetched">,
+  now: Timestamp | undefined,
+): Pick<AttemptMetadata, "fetchDeadline"> {
+  if (fetched === 0 || now === undefined) return {};
+  return { fetchDeadline: now + MAX_FETCH };
+}
+
 /**
  * Wait for a connection after which an attempt is composed anew, because its
  * headers state the time that was left before.
@@ -115,11 +127,6 @@
   const { transfers, replicaClock, prefillRates, pushback } = options;
   const { sendGate } = options;
 
-  function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
-    const now = replicaClock.now();
-    return now === undefined ? {} : { fetchEnd: now + MAX_FETCH };
-  }
-
   function isOutdated({ startedAt }: Pick<SentAttempt, "startedAt">): boolean {
     return clock.monotonic() - startedAt > MAX_CONNECTION_WAIT;
   }
@@ -183,7 +190,7 @@
           ...(version === undefined ? {} : { weights: version }),
           ...(salt === undefined ? {} : { salt }),
           ...(parts === undefined ? {} : { parts }),
-          ...(choice.fetched === 0 ? {} : fetchDeadline()),
+          ...limitFetches(choice, replicaClock.now()),
           ...(progress.lastEvent > 0 ? { lastEvent: progress.lastEvent } : {}),
         }),
       });
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -7,4 +7,5 @@
 export * from "./gateway.ts";
 export * from "./options.ts";
 export * from "./replica_control.ts";
+export { limitFetches } from "./attempt_sending.ts";
 export { filterHopByHopHeaders as passOn } from "./caller.ts";
