Latency windows: keep both periods in one histogram

Cause: each quantile merged the histograms of two periods into a new one. The gateway estimates the time of answers several times in a request; this took 1.8% of a profile under load and made garbage. Change: values are also recorded in a histogram of both periods, which is made anew at a rotation. The test passes on the old code too. Measured, one record and two quantiles, 9 runs of both in turn: 22.3 to 5.1 us, ratio 0.23.

--- a/packages/retries/src/latency_window.ts
+++ b/packages/retries/src/latency_window.ts
@@ -28,6 +28,8 @@
   const rotationPeriod = options.rotationPeriod ?? DEFAULT_ROTATION_PERIOD;
   let newer = createHistogram();
   let older = createHistogram();
+  /** Both together, as quantiles are asked for several times in a request. */
+  let all = createHistogram();
   let rotatedAt = clock.monotonic();
 
   function rotateIfDue(): void {
@@ -35,6 +37,8 @@
     if (elapsed < rotationPeriod) return;
     older = elapsed < 2 * rotationPeriod ? newer : createHistogram();
     newer = createHistogram();
+    all = createHistogram();
+    all.add(older);
     rotatedAt = clock.monotonic();
   }
 
@@ -43,15 +47,13 @@
       rotateIfDue();
       const value = Math.min(MAX_LATENCY, Math.max(1, Math.round(latency)));
       newer.recordValue(value);
+      all.recordValue(value);
     }
 
     override quantile(quantile: number): Milliseconds | undefined {
       if (clock.monotonic() - rotatedAt >= 2 * rotationPeriod) return undefined;
-      const merged = createHistogram();
-      merged.add(newer);
-      merged.add(older);
-      if (merged.totalCount < MINIMUM_COUNT) return undefined;
-      return merged.getValueAtPercentile(quantile * 100);
+      if (all.totalCount < MINIMUM_COUNT) return undefined;
+      return all.getValueAtPercentile(quantile * 100);
     }
   })();
 }
