Transfers: list the stores of a region once in a placement

Change: the stores of a region are listed with the locations of the parts, and a part that no one holds is not searched for.

--- a/packages/dispatch/src/transfers.ts
+++ b/packages/dispatch/src/transfers.ts
@@ -114,6 +114,10 @@
   readonly shared: readonly PromptPart[];
   readonly peers: readonly Replica[];
   readonly parts: readonly PartLocation[];
+  /** Stores that are reachable. */
+  readonly reachable: readonly StoreTraits[];
+  /** Those of a region, filled with the first candidate of the region. */
+  readonly storesByRegion: Map<string | undefined, readonly StoreTraits[]>;
 }
 
 interface TransferSource {
@@ -158,10 +162,24 @@
         replicas: peers.filter(({ entry }) => holders.has(entry.id)),
       };
     });
-    lastLocations = { salt, shared, peers, parts };
+    const storesByRegion = new Map();
+    lastLocations = { salt, shared, peers, parts, reachable, storesByRegion };
     return lastLocations;
   }
 
+  /** Stores in the region of the replica. */
+  function listStoresNear(
+    { entry }: Replica,
+    { reachable, storesByRegion }: Locations,
+  ): readonly StoreTraits[] {
+    const region = regions.get(entry.zone);
+    const known = storesByRegion.get(region);
+    if (known !== undefined) return known;
+    const found = reachable.filter(({ zone }) => regions.get(zone) === region);
+    storesByRegion.set(region, found);
+    return found;
+  }
+
   /**
    * Finds the nearest holder of the part. Within the region, stores are
    * preferred to replicas.
@@ -171,6 +189,7 @@
     location: PartLocation,
     request: TransferRequest,
   ): TransferSource | undefined {
+    if (location.stores.length + location.replicas.length === 0) return;
     const { replica, mayUseStores } = request;
     const rate = options.prefillRate(replica.entry.service);
     const holdingStores = mayUseStores ? location.stores : [];
@@ -259,15 +278,16 @@
   return new (class extends TransferPlanner {
     override plan(request: TransferRequest): TransferPlan {
       const { replica, salt, shared, mayUseStores } = request;
+      const located = locate(request);
+      const { parts: locations } = located;
       const sameRegionStores = mayUseStores
-        ? stores().filter(({ zone }) => isSameRegion(zone, replica))
+        ? listStoresNear(replica, located)
         : [];
       const plans: PartPlan[] = [];
       let fetched: Tokens = 0;
       let recomputed: Tokens = 0;
       let cost = 0;
       let isContiguous = true;
-      const { parts: locations } = locate(request);
       for (const [index, part] of shared.entries()) {
         const location = locations[index];
         if (location === undefined) break;
