Clock: one abort listener for all sleeps of a signal

Cause: each sleep added a listener to its signal and removed it at its end, which searches all listeners; the tasks of a daemon share one signal. Sleeps took 5% of the processor time of an idle daemon. Change: the sleeps of a signal are kept in a set with one listener. The test fails when sleeps are not added to the set.

--- a/packages/clock/src/system_clock.test.ts
+++ b/packages/clock/src/system_clock.test.ts
@@ -31,3 +31,19 @@
   socket.destroy();
   server.close();
 });
+
+// Guards against a task that sleeps on after the daemon has stopped, because
+// another sleep of the same signal ended before.
+test("an abort ends all sleeps of its signal, whichever ended before", async () => {
+  const controller = new AbortController();
+  const clock = createSystemClock();
+  await clock.sleep(1, controller.signal);
+  const started = performance.now();
+  const sleeps = [60_000, 1, 60_000].map((duration) =>
+    clock.sleep(duration, controller.signal)
+  );
+  await sleeps[1];
+  controller.abort();
+  await Promise.all([...sleeps, clock.sleep(60_000, controller.signal)]);
+  expect(performance.now() - started < 30_000).toEqual(true);
+});
--- a/packages/clock/src/system_clock.ts
+++ b/packages/clock/src/system_clock.ts
@@ -38,9 +38,10 @@
 ): Promise<void> {
   return new Promise((resolve) => {
     if (signal?.aborted) return resolve();
+    const sleepers = signal === undefined ? undefined : sleepersOf(signal);
     const finish = () => {
       clearTimeout(timer);
-      signal?.removeEventListener("abort", finish);
+      sleepers?.delete(finish);
       resolve();
     };
     const due = performance.now() + duration;
@@ -50,6 +51,24 @@
       else finish();
     };
     const timer = setTimeout(finishAfterInput, duration);
-    signal?.addEventListener("abort", finish);
+    sleepers?.add(finish);
   });
 }
+
+/**
+ * What ends the sleeps that wait for a signal. All of them share one listener,
+ * because adding and removing one takes longer than the rest of a sleep, and
+ * removal searches all listeners of the signal.
+ */
+const sleepersBySignal = new WeakMap<AbortSignal, Set<() => void>>();
+
+function sleepersOf(signal: AbortSignal): Set<() => void> {
+  const known = sleepersBySignal.get(signal);
+  if (known !== undefined) return known;
+  const sleepers = new Set<() => void>();
+  sleepersBySignal.set(signal, sleepers);
+  signal.addEventListener("abort", () => {
+    for (const finish of [...sleepers]) finish();
+  }, { once: true });
+  return sleepers;
+}
