Membership: encode an aggregate once for all receivers

Cause: an aggregate was serialized and signed anew for each of the two receivers in every other zone, although all get the same bytes. Change: it is encoded once. In a fleet of 6 zones that is one signature instead of 10 for each aggregate.

--- a/packages/membership/src/sender.ts
+++ b/packages/membership/src/sender.ts
@@ -167,12 +167,15 @@
     const base = { kind: "aggregate", ...header, zone, content: "" } as const;
     const limit = MAX_DATAGRAM - codec.measure(base);
     const content = options.createAggregate?.(limit) ?? null;
-    const datagram = { ...base, content };
+    const encoded = codec.encode({ ...base, content });
+    if (encoded.isErr()) return;
     const otherZones = candidates.zones().filter((other) => !isNeighbor(other));
     for (const other of otherZones) {
       const seeds = candidates.listZone(other).map((seed) => seed.address);
       const ranked = rankNamesByRendezvous(`${zone} ${pair}`, seeds);
-      for (const to of ranked.slice(0, AGGREGATE_RECEIVERS)) send(to, datagram);
+      for (const to of ranked.slice(0, AGGREGATE_RECEIVERS)) {
+        sendBytes(to, encoded.value);
+      }
     }
   }
 
