Stream origins: look at each service once in a batch

Cause: every 50 ms, all streams of the last 30 s that need no saving were checked one by one, each by sorting the versions of its service. Change: the answer of a service holds for the whole batch.

--- a/packages/retries/src/stream_origins.ts
+++ b/packages/retries/src/stream_origins.ts
@@ -99,10 +99,17 @@
     takeBatch(limit) {
       dropExpired();
       const saves: (readonly [string, StreamOrigin])[] = [];
+      // Most streams are of few services, and only in a rollout need saving.
+      const needed = new Map<string, boolean>();
+      const isNeeded = (service: string) => {
+        const isKnown = needed.get(service) ?? needsSaving(service);
+        needed.set(service, isKnown);
+        return isKnown;
+      };
       for (const key of unsaved) {
         if (saves.length >= limit) break;
         const origin = known.get(key)?.origin;
-        if (origin === undefined || !needsSaving(origin.service)) continue;
+        if (origin === undefined || !isNeeded(origin.service)) continue;
         unsaved.delete(key);
         saved.add(key);
         saves.push([key, origin]);
