Gateway: send nothing to replicas of a zone that the operator has evacuated

Cause: the operator could not keep requests out of a zone, and removed keys of the operator's table were not handed on.

Change: `evacuations.ts` derives the evacuated zones from the rows `op/evacuate/ZONE`, whatever their values, and the gate of `eligibility.ts` asks for them, so that placements, retries, hedges, transfers and attempts that wait for a connection leave the zone, for plain services too. Waiting requests are checked again when the set changes. A row that a returned store lacks is kept for 30 s, also over a second whole read, and is then dropped here and at peers. Refusals name the cause; the gauge `evacuated_zones` and the label `evacuated` count them.

--- a/packages/dispatch/src/eligibility.test.ts
+++ b/packages/dispatch/src/eligibility.test.ts
@@ -54,7 +54,7 @@
 }
 
 /** A daemon in espoo with two replicas and one store in each zone. */
-function setUp() {
+function setUp(evacuated = () => new Set<string>()) {
   const regions = new CountedRegions(ZONES);
   const clock = createManualClock();
   const [load, cache] = [createLoadView(clock), createCacheView()];
@@ -73,7 +73,7 @@
       }))
     ),
   );
-  const eligibility = createEligibility({ regions });
+  const eligibility = createEligibility({ regions, evacuated });
   const stores = ZONES.map(([zone]) => ({
     ...{ address: `store-${zone}`, zone, capacity: 1e6 },
     ...{ tokensPerMillisecond: 600, startDelay: 1 },
@@ -184,3 +184,34 @@
   }
   expect(regions.listed).toEqual(2);
 });
+
+// Guards against an evacuated replica that is used as a last resort while all
+// others are full, fail or are excluded.
+test("nothing is placed in an evacuated zone, whatever is left", () => {
+  let evacuated = new Set<string>();
+  const { cache, choose, placement, replicas } = setUp(() => evacuated);
+  const far = ["llm-vaasa", "shop-vaasa"];
+  const prompt = createRequest();
+  const { prompt: _, ...rest } = prompt;
+  const plain = { ...rest, service: "shop" };
+  const isBarred = placement.watchCandidates(prompt, new Set(far));
+  expect([isBarred(), placement.barrierOf(prompt)]).toEqual([false, undefined]);
+  evacuated = new Set(["espoo", "vantaa"]);
+  for (const id of far) replicas.recordFailure(id);
+  for (const request of [prompt, plain]) {
+    expect(choose(request)?.replica.entry.zone).toEqual("vaasa");
+    expect(placement.candidates(request, new Set()).length).toEqual(1);
+    expect(choose(request, far)).toEqual(undefined);
+    expect(placement.hasCandidates(request, new Set(far))).toEqual(false);
+    expect(placement.barrierOf(request)).toEqual("evacuation");
+  }
+  const [near] = replicas.usable("llm");
+  expect(near && placement.mayUse(prompt, near.entry)).toEqual(false);
+  expect(isBarred()).toEqual(true);
+  const salt = choose(prompt)?.salt ?? "";
+  cache.apply("store-espoo", { salt, part: "shared", tokens: 4_000 });
+  expect(choose(prompt)?.parts?.[0]?.fetchFrom).toEqual(undefined);
+  evacuated = new Set();
+  expect(isBarred()).toEqual(false);
+  expect(choose(plain)?.replica.entry.zone).toEqual("espoo");
+});
--- a/packages/dispatch/src/eligibility.ts
+++ b/packages/dispatch/src/eligibility.ts
@@ -21,17 +21,24 @@
 }
 
 /** Why a request may not use replicas that exist. */
-export type Barrier = "regions";
+export type Barrier = "regions" | "evacuation";
 
 export interface EligibilityOptions {
   /** Region of each zone. */
   readonly regions: ReadonlyMap<string, string>;
+  /** The evacuated zones; another set whenever they have changed. */
+  readonly evacuated?: () => ReadonlySet<string>;
 }
 
 export abstract class Eligibility {
   /** Returns undefined when the request is not restricted to regions. */
   abstract scopeOf(request: GatedRequest): RequestScope | undefined;
-  /** Returns true when the zone is in a region that the request may use. */
+  /** The evacuated zones; another set whenever they have changed. */
+  abstract evacuated(): ReadonlySet<string>;
+  /**
+   * Returns true when the zone is in a region that the request may use. Daemons
+   * of an evacuated zone take requests as before.
+   */
   abstract allowsZone(request: GatedRequest, zone: string): boolean;
   /**
    * Returns what keeps the request from replicas in these zones; undefined when
@@ -50,11 +57,13 @@
   ): ((zone: string) => boolean) | undefined;
 }
 
+const NO_ZONES: ReadonlySet<string> = new Set();
+
 /** Stands for the customer of requests that have none. */
 const NO_CUSTOMER = {};
 
 export function createEligibility(
-  { regions }: EligibilityOptions,
+  { regions, evacuated = () => NO_ZONES }: EligibilityOptions,
 ): Eligibility {
   // Routes and customers are replaced with the desired state; so are the entries.
   const scopes = new WeakMap<object, WeakMap<object, RequestScope>>();
@@ -82,6 +91,10 @@
       return scope;
     }
 
+    override evacuated(): ReadonlySet<string> {
+      return evacuated();
+    }
+
     override allowsZone(request: GatedRequest, zone: string): boolean {
       return isZoneAllowed(this.scopeOf(request), zone);
     }
@@ -91,9 +104,11 @@
       zones: Iterable<string>,
     ): Barrier | undefined {
       const scope = this.scopeOf(request);
-      if (scope === undefined) return undefined;
+      const closed = evacuated();
+      if (scope === undefined && closed.size === 0) return undefined;
       const present = [...new Set(zones)];
       const allowed = present.filter((zone) => isZoneAllowed(scope, zone));
+      if (allowed.some((zone) => closed.has(zone))) return "evacuation";
       return allowed.length === 0 && present.length > 0 ? "regions" : undefined;
     }
 
@@ -101,8 +116,9 @@
       request: GatedRequest,
     ): ((zone: string) => boolean) | undefined {
       const scope = this.scopeOf(request);
-      if (scope === undefined) return undefined;
-      return (zone) => isZoneAllowed(scope, zone);
+      const closed = evacuated();
+      if (scope === undefined && closed.size === 0) return undefined;
+      return (zone) => isZoneAllowed(scope, zone) && !closed.has(zone);
     }
   })();
 }
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -77,6 +77,15 @@
   ): readonly ReplicaEntry[];
   /** Returns true while the replica is in a zone that the request may use. */
   abstract mayUse(request: DispatchRequest, entry: ReplicaEntry): boolean;
+  /**
+   * Returns a check for a request that waits: it returns true when an evacuation
+   * has left no replica that can take the request. It costs something only when
+   * the evacuated zones have changed.
+   */
+  abstract watchCandidates(
+    request: DispatchRequest,
+    excluded: ReadonlySet<string>,
+  ): () => boolean;
   /** What keeps the request from replicas of its service, if anything does. */
   abstract barrierOf(request: DispatchRequest): Barrier | undefined;
 }
@@ -382,7 +391,23 @@
       return eligibility.gateOf(request)?.(zone) ?? true;
     }
 
+    override watchCandidates(
+      request: DispatchRequest,
+      excluded: ReadonlySet<string>,
+    ): () => boolean {
+      let checked = eligibility.evacuated();
+      let isBarred = false;
+      return () => {
+        const present = eligibility.evacuated();
+        if (present === checked) return isBarred;
+        checked = present;
+        isBarred = !this.hasCandidates(request, excluded);
+        return isBarred;
+      };
+    }
+
     override barrierOf(request: DispatchRequest): Barrier | undefined {
+      if (eligibility.gateOf(request) === undefined) return undefined;
       const zones = replicas.all()
         .filter(({ entry }) => entry.service === request.service)
         .map(({ entry }) => entry.zone);
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -533,6 +533,30 @@
     message:
       "A request is served again, because a replica has answered it completely.",
   }),
+  zone_evacuated: defineEvent(3050, "warn", {
+    fields: { zone: S },
+    message:
+      "The operator has evacuated a zone; its replicas get no more requests.",
+  }),
+  evacuation_ended: defineEvent(3051, "info", {
+    fields: { zone: S },
+    message: "A zone is no longer evacuated; its replicas get requests again.",
+  }),
+  evacuation_unknown: defineEvent(3052, "warn", {
+    fields: { zone: S },
+    message:
+      "The operator has evacuated a zone that the settings do not name; this changes nothing.",
+  }),
+  evacuation_kept: defineEvent(3053, "warn", {
+    fields: { zone: S, duration: N },
+    message:
+      "The store has returned from a copy that lacks an evacuation; it is kept for a time unless the operator writes or removes it.",
+  }),
+  evacuation_expired: defineEvent(3054, "warn", {
+    fields: { zone: S },
+    message:
+      "The operator has not written an evacuation again that a returned store lacks; it ends.",
+  }),
   entry_rejected: defineEvent(3023, "warn", {
     fields: { key: S, reason: S },
     message: "An entry of the replica list cannot be parsed.",
--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -43,6 +43,11 @@
     readonly removed: readonly string[];
     readonly version: number;
   }): RowChange;
+  /**
+   * Drops a row that is kept although the store lacks it, here and at the peers
+   * that learn of it.
+   */
+  forget(key: string): void;
   /** Takes the rows of a peer; returns the changes, or undefined if none. */
   adopt(update: TableUpdate): RowChange | undefined;
   changesSince(position: TablePosition): TableUpdate;
@@ -69,6 +74,11 @@
    * itself, because their writers write them again.
    */
   readonly keepsMissing?: boolean;
+  /**
+   * True for rows that the returned store lacks and that only a removal or
+   * `forget` drops, whatever is read later.
+   */
+  readonly isHeld?: (key: string) => boolean;
 }
 
 /** What the writer of a row states; see `TableCodec.readProgress`. */
@@ -91,8 +101,12 @@
 const MAX_REMOVALS = 1_000;
 
 export function createFollowedRows(
-  { fingerprintOf, progressOf = () => undefined, keepsMissing = false }:
-    FollowedRowsOptions,
+  {
+    fingerprintOf,
+    progressOf = () => undefined,
+    keepsMissing = false,
+    isHeld = () => false,
+  }: FollowedRowsOptions,
 ): FollowedRows {
   const known = new Map<string, KnownRow>();
   /** Removed rows and the versions at which they were, oldest first. */
@@ -164,7 +178,9 @@
   ): readonly string[] {
     if (keepsMissing && eraOf(newest) !== eraOf(version)) return [];
     const present = new Set(rows.map(({ key }) => key));
-    return [...known.keys()].filter((key) => !present.has(key));
+    return [...known].filter(([key, { row }]) =>
+      !present.has(key) && !(isHeld(key) && eraOf(row.version) < eraOf(newest))
+    ).map(([key]) => key);
   }
 
   /** Tells peers what stays known although the returned store lacks it. */
@@ -197,6 +213,9 @@
       version = Math.max(version, newest);
       return { changed, removed: gone };
     },
+    forget(key) {
+      remove(key, version);
+    },
     adopt(update) {
       if (update.isWhole && update.version <= version) return undefined;
       const absent = update.isWhole
--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -25,13 +25,18 @@
   readonly logger: EventLogger;
   readonly feed: TableFeed;
   readonly codec: TableCodec;
-  readonly settings: Pick<GatewaySettings, "configurationLimit" | "drainLimit">;
+  readonly settings: Pick<
+    GatewaySettings,
+    "configurationLimit" | "drainLimit" | "evacuationLimit"
+  >;
   readonly replicas: ReplicaTable;
   readonly registration: Registration;
   /** Place of this daemon among its neighbors for a duty; 0 goes first. */
   readonly rank: (duty: string) => number;
   /** Called for each changed row; `isOld` is true in the first snapshot. */
   readonly onOperatorRow: (row: FeedRow, isOld: boolean) => void;
+  /** Called before that when rows of the operator have come or gone. */
+  readonly onOperatorRows: () => void;
   /** Called when the replicas are known for the first time. */
   readonly onReplicasKnown: () => void;
   readonly onDaemonsRead: () => void;
@@ -41,7 +46,7 @@
 export const DAEMON_TABLE = "daemons";
 
 /**
- * Shares of the limits on the spread of a state and on leaving replicas after
+ * Shares of the limits on the spread of operator rows and on leaving replicas after
  * which a read is repeated. The rest is for the next reader to take over and to
  * tell its neighbors.
  */
@@ -84,20 +89,25 @@
     };
   }
 
-  const stateWait = settings.configurationLimit * STATE_WAIT_SHARE;
+  const { configurationLimit, evacuationLimit } = settings;
+  const stateWait = Math.min(configurationLimit, evacuationLimit) *
+    STATE_WAIT_SHARE;
   const operator = createTableFollower({
     ...{ clock, logger, feed },
     table: codec.operatorTable,
     progressOf: (row) => codec.readProgress(codec.operatorTable, row),
     keepsMissing: true,
+    isHeld: (key) => codec.readEvacuation(key) !== undefined,
     wait: stateWait,
     pause: 0,
     mayRead: createReaderCheck(codec.operatorTable, stateWait),
     onSnapshot(rows) {
+      options.onOperatorRows();
       for (const row of rows) options.onOperatorRow(row, !hasOperatorSnapshot);
       hasOperatorSnapshot = true;
     },
     onChange(rows) {
+      options.onOperatorRows();
       for (const row of rows) options.onOperatorRow(row, false);
     },
   });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -48,6 +48,7 @@
 import { createCrashGuard } from "./crash_guard.ts";
 import { takeChangedSettings } from "./changed_settings.ts";
 import { createDetour } from "./detour.ts";
+import { createEvacuations } from "./evacuations.ts";
 import { createFollowedCaches } from "./followed_caches.ts";
 import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
 import { createFrontend } from "./frontend.ts";
@@ -132,7 +133,15 @@
   // Each task of the daemon waits for the signal.
   setMaxListeners(0, stopController.signal);
   const holder = createStateHolder(logger, settings.topology.regions);
-  const eligibility = createEligibility(settings.topology);
+  const { regions } = settings.topology;
+  const evacuations = createEvacuations({
+    ...{ clock, logger, codec, regions },
+    table: () => tables.operator,
+  });
+  const eligibility = createEligibility({
+    regions,
+    evacuated: evacuations.zones,
+  });
   const pools = createConnectionPools();
   const cache = createCacheView({ memoryOf: memoryOfHolder });
   const load = createLoadView(clock, { sharesRate });
@@ -254,6 +263,7 @@
       ...{ logger, codec, holder, weights },
       onState: () => cacheFeed.refresh(),
     }),
+    onOperatorRows: evacuations.refresh,
     onReplicasKnown: () => hasReplicaList = true,
     onDaemonsRead: () => cacheFeed.refresh(),
   });
@@ -311,6 +321,7 @@
       state: entry.state,
       weights: [...known].map((pair) => pair.join("@")).join(" "),
     })),
+    evacuatedZones: evacuations.zones().size,
     limits: listLimits(),
     retriesLeft: new Map(
       [...holder.current()?.state.services.keys() ?? []]
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -41,6 +41,7 @@
   readonly listAge: Milliseconds;
   readonly waiting: number;
   readonly replicas: readonly ReplicaCount[];
+  readonly evacuatedZones?: number;
   readonly limits?: readonly ReplicaLimit[];
   /** Retries that the budget allows now, by service. */
   readonly retriesLeft: ReadonlyMap<string, number>;
@@ -73,6 +74,7 @@
   peridotvalve_list_age_ms: "Time since the list of replicas was read.",
   peridotvalve_memory_bytes: "Resident memory of the process.",
   peridotvalve_peers: "Other daemons that are registered.",
+  peridotvalve_evacuated_zones: "Zones to whose replicas nothing is sent.",
 } as const;
 
 /**
@@ -81,6 +83,7 @@
  */
 const REASON_LABELS: readonly (readonly [word: string, label: string])[] = [
   ["allowed regions", "region"],
+  ["evacuated zones", "evacuated"],
   ["shutting down", "stopping"],
   ["prompt part", "crashing part"],
   ["the request crashes", "crashing request"],
@@ -187,6 +190,7 @@
     set("peridotvalve_list_age_ms", Math.min(readings.listAge, MAX_AGE));
     set("peridotvalve_memory_bytes", process.memoryUsage.rss());
     set("peridotvalve_peers", readings.peers);
+    set("peridotvalve_evacuated_zones", readings.evacuatedZones ?? 0);
     replicas.clear();
     for (const { service, state, weights } of readings.replicas) {
       replicas.add(1, { service, state, weights });
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -49,6 +49,8 @@
   readonly weightGracePeriod: Milliseconds;
   /** Time within which a desired state must be in force on every daemon. */
   readonly configurationLimit: Milliseconds;
+  /** Time after which replicas of an evacuated zone must get no requests. */
+  readonly evacuationLimit: Milliseconds;
   /** Time after which a leaving replica must get no requests. */
   readonly drainLimit: Milliseconds;
   readonly retryRatio: number;
@@ -71,6 +73,8 @@
     key: string,
     value: unknown,
   ): { readonly model: string; readonly version: number } | undefined;
+  /** Zone that a row of the key evacuates; undefined for all other rows. */
+  readEvacuation(key: string): string | undefined;
   readEntry(key: string, value: unknown): Result<ReplicaEntry, string>;
   /**
    * Where the row stands among those that its writer wrote under this key, as
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -29,6 +29,7 @@
     "no replica": "no replica",
     "no replica, no room": "no room",
     "no replica, others are outside the allowed regions": "region",
+    "no replica, no room, others are in evacuated zones": "evacuated",
     "no replica, too many wait": "too many wait",
     "silent, no retries left": "retry budget",
     "silent, no room": "no room",
--- a/packages/gateway/src/refusal_reasons.ts
+++ b/packages/gateway/src/refusal_reasons.ts
@@ -6,6 +6,7 @@
 
 const BARRIER_TEXTS: Readonly<Record<Barrier, string>> = {
   regions: "others are outside the allowed regions",
+  evacuation: "others are in evacuated zones",
 };
 
 /** Reasons that further replicas would have avoided. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -519,6 +519,7 @@
         const placed = place();
         if (placed !== undefined || estimateWait() === 0) return placed;
       }
+      const isBarred = placement.watchCandidates(request, excluded);
       return await queue.wait({
         lane: request.service,
         rank: priorityOf(request),
@@ -526,7 +527,7 @@
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) || isOutOfContact() ||
-          isPushedBackBeyond(deadline) ||
+          isPushedBackBeyond(deadline) || isBarred() ||
           crashGuard.check(request, hasCrashed) !== undefined,
         place: () => place(),
       });
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -32,6 +32,7 @@
   readonly fingerprintOf?: (row: FeedRow) => string;
   readonly progressOf?: (row: FeedRow) => readonly number[] | undefined;
   readonly keepsMissing?: boolean;
+  readonly isHeld?: (key: string) => boolean;
   /** Called with all rows of a snapshot. */
   readonly onSnapshot: (rows: readonly FeedRow[]) => void;
   readonly onChange: (
@@ -61,6 +62,8 @@
   /** Returns true while this daemon reads the table from the store. */
   abstract isReading(): boolean;
   abstract rows(): readonly FeedRow[];
+  /** See `FollowedRows.forget`. */
+  abstract forget(key: string): void;
   abstract changesSince(position: TablePosition): TableUpdate;
   /** Takes rows from a peer; returns true if they were newer. */
   abstract adopt(update: TableUpdate): boolean;
@@ -223,6 +226,10 @@
       return known.list();
     }
 
+    override forget(key: string): void {
+      known.forget(key);
+    }
+
     override changesSince(position: TablePosition): TableUpdate {
       return known.changesSince(position);
     }
