Routing: decide barred zones in the module of the allowed regions

Cause: the operators' folder bars customers from zones; five places tested the list themselves.

Change: they call `isZoneBarred` of `zone_scope.ts`. The folder has no rule for regions or for evacuation.

--- a/packages/daemon/src/cache/stores.ts
+++ b/packages/daemon/src/cache/stores.ts
@@ -5,6 +5,7 @@
 import type { StoreCandidate } from "@peridotvalve/blocks";
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
+import { isZoneBarred } from "@peridotvalve/routing";
 import type { CacheVm, Configuration, Milliseconds } from "@peridotvalve/types";
 import { createHttpStoreVm, type HttpStoreVm } from "@peridotvalve/upstreams";
 
@@ -86,10 +87,10 @@
   }
 
   function toGroup(name: string, query: StoreQuery): StoreGroup[] {
-    const { from, use, barredZones } = query;
+    const { from, use } = query;
     const vms = Object.entries(configuration?.caches[name]?.vms ?? {})
       .filter(([, vm]) =>
-        !barredZones.includes(vm.availabilityZone) &&
+        !isZoneBarred(query, vm.availabilityZone) &&
         isUsable(vm.address, use)
       );
     const zones = vms.map(([, vm]) => vm.availabilityZone);
--- a/packages/daemon/src/chat/replica_choice.ts
+++ b/packages/daemon/src/chat/replica_choice.ts
@@ -3,11 +3,12 @@
  * account the copies of the prompt's blocks on store VMs.
  */
 import { type PromptBlocks, splitIntoBlocks } from "@peridotvalve/blocks";
-import type {
-  Candidate,
-  Placement,
-  PlacementRequest,
-  RankedCandidate,
+import {
+  type Candidate,
+  isZoneBarred,
+  type Placement,
+  type PlacementRequest,
+  type RankedCandidate,
 } from "@peridotvalve/routing";
 import type {
   Bytes,
@@ -145,7 +146,7 @@
 ): number {
   return candidates.filter(({ name, state, availabilityZone }) =>
     state === "ready" && !plan.excluded.includes(name) &&
-    !plan.barredZones.includes(availabilityZone)
+    !isZoneBarred(plan, availabilityZone)
   ).length;
 }
 
--- a/packages/daemon/src/chat/weights.ts
+++ b/packages/daemon/src/chat/weights.ts
@@ -2,7 +2,7 @@
  * Chooses the weight version that serves a request.
  */
 import { rankByRendezvous } from "@peridotvalve/rendezvous";
-import type { Candidate } from "@peridotvalve/routing";
+import { type Candidate, isZoneBarred } from "@peridotvalve/routing";
 
 export interface WeightVersionQuery {
   /** Name of the customer and key of the conversation. */
@@ -26,12 +26,12 @@
   query: WeightVersionQuery,
   candidates: readonly Candidate[],
 ): string {
-  const { conversation, target, barredZones, excluded, pinned } = query;
+  const { conversation, target, excluded, pinned } = query;
   const slots = new Map<string, number>();
   for (const candidate of candidates) {
     const { name, state, weights, availabilityZone } = candidate;
     if (state !== "ready" || excluded.includes(name)) continue;
-    if (barredZones.includes(availabilityZone)) continue;
+    if (isZoneBarred(query, availabilityZone)) continue;
     slots.set(weights, (slots.get(weights) ?? 0) + candidate.slots);
   }
   if (pinned !== undefined && slots.has(pinned)) return pinned;
--- a/packages/routing/src/estimator.ts
+++ b/packages/routing/src/estimator.ts
@@ -15,6 +15,7 @@
 } from "./candidate.ts";
 import type { LinkBudget } from "./link_budget.ts";
 import { countRequests } from "./placement.ts";
+import { isZoneBarred } from "./zone_scope.ts";
 
 export interface EstimatorOptions {
   readonly prefixIndex: PrefixIndex;
@@ -165,7 +166,7 @@
     copy: StoreCopy,
   ): PlacementOption | undefined {
     const { request } = context;
-    if (request.barredZones.includes(copy.availabilityZone)) return undefined;
+    if (isZoneBarred(request, copy.availabilityZone)) return undefined;
     if (copy.blocks === 0) return undefined;
     const bytes = copy.blocks * request.blockBytes;
     const crossesRegion = copy.region !== candidate.region;
--- a/packages/routing/src/placement.ts
+++ b/packages/routing/src/placement.ts
@@ -6,6 +6,7 @@
   PlacementRequest,
   RankedCandidate,
 } from "./candidate.ts";
+import { isZoneBarred } from "./zone_scope.ts";
 
 export abstract class Placement {
   /**
@@ -26,7 +27,7 @@
   return candidates.filter((candidate) =>
     candidate.state === "ready" &&
     candidate.weights === request.weights &&
-    !request.barredZones.includes(candidate.availabilityZone) &&
+    !isZoneBarred(request, candidate.availabilityZone) &&
     !request.excluded?.includes(candidate.name)
   );
 }
--- a/packages/routing/src/zone_scope.ts
+++ b/packages/routing/src/zone_scope.ts
@@ -1,6 +1,7 @@
 /**
  * Decides in which zones a request may be served, cached and stored. A request
- * is restricted by the regions that its route and its customer allow.
+ * is restricted by the regions that its route and its customer allow or, in the
+ * operators' folder, by the zones from which its customer is barred.
  *
  * The set never widens by accident: regions that no zone belongs to allow
  * nothing, and a zone of unknown region is not allowed to restricted requests.
@@ -42,6 +43,18 @@
   return scope === undefined || scope.zones.has(zone);
 }
 
+/** Zones where work must not run, as the operators' folder names them. */
+export interface BarredZones {
+  readonly barredZones: readonly string[];
+}
+
+export function isZoneBarred(
+  { barredZones }: BarredZones,
+  zone: string,
+): boolean {
+  return barredZones.includes(zone);
+}
+
 /** Regions of the restrictions that no zone belongs to. */
 export function listUnknownRegions(
   regions: ReadonlyMap<string, string>,
