Gateway: drop expired evacuations also without requests

Cause: an evacuation kept after the return of the store ended only with the next request or scrape, so an idle daemon lent the row to one that started later.

Change: each read of the operator's table also drops what has expired.

Measured: evacuations.test.ts 4 of 4 and table_follower.test.ts 9 of 9 pass; with the call removed, evacuations.test.ts fails.

--- a/packages/gateway/src/evacuations.test.ts
+++ b/packages/gateway/src/evacuations.test.ts
@@ -113,9 +113,12 @@
 // Guards against an evacuation without an end: a daemon that does not read the
 // store learns of the new era from a peer whose rows are otherwise the same.
 test("the time begins when a peer tells of the new era", async () => {
-  const { clock, rows, zones } = setUp();
+  const { clock, rows, zones, change } = setUp();
   rows.adopt({ version: after(4), isWhole: false, rows: [], removed: [] });
   expect(zones()).toEqual(["espoo"]);
   await clock.advance(31_000);
+  // Without requests, the next read of the table drops the row.
+  change(after(5), []);
+  expect(rows.list().map(({ key }) => key)).toEqual(["config"]);
   expect(zones()).toEqual([]);
 });
--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -16,7 +16,7 @@
 export interface Evacuations {
   /** The evacuated zones; another set whenever they have changed. */
   zones(): ReadonlySet<string>;
-  /** Takes the rows of the table, which have changed. */
+  /** Takes the rows of the table; called whenever it has been read. */
   refresh(): void;
 }
 
@@ -90,6 +90,7 @@
   function refresh(): void {
     era = eraOf(table().version());
     take(readRows());
+    if (clock.monotonic() >= nextExpiry) dropExpired();
   }
 
   function dropExpired(): void {
--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -35,7 +35,10 @@
   readonly rank: (duty: string) => number;
   /** Called for each changed row; `isOld` is true in the first snapshot. */
   readonly onOperatorRow: (row: FeedRow, isOld: boolean) => void;
-  /** Called before that when rows of the operator have come or gone. */
+  /**
+   * Called when the operator's table has been read, and before `onOperatorRow`
+   * when rows have come or gone.
+   */
   readonly onOperatorRows: () => void;
   /** Called when the replicas are known for the first time. */
   readonly onReplicasKnown: () => void;
@@ -101,6 +104,7 @@
     wait: stateWait,
     pause: 0,
     mayRead: createReaderCheck(codec.operatorTable, stateWait),
+    onContact: options.onOperatorRows,
     onSnapshot(rows) {
       options.onOperatorRows();
       for (const row of rows) options.onOperatorRow(row, !hasOperatorSnapshot);
