Backpressure: keep the rate that cold replicas tolerate in any second

A replica that has just started crashes when it gets far more than cold_per_s requests in a second.

Limits now also ask whether a replica is cold. The rate is divided evenly, in slots whose times follow from the names of all daemons, so that the sum stays below the bound without a message.

--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -4,6 +4,9 @@
  * the rates of all that share it, and at least an equal part. Shares follow the
  * load, so the limit is used wherever the requests come in, and a daemon that
  * does not know the others yet takes an equal part.
+ *
+ * A cold replica has a limit of its own, which holds in any second and is divided
+ * evenly. A request to a replica with both needs room in both.
  */
 import type { Clock } from "@peridotvalve/clock";
 import {
@@ -11,12 +14,19 @@
   type RequestRate,
   SECOND,
 } from "@peridotvalve/types";
+import type { Coldness } from "./cold_replicas.ts";
+import {
+  createEqualSlots,
+  type FleetPosition,
+  type Tolerance,
+} from "./equal_slots.ts";
 import { type Incarnation, incarnationHash } from "./incarnation.ts";
 import { hashToUnit } from "./unit_hash.ts";
 import type { Statements } from "./statements.ts";
 
 export interface PacedReplica extends Incarnation {
   readonly zone: string;
+  readonly service?: string;
 }
 
 /** Daemons that know each other's rates and share a part of each limit. */
@@ -64,11 +74,17 @@
   return { fraction, members, live, position };
 }
 
+/** A counted request that has not been sent yet. */
+export interface Permit {
+  /** Returns false when the replica has become cold since. */
+  readonly isValid: () => boolean;
+}
+
 export abstract class Limits {
   /** Returns true when a request may be sent to the replica now. */
   abstract hasRoom(replica: PacedReplica): boolean;
   /** Counts a request that is sent to the replica. */
-  abstract take(replica: PacedReplica): void;
+  abstract take(replica: PacedReplica): Permit;
   /** Takes back a counted request that is not sent. */
   abstract giveBack(replica: PacedReplica): void;
   /**
@@ -97,8 +113,17 @@
   readonly groupOf: (replica: PacedReplica) => SharingGroup;
   /** Source of random numbers in [0, 1). */
   readonly random?: () => number;
+  /** By default no replica is cold. */
+  readonly coldness?: (replica: PacedReplica) => Coldness | undefined;
+  /** Place among all daemons; undefined while they are not known. */
+  readonly position?: () => FleetPosition | undefined;
+  /** What a cold replica may get beyond its rate. */
+  readonly tolerance?: () => Tolerance;
 }
 
+/** What the platform's page allows unless the settings say otherwise. */
+export const DEFAULT_TOLERANCE: Tolerance = { over: 1.5, slack: 5 };
+
 /** Rate at which a replica that takes less is asked whether it still does. */
 const PROBE_RATE: RequestRate = 0.5;
 
@@ -125,9 +150,13 @@
 
 export function createLimits(options: LimitsOptions): Limits {
   const { clock, statements, rates, groupOf, random = Math.random } = options;
+  const { coldness = () => undefined, position = () => undefined } = options;
+  const { tolerance = () => DEFAULT_TOLERANCE } = options;
   const buckets = new Map<string, Bucket>();
+  const slots = createEqualSlots({ clock, position, tolerance });
 
-  function rateOf(replica: PacedReplica): RequestRate {
+  /** Rate within the limit that the replica names. */
+  function namedRateOf(replica: PacedReplica): RequestRate {
     const limit = statements.find(replica, "limit");
     if (limit === undefined) return Infinity;
     const { fraction, members, live } = groupOf(replica);
@@ -142,7 +171,7 @@
 
   function refill(replica: PacedReplica): Bucket | undefined {
     const key = incarnationHash(replica);
-    const rate = rateOf(replica);
+    const rate = namedRateOf(replica);
     if (rate === Infinity) {
       buckets.delete(key);
       return undefined;
@@ -162,9 +191,19 @@
   }
 
   return new (class extends Limits {
-    override rateOf = rateOf;
+    override rateOf(replica: PacedReplica): RequestRate {
+      const cold = coldness(replica);
+      const named = namedRateOf(replica);
+      return cold === undefined
+        ? named
+        : Math.min(named, slots.rateOf(replica, cold));
+    }
 
     override hasRoom(replica: PacedReplica): boolean {
+      const cold = coldness(replica);
+      if (cold !== undefined && slots.available(replica, cold) < 1) {
+        return false;
+      }
       const bucket = refill(replica);
       return bucket === undefined || bucket.saved >= 1;
     }
@@ -175,24 +214,41 @@
     ): Milliseconds {
       let rate: RequestRate = 0;
       let saved = 0;
+      let longest = Infinity;
       for (const replica of replicas) {
         const bucket = refill(replica);
-        if (bucket === undefined) return 0;
-        rate += rateOf(replica);
-        saved += Math.max(0, bucket.saved);
+        const cold = coldness(replica);
+        if (bucket === undefined && cold === undefined) return 0;
+        rate += this.rateOf(replica);
+        saved += Math.min(
+          Math.max(0, bucket?.saved ?? Infinity),
+          cold === undefined ? Infinity : slots.available(replica, cold),
+        );
+        if (bucket !== undefined || cold === undefined) continue;
+        longest = Math.min(longest, cold.until - clock.monotonic());
       }
-      if (rate === 0) return 0;
-      return Math.max(0, count - saved) * SECOND / rate;
+      if (rate === 0) return longest === Infinity ? 0 : longest;
+      return Math.min(longest, Math.max(0, count - saved) * SECOND / rate);
     }
 
-    override take(replica: PacedReplica): void {
+    override take(replica: PacedReplica): Permit {
       const bucket = refill(replica);
       if (bucket !== undefined) bucket.saved -= 1;
+      const cold = coldness(replica);
+      if (cold !== undefined) slots.take(replica, cold);
+      return {
+        isValid() {
+          const now = coldness(replica);
+          return now === undefined || now.since === cold?.since;
+        },
+      };
     }
 
     override giveBack(replica: PacedReplica): void {
       const bucket = refill(replica);
       if (bucket !== undefined) bucket.saved += 1;
+      const cold = coldness(replica);
+      if (cold !== undefined) slots.giveBack(replica, cold);
     }
   })();
 }
--- a/packages/backpressure/src/mod.ts
+++ b/packages/backpressure/src/mod.ts
@@ -2,6 +2,8 @@
  * What replicas say of themselves in their answers, and the pace that daemons
  * keep because of it.
  */
+export * from "./cold_replicas.ts";
+export { type FleetPosition, type Tolerance } from "./equal_slots.ts";
 export * from "./incarnation.ts";
 export * from "./limits.ts";
 export * from "./places.ts";
--- a/packages/backpressure/src/statement.ts
+++ b/packages/backpressure/src/statement.ts
@@ -17,6 +17,13 @@
   readonly brittle?: RequestRate;
   /** Present when the replica says that it leaves. */
   readonly leaving?: 1;
+  /** Seconds for which the replica stays cold; 0 when it is warm. */
+  readonly cold?: number;
+  /**
+   * Present when the replica refused or reset connections or was silent: the
+   * seconds for which it had been silent, 0 for a connection that ended.
+   */
+  readonly suspect?: number;
 }
 
 export type StatementKind = keyof Statement;
@@ -25,10 +32,16 @@
   "limit",
   "brittle",
   "leaving",
+  "cold",
+  "suspect",
 ];
 
 /**
  * Kinds that hold until the end of the incarnation, also when nothing is heard
  * from it any more.
  */
-export const LASTING_KINDS: ReadonlySet<StatementKind> = new Set(["leaving"]);
+export const LASTING_KINDS: ReadonlySet<StatementKind> = new Set([
+  "leaving",
+  "cold",
+  "suspect",
+]);
--- a/packages/backpressure/src/statements.ts
+++ b/packages/backpressure/src/statements.ts
@@ -33,6 +33,15 @@
 export abstract class Statements {
   /** Records everything that one answer of the replica says of itself. */
   abstract record(replica: Incarnation, statement: Statement): void;
+  /**
+   * Records one value that holds since a time on the monotonic clock, whether it
+   * has changed or not, and tells the peers.
+   */
+  abstract note(
+    replica: Incarnation,
+    kind: StatementKind,
+    heard: { readonly value: number; readonly heardAt: Milliseconds },
+  ): void;
   /**
    * Reports a statement that cannot be read to `onRejected`, at most once per
    * replica in `STATEMENT_EXPIRY`.
@@ -116,12 +125,16 @@
   function merge(
     kind: StatementKind,
     key: string,
-    { value, heardAt, isOwn }: HeardValue & { readonly isOwn: boolean },
+    { value, heardAt, isOwn, isNews = false }: HeardValue & {
+      readonly isOwn: boolean;
+      /** True when peers are to be told of an unchanged value as well. */
+      readonly isNews?: boolean;
+    },
   ): void {
     const known = findAt(kind, key);
     if (known !== undefined && known.heardAt > heardAt) return;
     if (value === undefined && LASTING_KINDS.has(kind)) return;
-    const isChanged = known?.value !== value;
+    const isChanged = isNews || known?.value !== value;
     const wasInForce = known?.value !== undefined;
     setBounded(recordsOf(kind), key, {
       value,
@@ -162,6 +175,15 @@
       }
     }
 
+    override note(
+      replica: Incarnation,
+      kind: StatementKind,
+      heard: { readonly value: number; readonly heardAt: Milliseconds },
+    ): void {
+      const key = incarnationHash(replica);
+      merge(kind, key, { ...heard, isOwn: true, isNews: true });
+    }
+
     override reject(replica: Incarnation, reason: string): void {
       const key = incarnationHash(replica);
       const last = rejections.get(key) ?? -Infinity;
