Gateway: hold back replicas that have just started

cold_start_s, cold_per_s, cold_remaining_ms, Cold-Ms, cold_over and cold_slack were not read, so a replica that came back got its whole part at once.

Entries, control answers, refused and reset connections and spells of silence go to createColdReplicas, and the daemon that reads the list reports what entries of suspected replicas say since. The row counts as changed when it becomes cold or warm only. Requests that only cold replicas can take wait in lanes of their own.

--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -2,7 +2,12 @@
  * The operator's desired state: routes, services, customers and limits. It is a
  * read-only value that is replaced as a whole.
  */
-import type { Bytes, Milliseconds, Tokens } from "@peridotvalve/types";
+import type {
+  Bytes,
+  Milliseconds,
+  RequestRate,
+  Tokens,
+} from "@peridotvalve/types";
 
 /**
  * Whether requests of a route may be retried: `idempotent` requests may, an
@@ -57,6 +62,14 @@
   readonly startDelay: Milliseconds;
 }
 
+/** What a replica tolerates after its start. */
+export interface ColdTraits {
+  /** Time after its start for which a replica is cold. */
+  readonly duration: Milliseconds;
+  /** Requests that a cold replica tolerates from all daemons together. */
+  readonly rate: RequestRate;
+}
+
 export interface Service {
   readonly name: string;
   /** Connections that one replica accepts from all daemons together. */
@@ -65,6 +78,8 @@
   readonly engine?: EngineTraits;
   /** Present for services that store cached prompt parts. */
   readonly store?: StoreTraits;
+  /** Present when replicas of the service are cold after their start. */
+  readonly cold?: ColdTraits;
 }
 
 export interface Customer {
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -22,6 +22,11 @@
   readonly state: "ready" | "leaving";
   /** Start time of the incarnation; absent when the entry has none. */
   readonly born?: Timestamp;
+  /**
+   * Time for which the replica stays cold, as of the write of the entry; absent
+   * when the entry does not say.
+   */
+  readonly coldRemaining?: Milliseconds;
   /** Version of the replica's software; absent when the entry has none. */
   readonly software?: string;
   /** Weight version by model. */
@@ -119,8 +124,11 @@
    * them.
    */
   abstract silent(): readonly string[];
-  /** Records that data has been received from the replica. */
-  abstract recordReceived(id: string): void;
+  /**
+   * Records that data has been received from the replica, of an attempt that
+   * began at `since`; by default it began now.
+   */
+  abstract recordReceived(id: string, since?: Milliseconds): void;
   /** Time since data was last received from the replica. */
   abstract silence(id: string): Milliseconds;
   /** Records that the replica did not respond, or broke off its response. */
@@ -138,7 +146,9 @@
   readonly clock: Clock;
   readonly onChange: (change: ReplicaChange, replica: Replica) => void;
   /** Called when data has been received from a replica. */
-  readonly onReceived?: () => void;
+  readonly onReceived?: (id: string, since: Milliseconds) => void;
+  /** Called when a replica becomes unresponsive, with how long it was silent. */
+  readonly onSilent?: (entry: ReplicaEntry, silence: Milliseconds) => void;
   /**
    * Time since which the replica is known to have said that it leaves, whatever
    * the list says; undefined when it has not.
@@ -161,6 +171,7 @@
     clock,
     onChange,
     onReceived = () => {},
+    onSilent = () => {},
     leavingSince = () => undefined,
     isPushingBack = () => false,
     drainLimit = () => 0,
@@ -173,14 +184,27 @@
    * sent nothing since.
    */
   const unanswered = new Map<string, Milliseconds>();
+  /** Ids whose present silence has been reported. */
+  const reportedSilent = new Set<string>();
 
   function isUnresponsive(id: string): boolean {
     const limit = unanswered.get(id);
     if (limit === undefined) return false;
     const excess = clock.monotonic() - limit;
-    if (excess >= SILENCE_RETRY_AFTER) unanswered.delete(id);
+    if (excess >= 0) reportSilence(id, excess + MAX_SILENCE);
+    if (excess >= SILENCE_RETRY_AFTER) {
+      unanswered.delete(id);
+      reportedSilent.delete(id);
+    }
     return excess >= 0 && excess < SILENCE_RETRY_AFTER;
   }
+
+  function reportSilence(id: string, silence: Milliseconds): void {
+    const known = replicas.get(id);
+    if (known === undefined || reportedSilent.has(id)) return;
+    reportedSilent.add(id);
+    onSilent(known.entry, silence);
+  }
   /** End of the grace period of removed entries, by replica id. */
   const removals = new Map<string, Milliseconds>();
   let lastListRead: Milliseconds = clock.monotonic();
@@ -229,6 +253,7 @@
     replicas.delete(id);
     lastReceived.delete(id);
     unanswered.delete(id);
+    reportedSilent.delete(id);
     onChange("gone", known);
   }
 
@@ -331,9 +356,13 @@
       return [...unanswered.keys()].filter(isUnresponsive);
     }
 
-    override recordReceived(id: string): void {
-      onReceived();
+    override recordReceived(
+      id: string,
+      since: Milliseconds = clock.monotonic(),
+    ): void {
+      onReceived(id, since);
       unanswered.delete(id);
+      reportedSilent.delete(id);
       if (replicas.has(id)) lastReceived.set(id, clock.monotonic());
     }
 
@@ -359,6 +388,7 @@
 
     override forgiveAll(): void {
       unanswered.clear();
+      reportedSilent.clear();
       for (const known of replicas.values()) {
         known.failures = 0;
         known.avoidedUntil = -Infinity;
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -494,6 +494,20 @@
     message:
       "A replica has refused a request and wants none from this daemon for the time.",
   }),
+  replica_cold: defineEvent(3055, "info", {
+    fields: { service: S, reason: S, rate: N, remaining: N },
+    message:
+      "A replica is taken for cold, because its entry, a report or a suspicion says so or its state is unknown; it gets no more than the rate from all daemons.",
+  }),
+  replica_warm: defineEvent(3056, "info", {
+    fields: { service: S, elapsed: N },
+    message: "A replica is no longer taken for cold.",
+  }),
+  replica_suspected: defineEvent(3057, "warn", {
+    fields: { service: S, silence: N },
+    message:
+      "A replica refused or reset a connection or was silent; it may have restarted and counts as cold until a report on its state.",
+  }),
   replicas_lost: defineEvent(3029, "warn", {
     fields: { silent: N },
     message:
--- a/packages/gateway/src/changed_settings.ts
+++ b/packages/gateway/src/changed_settings.ts
@@ -16,6 +16,7 @@
   "weightGracePeriod",
   "retryRatio",
   "retrySlack",
+  "coldTolerance",
 ]);
 
 export function takeChangedSettings(
--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -3,6 +3,7 @@
  * daemons' own. One of the neighbors reads each of them for the others.
  */
 import type { Clock } from "@peridotvalve/clock";
+import type { ColdReplicas } from "@peridotvalve/backpressure";
 import type { ReplicaEntry, ReplicaTable } from "@peridotvalve/dispatch";
 import type { EventLogger } from "@peridotvalve/events";
 import { createReadingDuty } from "@peridotvalve/membership";
@@ -27,6 +28,7 @@
   readonly codec: TableCodec;
   readonly settings: Pick<GatewaySettings, "configurationLimit" | "drainLimit">;
   readonly replicas: ReplicaTable;
+  readonly coldReplicas: Pick<ColdReplicas, "isAwaited" | "recordEntry">;
   readonly registration: Registration;
   /** Place of this daemon among its neighbors for a duty; 0 goes first. */
   readonly rank: (duty: string) => number;
@@ -112,6 +114,7 @@
     pause: replicasPause,
     mayRead: createReaderCheck(codec.replicaTable, replicasPause),
     fingerprintOf: fingerprintEntry,
+    onRead: reportAwaited,
     onContact: () => options.replicas.recordListRead(),
     onSnapshot(rows) {
       options.onReplicasKnown();
@@ -141,17 +144,41 @@
     onChange: (rows, removed) => registration.applyChanges(rows, removed),
   });
 
-  /** Text that differs when more than the heartbeat of an entry does. */
+  /** Reports what the entries of suspected replicas say since. */
+  function reportAwaited(
+    rows: readonly FeedRow[],
+    writtenAfter: Milliseconds,
+  ): void {
+    for (const { key, value } of rows) {
+      const known = options.replicas.find(key)?.entry;
+      if (known === undefined || !options.coldReplicas.isAwaited(known)) {
+        continue;
+      }
+      const entry = codec.readEntry(key, value);
+      if (entry.isErr() || entry.value.born !== known.born) continue;
+      options.coldReplicas.recordEntry(entry.value, writtenAfter);
+    }
+  }
+
+  /**
+   * Text that differs when more than the heartbeat of an entry does. The time
+   * for which a replica stays cold passes by itself.
+   */
   function fingerprintEntry({ key, value }: FeedRow): string {
     const entry = codec.readEntry(key, value);
     if (entry.isErr()) return "malformed";
     const weights = [...entry.value.weights];
-    return JSON.stringify({ ...entry.value, weights });
+    const { coldRemaining } = entry.value;
+    const cold = coldRemaining === undefined ? "" : coldRemaining > 0;
+    return JSON.stringify({ ...entry.value, weights, coldRemaining: cold });
   }
 
   function decodeEntry({ key, value }: FeedRow): readonly ReplicaEntry[] {
     const entry = codec.readEntry(key, value);
-    if (entry.isOk()) return [entry.value];
+    if (entry.isOk()) {
+      options.coldReplicas.recordEntry(entry.value);
+      return [entry.value];
+    }
     logger.log("entry_rejected", { key, reason: entry.error });
     return [];
   }
--- a/packages/gateway/src/forwarded_request.ts
+++ b/packages/gateway/src/forwarded_request.ts
@@ -1,6 +1,7 @@
 /**
  * The parts of a caller's request that are forwarded.
  */
+import type { DispatchRequest } from "@peridotvalve/dispatch";
 import type { Milliseconds } from "@peridotvalve/types";
 
 export interface ForwardedRequest {
@@ -17,3 +18,11 @@
   /** True when a neighbor has passed the request on to this daemon. */
   readonly isPassedOn: boolean;
 }
+
+/** True when the caller has events of the stream from an earlier request. */
+export function isTakenUp(
+  { route }: DispatchRequest,
+  { resumes, lastEvent = 0 }: ForwardedRequest,
+): boolean {
+  return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,14 +7,7 @@
   createSendGate,
   createShutdownAdmission,
 } from "@peridotvalve/admission";
-import {
-  createLimits,
-  createPlaces,
-  createPushback,
-  createStatements,
-  divideLimit,
-  type Neighborhood,
-} from "@peridotvalve/backpressure";
+import type { Neighborhood } from "@peridotvalve/backpressure";
 import {
   createAnswerTimes,
   createCacheJournal,
@@ -48,11 +41,12 @@
 import { createCrashGuard } from "./crash_guard.ts";
 import { takeChangedSettings } from "./changed_settings.ts";
 import { createDetour } from "./detour.ts";
+import { createFleetPosition } from "./fleet_position.ts";
 import { createFollowedCaches } from "./followed_caches.ts";
 import { createFollowedTables, DAEMON_TABLE } from "./followed_tables.ts";
 import { createFrontend } from "./frontend.ts";
 import { createLoopLag } from "./loop_lag.ts";
-import { createMeters, type ReplicaLimit } from "./meters.ts";
+import { createMeters } from "./meters.ts";
 import type { Address, GatewayOptions, GatewaySettings } from "./options.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
 import {
@@ -61,6 +55,8 @@
   type PeerMesh,
 } from "./peer_mesh.ts";
 import { createRegistration } from "./registration.ts";
+import type { ColdTimeRecorder } from "./replica_control.ts";
+import { createReplicaPace } from "./replica_pace.ts";
 import { createReplicaClock } from "./replica_clock.ts";
 import { createRelay } from "./relay.ts";
 import { createRollouts } from "./rollouts.ts";
@@ -72,6 +68,8 @@
 export abstract class Gateway {
   /** Counts a call to the platform's store in the metrics. */
   abstract recordStoreCall(kind: string, outcome: string): void;
+  /** Records how much longer a replica stays cold, as it has answered. */
+  abstract readonly recordColdTime: ColdTimeRecorder;
   /**
    * Takes changed settings; returns the names of those that have changed and
    * need a restart.
@@ -133,7 +131,9 @@
   const holder = createStateHolder(logger);
   const pools = createConnectionPools();
   const cache = createCacheView({ memoryOf: memoryOfHolder });
-  const load = createLoadView(clock, { sharesRate });
+  const load = createLoadView(clock, {
+    sharesRate: (id) => pace.sharesRate(id),
+  });
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
   const peerClient = createPeerClient(clock);
@@ -162,7 +162,11 @@
   const contact = createReplicaContact(clock);
   const replicas = createReplicaTable({
     clock,
-    onReceived: contact.recordReceived,
+    onReceived(id, since) {
+      contact.recordReceived();
+      coldReplicas.recordReceived(id, since);
+    },
+    onSilent: (entry, silence) => coldReplicas.suspect(entry, silence),
     onChange(change, { entry }) {
       logger.log("replica_changed", {
         service: entry.service,
@@ -178,40 +182,20 @@
     drainLimit: () => settings.drainLimit,
   });
 
-  const statements = createStatements({
-    clock,
-    onChange({ id }, kind, value) {
-      const isInForce = value !== undefined;
-      const fields = { kind, value: value ?? 0, isInForce };
-      logger.log("replica_statement", fields, { upstream: id });
-      mesh?.announce();
-    },
-    onRejected({ id }, reason) {
-      logger.log("statement_rejected", { reason }, { upstream: id });
-    },
-  });
-  const pushback = createPushback({
-    clock,
-    onBegin({ id }, delay) {
-      logger.log("replica_pushback", { delay }, { upstream: id });
-    },
-  });
-  const limits = createLimits({
-    clock,
-    statements,
-    rates: (id) => load.rates(id),
-    groupOf: (replica) => divideLimit(replica, listNeighborhood()),
-  });
-  const places = createPlaces({
-    clock,
-    statements,
-    replicasOf: (service) =>
-      replicas.all().map(({ entry }) => entry)
-        .filter((entry) => entry.service === service),
-    inFlight: (id) => load.localLoad(id).requests,
-    rates: (id) => load.rates(id),
-    groupOf: (replica) => divideLimit(replica, listNeighborhood()),
+  const pace = createReplicaPace({
+    ...{ clock, logger, load, replicas },
+    neighborhood: listNeighborhood,
+    position: createFleetPosition({
+      registration: { peers: () => registration.peers() },
+      ...{ name: settings.name, zone: settings.topology.zone },
+      isListed: () => tables.daemons.version() > 0,
+    }),
+    tolerance: () => settings.coldTolerance,
+    coldTraitsOf: (service) =>
+      holder.current()?.state.services.get(service)?.cold,
+    announce: () => mesh?.announce(),
   });
+  const { statements, pushback, coldReplicas, limits, places } = pace;
 
   const registration = createRegistration({
     clock,
@@ -245,7 +229,7 @@
   });
   const rank = (duty: string) => mesh?.rank(duty) ?? 0;
   const tables = createFollowedTables({
-    ...{ clock, logger, codec, settings, replicas, registration },
+    ...{ clock, logger, codec, settings, replicas, registration, coldReplicas },
     feed: options.feed,
     rank,
     onOperatorRow: applyOperatorRow,
@@ -273,9 +257,7 @@
     transfers,
     prefillRate: prefillRates.rateOf,
     knowsCaches: followedCaches.includesReplicas,
-    hasRoom: (replica) =>
-      !pushback.isActive(replica) && limits.hasRoom(replica) &&
-      places.hasRoom(replica),
+    hasRoom: pace.hasRoom,
   });
   const budget = createWindowBudget({
     clock,
@@ -305,7 +287,8 @@
       state: entry.state,
       weights: [...known].map((pair) => pair.join("@")).join(" "),
     })),
-    limits: listLimits(),
+    limits: pace.listLimits(),
+    cold: pace.listCold(),
     retriesLeft: new Map(
       [...holder.current()?.state.services.keys() ?? []]
         .map((service) => [service, budget.left(service)]),
@@ -350,6 +333,7 @@
     statements,
     pushback,
     limits,
+    coldReplicas,
     places,
     load,
     cache,
@@ -464,21 +448,6 @@
     };
   }
 
-  /** True when the daemons divide what the replica takes by their rates. */
-  function sharesRate(id: string): boolean {
-    const replica = replicas.find(id);
-    return replica !== undefined &&
-      (statements.find(replica.entry, "limit") !== undefined ||
-        places.isBrittle(replica.entry.service));
-  }
-
-  function listLimits(): readonly ReplicaLimit[] {
-    return replicas.all().flatMap(({ entry }) => {
-      const limit = statements.find(entry, "limit")?.value;
-      return limit === undefined ? [] : [{ service: entry.service, limit }];
-    });
-  }
-
   /** Services whose streams callers may take up. */
   function listStreamServices(): readonly string[] {
     const routes = holder.current()?.state.routes ?? [];
@@ -597,7 +566,12 @@
       copies,
       sentParts,
       crashes,
-      statements,
+      statements: {
+        apply: (news) => statements.apply(news),
+        // What looks like the end of a replica is the cut of this daemon.
+        compose: (limit) =>
+          contact.isLost() ? undefined : statements.compose(limit),
+      },
       contact,
       storeEra: options.storeEra,
       passesStoresOn: () => !followedCaches.includesReplicas(),
@@ -666,6 +640,8 @@
       meters.recordStoreCall(kind, outcome);
     }
 
+    override recordColdTime = coldReplicas.recordHealth;
+
     override applySettings(next: GatewaySettings): readonly string[] {
       const taken = takeChangedSettings(settings, next);
       settings = taken.settings;
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -42,6 +42,8 @@
   readonly waiting: number;
   readonly replicas: readonly ReplicaCount[];
   readonly limits?: readonly ReplicaLimit[];
+  /** Service of each cold replica. */
+  readonly cold?: readonly string[];
   /** Retries that the budget allows now, by service. */
   readonly retriesLeft: ReadonlyMap<string, number>;
 }
@@ -51,6 +53,8 @@
   abstract recordAttempt(service: string, outcome: string): void;
   /** Records how long a request waited for a replica with free capacity. */
   abstract recordWait(route: string, wait: Milliseconds): void;
+  /** Records that a request waits, as only cold replicas can take it. */
+  abstract recordColdWait(service: string): void;
   abstract recordRetry(service: string): void;
   abstract recordStoreCall(kind: string, outcome: string): void;
   /** Samples by how much timers run late, until the signal aborts. */
@@ -165,6 +169,14 @@
     help: "Requests per second that the limited replicas take together.",
     labels: ["service"],
   });
+  const coldReplicas = registry.gauge("peridotvalve_cold_replicas", {
+    help: "Replicas that tolerate few requests, as they may have just started.",
+    labels: ["service"],
+  });
+  const coldWaits = registry.counter("peridotvalve_cold_waits_total", {
+    help: "Waits of requests that only cold replicas could take.",
+    labels: ["service"],
+  });
   const loopDelays = registry.histogram("peridotvalve_event_loop_delay_ms", {
     help: "Time by which timers run late.",
   });
@@ -196,6 +208,8 @@
       limitedReplicas.add(1, { service });
       limitedRate.add(limit, { service });
     }
+    coldReplicas.clear();
+    for (const service of readings.cold ?? []) coldReplicas.add(1, { service });
     retriesLeft.clear();
     for (const [service, left] of readings.retriesLeft) {
       retriesLeft.set(left, { service });
@@ -219,6 +233,10 @@
       waits.record(wait, { route });
     }
 
+    override recordColdWait(service: string): void {
+      coldWaits.add(1, { service });
+    }
+
     override recordRetry(service: string): void {
       retries.add(1, { service });
     }
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -2,6 +2,7 @@
  * What an embedding program passes to a gateway: settings and the components of
  * an adapter.
  */
+import type { Tolerance } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import type {
   DesiredState,
@@ -57,6 +58,8 @@
    * Retries that all daemons together may make in one window beyond the ratio.
    */
   readonly retrySlack: number;
+  /** What a cold replica may get beyond its rate; by default the platform's. */
+  readonly coldTolerance?: Tolerance;
 }
 
 /** Decodes the rows of the platform's tables. */
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -13,7 +13,9 @@
   ShutdownAdmission,
 } from "@peridotvalve/admission";
 import type {
+  ColdReplicas,
   Limits,
+  Permit,
   Places,
   Pushback,
   Statements,
@@ -44,6 +46,7 @@
   discardBody,
   forwardPlainResponse,
   forwardStream,
+  isEventStream,
   MAX_BUFFERED_TOGETHER,
   type ResponseProgress,
 } from "./response_forwarding.ts";
@@ -62,7 +65,7 @@
   START_PUT_OFF,
 } from "./connection_pools.ts";
 import type { Detour } from "./detour.ts";
-import type { ForwardedRequest } from "./forwarded_request.ts";
+import { type ForwardedRequest, isTakenUp } from "./forwarded_request.ts";
 import type { HeaderCodec, ResponseMetadata } from "./header_codec.ts";
 import type { LoopLag } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
@@ -73,6 +76,7 @@
 import { BUSY_AVOIDANCE, createReplicaFeedback } from "./replica_feedback.ts";
 import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import { createSuccession, type Reception } from "./succession.ts";
+import { createWaitingLanes } from "./waiting_lanes.ts";
 
 export interface RelayOptions {
   readonly clock: Clock;
@@ -83,6 +87,7 @@
   readonly statements: Statements;
   readonly pushback: Pushback;
   readonly limits: Limits;
+  readonly coldReplicas: ColdReplicas;
   readonly places: Places;
   readonly load: LoadView;
   readonly cache: CacheView;
@@ -140,6 +145,7 @@
  */
 interface Placed {
   readonly choice: Choice;
+  readonly permit: Permit;
   readonly trackedRequest: TrackedRequest;
 }
 
@@ -199,10 +205,11 @@
 
 export function createRelay(options: RelayOptions) {
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
-  const { placement, budget, weights, transfers, replicaClock } = options;
+  const { placement, budget, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
   const { statements, pushback, limits, places, sendGate } = options;
-  const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
+  const replicaFeedback = createReplicaFeedback(options);
+  const laneOf = createWaitingLanes(options);
   const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
 
   /** Time for which the replica prefills before it sends the first token. */
@@ -499,16 +506,15 @@
     /** Estimates how long the request waits for a replica that may take it. */
     function estimateWait(): Milliseconds {
       const rank = priorityOf(request);
-      const ahead = queue.countAhead(rank, request.service);
+      const lane = laneOf(request, excluded).name;
+      const ahead = queue.countAhead(rank, lane);
       const candidates = placement.candidates(request, excluded);
       const open = candidates.filter((replica) => !pushback.isActive(replica));
       const wait = Math.max(
         pushback.estimateWait(candidates),
         limits.estimateWait(open.length > 0 ? open : candidates, ahead + 1),
       );
-      return mayWait()
-        ? Math.max(wait, queue.estimateWait(rank, request.service))
-        : wait;
+      return mayWait() ? Math.max(wait, queue.estimateWait(rank, lane)) : wait;
     }
 
     async function waitForPlace(
@@ -518,8 +524,10 @@
         const placed = place();
         if (placed !== undefined || estimateWait() === 0) return placed;
       }
+      const lane = laneOf(request, excluded);
+      if (lane.isCold) meters.recordColdWait(request.service);
       return await queue.wait({
-        lane: request.service,
+        lane: lane.name,
         rank: priorityOf(request),
         deadline,
         isAbandoned: () =>
@@ -534,10 +542,10 @@
     function place(without = excluded): Placed | undefined {
       const choice = placement.choose(request, without);
       if (choice === undefined) return undefined;
-      limits.take(choice.replica.entry);
       // Add the load at once, so that the next placement sees it.
       return {
         choice,
+        permit: limits.take(choice.replica.entry),
         trackedRequest: load.trackRequest(choice.replica.entry.id, choice),
       };
     }
@@ -679,7 +687,7 @@
 
     /** Sends the request to the replica of the place. */
     function startAttempt(
-      { choice, trackedRequest }: Placed,
+      { choice, permit, trackedRequest }: Placed,
       { guarded, readUpTo }: {
         readonly guarded: GuardedAttempt;
         /** Time up to which the sockets of callers have been read. */
@@ -697,7 +705,7 @@
       const check = createResponseCheck({
         ...{ request, headerCodec },
         onResponse() {
-          replicas.recordReceived(entry.id);
+          replicas.recordReceived(entry.id, started);
           guarded.recordReceived();
           answeredAt.add(entry.address);
         },
@@ -709,7 +717,8 @@
       });
       const attempt = pools.open({
         mayStart: () =>
-          !pushback.isActive(entry) && !isOutdated({ startedAt: started }) &&
+          !pushback.isActive(entry) && permit.isValid() &&
+          !isOutdated({ startedAt: started }) &&
           (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
@@ -798,7 +807,13 @@
       const wasBrokenOff = attempt.wasBrokenOff();
       if (wasBrokenOff) hasCrashed = true;
       guarded.recordEnd(outcome, wasBrokenOff);
-      replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
+      const { prompt } = request;
+      replicaFeedback.recordOutcome(
+        choice,
+        prompt?.model,
+        outcome,
+        wasBrokenOff,
+      );
       const { kind } = outcome;
       meters.recordAttempt(
         request.service,
@@ -901,7 +916,7 @@
             succession.keepPresent();
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
-            replicas.recordReceived(choice.replica.entry.id);
+            replicas.recordReceived(choice.replica.entry.id, startedAt);
             guarded.recordReceived();
           },
           onEvent() {
@@ -916,7 +931,7 @@
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
           succession.keepPresent();
-          replicas.recordReceived(choice.replica.entry.id);
+          replicas.recordReceived(choice.replica.entry.id, startedAt);
           guarded.recordReceived();
           if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
         },
@@ -925,21 +940,6 @@
   };
 }
 
-const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
-
-function isEventStream({ status, headers }: ResponseHead): boolean {
-  const type = headers["content-type"];
-  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
-}
-
-/** True when the caller has events of the stream from an earlier request. */
-function isTakenUp(
-  { route }: DispatchRequest,
-  { resumes, lastEvent = 0 }: ForwardedRequest,
-): boolean {
-  return route.kind === "stream" && (resumes !== undefined || lastEvent > 0);
-}
-
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
--- a/packages/gateway/src/replica_control.ts
+++ b/packages/gateway/src/replica_control.ts
@@ -2,11 +2,20 @@
  * Control calls to replicas and stores: reports, orders, cache events and the
  * freeing of parts.
  */
-import type { CacheEvent, Replica } from "@peridotvalve/dispatch";
+import type { CacheEvent, Replica, ReplicaEntry } from "@peridotvalve/dispatch";
 import type { Unavailable } from "@peridotvalve/tables";
 import type { Milliseconds, Timestamp } from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 
+/** Takes an answer to a call that was sent at `askedAt`. */
+export interface ColdTimeRecorder {
+  (
+    entry: ReplicaEntry,
+    remaining: Milliseconds,
+    askedAt: Milliseconds,
+  ): void;
+}
+
 export interface ReplicaReport {
   /** True while the replica carries out an order. */
   readonly isBusy: boolean;
--- a/packages/gateway/src/replica_feedback.ts
+++ b/packages/gateway/src/replica_feedback.ts
@@ -2,6 +2,7 @@
  * Updates the recorded state of a replica from the outcome of an attempt:
  * whether it is alive, which weights it has, and whether it has free capacity.
  */
+import type { ColdReplicas } from "@peridotvalve/backpressure";
 import type {
   Choice,
   ReplicaTable,
@@ -32,14 +33,18 @@
     choice: Choice,
     model: string | undefined,
     outcome: AttemptOutcome,
+    wasBrokenOff?: boolean,
   ): void;
 }
 
-export function createReplicaFeedback({ replicas, weights, pools }: {
-  readonly replicas: ReplicaTable;
-  readonly weights: WeightTargets;
-  readonly pools: ConnectionPools;
-}): ReplicaFeedback {
+export function createReplicaFeedback(
+  { replicas, weights, pools, coldReplicas }: {
+    readonly replicas: ReplicaTable;
+    readonly weights: WeightTargets;
+    readonly pools: ConnectionPools;
+    readonly coldReplicas?: Pick<ColdReplicas, "suspect">;
+  },
+): ReplicaFeedback {
   /**
    * Corrects the state of a replica that refused a request meant for another
    * incarnation or weight version.
@@ -69,8 +74,12 @@
       if (model === undefined || metadata.weights === undefined) return;
       replicas.recordWeights(replica.entry.id, model, metadata.weights);
     },
-    recordOutcome(choice, model, end) {
+    recordOutcome(choice, model, end, wasBrokenOff = false) {
       const { id, address } = choice.replica.entry;
+      const wasRefused = end.kind === "unsent" && end.reason !== START_PUT_OFF;
+      if (wasRefused || wasBrokenOff) {
+        coldReplicas?.suspect(choice.replica.entry);
+      }
       switch (end.kind) {
         case "done":
           return replicas.recordSuccess(id);
--- a/packages/gateway/src/response_forwarding.ts
+++ b/packages/gateway/src/response_forwarding.ts
@@ -247,3 +247,10 @@
   }
   return [...others, "content-length", String(length)];
 }
+
+const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
+
+export function isEventStream({ status, headers }: ResponseHead): boolean {
+  const type = headers["content-type"];
+  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
+}
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -38,6 +38,14 @@
     changed: readonly FeedRow[],
     removed: readonly string[],
   ) => void;
+  /**
+   * Called with all rows of a page of changes that this daemon has read, whether
+   * they matter or not. They were written after a time on the monotonic clock.
+   */
+  readonly onRead?: (
+    rows: readonly FeedRow[],
+    writtenAfter: Milliseconds,
+  ) => void;
   /** Called when the table is known as of now. */
   readonly onContact?: () => void;
 }
@@ -107,6 +115,8 @@
   let isReadRequested = false;
   let lastContact = -Infinity;
   let lastOwnRead = -Infinity;
+  /** Start of the newest read of this daemon that was answered. */
+  let lastReadStart = -Infinity;
   let lostSince: Milliseconds | undefined;
   let timeout = INITIAL_TIMEOUT;
 
@@ -133,6 +143,7 @@
   }
 
   async function readSnapshot(): Promise<boolean> {
+    const start = clock.monotonic();
     const read = await feed.snapshot(table, timeout);
     if (read.isErr()) {
       timeout = Math.min(RESPONSE_TIMEOUT, timeout * 2);
@@ -149,6 +160,7 @@
       return false;
     }
     recordContact();
+    lastReadStart = start;
     needsSnapshot = false;
     if (isTaken) options.onSnapshot(known.list());
     return true;
@@ -156,6 +168,7 @@
 
   async function readChanges(): Promise<boolean> {
     const query = { table, after: known.version(), wait };
+    const start = clock.monotonic();
     const read = await feed.changes(query, wait + RESPONSE_TIMEOUT);
     if (read.isErr()) {
       if (read.error.kind === "history lost") {
@@ -167,6 +180,9 @@
     }
     recordContact();
     const { changed, removed } = known.applyChanges(read.value);
+    // What the read before did not have was written after it began.
+    options.onRead?.(read.value.rows, lastReadStart);
+    lastReadStart = start;
     if (changed.length + removed.length > 0) options.onChange(changed, removed);
     return true;
   }
