Limits: give no slot of a cold replica back

A request that was placed while the replica was warm has used no slot; giving one back when it was put off let another request use a slot twice. The simulation now has three such requests of each daemon on their way when the replicas become cold, with load in the second after. It passes for all five fleets.

--- a/packages/backpressure/src/equal_slots.test.ts
+++ b/packages/backpressure/src/equal_slots.test.ts
@@ -8,7 +8,13 @@
 } from "@peridotvalve/types";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { FleetPosition } from "./equal_slots.ts";
-import { createLimits, DEFAULT_TOLERANCE, type Permit } from "./limits.ts";
+import {
+  createLimits,
+  DEFAULT_TOLERANCE,
+  type Limits,
+  type PacedReplica,
+  type Permit,
+} from "./limits.ts";
 
 const { over, slack } = DEFAULT_TOLERANCE;
 const START = 1_790_000_000_000;
@@ -18,6 +24,8 @@
 /** Time at which the load begins, on replicas that have been idle. */
 const BURST_AT: Milliseconds = 6_000;
 const RESTART_AT: Milliseconds = 8_000;
+/** Requests of each daemon that are on their way when a replica turns cold. */
+const PLACED_WARM = 3;
 const MAX_SKEW: Milliseconds = 60;
 const MAX_SEND_DELAY: Milliseconds = 200;
 const REPLICAS = ["a", "b", "c"].map((id) => ({ id, zone: "zone-0" }));
@@ -25,6 +33,13 @@
 /** Daemons, and zones over which they are spread. */
 const FLEETS = [[1, 1], [6, 3], [24, 4], [65, 6], [360, 8]] as const;
 
+interface Placed {
+  readonly replica: PacedReplica;
+  readonly limits: Limits;
+  readonly permit: Permit;
+  readonly due: Milliseconds;
+}
+
 interface Scenario {
   readonly daemons: number;
   readonly zones: number;
@@ -99,34 +114,38 @@
 
   const fleet = Array.from({ length: daemons }, (_, at) => createDaemon(at));
   const arrivals = new Map(REPLICAS.map(({ id }) => [id, [] as number[]]));
-  let inFlight: { id: string; due: number; permit: Permit }[] = [];
+  let inFlight: Placed[] = [];
   while (clock.monotonic() < DURATION) {
     await clock.advance(STEP);
     const now = clock.monotonic();
     if (now === RESTART_AT) fleet[0] = createDaemon(0);
     if (now === RESTART_AT + SECOND) listed = daemons + 1;
-    for (const { id, permit } of inFlight.filter(({ due }) => due <= now)) {
-      if (permit.isValid() && now >= WARM_UNTIL) arrivals.get(id)?.push(now);
+    for (const placed of inFlight.filter(({ due }) => due <= now)) {
+      const { replica, permit, limits } = placed;
+      // A request that is put off is placed anew.
+      if (!permit.isValid()) limits.giveBack(replica);
+      else if (now >= WARM_UNTIL) arrivals.get(replica.id)?.push(now);
     }
     inFlight = inFlight.filter(({ due }) => due > now);
-    // While the replicas are warm, each daemon has a request on its way.
-    const isBusy = now >= BURST_AT || now === WARM_UNTIL - STEP;
-    if (!isBusy) continue;
+    const isBecomingCold = now >= WARM_UNTIL - STEP &&
+      now < WARM_UNTIL + SECOND;
+    if (!isBecomingCold && now < BURST_AT) continue;
     for (const { limits, sent } of fleet) {
       for (const replica of REPLICAS) {
         const { id } = replica;
-        const most = now < WARM_UNTIL ? 1 : Infinity;
+        const most = now < WARM_UNTIL ? PLACED_WARM : Infinity;
         for (let count = 0; count < most && limits.hasRoom(replica); count++) {
           const permit = limits.take(replica);
           sent.set(id, [...sent.get(id) ?? [], now]);
           const due = now + random() * MAX_SEND_DELAY;
-          inFlight.push({ id, due, permit });
+          inFlight.push({ replica, due, permit, limits });
         }
       }
     }
   }
   const all = [...arrivals.values()];
-  const total = all.flat().length / REPLICAS.length;
+  const total = all.flat().filter((at) => at >= BURST_AT).length /
+    REPLICAS.length;
   return {
     most: Math.max(...all.map(countBusiestSecond)),
     used: total / (rate * (DURATION - BURST_AT) / SECOND),
--- a/packages/backpressure/src/equal_slots.ts
+++ b/packages/backpressure/src/equal_slots.ts
@@ -47,7 +47,6 @@
   /** Requests that this daemon may send to the replica now. */
   abstract available(replica: PacedReplica, applied: SlotRate): number;
   abstract take(replica: PacedReplica, applied: SlotRate): void;
-  abstract giveBack(replica: PacedReplica, applied: SlotRate): void;
   /** Requests per second that this daemon may send to the replica. */
   abstract rateOf(replica: PacedReplica, applied: SlotRate): RequestRate;
 }
@@ -211,11 +210,6 @@
       if (row !== undefined) row.used = lastSpent(row, applied.rate) + 1;
     }
 
-    override giveBack(replica: PacedReplica, applied: SlotRate): void {
-      const [row] = rowsOf(replica, applied);
-      if (row !== undefined && row.used > 0) row.used -= 1;
-    }
-
     override rateOf(
       replica: PacedReplica,
       applied: SlotRate,
--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -247,8 +247,8 @@
     override giveBack(replica: PacedReplica): void {
       const bucket = refill(replica);
       if (bucket !== undefined) bucket.saved += 1;
-      const cold = coldness(replica);
-      if (cold !== undefined) slots.giveBack(replica, cold);
+      // A slot of a cold replica lapses: the request may have been placed before
+      // the replica became cold, and then it has used none.
     }
   })();
 }
