--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -1,5 +1,5 @@
 import { test } from "node:test";
-import { createSystemClock } from "@peridotvalve/clock";
+import { createManualClock, createSystemClock } from "@peridotvalve/clock";
 import {
   type ChangeQuery,
   type Changes,
@@ -179,3 +179,36 @@
   expect(follower.needsPeers()).toEqual(false);
   stop.abort();
 });
+
+// Guards against an entry from before a replica's end that counts as a later
+// report on it, and against heartbeats that are withheld as they change nothing.
+test("read rows come with a time after which they were written", async () => {
+  const page = (version: number) =>
+    Ok({ rows: [row("a", version)], removed: [], version });
+  const { feed } = createFeed([{ rows: [row("a", 1)], version: 1 }], [
+    page(2),
+    page(3),
+  ]);
+  const clock = createManualClock();
+  const reads: (readonly [number, number])[] = [];
+  const changes: string[] = [];
+  const follower = createTableFollower({
+    ...{ clock, feed, table: "t", wait: 0, pause: 1_000 },
+    logger: new (class extends EventLogger {
+      override log(): void {}
+    })(),
+    fingerprintOf: ({ key }) => key,
+    onSnapshot: () => {},
+    onChange: () => changes.push("changed"),
+    onRead: ([first], writtenAfter) =>
+      reads.push([first?.version ?? 0, writtenAfter]),
+  });
+  const stop = new AbortController();
+  void follower.run(stop.signal);
+  await clock.advance(1_000);
+  await clock.advance(1_000);
+  stop.abort();
+  // The second row may have been written as soon as the snapshot was taken.
+  expect(reads).toEqual([[2, 0], [3, 1_000]]);
+  expect(changes).toEqual([]);
+});
