--- a/packages/gateway/src/attempt_sending.ts
+++ b/packages/gateway/src/attempt_sending.ts
@@ -3,7 +3,7 @@
  * attempt, records what has been sent and watches the attempt.
  */
 import type { SendGate } from "@peridotvalve/admission";
-import type { Pushback } from "@peridotvalve/backpressure";
+import type { Permit, Pushback } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
 import {
   type CacheView,
@@ -58,6 +58,7 @@
  */
 export interface Placed {
   readonly choice: Choice;
+  readonly permit: Permit;
   readonly trackedRequest: TrackedRequest;
 }
 
@@ -145,7 +146,7 @@
     }
 
     function send(
-      { choice, trackedRequest }: Placed,
+      { choice, permit, trackedRequest }: Placed,
       { number, guarded, readUpTo }: SendTerms,
     ): SentAttempt {
       const { replica, version, salt, parts } = choice;
@@ -158,7 +159,7 @@
       const check = createResponseCheck({
         ...{ request, headerCodec },
         onResponse() {
-          replicas.recordReceived(entry.id);
+          replicas.recordReceived(entry.id, startedAt);
           guarded.recordReceived();
           answeredAt.add(entry.address);
         },
@@ -171,7 +172,8 @@
       const attempt = pools.open({
         mayStart: () =>
           options.placement.mayUse(request, entry) &&
-          !pushback.isActive(entry) && !isOutdated({ startedAt }) &&
+          !pushback.isActive(entry) && permit.isValid() &&
+          !isOutdated({ startedAt }) &&
           (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
@@ -232,7 +234,7 @@
       });
       return {
         ...{ number, startedAt, attempt, check, watch },
-        ...{ choice, trackedRequest, guarded },
+        ...{ choice, permit, trackedRequest, guarded },
       };
     }
 
--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -3,7 +3,11 @@
  * response, forwards the response to the caller, and records how the attempt
  * ended.
  */
-import type { Places, Statements } from "@peridotvalve/backpressure";
+import type {
+  ColdReplicas,
+  Places,
+  Statements,
+} from "@peridotvalve/backpressure";
 import { createByteBudget } from "@peridotvalve/connections";
 import type {
   Choice,
@@ -29,6 +33,7 @@
   discardBody,
   forwardPlainResponse,
   forwardStream,
+  isEventStream,
   MAX_BUFFERED_TOGETHER,
 } from "./response_forwarding.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
@@ -36,6 +41,7 @@
 
 export interface AttemptStepsOptions extends AttemptSendingOptions {
   readonly statements: Statements;
+  readonly coldReplicas: ColdReplicas;
   readonly places: Places;
   readonly weights: WeightTargets;
   readonly queue: PlacementQueue;
@@ -74,7 +80,7 @@
   const { clock, logger, pools, replicas, prefillRates, meters } = options;
   const { statements, pushback, places, queue, budget, weights } = options;
   const createSending = createAttemptSending(options);
-  const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
+  const replicaFeedback = createReplicaFeedback(options);
   const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
 
   function recordStatement(
@@ -122,7 +128,12 @@
       const wasBrokenOff = attempt.wasBrokenOff();
       if (wasBrokenOff) stepped.onBreakOff();
       guarded.recordEnd(outcome, wasBrokenOff);
-      replicaFeedback.recordOutcome(choice, request.prompt?.model, outcome);
+      replicaFeedback.recordOutcome(
+        choice,
+        request.prompt?.model,
+        outcome,
+        wasBrokenOff,
+      );
       const { kind } = outcome;
       meters.recordAttempt(
         request.service,
@@ -225,7 +236,7 @@
             keepPresent();
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
-            replicas.recordReceived(choice.replica.entry.id);
+            replicas.recordReceived(choice.replica.entry.id, startedAt);
             guarded.recordReceived();
           },
           onEvent() {
@@ -240,7 +251,7 @@
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
           keepPresent();
-          replicas.recordReceived(choice.replica.entry.id);
+          replicas.recordReceived(choice.replica.entry.id, startedAt);
           guarded.recordReceived();
           if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
         },
@@ -251,13 +262,6 @@
   };
 }
 
-const EVENT_STREAM = /^text\/event-stream\s*(?:;|$)/i;
-
-function isEventStream({ status, headers }: ResponseHead): boolean {
-  const type = headers["content-type"];
-  return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
-}
-
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -11,7 +11,7 @@
   ReplicaContact,
   ShutdownAdmission,
 } from "@peridotvalve/admission";
-import type { Limits } from "@peridotvalve/backpressure";
+import type { ColdReplicas, Limits } from "@peridotvalve/backpressure";
 import {
   type AnswerTimes,
   type Choice,
@@ -40,9 +40,11 @@
 import { gapLimit } from "./silence_limits.ts";
 import type { StreamRecords } from "./stream_records.ts";
 import { createSuccession } from "./succession.ts";
+import { createWaitingLanes } from "./waiting_lanes.ts";
 
 export interface RelayOptions extends AttemptStepsOptions {
   readonly limits: Limits;
+  readonly coldReplicas: ColdReplicas;
   readonly load: LoadView;
   readonly placement: Placement;
   readonly answerTimes: AnswerTimes;
@@ -116,6 +118,7 @@
   const { answerTimes, crashGuard, pushback, limits, places } = options;
   const { sendGate } = options;
   const createSteps = createAttemptSteps(options);
+  const laneOf = createWaitingLanes(options);
 
   return async function relay(
     received: DispatchRequest,
@@ -388,16 +391,15 @@
     /** Estimates how long the request waits for a replica that may take it. */
     function estimateWait(): Milliseconds {
       const rank = priorityOf(request);
-      const ahead = queue.countAhead(rank, request.service);
+      const lane = laneOf(request, excluded).name;
+      const ahead = queue.countAhead(rank, lane);
       const candidates = placement.candidates(request, excluded);
       const open = candidates.filter((replica) => !pushback.isActive(replica));
       const wait = Math.max(
         pushback.estimateWait(candidates),
         limits.estimateWait(open.length > 0 ? open : candidates, ahead + 1),
       );
-      return mayWait()
-        ? Math.max(wait, queue.estimateWait(rank, request.service))
-        : wait;
+      return mayWait() ? Math.max(wait, queue.estimateWait(rank, lane)) : wait;
     }
 
     async function waitForPlace(
@@ -408,8 +410,10 @@
         if (placed !== undefined || estimateWait() === 0) return placed;
       }
       const isBarred = placement.watchCandidates(request, excluded);
+      const lane = laneOf(request, excluded);
+      if (lane.isCold) meters.recordColdWait(request.service);
       return await queue.wait({
-        lane: request.service,
+        lane: lane.name,
         rank: priorityOf(request),
         deadline,
         isAbandoned: () =>
@@ -424,10 +428,10 @@
     function place(without = excluded): Placed | undefined {
       const choice = placement.choose(request, without);
       if (choice === undefined) return undefined;
-      limits.take(choice.replica.entry);
       // Add the load at once, so that the next placement sees it.
       return {
         choice,
+        permit: limits.take(choice.replica.entry),
         trackedRequest: load.trackRequest(choice.replica.entry.id, choice),
       };
     }
