Metrics: histograms in another unit than recorded, one summary per scrape

A histogram keeps a thousandth of the recorded unit, so times recorded in seconds lose everything below a millisecond. The option `unit` of a histogram names the number of recorded units in one unit of the page: times are recorded in milliseconds and shown in seconds.

The page computed each summary twice, once for its quantiles and once for its maximum. It does so once now.

Without the division by the unit, the new test fails.

--- a/packages/metrics/src/exposition.ts
+++ b/packages/metrics/src/exposition.ts
@@ -13,6 +13,8 @@
     }
     | {
       readonly kind: "summary";
+      /** Number of recorded units in one unit of the page. */
+      readonly unit: number;
       readonly series: SeriesMap<WindowedHistogram>;
     }
   );
@@ -25,37 +27,33 @@
   return [
     `# HELP ${family.name} ${escapeHelp(family.help)}`,
     `# TYPE ${family.name} ${family.kind}`,
-    ...renderSeries(family),
-    ...renderMaxima(family),
+    ...(family.kind === "summary"
+      ? renderSummaries(family)
+      : [...family.series.entries()].map(([labels, { value }]) =>
+        renderSample(family.name, labels, value)
+      )),
   ];
 }
 
-function renderSeries(family: MetricFamily): readonly string[] {
-  if (family.kind !== "summary") {
-    return [...family.series.entries()].map(([labels, { value }]) =>
-      renderSample(family.name, labels, value)
-    );
-  }
-  return [...family.series.entries()].flatMap(([labels, histogram]) => {
-    const { p50, p95, p99, sum, count } = histogram.summarize();
-    return [
-      renderSample(family.name, { ...labels, quantile: "0.5" }, p50),
-      renderSample(family.name, { ...labels, quantile: "0.95" }, p95),
-      renderSample(family.name, { ...labels, quantile: "0.99" }, p99),
-      renderSample(`${family.name}_sum`, labels, sum),
-      renderSample(`${family.name}_count`, labels, count),
-    ];
-  });
-}
-
-/** The format has no maximum for summaries, so it is a separate gauge. */
-function renderMaxima(family: MetricFamily): readonly string[] {
-  if (family.kind !== "summary") return [];
-  const name = `${family.name}_max`;
-  const samples = [...family.series.entries()].map(([labels, histogram]) =>
-    renderSample(name, labels, histogram.summarize().max)
+function renderSummaries(
+  { name, unit, series }: Extract<MetricFamily, { readonly kind: "summary" }>,
+): readonly string[] {
+  const summaries = [...series.entries()].map(([labels, histogram]) =>
+    [labels, histogram.summarize()] as const
+  );
+  const samples = summaries.flatMap(([labels, summary]) => [
+    renderSample(name, { ...labels, quantile: "0.5" }, summary.p50 / unit),
+    renderSample(name, { ...labels, quantile: "0.95" }, summary.p95 / unit),
+    renderSample(name, { ...labels, quantile: "0.99" }, summary.p99 / unit),
+    renderSample(`${name}_sum`, labels, summary.sum / unit),
+    renderSample(`${name}_count`, labels, summary.count),
+  ]);
+  // The format has no maximum for summaries, so it is a separate gauge.
+  const maximum = `${name}_max`;
+  const maxima = summaries.map(([labels, { max }]) =>
+    renderSample(maximum, labels, max / unit)
   );
-  return [`# TYPE ${name} gauge`, ...samples];
+  return [...samples, `# TYPE ${maximum} gauge`, ...maxima];
 }
 
 function renderSample(name: string, labels: Labels, value: number): string {
--- a/packages/metrics/src/registry.test.ts
+++ b/packages/metrics/src/registry.test.ts
@@ -52,6 +52,17 @@
   expect(text.includes("wait_ms_sum 0.25\nwait_ms_count 1\n")).toEqual(true);
 });
 
+// Guards against short times that a page in seconds shows as 0.
+test("values recorded in ms are shown in seconds", () => {
+  const registry = createRegistry(createManualClock());
+  const waits = registry.histogram("wait_s", { help: "Wait.", unit: 1_000 });
+  for (const value of [0.25, 0.25, 1.5]) waits.record(value);
+  const text = registry.render();
+  expect(text).toInclude('wait_s{quantile="0.5"} 0.00025\n');
+  expect(text).toInclude("wait_s_sum 0.002\nwait_s_count 3\n");
+  expect(text).toInclude("wait_s_max 0.0015\n");
+});
+
 test("counters and histograms ignore invalid values", () => {
   const registry = createRegistry(createManualClock());
   const calls = registry.counter("calls_total", { help: "Calls." });
--- a/packages/metrics/src/registry.ts
+++ b/packages/metrics/src/registry.ts
@@ -21,6 +21,15 @@
   readonly labels?: readonly string[];
 }
 
+export interface HistogramOptions extends MetricOptions {
+  /**
+   * Number of recorded units in one unit of the page: 1,000 for values that are
+   * recorded in milliseconds and shown in seconds. Values far below one recorded
+   * unit lose precision, so seconds are not recorded as such.
+   */
+  readonly unit?: number;
+}
+
 export abstract class Counter {
   /** Adds an amount. Ignores negative amounts and NaN. */
   abstract add(amount?: number, labels?: Labels): void;
@@ -45,7 +54,7 @@
 export abstract class Registry {
   abstract counter(name: string, options: MetricOptions): Counter;
   abstract gauge(name: string, options: MetricOptions): Gauge;
-  abstract histogram(name: string, options: MetricOptions): HistogramMetric;
+  abstract histogram(name: string, options: HistogramOptions): HistogramMetric;
   /** Returns all metrics in the Prometheus text format. */
   abstract render(): string;
 }
@@ -117,10 +126,14 @@
       })();
     }
 
-    override histogram(name: string, options: MetricOptions): HistogramMetric {
+    override histogram(
+      name: string,
+      options: HistogramOptions,
+    ): HistogramMetric {
+      const { help, unit = 1 } = options;
       const create = () => createWindowedHistogram(clock, window);
       const series = createSeries(options.labels ?? [], create);
-      register(name, { kind: "summary", help: options.help, name, series });
+      register(name, { kind: "summary", help, name, series, unit });
       return new (class extends HistogramMetric {
         override record(value: number, labels: Labels = {}): void {
           series.getOrCreate(labels).record(value);
