Gateway: time of requests by stage

The metrics page showed the wait for a place and the time to the first event, but not where a late request had spent its time.

stage_clock.ts divides the time of a request into body, wait, send, first_byte, response and failed. An attempt notes when it was written and when its first byte was read; the stages are computed at its end, because only then is it known whether the time was lost. The page shows them as peridotvalve_stage_seconds by route and stage. No new events.

Failures counted as kept, or times not noted when a request is written or answered, fail stage_latency.test.ts; each decision of stage_clock.ts turned off fails stage_clock.test.ts.

--- a/packages/gateway/src/attempt_sending.ts
+++ b/packages/gateway/src/attempt_sending.ts
@@ -29,6 +29,7 @@
 import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import type { ResponseProgress } from "./response_forwarding.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
+import type { AttemptTimes } from "./stage_clock.ts";
 
 export interface AttemptSendingOptions {
   readonly clock: Clock;
@@ -85,7 +86,7 @@
 
 export interface SentAttempt extends Placed {
   readonly number: number;
-  readonly startedAt: Milliseconds;
+  readonly times: AttemptTimes;
   readonly attempt: Attempt;
   readonly check: ResponseCheck;
   readonly watch: AttemptWatch;
@@ -95,7 +96,7 @@
 export interface AttemptSending {
   send(placed: Placed, terms: SendTerms): SentAttempt;
   /** Returns true when the time left that an attempt states is too long by now. */
-  isOutdated(attempt: Pick<SentAttempt, "startedAt">): boolean;
+  isOutdated(times: Pick<AttemptTimes, "startedAt">): boolean;
   /** Time for which the replica prefills before it sends the first token. */
   prefillTime(choice: Choice): Milliseconds;
 }
@@ -118,7 +119,7 @@
     return now === undefined ? {} : { fetchEnd: now + MAX_FETCH };
   }
 
-  function isOutdated({ startedAt }: Pick<SentAttempt, "startedAt">): boolean {
+  function isOutdated({ startedAt }: Pick<AttemptTimes, "startedAt">): boolean {
     return clock.monotonic() - startedAt > MAX_CONNECTION_WAIT;
   }
 
@@ -159,10 +160,18 @@
           logger.log("response_mismatched", event, { ...subject, upstream });
         },
       });
+      const times: AttemptTimes = {
+        ...{ startedAt, sentAt: undefined, firstByteAt: undefined },
+      };
+      const mayStart = () =>
+        !pushback.isActive(entry) && !isOutdated(times) &&
+        (sendGate.isRecent(readUpTo) || !options.loopLag.isLate());
       const attempt = pools.open({
-        mayStart: () =>
-          !pushback.isActive(entry) && !isOutdated({ startedAt }) &&
-          (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
+        mayStart() {
+          if (!mayStart()) return false;
+          times.sentAt = clock.monotonic();
+          return true;
+        },
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         isRepeat,
@@ -221,7 +230,7 @@
         },
       });
       return {
-        ...{ number, startedAt, attempt, check, watch },
+        ...{ number, times, attempt, check, watch },
         ...{ choice, trackedRequest, guarded },
       };
     }
--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -21,7 +21,11 @@
   type SentAttempt,
 } from "./attempt_sending.ts";
 import type { AttemptOutcome } from "./attempt_watch.ts";
-import type { AttemptFailure, ResponseHead } from "./connection_pools.ts";
+import {
+  type AttemptFailure,
+  type ResponseHead,
+  START_PUT_OFF,
+} from "./connection_pools.ts";
 import type { ResponseMetadata } from "./header_codec.ts";
 import type { Meters } from "./meters.ts";
 import { createReplicaFeedback } from "./replica_feedback.ts";
@@ -32,6 +36,7 @@
   MAX_BUFFERED_TOGETHER,
 } from "./response_forwarding.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
+import type { StageClock } from "./stage_clock.ts";
 import type { Reception } from "./succession.ts";
 
 export interface AttemptStepsOptions extends AttemptSendingOptions {
@@ -48,6 +53,7 @@
 }
 
 export interface SteppedRequest extends AttemptedRequest {
+  readonly stages: StageClock;
   /** True when another attempt may follow the present one. */
   readonly mayReplace: () => boolean;
   /** Called when data of the attempt whose response is forwarded arrives. */
@@ -92,6 +98,7 @@
 
   return (stepped) => {
     const { current, caller, subject, progress, keepPresent } = stepped;
+    const { stages } = stepped;
     const sending = createSending(stepped);
     const { isOutdated, prefillTime } = sending;
 
@@ -103,6 +110,7 @@
     async function finish(running: RunningAttempt): Promise<AttemptOutcome> {
       try {
         const outcome = await awaitOutcome(running);
+        recordStages(running, outcome);
         recordEnd(running, outcome);
         return outcome;
       } finally {
@@ -110,6 +118,15 @@
       }
     }
 
+    function recordStages(
+      { times }: RunningAttempt,
+      outcome: AttemptOutcome,
+    ): void {
+      const now = clock.monotonic();
+      if (isFailure(outcome)) stages.lose(times, now, progress.lastEventAt);
+      else stages.keep(times, now);
+    }
+
     function settle(running: RunningAttempt, outcome: AttemptOutcome): void {
       recordEnd(running, outcome);
       giveBack(running);
@@ -133,7 +150,7 @@
           number,
           outcome: kind,
           reason: "reason" in outcome ? outcome.reason : "",
-          elapsed: clock.monotonic() - running.startedAt,
+          elapsed: clock.monotonic() - running.times.startedAt,
         }, { ...subject, upstream });
       }
     }
@@ -186,7 +203,7 @@
       running: RunningAttempt,
     ): Promise<AttemptOutcome> {
       const { attempt, choice, watch, trackedRequest, guarded } = running;
-      const { startedAt } = running;
+      const { times } = running;
       const request = current();
       const isStream = request.route.kind === "stream";
       const mayReplace = stepped.mayReplace();
@@ -213,7 +230,7 @@
       const recordFirstEvent = () => {
         hasFirstEvent = true;
         queue.retry();
-        const elapsed = clock.monotonic() - startedAt;
+        const elapsed = clock.monotonic() - times.startedAt;
         const tokens = choice.load.unread + choice.unread;
         prefillRates.recordFirstToken(request.service, { tokens, elapsed });
       };
@@ -222,6 +239,7 @@
           ...common,
           gapLimit: mayReplace ? gapLimit(request.route) : undefined,
           onData() {
+            times.firstByteAt ??= clock.monotonic();
             keepPresent();
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
@@ -239,6 +257,7 @@
         memory,
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
+          times.firstByteAt ??= clock.monotonic();
           keepPresent();
           replicas.recordReceived(choice.replica.entry.id);
           guarded.recordReceived();
@@ -258,6 +277,24 @@
   return status === 200 && typeof type === "string" && EVENT_STREAM.test(type);
 }
 
+/**
+ * True when the request is failed or sent again because of the outcome. One that
+ * was put off has only waited for its connection.
+ */
+function isFailure(outcome: AttemptOutcome): boolean {
+  switch (outcome.kind) {
+    case "done":
+    case "left":
+    case "overdue":
+    case "withdrawn":
+      return false;
+    case "unsent":
+      return outcome.reason !== START_PUT_OFF;
+    default:
+      return true;
+  }
+}
+
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -34,7 +34,7 @@
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
 import { countTurns } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
-import type { createRelay, Ending } from "./relay.ts";
+import type { createRelay, Ending, RelayResult } from "./relay.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { ActiveState, StateHolder } from "./state_holder.ts";
 
@@ -250,7 +250,7 @@
       callerDeadline: arrivedAt + patience,
       isPassedOn: isForNeighbors,
     }, caller);
-    recordEnding(result.ending, result.sends);
+    recordEnding(result);
 
     function decline(refusal: Refusal, found?: Route): void {
       // An unread body would keep the connection from being reused.
@@ -269,11 +269,18 @@
         reason,
       });
       caller.refuse(refusal);
+      if (found !== undefined) recordBodyTime(found);
+    }
+
+    /** Records the only stage of a request that the relay does not get. */
+    function recordBodyTime({ name }: Route): void {
+      meters.recordStages(name, { body: clock.monotonic() - arrivedAt });
     }
 
     function recordAbandoned(found: Route, reason: string): void {
       const outcome = "abandoned";
       meters.recordRequest({ route: found.name, outcome, reason });
+      recordBodyTime(found);
       logger.log("request_abandoned", {
         route: found.name,
         elapsed: clock.monotonic() - arrivedAt,
@@ -282,16 +289,14 @@
       }, { request: metadata.id });
     }
 
-    function recordEnding(
-      ending: Ending,
-      sends: number,
-    ): void {
+    function recordEnding({ ending, sends, stages }: RelayResult): void {
       const elapsed = clock.monotonic() - arrivedAt;
       const subject = { request: metadata.id };
       const common = {
         route: route?.name ?? "",
         state: active?.state.version ?? 0,
       };
+      meters.recordStages(common.route, stages);
       meters.recordRequest({
         ...ending,
         route: common.route,
--- a/packages/gateway/src/meters.test.ts
+++ b/packages/gateway/src/meters.test.ts
@@ -53,6 +53,7 @@
   meters.recordRetry("llm");
   meters.recordStoreCall("feed", "200");
   meters.recordWait("advice", 15);
+  meters.recordStages("advice", { body: 120, failed: 0 });
   expect(read("peridotvalve_requests_total")).toEqual([
     ['advice "large"', "answered", "200", "1"],
     ["orders", "lost", "connection", "1"],
@@ -75,12 +76,15 @@
     ["peridotvalve_first_event_ms", "120"],
     ["peridotvalve_longest_pause_ms", "40"],
     ["peridotvalve_queue_wait_ms", "15"],
+    ["peridotvalve_stage_seconds", "0.12"],
     ["peridotvalve_event_loop_delay_ms", undefined],
   ]);
   // The parser reads the counts of summaries without labels only.
   expect(page).toInclude(
     'peridotvalve_queue_wait_ms_count{route="advice"} 1\n',
   );
+  expect(page).toInclude('_seconds_sum{route="advice",stage="body"} 0.12\n');
+  expect(page).not.toInclude('stage="failed"');
 });
 
 // Guards against stale series of replicas that have left.
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -4,7 +4,12 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import { createRegistry } from "@peridotvalve/metrics";
-import type { Milliseconds, RequestRate } from "@peridotvalve/types";
+import {
+  type Milliseconds,
+  type RequestRate,
+  SECOND,
+} from "@peridotvalve/types";
+import { STAGES, type StageTimes } from "./stage_clock.ts";
 
 /** How a request ended. */
 export interface RequestRecord {
@@ -51,6 +56,8 @@
   abstract recordAttempt(service: string, outcome: string): void;
   /** Records how long a request waited for a replica with free capacity. */
   abstract recordWait(route: string, wait: Milliseconds): void;
+  /** Records the time in each stage that the request has entered. */
+  abstract recordStages(route: string, times: Partial<StageTimes>): void;
   abstract recordRetry(service: string): void;
   abstract recordStoreCall(kind: string, outcome: string): void;
   /** Samples by how much timers run late, until the signal aborts. */
@@ -149,6 +156,11 @@
     help: "Time for which a prompt waited for a replica with room.",
     labels: ["route"],
   });
+  const stages = registry.histogram("peridotvalve_stage_seconds", {
+    help: "Time that requests spent in each stage.",
+    labels: ["route", "stage"],
+    unit: SECOND,
+  });
   const storeCalls = registry.counter("peridotvalve_store_calls_total", {
     help: "Calls of the platform's store by kind and outcome.",
     labels: ["kind", "outcome"],
@@ -219,6 +231,13 @@
       waits.record(wait, { route });
     }
 
+    override recordStages(route: string, times: Partial<StageTimes>): void {
+      for (const stage of STAGES) {
+        const { [stage]: time = 0 } = times;
+        if (time > 0) stages.record(time, { route, stage });
+      }
+    }
+
     override recordRetry(service: string): void {
       retries.add(1, { service });
     }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -32,11 +32,12 @@
 import { type Caller, SHUTDOWN_RETRY_AFTER, SHUTTING_DOWN } from "./caller.ts";
 import { type ResponseHead, START_PUT_OFF } from "./connection_pools.ts";
 import type { CrashGuard } from "./crash_guard.ts";
-import type { Detour } from "./detour.ts";
+import type { Detour, DetourOutcome } from "./detour.ts";
 import type { ForwardedRequest } from "./forwarded_request.ts";
 import { BUSY_AVOIDANCE } from "./replica_feedback.ts";
 import type { ResponseProgress } from "./response_forwarding.ts";
 import { gapLimit } from "./silence_limits.ts";
+import { createStageClock, type StageTimes } from "./stage_clock.ts";
 import type { StreamRecords } from "./stream_records.ts";
 import { createSuccession } from "./succession.ts";
 
@@ -75,6 +76,7 @@
 export interface RelayResult {
   readonly ending: Ending;
   readonly sends: number;
+  readonly stages: StageTimes;
 }
 
 /** Unsent attempts after which the request fails. */
@@ -121,6 +123,7 @@
     forwarded: ForwardedRequest,
     caller: Caller,
   ): Promise<RelayResult> {
+    const stages = createStageClock(received.arrivedAt, clock.monotonic());
     /** Names the software version once an event of the stream is known. */
     let request = received;
     const excluded = new Set<string>();
@@ -163,7 +166,7 @@
       cancel: withdraw,
     });
     const steps = createSteps({
-      ...{ forwarded, caller, subject, progress, isOutOfContact },
+      ...{ forwarded, caller, subject, progress, stages, isOutOfContact },
       current: () => request,
       mayReplace: () =>
         retryable && executions + 1 < request.route.maxExecutions,
@@ -174,7 +177,7 @@
     });
     const end = (ending: Ending): RelayResult => {
       succession.close();
-      return { ending, sends };
+      return { ending, sends, stages: stages.end(clock.monotonic()) };
     };
 
     if (isTakenUp(request, forwarded)) {
@@ -207,7 +210,9 @@
           return fail("timeout", 504);
         case "unsent":
           sends -= 1;
-          if (outcome.reason === START_PUT_OFF && steps.isOutdated(started)) {
+          if (
+            outcome.reason === START_PUT_OFF && steps.isOutdated(started.times)
+          ) {
             limits.giveBack(replica.entry);
             hasWaitedForConnection = true;
             continue;
@@ -500,7 +505,7 @@
       return fail(SHUTTING_DOWN, 502, SHUTDOWN_RETRY_AFTER);
     }
 
-    function recordAnswerTime({ startedAt }: RunningAttempt): void {
+    function recordAnswerTime({ times: { startedAt } }: RunningAttempt): void {
       const begin = request.prompt === undefined
         ? startedAt
         : request.arrivedAt + progress.firstEvent;
@@ -525,9 +530,11 @@
 
     /** Passes the request on; refuses it when no neighbor can take it. */
     async function passOn(): Promise<RelayResult> {
+      const startedAt = clock.monotonic();
       const outcome = forwarded.isPassedOn
         ? { kind: "unsent" as const }
         : await options.detour(request, forwarded, caller);
+      recordDetour(outcome, startedAt);
       switch (outcome.kind) {
         case "done":
           return end({ ...outcome, kind: "answered", maxEventGap: 0 });
@@ -543,6 +550,20 @@
       }
     }
 
+    /** Counts the time at neighbors, up to their response, as one wait for it. */
+    function recordDetour(
+      outcome: DetourOutcome,
+      startedAt: Milliseconds,
+    ): void {
+      const firstByteAt = outcome.kind === "done"
+        ? request.arrivedAt + outcome.firstEvent
+        : undefined;
+      const times = { startedAt, sentAt: startedAt, firstByteAt };
+      const isFailure = outcome.kind === "unsent" || outcome.kind === "lost";
+      if (isFailure) stages.lose(times, clock.monotonic(), 0);
+      else stages.keep(times, clock.monotonic());
+    }
+
     /** Sends the final response of a request that no replica has served. */
     function fail(
       reason: string,
