--- a/packages/gateway/src/attempt_sending.ts
+++ b/packages/gateway/src/attempt_sending.ts
@@ -30,6 +30,7 @@
 import { createResponseCheck, type ResponseCheck } from "./response_check.ts";
 import type { ResponseProgress } from "./response_forwarding.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
+import type { AttemptTimes } from "./stage_clock.ts";
 
 export interface AttemptSendingOptions {
   readonly clock: Clock;
@@ -88,7 +89,7 @@
 
 export interface SentAttempt extends Placed {
   readonly number: number;
-  readonly startedAt: Milliseconds;
+  readonly times: AttemptTimes;
   readonly attempt: Attempt;
   readonly check: ResponseCheck;
   readonly watch: AttemptWatch;
@@ -98,7 +99,7 @@
 export interface AttemptSending {
   send(placed: Placed, terms: SendTerms): SentAttempt;
   /** Returns true when the time left that an attempt states is too long by now. */
-  isOutdated(attempt: Pick<SentAttempt, "startedAt">): boolean;
+  isOutdated(times: Pick<AttemptTimes, "startedAt">): boolean;
   /** Time for which the replica prefills before it sends the first token. */
   prefillTime(choice: Choice): Milliseconds;
 }
@@ -128,7 +129,7 @@
   const { transfers, replicaClock, prefillRates, pushback } = options;
   const { sendGate } = options;
 
-  function isOutdated({ startedAt }: Pick<SentAttempt, "startedAt">): boolean {
+  function isOutdated({ startedAt }: Pick<AttemptTimes, "startedAt">): boolean {
     return clock.monotonic() - startedAt > MAX_CONNECTION_WAIT;
   }
 
@@ -169,12 +170,19 @@
           logger.log("response_mismatched", event, { ...subject, upstream });
         },
       });
+      const times: AttemptTimes = {
+        ...{ startedAt, sentAt: undefined, firstByteAt: undefined },
+      };
+      const mayStart = () =>
+        options.placement.mayUse(request, entry) &&
+        !pushback.isActive(entry) && permit.isValid() && !isOutdated(times) &&
+        (sendGate.isRecent(readUpTo) || !options.loopLag.isLate());
       const attempt = pools.open({
-        mayStart: () =>
-          options.placement.mayUse(request, entry) &&
-          !pushback.isActive(entry) && permit.isValid() &&
-          !isOutdated({ startedAt }) &&
-          (sendGate.isRecent(readUpTo) || !options.loopLag.isLate()),
+        mayStart() {
+          if (!mayStart()) return false;
+          times.sentAt = clock.monotonic();
+          return true;
+        },
         origin: entry.address,
         connections: options.maxConnectionsOf(request.service),
         isRepeat,
@@ -233,7 +241,7 @@
         },
       });
       return {
-        ...{ number, startedAt, attempt, check, watch },
+        ...{ number, times, attempt, check, watch },
         ...{ choice, permit, trackedRequest, guarded },
       };
     }
--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -25,7 +25,11 @@
   type SentAttempt,
 } from "./attempt_sending.ts";
 import type { AttemptOutcome } from "./attempt_watch.ts";
-import type { AttemptFailure, ResponseHead } from "./connection_pools.ts";
+import {
+  type AttemptFailure,
+  type ResponseHead,
+  START_PUT_OFF,
+} from "./connection_pools.ts";
 import type { ResponseMetadata } from "./header_codec.ts";
 import type { Meters } from "./meters.ts";
 import { createReplicaFeedback } from "./replica_feedback.ts";
@@ -37,6 +41,7 @@
   MAX_BUFFERED_TOGETHER,
 } from "./response_forwarding.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
+import type { StageClock } from "./stage_clock.ts";
 import type { Reception } from "./succession.ts";
 
 export interface AttemptStepsOptions extends AttemptSendingOptions {
@@ -54,6 +59,7 @@
 }
 
 export interface SteppedRequest extends AttemptedRequest {
+  readonly stages: StageClock;
   /** True when another attempt may follow the present one. */
   readonly mayReplace: () => boolean;
   /** Called when data of the attempt whose response is forwarded arrives. */
@@ -78,7 +84,7 @@
   options: AttemptStepsOptions,
 ): (stepped: SteppedRequest) => AttemptSteps {
   const { clock, logger, pools, replicas, prefillRates, meters } = options;
-  const { statements, pushback, places, queue, budget, weights } = options;
+  const { statements, pushback, places, queue, budget } = options;
   const createSending = createAttemptSending(options);
   const replicaFeedback = createReplicaFeedback(options);
   const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
@@ -98,6 +104,7 @@
 
   return (stepped) => {
     const { current, caller, subject, progress, keepPresent } = stepped;
+    const { stages } = stepped;
     const sending = createSending(stepped);
     const { isOutdated, prefillTime } = sending;
 
@@ -109,6 +116,7 @@
     async function finish(running: RunningAttempt): Promise<AttemptOutcome> {
       try {
         const outcome = await awaitOutcome(running);
+        recordStages(running, outcome);
         recordEnd(running, outcome);
         return outcome;
       } finally {
@@ -116,6 +124,15 @@
       }
     }
 
+    function recordStages(
+      { times }: RunningAttempt,
+      outcome: AttemptOutcome,
+    ): void {
+      const now = clock.monotonic();
+      if (isFailure(outcome)) stages.lose(times, now, progress.lastEventAt);
+      else stages.keep(times, now);
+    }
+
     function settle(running: RunningAttempt, outcome: AttemptOutcome): void {
       recordEnd(running, outcome);
       giveBack(running);
@@ -144,7 +161,7 @@
           number,
           outcome: kind,
           reason: "reason" in outcome ? outcome.reason : "",
-          elapsed: clock.monotonic() - running.startedAt,
+          elapsed: clock.monotonic() - running.times.startedAt,
         }, { ...subject, upstream });
       }
     }
@@ -197,7 +214,7 @@
       running: RunningAttempt,
     ): Promise<AttemptOutcome> {
       const { attempt, choice, watch, trackedRequest, guarded } = running;
-      const { startedAt } = running;
+      const { times } = running;
       const request = current();
       const isStream = request.route.kind === "stream";
       const mayReplace = stepped.mayReplace();
@@ -224,7 +241,7 @@
       const recordFirstEvent = () => {
         hasFirstEvent = true;
         queue.retry();
-        const elapsed = clock.monotonic() - startedAt;
+        const elapsed = clock.monotonic() - times.startedAt;
         const tokens = choice.load.unread + choice.unread;
         prefillRates.recordFirstToken(request.service, { tokens, elapsed });
       };
@@ -233,10 +250,14 @@
           ...common,
           gapLimit: mayReplace ? gapLimit(request.route) : undefined,
           onData() {
+            times.firstByteAt ??= clock.monotonic();
             keepPresent();
             trackedRequest.recordFirstToken();
             if (!hasFirstEvent) recordFirstEvent();
-            replicas.recordReceived(choice.replica.entry.id, startedAt);
+            replicas.recordReceived(
+              choice.replica.entry.id,
+              times.startedAt,
+            );
             guarded.recordReceived();
           },
           onEvent() {
@@ -250,8 +271,12 @@
         memory,
         mayRetry: () => mayReplace && budget.left(request.service) >= 1,
         onData() {
+          times.firstByteAt ??= clock.monotonic();
           keepPresent();
-          replicas.recordReceived(choice.replica.entry.id, startedAt);
+          replicas.recordReceived(
+            choice.replica.entry.id,
+            times.startedAt,
+          );
           guarded.recordReceived();
           if (mayReplace && !progress.hasPlainResponse) limitPlainSilence();
         },
@@ -262,6 +287,24 @@
   };
 }
 
+/**
+ * True when the request is failed or sent again because of the outcome. One that
+ * was put off has only waited for its connection.
+ */
+function isFailure(outcome: AttemptOutcome): boolean {
+  switch (outcome.kind) {
+    case "done":
+    case "left":
+    case "overdue":
+    case "withdrawn":
+      return false;
+    case "unsent":
+      return outcome.reason !== START_PUT_OFF;
+    default:
+      return true;
+  }
+}
+
 function toOutcome({ kind, reason }: AttemptFailure): AttemptOutcome {
   return { kind, reason };
 }
