--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -83,7 +83,7 @@
 export function createAttemptSteps(
   options: AttemptStepsOptions,
 ): (stepped: SteppedRequest) => AttemptSteps {
-  const { clock, logger, pools, replicas, prefillRates, meters } = options;
+  const { clock, logger, replicas, prefillRates, meters } = options;
   const { statements, pushback, places, queue, budget } = options;
   const createSending = createAttemptSending(options);
   const replicaFeedback = createReplicaFeedback(options);
