Load: count memory that running requests share once

Cause: the memory of a replica is the sum of prompt and output of all its requests. Requests of one session share the memory of their common part, so the replica that holds a session looked full after three of its prompts (12,040 tokens each, 36,800 usable) although nine fit. Change: a tracked request may name the parts that it shares. A part takes memory from the start of the first request of this daemon to the end of the last. Requests that name none, which are all at present, count as before.

--- a/packages/load/src/load_view.test.ts
+++ b/packages/load/src/load_view.test.ts
@@ -128,3 +128,22 @@
   here.removePeer("there");
   expect(here.rates("limited").peers).toEqual(0);
 });
+
+// Guards against a replica that looks full because the part that its running
+// requests share counts once for each.
+test("a shared part takes memory once", () => {
+  const view = createLoadView(createManualClock());
+  const sharedParts = [{ key: "m@1 session", tokens: 9_000 }];
+  const size = { unread: 0, memory: 10_000, sharedParts };
+  const memory = () => view.totalLoad("a").memory;
+  const first = view.trackRequest("a", size);
+  const second = view.trackRequest("a", size);
+  expect(memory()).toEqual(11_000);
+  expect(view.heldByRequests("a", sharedParts)).toEqual(9_000);
+  expect(view.heldByRequests("b", sharedParts)).toEqual(0);
+  first.end();
+  expect(memory()).toEqual(10_000);
+  second.end();
+  expect(memory()).toEqual(0);
+  expect(view.heldByRequests("a", sharedParts)).toEqual(0);
+});
--- a/packages/load/src/load_view.ts
+++ b/packages/load/src/load_view.ts
@@ -20,6 +20,7 @@
   type DeltaSource,
 } from "./delta_table.ts";
 import { replicaKey, type Values } from "./packed.ts";
+import { createSharedMemory, type SharedPart } from "./shared_memory.ts";
 
 export interface ReplicaLoad {
   readonly requests: number;
@@ -38,6 +39,16 @@
   readonly peers: RequestRate;
 }
 
+export interface RequestSize {
+  readonly unread: Tokens;
+  readonly memory: Tokens;
+  /**
+   * Parts within `memory` that other requests of this daemon may share. Absent
+   * when each request counts in full.
+   */
+  readonly sharedParts?: readonly SharedPart[];
+}
+
 export interface TrackedRequest {
   /** Records that the replica has finished the prefill of the prompt. */
   recordFirstToken(): void;
@@ -47,8 +58,16 @@
 export abstract class LoadView {
   abstract trackRequest(
     replica: string,
-    size: { readonly unread: Tokens; readonly memory: Tokens },
+    size: RequestSize,
   ): TrackedRequest;
+  /**
+   * Tokens of the parts that running requests of this daemon hold at the
+   * replica.
+   */
+  abstract heldByRequests(
+    replica: string,
+    parts: readonly SharedPart[],
+  ): Tokens;
   abstract totalLoad(replica: string): ReplicaLoad;
   abstract localLoad(replica: string): ReplicaLoad;
   /** Rates at which requests were recently placed on the replica. */
@@ -119,6 +138,7 @@
 ): LoadView {
   const localLoads = new Map<string, ReplicaLoad>();
   const recentSums = new Map<string, DecayingSum>();
+  const sharedMemory = createSharedMemory();
   const digestSource = createDeltaSource(clock, SWEEP_PERIOD);
   // The receivers change, so each summary is a part of a sweep.
   const summarySource = createDeltaSource(clock, 0);
@@ -212,9 +232,12 @@
   return new (class extends LoadView {
     override trackRequest(
       replica: string,
-      { unread, memory }: { readonly unread: Tokens; readonly memory: Tokens },
+      { unread, memory, sharedParts = [] }: RequestSize,
     ): TrackedRequest {
-      add(replica, { requests: 1, unread, memory, recentTokens: 0 });
+      const shared = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+      const own = memory - shared;
+      const added = own + sharedMemory.add(replica, sharedParts);
+      add(replica, { requests: 1, unread, memory: added, recentTokens: 0 });
       const recent = recentOf(replica);
       recentSums.set(replica, {
         at: clock.monotonic(),
@@ -234,11 +257,19 @@
           if (hasEnded) return;
           hasEnded = true;
           recordFirstToken();
-          add(replica, { ...NO_LOAD, requests: -1, memory: -memory });
+          const freed = own + sharedMemory.remove(replica, sharedParts);
+          add(replica, { ...NO_LOAD, requests: -1, memory: -freed });
         },
       };
     }
 
+    override heldByRequests(
+      replica: string,
+      parts: readonly SharedPart[],
+    ): Tokens {
+      return sharedMemory.held(replica, parts);
+    }
+
     override totalLoad(replica: string): ReplicaLoad {
       return computeTotal(replica);
     }
--- a/packages/load/src/mod.ts
+++ b/packages/load/src/mod.ts
@@ -8,4 +8,5 @@
 export * from "./load_view.ts";
 export { packEntry, replicaKey, unpackEntries } from "./packed.ts";
 export * from "./poller.ts";
+export type { SharedPart } from "./shared_memory.ts";
 export { type Digest, digestSchema } from "./wire.ts";
