Placement: weigh prompts by time where mixed_prompts asks for it

Cause: placement scores replicas in prompt tokens, with bounds that were measured on one deployment, and knows no target. A short prompt may stand behind 24,000 tokens (364 ms at 66 tokens a ms) and one more long prompt. In a large fleet each zone is home to each session, so that its shared part is prefilled and cached up to six times. Change: timed_choice.ts and mixed_prompts.ts estimate the time to the first event (known and probable prefill ahead, own prefill, fetches, slots, slowness that the machine states in Replica-Load) and what the prompt costs others, and compare them with the targets. Long prompts wait rather than fill more than half of the tightest target that is in use. A session has one home in a region. Replicas without memory are left out; for the most urgent prompts they have the price of a preemption.

--- a/packages/dispatch/src/measure_placement.ts
+++ b/packages/dispatch/src/measure_placement.ts
@@ -1,6 +1,8 @@
 /**
  * Measures the time of one placement with 100 candidates, by number of daemons
- * whose load is known. Prints one row for each number.
+ * whose load is known, with `mixed_prompts` off and on. The two variants take
+ * turns, so that other load on the machine meets both alike. Prints one row for
+ * each number.
  */
 import { createSystemClock } from "@peridotvalve/clock";
 import { createLoadView } from "@peridotvalve/load";
@@ -61,7 +63,7 @@
   };
 }
 
-function createSubject(daemons: number) {
+function createSubject(daemons: number, isMixed: boolean) {
   const clock = createSystemClock();
   const load = createLoadView(clock);
   const cache = createCacheView();
@@ -112,6 +114,7 @@
     memoryOf: () => 99_653,
     prefillRate: () => 80,
     knowsCaches: () => daemons <= 10,
+    mixedPrompts: () => isMixed,
   });
 }
 
@@ -120,20 +123,31 @@
   return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
-function measure(daemons: number): Milliseconds {
-  const placement = createSubject(daemons);
-  const times: number[] = [];
+/** Medians of the variants: off, on. */
+function measure(daemons: number): readonly Milliseconds[] {
+  const subjects = [false, true].map((isMixed) => ({
+    placement: createSubject(daemons, isMixed),
+    times: [] as number[],
+  }));
   for (let run = 0; run < WARM_UP_RUNS + RUNS; run += 1) {
     const request = createRequest(run % SESSIONS);
-    const start = performance.now();
-    placement.choose(request, new Set());
-    if (run >= WARM_UP_RUNS) times.push(performance.now() - start);
+    for (const { placement, times } of subjects) {
+      const start = performance.now();
+      placement.choose(request, new Set());
+      if (run >= WARM_UP_RUNS) times.push(performance.now() - start);
+    }
   }
-  return median(times);
+  return subjects.map(({ times }) => median(times));
 }
 
-console.log("daemons  median of one placement with 100 candidates");
+console.log("daemons  median of one placement with 100 candidates: off, on");
 for (const daemons of DAEMONS) {
-  const time = measure(daemons).toFixed(3);
-  console.log(`${String(daemons).padStart(7)}  ${time} ms`);
+  const [off = 0, on = 0] = measure(daemons);
+  const ratio = (on / off).toFixed(2);
+  console.log(
+    `${String(daemons).padStart(7)}  ${off.toFixed(3)} ms  ${
+      on.toFixed(3)
+    } ms` +
+      `  ${ratio}`,
+  );
 }
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./cache_group.ts";
 export * from "./cache_view.ts";
 export * from "./desired_state.ts";
+export type { Forecast } from "./mixed_prompts.ts";
 export * from "./placement.ts";
 export * from "./prefill_rates.ts";
 export * from "./replica.ts";
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -11,9 +11,10 @@
   findRendezvousHome,
   type RendezvousMember,
 } from "@peridotvalve/rendezvous";
-import type { LoadView, ReplicaLoad } from "@peridotvalve/load";
+import type { LoadView, ReplicaLoad, SharedPart } from "@peridotvalve/load";
 import type { CacheView } from "./cache_view.ts";
 import { createCandidateSample } from "./candidate_sample.ts";
+import type { Forecast } from "./mixed_prompts.ts";
 import type {
   Replica,
   ReplicaEntry,
@@ -26,6 +27,7 @@
   type PromptMetadata,
   type PromptPart,
 } from "./dispatch_request.ts";
+import { createTimedChoice } from "./timed_choice.ts";
 import type { PartPlan, TransferPlanner } from "./transfers.ts";
 import type { WeightTargets } from "./weights.ts";
 
@@ -45,6 +47,10 @@
   readonly held: Tokens;
   /** Load of the replica without this request. */
   readonly load: ReplicaLoad;
+  /** Present when prompts are weighed by time. */
+  readonly forecast?: Forecast;
+  /** Parts within `memory` that other requests may share at the replica. */
+  readonly sharedParts?: readonly SharedPart[];
   readonly cost: number;
   readonly candidates: number;
 }
@@ -65,6 +71,10 @@
     request: DispatchRequest,
     excluded: ReadonlySet<string>,
   ): boolean;
+  /**
+   * Least time from a placement to the first event; 0 when it is not estimated.
+   */
+  abstract leastTime(request: DispatchRequest): Milliseconds;
   /** Replicas that can take the request, now or after a wait. */
   abstract candidates(
     request: DispatchRequest,
@@ -91,6 +101,14 @@
   readonly hasRoom?: (replica: ReplicaEntry) => boolean;
   /** Source of random numbers in [0, 1). */
   readonly random?: () => number;
+  /** True when prompts are weighed by time; see `mixed_prompts.ts`. */
+  readonly mixedPrompts?: () => boolean;
+  /** The monotonic clock; used by `mixedPrompts`. */
+  readonly now?: () => Milliseconds;
+  /** How long work takes on the replica's machine; 1 is as usual. */
+  readonly slownessOf?: (replica: string) => number;
+  /** Called for each prompt that is placed by time. */
+  readonly onForecast?: (route: string, forecast: Forecast) => void;
 }
 
 /** Twice the planned replicas. */
@@ -159,6 +177,10 @@
   const { transfers, random = Math.random, hasRoom = () => true } = options;
   const sample = createCandidateSample({ topology, random });
   const members = new Map<string, RendezvousMember>();
+  const isTimed = options.mixedPrompts ?? (() => false);
+  const timedChoice = createTimedChoice({
+    ...{ placement: options, classifyDistance, saltOf },
+  });
 
   /** Returns the same object each time, because its hash is kept with it. */
   function memberOf({ entry: { id } }: Replica): RendezvousMember {
@@ -222,7 +244,10 @@
     const session = shared.at(-1)?.id ?? request.id;
     const sharedTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
     const knowsCaches = options.knowsCaches?.() ?? true;
-    const homes = sample.homes(usable, { knowsCaches });
+    const homes = sample.homes(usable, {
+      knowsCaches,
+      ...(isTimed() ? { session } : {}),
+    });
     const preferred = findRendezvousHome(session, homes.map(memberOf))?.name;
     const usableMemory = memoryOf(request.service) * USABLE_MEMORY_SHARE;
     const rank = Math.min(MAX_PENDING_PREFILL.length - 1, priorityOf(request));
@@ -232,6 +257,12 @@
       usable,
       (id) => id === preferred || holders.has(id),
     );
+    if (isTimed()) {
+      return timedChoice.choose({
+        ...{ request, prompt, usable, candidates, shared, sharedTokens },
+        ...{ preferred, holders, knowsCaches, rank, usableMemory },
+      });
+    }
     const choices = candidates.flatMap((replica) => {
       const version = replica.weights.get(prompt.model) ?? 1;
       if (!weights.mayStart(prompt.model, version)) return [];
@@ -340,6 +371,12 @@
       ) => isCandidate(replica, request, excluded));
     }
 
+    override leastTime({ service, prompt }: DispatchRequest): Milliseconds {
+      if (prompt === undefined || !isTimed()) return 0;
+      const own = prompt.parts.at(-1)?.tokens ?? 0;
+      return own / options.prefillRate(service);
+    }
+
     override candidates(
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
--- a/packages/dispatch/src/prefill_rates.test.ts
+++ b/packages/dispatch/src/prefill_rates.test.ts
@@ -44,3 +44,15 @@
     createPrefillRates().rateOf("slow"),
   );
 });
+
+// Guards against a machine that is avoided long after it was slow.
+test("slowness is forgotten unless the replica repeats it", () => {
+  let now = 0;
+  const rates = createPrefillRates({ now: () => now });
+  rates.recordSlowness("a", 3);
+  rates.recordSlowness("b", 3);
+  rates.recordSlowness("b", undefined);
+  expect(["a", "b", "c"].map(rates.slownessOf)).toEqual([3, 1, 1]);
+  now = 4_000;
+  expect(rates.slownessOf("a")).toEqual(1);
+});
--- a/packages/dispatch/src/prefill_rates.ts
+++ b/packages/dispatch/src/prefill_rates.ts
@@ -1,6 +1,6 @@
 /**
  * How fast the engines of each service prefill prompts, measured from their
- * first tokens. A replica that prefills a long prompt sends nothing meanwhile,
+ * first tokens, and which machines say that work takes longer at present. A replica that prefills a long prompt sends nothing meanwhile,
  * which must not be taken for a failure.
  */
 import type { Milliseconds, Tokens } from "@peridotvalve/types";
@@ -17,6 +17,10 @@
   rateOf(service: string): number;
   /** Time that a replica of the service takes to prefill the tokens. */
   timeOf(service: string, tokens: Tokens): Milliseconds;
+  /** Records how long the replica says that work takes; 1 is as usual. */
+  recordSlowness(replica: string, slowness: number | undefined): void;
+  /** How long work takes on the replica's machine; 1 when it is not known. */
+  slownessOf(replica: string): number;
 }
 
 /** Rate assumed before the first samples; low, so that no replica is hurried. */
@@ -35,7 +39,24 @@
 /** Samples from which the median is used. */
 const MIN_SAMPLES = 5;
 
-export function createPrefillRates(): PrefillRates {
+/** A machine that has not said more since then counts as usual again. */
+const SLOWNESS_MEMORY: Milliseconds = 3_000;
+
+/** Slower machines are avoided as much as these. */
+const MAX_SLOWNESS = 20;
+
+/** Slow replicas that are remembered; twice the planned replicas. */
+const MAX_SLOW = 1_500;
+
+export interface PrefillRatesOptions {
+  /** The monotonic clock; without it, no slowness is remembered. */
+  readonly now?: () => Milliseconds;
+}
+
+export function createPrefillRates(
+  { now }: PrefillRatesOptions = {},
+): PrefillRates {
+  const slow = new Map<string, { slowness: number; until: Milliseconds }>();
   const samples = new Map<string, readonly number[]>();
   const medians = new Map<string, number>();
 
@@ -52,6 +73,20 @@
       if (kept.length >= MIN_SAMPLES) medians.set(service, medianOf(kept));
     },
     rateOf,
+    recordSlowness(replica, slowness = 1) {
+      slow.delete(replica);
+      if (now === undefined || !(slowness > 1)) return;
+      if (slow.size >= MAX_SLOW) slow.clear();
+      const until = now() + SLOWNESS_MEMORY;
+      slow.set(replica, { slowness: Math.min(MAX_SLOWNESS, slowness), until });
+    },
+    slownessOf(replica) {
+      const known = slow.get(replica);
+      if (known === undefined) return 1;
+      if (now !== undefined && known.until > now()) return known.slowness;
+      slow.delete(replica);
+      return 1;
+    },
     timeOf: (service, tokens) => tokens / rateOf(service),
   };
 }
--- a/packages/gateway/src/changed_settings.ts
+++ b/packages/gateway/src/changed_settings.ts
@@ -13,6 +13,7 @@
 /** Settings that take effect while the daemon runs. */
 const CHANGEABLE: ReadonlySet<keyof GatewaySettings> = new Set([
   "grace",
+  "mixedPrompts",
   "weightGracePeriod",
   "retryRatio",
   "retrySlack",
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -148,7 +148,7 @@
   let isDiscovered = false;
 
   const replicaClock = createReplicaClock(clock);
-  const prefillRates = createPrefillRates();
+  const prefillRates = createPrefillRates({ now: () => clock.monotonic() });
   const shutdown = createShutdownAdmission(clock);
   const transfers = createTransferPlanner({
     clock,
@@ -264,14 +264,13 @@
     knowsNeighbors: () => isDiscovered,
   });
   const placement = createPlacement({
-    replicas,
-    load,
-    cache,
-    weights,
+    ...{ replicas, load, cache, weights, memoryOf, transfers },
     topology: settings.topology,
-    memoryOf,
-    transfers,
     prefillRate: prefillRates.rateOf,
+    slownessOf: prefillRates.slownessOf,
+    mixedPrompts: () => settings.mixedPrompts,
+    now: () => clock.monotonic(),
+    onForecast: (route, forecast) => meters.recordForecast(route, forecast),
     knowsCaches: followedCaches.includesReplicas,
     hasRoom: (replica) =>
       !pushback.isActive(replica) && limits.hasRoom(replica) &&
@@ -288,7 +287,9 @@
       ),
   });
   const loopLag = createLoopLag(clock);
-  const queue = createPlacementQueue(clock, { isLate: loopLag.isLate });
+  const queue = createPlacementQueue(clock, {
+    ...{ isLate: loopLag.isLate, isFair: () => false },
+  });
   const sentParts = createSentPartsQueue({
     cache,
     isNeeded: () => !followedCaches.includesReplicas(),
@@ -342,21 +343,8 @@
     rank: () => rank(STREAM_DUTY),
   });
   const relay = createRelay({
-    clock,
-    logger,
-    headerCodec,
-    pools,
-    replicas,
-    statements,
-    pushback,
-    limits,
-    places,
-    load,
-    cache,
-    weights,
-    placement,
-    queue,
-    meters,
+    ...{ clock, logger, headerCodec, pools, replicas, statements, pushback },
+    ...{ limits, places, load, cache, weights, placement, queue, meters },
     budget,
     transfers,
     sentParts,
--- a/packages/gateway/src/header_codec.ts
+++ b/packages/gateway/src/header_codec.ts
@@ -55,6 +55,8 @@
   readonly weights?: number;
   /** What the replica says of itself; absent when it says nothing. */
   readonly statement?: Statement;
+  /** How long work takes on the replica's machine; 1 is as usual. */
+  readonly slowness?: number;
   /** Time for which the replica wants no requests from this daemon. */
   readonly retryAfter?: Milliseconds;
   /**
--- a/packages/gateway/src/meters.test.ts
+++ b/packages/gateway/src/meters.test.ts
@@ -137,3 +137,18 @@
   );
   expect(Number(delay?.metrics[0]?.count)).toBeGreaterThanOrEqual(2);
 });
+
+// Guards against series of a feature that is off.
+test("forecasts are rendered once prompts are placed by time", () => {
+  const { meters } = setUp();
+  expect(meters.render().includes("prefill_ahead")).toEqual(false);
+  const forecast = { firstEvent: 900, isInTarget: false, cost: 1_000 };
+  meters.recordForecast("advice", { ...forecast, ahead: 120 });
+  const page = meters.render();
+  expect(page).toInclude(
+    'peridotvalve_prompts_placed_total{route="advice",expected="late"} 1\n',
+  );
+  expect(page).toInclude(
+    'peridotvalve_prefill_ahead_ms_count{route="advice"} 1\n',
+  );
+});
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -3,8 +3,10 @@
  * set of values, which bounds the number of series.
  */
 import type { Clock } from "@peridotvalve/clock";
+import type { Forecast } from "@peridotvalve/dispatch";
 import { createRegistry } from "@peridotvalve/metrics";
 import type { Milliseconds, RequestRate } from "@peridotvalve/types";
+import { createForecastMeters } from "./forecast_meters.ts";
 
 /** How a request ended. */
 export interface RequestRecord {
@@ -51,6 +53,8 @@
   abstract recordAttempt(service: string, outcome: string): void;
   /** Records how long a request waited for a replica with free capacity. */
   abstract recordWait(route: string, wait: Milliseconds): void;
+  /** Records what was expected of a prompt when it was placed. */
+  abstract recordForecast(route: string, forecast: Forecast): void;
   abstract recordRetry(service: string): void;
   abstract recordStoreCall(kind: string, outcome: string): void;
   /** Samples by how much timers run late, until the signal aborts. */
@@ -149,6 +153,8 @@
     help: "Time for which a prompt waited for a replica with room.",
     labels: ["route"],
   });
+  /** Created when first needed: most deployments make no forecasts. */
+  let forecasts: ReturnType<typeof createForecastMeters> | undefined;
   const storeCalls = registry.counter("peridotvalve_store_calls_total", {
     help: "Calls of the platform's store by kind and outcome.",
     labels: ["kind", "outcome"],
@@ -219,6 +225,11 @@
       waits.record(wait, { route });
     }
 
+    override recordForecast(route: string, forecast: Forecast): void {
+      forecasts ??= createForecastMeters(registry);
+      forecasts.record(route, forecast);
+    }
+
     override recordRetry(service: string): void {
       retries.add(1, { service });
     }
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -51,6 +51,11 @@
   readonly configurationLimit: Milliseconds;
   /** Time after which a leaving replica must get no requests. */
   readonly drainLimit: Milliseconds;
+  /**
+   * True when prompts are placed by the time until their first event and by the
+   * delay that they cause to others.
+   */
+  readonly mixedPrompts: boolean;
   readonly retryRatio: number;
   readonly retryWindow: Milliseconds;
   /**
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -225,6 +225,7 @@
     if (sender !== entry.id) return;
     statements.record(entry, statement);
     pushback.record(entry, retryAfter);
+    prefillRates.recordSlowness(entry.id, metadata.slowness);
   }
 
   function fetchDeadline(): { readonly fetchEnd?: Timestamp } {
@@ -519,9 +520,7 @@
         if (placed !== undefined || estimateWait() === 0) return placed;
       }
       return await queue.wait({
-        lane: request.service,
-        rank: priorityOf(request),
-        deadline,
+        ...{ lane: request.service, rank: priorityOf(request), deadline },
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) || isOutOfContact() ||
@@ -755,9 +754,7 @@
       }, { ...subject, upstream: entry.id });
       replicas.recordSent(entry.id, prefillTimeOf(request, choice));
       const watch = watchAttempt(attempt, {
-        clock,
-        caller,
-        deadline: request.deadline,
+        ...{ clock, caller, deadline: request.deadline },
         silence: () => replicas.silence(entry.id),
         seekOther() {
           // Its caller may be served by another daemon.
