Placement queue: lanes, requests that are overtaken, and hopeless ones

Change: requests wait in lanes by rank, so that an estimate costs the number of ranks. In a fair queue an overtaken request holds back those behind it for a quarter of its wait; requests that would wait twice the time left, or whose own prefill does not fit it, are given up, and the Retry-After of the refusal is the estimated wait with the spread that refusals have. With mixed_prompts the passes are at least 4 ms apart. Without it the order is as before.

--- a/packages/dispatch/src/placement_queue.test.ts
+++ b/packages/dispatch/src/placement_queue.test.ts
@@ -151,3 +151,39 @@
   await large;
   expect(placed).toInclude("large");
 });
+
+// Guards against callers who wait until their deadline for a refusal that was
+// certain before.
+test("requests that cannot be placed in their time are given up early", async () => {
+  const { clock, queue, enter, open } = createQueue();
+  open(5);
+  for (let turn = 0; turn < 5; turn += 1) await enter(`placed-${turn}`, 2);
+  const waiting = Array.from(
+    { length: 20 },
+    (_, at) => enter(`r-${at}`, 1, 1_000),
+  );
+  await clock.advance(110);
+  queue.retry();
+  // 300 ms a placement: the seventh would wait twice the 890 ms that are left.
+  expect(await Promise.all(waiting.slice(6))).toEqual(
+    Array(14).fill(undefined),
+  );
+  expect(queue.size()).toEqual(6);
+  expect(queue.retryDelay(1)).toEqual(6 * 300);
+  await clock.advance(1_000);
+  await Promise.all(waiting);
+});
+
+// Guards against placements that leave no time for the prefill, and against a
+// change where `mixed_prompts` is off.
+test("a request needs time after its placement, unless the queue is not fair", async () => {
+  const clock = createManualClock();
+  const queue = createPlacementQueue(clock, { isFair: () => false });
+  const waiting = queue.wait({
+    ...{ rank: 1, deadline: 100, needs: 60, place: () => undefined },
+    isAbandoned: () => false,
+  });
+  await clock.advance(50);
+  expect(await waiting).toEqual(undefined);
+  expect(queue.retryDelay(1)).toEqual(undefined);
+});
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -4,7 +4,9 @@
  * burst of long prompts would delay every short one. Here urgent requests go
  * first, and long prompts wait until a replica has little left to prefill.
  *
- * This covers load peaks and the cold caches that follow new weights.
+ * This covers load peaks and the cold caches that follow new weights. In a fair
+ * queue, a request that others have overtaken for a while holds back those
+ * behind it, and one that cannot be placed in its time is given up early.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -29,6 +31,11 @@
   abstract estimateWait(rank: number, lane?: string): Milliseconds;
   /** Requests of the lane that go before a new one of the rank. */
   abstract countAhead(rank: number, lane?: string): number;
+  /**
+   * Time after which a request that was given up is likely to be placed;
+   * undefined unless the queue is fair.
+   */
+  abstract retryDelay(rank: number, lane?: string): Milliseconds | undefined;
 }
 
 export interface WaitRequest<Placed> {
@@ -42,18 +49,39 @@
   readonly place: () => Placed | undefined;
   /** End of the wait, on the monotonic clock. */
   readonly deadline: Milliseconds;
+  /** Time that must be left at the placement for it to be of use. */
+  readonly needs?: Milliseconds;
   readonly isAbandoned: () => boolean;
 }
 
 interface QueueEntry {
   readonly rank: number;
-  readonly lane: string;
+  readonly since: Milliseconds;
+  /** Latest time of a placement that is of use. */
+  readonly latest: Milliseconds;
+  /** True once a request behind this one has been placed. */
+  isOvertaken: boolean;
   /**
    * Ends the wait if its deadline has passed; returns true when it has ended.
    */
   readonly expire: () => boolean;
   /** Tries to place the request; returns true when its wait has ended. */
   readonly attempt: () => boolean;
+  readonly giveUp: () => void;
+}
+
+/** Requests that wait for the same replicas, by rank and in order of arrival. */
+interface Lane {
+  readonly byRank: Map<number, Set<QueueEntry>>;
+  /** Ranks of `byRank`, the most urgent first. */
+  ranks: readonly number[];
+  /** Times of recent placements, oldest first. */
+  readonly placements: Milliseconds[];
+  /** The request that holds back those behind it. */
+  holder: QueueEntry | undefined;
+  holdUntil: Milliseconds;
+  nextHold: Milliseconds;
+  nextReview: Milliseconds;
 }
 
 /** Interval between retries when no other event triggers one. */
@@ -70,10 +98,22 @@
  */
 const MAX_REFUSED_PER_PASS = 8;
 
-interface RecentPlacement {
-  readonly lane: string;
-  readonly at: Milliseconds;
-}
+/** Share of its wait after which an overtaken request holds back others. */
+const HOLD_START = 0.25;
+
+/** Share of its wait for which it may do so; the next hold waits as long. */
+const HOLD_SHARE = 0.25;
+
+/** Interval between looks for requests that cannot be placed in time. */
+const REVIEW_PERIOD: Milliseconds = 100;
+
+/** A request is given up when it would wait this many times its time left. */
+const HOPELESS_FACTOR = 2;
+
+/** Placements in the window from which their rate says something. */
+const MIN_RATE_SAMPLES = 3;
+
+const MIN_RETRY_DELAY: Milliseconds = 250;
 
 export interface PlacementQueueOptions {
   /**
@@ -81,43 +121,131 @@
    * only after the process has read which callers have left.
    */
   readonly isLate?: () => boolean;
+  /**
+   * Returns false when overtaken requests hold back no others, and requests
+   * wait until their deadline; by default the queue is fair.
+   */
+  readonly isFair?: () => boolean;
+  /** Least time between two passes; each pass tries several placements. */
+  readonly spacing?: () => Milliseconds;
 }
 
 export function createPlacementQueue(
   clock: Clock,
-  { isLate = () => false }: PlacementQueueOptions = {},
+  options: PlacementQueueOptions = {},
 ): PlacementQueue {
-  let waiting: readonly QueueEntry[] = [];
+  const { isLate = () => false, isFair = () => true } = options;
+  const { spacing = () => 0 } = options;
+  const lanes = new Map<string, Lane>();
+  let size = 0;
   let timer: NodeJS.Timeout | undefined;
+  let spacedPass: NodeJS.Timeout | undefined;
   let isPlacing = false;
-  let placements: readonly RecentPlacement[] = [];
+  let lastPass: Milliseconds = -Infinity;
 
-  function recordPlacement(lane: string): void {
-    const now = clock.monotonic();
-    const recent = placements.filter(({ at }) => at > now - RATE_WINDOW);
-    placements = [...recent, { lane, at: now }];
+  function laneOf(name: string): Lane {
+    const known = lanes.get(name);
+    if (known !== undefined) return known;
+    const lane: Lane = {
+      ...{ byRank: new Map(), ranks: [], placements: [], holder: undefined },
+      ...{ holdUntil: 0, nextHold: 0, nextReview: 0 },
+    };
+    lanes.set(name, lane);
+    return lane;
+  }
+
+  function enter(lane: Lane, entry: QueueEntry): void {
+    const known = lane.byRank.get(entry.rank);
+    if (known === undefined) {
+      lane.byRank.set(entry.rank, new Set([entry]));
+      lane.ranks = [...lane.byRank.keys()].sort((left, right) => left - right);
+    } else known.add(entry);
+    size += 1;
+  }
+
+  function leave(lane: Lane, entry: QueueEntry): void {
+    if (lane.byRank.get(entry.rank)?.delete(entry) !== true) return;
+    if (lane.holder === entry) lane.holder = undefined;
+    size -= 1;
+  }
+
+  function* entriesOf({ byRank, ranks }: Lane): Generator<QueueEntry> {
+    for (const rank of ranks) yield* byRank.get(rank) ?? [];
+  }
+
+  function countRecent({ placements }: Lane): number {
+    const oldest = clock.monotonic() - RATE_WINDOW;
+    const kept = placements.findIndex((at) => at > oldest);
+    placements.splice(0, kept < 0 ? placements.length : kept);
+    return placements.length;
+  }
+
+  function timePerPlacement(lane: Lane): Milliseconds {
+    return RATE_WINDOW / Math.max(1, countRecent(lane));
   }
 
   function placeEntries(): void {
     if (isPlacing) return;
     isPlacing = true;
-    const ended = new Set<QueueEntry>();
-    const refused = new Map<string, number>();
-    for (const entry of waiting) {
-      const count = refused.get(entry.lane) ?? 0;
-      if (count >= MAX_REFUSED_PER_PASS) continue;
-      if (entry.attempt()) ended.add(entry);
-      else refused.set(entry.lane, count + 1);
-    }
-    if (ended.size > 0) {
-      waiting = waiting.filter((entry) => !ended.has(entry));
-    }
+    lastPass = clock.monotonic();
+    for (const lane of lanes.values()) placeLane(lane);
     isPlacing = false;
     schedule();
   }
 
+  function placeLane(lane: Lane): void {
+    const refused: QueueEntry[] = [];
+    for (const entry of entriesOf(lane)) {
+      if (entry.attempt()) {
+        leave(lane, entry);
+        for (const other of refused) other.isOvertaken = true;
+        continue;
+      }
+      refused.push(entry);
+      if (holds(lane, entry) || refused.length >= MAX_REFUSED_PER_PASS) break;
+    }
+    if (isFair() && size > 0) giveUpHopeless(lane);
+  }
+
+  /** True while the refused request holds back those behind it. */
+  function holds(lane: Lane, entry: QueueEntry): boolean {
+    const now = clock.monotonic();
+    if (lane.holder === entry) {
+      if (now < lane.holdUntil) return true;
+      lane.holder = undefined;
+      return false;
+    }
+    if (!entry.isOvertaken || !isFair()) return false;
+    const whole = entry.latest - entry.since;
+    const isDue = now - entry.since > whole * HOLD_START;
+    if (lane.holder !== undefined || !isDue || now < lane.nextHold) {
+      return false;
+    }
+    lane.holder = entry;
+    lane.holdUntil = now + whole * HOLD_SHARE;
+    lane.nextHold = lane.holdUntil + whole * HOLD_SHARE;
+    return true;
+  }
+
+  /** Gives up requests so far back that they cannot be placed in time. */
+  function giveUpHopeless(lane: Lane): void {
+    const now = clock.monotonic();
+    if (now < lane.nextReview) return;
+    lane.nextReview = now + REVIEW_PERIOD;
+    if (countRecent(lane) < MIN_RATE_SAMPLES) return;
+    const each = timePerPlacement(lane);
+    let ahead = 0;
+    for (const entry of entriesOf(lane)) {
+      const left = entry.latest - now;
+      if (ahead * each > left * HOPELESS_FACTOR || left <= 0) {
+        entry.giveUp();
+        leave(lane, entry);
+      } else ahead += 1;
+    }
+  }
+
   function schedule(): void {
-    if (waiting.length === 0 || timer !== undefined) return;
+    if (size === 0 || timer !== undefined) return;
     timer = setTimeout(() => {
       // Timers run before the sockets are read.
       setImmediate(() => {
@@ -128,12 +256,23 @@
     }, RETRY_PERIOD);
   }
 
+  function placeAfter(delay: Milliseconds): void {
+    spacedPass ??= setTimeout(() => {
+      setImmediate(() => {
+        spacedPass = undefined;
+        placeEntries();
+      });
+    }, delay);
+  }
+
   /** Ends expired waits that the placement passes do not reach. */
   function dropExpired(): void {
-    const untried = waiting.slice(MAX_REFUSED_PER_PASS);
-    const ended = new Set(untried.filter((entry) => entry.expire()));
-    if (ended.size > 0) {
-      waiting = waiting.filter((entry) => !ended.has(entry));
+    for (const lane of lanes.values()) {
+      let at = 0;
+      for (const entry of entriesOf(lane)) {
+        at += 1;
+        if (at > MAX_REFUSED_PER_PASS && entry.expire()) leave(lane, entry);
+      }
     }
   }
 
@@ -141,62 +280,66 @@
     override wait<Placed>(
       request: WaitRequest<Placed>,
     ): Promise<Placed | undefined> {
-      const { rank, place, deadline, isAbandoned } = request;
-      const { lane = DEFAULT_LANE } = request;
+      const { rank, place, deadline, isAbandoned, needs = 0 } = request;
+      const lane = laneOf(request.lane ?? DEFAULT_LANE);
       return new Promise((resolve) => {
+        const latest = deadline - needs;
         const expire = () => {
-          if (!isAbandoned() && clock.monotonic() < deadline) return false;
+          if (!isAbandoned() && clock.monotonic() < latest) return false;
           resolve(undefined);
           return true;
         };
-        const entry: QueueEntry = {
-          rank,
-          lane,
-          expire,
+        enter(lane, {
+          ...{ rank, since: clock.monotonic(), latest, expire },
+          isOvertaken: false,
           attempt() {
             if (expire()) return true;
             const placed = place();
             if (placed === undefined) return false;
-            recordPlacement(lane);
+            countRecent(lane);
+            lane.placements.push(clock.monotonic());
             resolve(placed);
             return true;
           },
-        };
-        const position = waiting.findIndex((other) => other.rank > rank);
-        waiting = position < 0
-          ? [...waiting, entry]
-          : [...waiting.slice(0, position), entry, ...waiting.slice(position)];
+          giveUp: () => resolve(undefined),
+        });
         placeEntries();
       });
     }
 
     override retry(): void {
-      if (waiting.length === 0) return;
+      if (size === 0) return;
+      const due = lastPass + spacing() - clock.monotonic();
       if (isLate()) schedule();
+      else if (due > 0) placeAfter(due);
       else placeEntries();
     }
 
     override estimateWait(rank: number, lane = DEFAULT_LANE): Milliseconds {
-      const ahead =
-        waiting.filter((entry) => entry.lane === lane && entry.rank <= rank)
-          .length;
-      if (ahead === 0) return 0;
-      const oldest = clock.monotonic() - RATE_WINDOW;
-      const placed =
-        placements.filter((placement) =>
-          placement.lane === lane && placement.at > oldest
-        ).length;
-      return ahead * RATE_WINDOW / Math.max(1, placed);
+      const ahead = this.countAhead(rank, lane);
+      return ahead === 0 ? 0 : ahead * timePerPlacement(laneOf(lane));
+    }
+
+    override countAhead(rank: number, name = DEFAULT_LANE): number {
+      const lane = lanes.get(name);
+      let ahead = 0;
+      for (const other of lane?.ranks ?? []) {
+        if (other > rank) break;
+        ahead += lane?.byRank.get(other)?.size ?? 0;
+      }
+      return ahead;
     }
 
-    override countAhead(rank: number, lane = DEFAULT_LANE): number {
-      return waiting.filter((entry) =>
-        entry.lane === lane && entry.rank <= rank
-      ).length;
+    override retryDelay(
+      rank: number,
+      lane = DEFAULT_LANE,
+    ): Milliseconds | undefined {
+      if (!isFair()) return undefined;
+      return Math.max(MIN_RETRY_DELAY, this.estimateWait(rank, lane));
     }
 
     override size(): number {
-      return waiting.length;
+      return size;
     }
   })();
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,6 +121,9 @@
 /** Duty of saving the records of streams. */
 const STREAM_DUTY = "stream records";
 
+/** Least time between two tries to place the prompts that wait. */
+const PASS_SPACING: Milliseconds = 4;
+
 /** Reason of attempts that are still open at the end of the grace period. */
 const STOPPING = "the daemon stops";
 
@@ -288,7 +291,8 @@
   });
   const loopLag = createLoopLag(clock);
   const queue = createPlacementQueue(clock, {
-    ...{ isLate: loopLag.isLate, isFair: () => false },
+    ...{ isLate: loopLag.isLate, isFair: () => settings.mixedPrompts },
+    spacing: () => settings.mixedPrompts ? PASS_SPACING : 0,
   });
   const sentParts = createSentPartsQueue({
     cache,
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -434,7 +434,9 @@
         if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
-        return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
+        const status = remaining() <= 0 ? 504 : 502;
+        const delay = queue.retryDelay(priorityOf(request), request.service);
+        return fail(`${lastReason}, no room`, status, delay);
       }
       if (request.prompt !== undefined) {
         meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
@@ -521,6 +523,7 @@
       }
       return await queue.wait({
         ...{ lane: request.service, rank: priorityOf(request), deadline },
+        needs: placement.leastTime(request),
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) || isOutOfContact() ||
