Placement queue: a new request starts no pass over those that wait

Cause: with passes at a distance, each arrival still tried up to eight waiting requests. Requests behind one that holds them back were not expired until the hold ended. Change: between two passes, a new request is tried alone when none is ahead of it, and waits for the next pass otherwise. The look for expired waits covers all requests of a lane that is held.

--- a/packages/dispatch/src/placement_queue.test.ts
+++ b/packages/dispatch/src/placement_queue.test.ts
@@ -187,3 +187,24 @@
   expect(await waiting).toEqual(undefined);
   expect(queue.retryDelay(1)).toEqual(undefined);
 });
+
+// Guards against placements that are tried at each event while many wait, and
+// against a delay for a request with none ahead of it.
+test("passes keep their distance, but a first request is tried at once", async () => {
+  const clock = createManualClock();
+  const queue = createPlacementQueue(clock, { spacing: () => 4 });
+  let tries = 0;
+  const enter = (rank: number, place: () => string | undefined) =>
+    queue.wait({ rank, place, deadline: 100, isAbandoned: () => false });
+  const full = () => {
+    tries += 1;
+    return undefined;
+  };
+  const waiting = [enter(1, full), enter(1, full)];
+  for (let event = 0; event < 50; event += 1) queue.retry();
+  expect(tries).toEqual(1);
+  expect(await enter(0, () => "placed")).toEqual("placed");
+  await clock.advance(100);
+  queue.retry();
+  await Promise.all(waiting);
+});
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -173,6 +173,15 @@
     for (const rank of ranks) yield* byRank.get(rank) ?? [];
   }
 
+  function countUpTo({ byRank, ranks }: Lane, rank: number): number {
+    let count = 0;
+    for (const other of ranks) {
+      if (other > rank) break;
+      count += byRank.get(other)?.size ?? 0;
+    }
+    return count;
+  }
+
   function countRecent({ placements }: Lane): number {
     const oldest = clock.monotonic() - RATE_WINDOW;
     const kept = placements.findIndex((at) => at > oldest);
@@ -193,6 +202,19 @@
     schedule();
   }
 
+  /** A request with none ahead of it need not wait for the next pass. */
+  function placeNew(lane: Lane, entry: QueueEntry): void {
+    const due = timeToPass();
+    if (due <= 0) return placeEntries();
+    if (countUpTo(lane, entry.rank) > 1) return placeAfter(due);
+    if (entry.attempt()) leave(lane, entry);
+    else schedule();
+  }
+
+  function timeToPass(): Milliseconds {
+    return lastPass + spacing() - clock.monotonic();
+  }
+
   function placeLane(lane: Lane): void {
     const refused: QueueEntry[] = [];
     for (const entry of entriesOf(lane)) {
@@ -271,7 +293,8 @@
       let at = 0;
       for (const entry of entriesOf(lane)) {
         at += 1;
-        if (at > MAX_REFUSED_PER_PASS && entry.expire()) leave(lane, entry);
+        const isTried = at <= MAX_REFUSED_PER_PASS && lane.holder === undefined;
+        if (!isTried && entry.expire()) leave(lane, entry);
       }
     }
   }
@@ -289,7 +312,7 @@
           resolve(undefined);
           return true;
         };
-        enter(lane, {
+        const entry: QueueEntry = {
           ...{ rank, since: clock.monotonic(), latest, expire },
           isOvertaken: false,
           attempt() {
@@ -302,14 +325,15 @@
             return true;
           },
           giveUp: () => resolve(undefined),
-        });
-        placeEntries();
+        };
+        enter(lane, entry);
+        placeNew(lane, entry);
       });
     }
 
     override retry(): void {
       if (size === 0) return;
-      const due = lastPass + spacing() - clock.monotonic();
+      const due = timeToPass();
       if (isLate()) schedule();
       else if (due > 0) placeAfter(due);
       else placeEntries();
@@ -322,12 +346,7 @@
 
     override countAhead(rank: number, name = DEFAULT_LANE): number {
       const lane = lanes.get(name);
-      let ahead = 0;
-      for (const other of lane?.ranks ?? []) {
-        if (other > rank) break;
-        ahead += lane?.byRank.get(other)?.size ?? 0;
-      }
-      return ahead;
+      return lane === undefined ? 0 : countUpTo(lane, rank);
     }
 
     override retryDelay(
