--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -100,6 +100,7 @@
     if (sender !== entry.id) return;
     statements.record(entry, statement);
     pushback.record(entry, retryAfter);
+    prefillRates.recordSlowness(entry.id, metadata.slowness);
   }
 
   return (stepped) => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -121,6 +121,9 @@
 /** Duty of saving the records of streams. */
 const STREAM_DUTY = "stream records";
 
+/** Least time between two tries to place the prompts that wait. */
+const PASS_SPACING: Milliseconds = 4;
+
 /** Reason of attempts that are still open at the end of the grace period. */
 const STOPPING = "the daemon stops";
 
@@ -159,7 +162,7 @@
   let isDiscovered = false;
 
   const replicaClock = createReplicaClock(clock);
-  const prefillRates = createPrefillRates();
+  const prefillRates = createPrefillRates({ now: () => clock.monotonic() });
   const shutdown = createShutdownAdmission(clock);
   const transfers = createTransferPlanner({
     clock,
@@ -263,15 +266,14 @@
     knowsNeighbors: () => isDiscovered,
   });
   const placement = createPlacement({
-    replicas,
-    load,
-    cache,
-    weights,
+    ...{ replicas, load, cache, weights, memoryOf, transfers },
     topology: settings.topology,
     eligibility,
-    memoryOf,
-    transfers,
     prefillRate: prefillRates.rateOf,
+    slownessOf: prefillRates.slownessOf,
+    mixedPrompts: () => settings.mixedPrompts,
+    now: () => clock.monotonic(),
+    onForecast: (route, forecast) => meters.recordForecast(route, forecast),
     knowsCaches: followedCaches.includesReplicas,
     hasRoom: pace.hasRoom,
   });
@@ -286,7 +288,10 @@
       ),
   });
   const loopLag = createLoopLag(clock);
-  const queue = createPlacementQueue(clock, { isLate: loopLag.isLate });
+  const queue = createPlacementQueue(clock, {
+    ...{ isLate: loopLag.isLate, isFair: () => settings.mixedPrompts },
+    spacing: () => settings.mixedPrompts ? PASS_SPACING : 0,
+  });
   const sentParts = createSentPartsQueue({
     cache,
     isNeeded: () => !followedCaches.includesReplicas(),
@@ -342,22 +347,9 @@
     rank: () => rank(STREAM_DUTY),
   });
   const relay = createRelay({
-    clock,
-    logger,
-    headerCodec,
-    pools,
-    replicas,
-    statements,
-    pushback,
-    limits,
-    coldReplicas,
-    places,
-    load,
-    cache,
-    weights,
-    placement,
-    queue,
-    meters,
+    ...{ clock, logger, headerCodec, pools, replicas, statements, pushback },
+    ...{ limits, coldReplicas, places, load, cache, weights, placement },
+    ...{ queue, meters },
     budget,
     transfers,
     sentParts,
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -3,12 +3,14 @@
  * set of values, which bounds the number of series.
  */
 import type { Clock } from "@peridotvalve/clock";
+import type { Forecast } from "@peridotvalve/dispatch";
 import { createRegistry } from "@peridotvalve/metrics";
 import {
   type Milliseconds,
   type RequestRate,
   SECOND,
 } from "@peridotvalve/types";
+import { createForecastMeters } from "./forecast_meters.ts";
 import { STAGES, type StageTimes } from "./stage_clock.ts";
 
 /** How a request ended. */
@@ -63,6 +65,8 @@
   abstract recordColdWait(service: string): void;
   /** Records the time in each stage that the request has entered. */
   abstract recordStages(route: string, times: Partial<StageTimes>): void;
+  /** Records what was expected of a prompt when it was placed. */
+  abstract recordForecast(route: string, forecast: Forecast): void;
   abstract recordRetry(service: string): void;
   abstract recordStoreCall(kind: string, outcome: string): void;
   /** Samples by how much timers run late, until the signal aborts. */
@@ -169,6 +173,8 @@
     labels: ["route", "stage"],
     unit: SECOND,
   });
+  /** Created when first needed: most deployments make no forecasts. */
+  let forecasts: ReturnType<typeof createForecastMeters> | undefined;
   const storeCalls = registry.counter("peridotvalve_store_calls_total", {
     help: "Calls of the platform's store by kind and outcome.",
     labels: ["kind", "outcome"],
@@ -261,6 +267,11 @@
       }
     }
 
+    override recordForecast(route: string, forecast: Forecast): void {
+      forecasts ??= createForecastMeters(registry);
+      forecasts.record(route, forecast);
+    }
+
     override recordRetry(service: string): void {
       retries.add(1, { service });
     }
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -335,7 +335,10 @@
         if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
-        return fail(`${lastReason}, no room`, remaining() <= 0 ? 504 : 502);
+        const status = remaining() <= 0 ? 504 : 502;
+        const lane = laneOf(request, excluded).name;
+        const delay = queue.retryDelay(priorityOf(request), lane);
+        return fail(`${lastReason}, no room`, status, delay);
       }
       if (request.prompt !== undefined) {
         meters.recordWait(request.route.name, clock.monotonic() - queuedAt);
@@ -418,9 +421,8 @@
       const lane = laneOf(request, excluded);
       if (lane.isCold) meters.recordColdWait(request.service);
       return await queue.wait({
-        lane: lane.name,
-        rank: priorityOf(request),
-        deadline,
+        ...{ lane: lane.name, rank: priorityOf(request), deadline },
+        needs: placement.leastTime(request),
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
           !endsBeforeExit(0) || isOutOfContact() ||
