Cold replicas: allow for a busy process that reads late

Data that had arrived before the end of a replica may be read some time after its reset, and would refute the suspicion. The margin is 100 ms instead of 20 ms.

--- a/packages/backpressure/src/cold_replicas.ts
+++ b/packages/backpressure/src/cold_replicas.ts
@@ -95,8 +95,11 @@
  */
 const MIN_RESTART_TIME: Milliseconds = 200;
 
-/** Error of a time that a peer tells as an age: the way of its datagram. */
-const CLOCK_ERROR: Milliseconds = 20;
+/**
+ * Error of the time of a suspicion or of data: the way of a peer's datagram, and
+ * a busy process that reads what had arrived before the end of the replica.
+ */
+const TIME_ERROR: Milliseconds = 100;
 
 /** More replicas than a fleet has; the oldest are dropped. */
 const MAX_REPLICAS = 2_000;
@@ -210,8 +213,8 @@
   function isRefuted(id: string, { value, heardAt }: HeardStatement): boolean {
     const life = lives.get(id);
     const begin = heardAt - value * SECOND;
-    return life !== undefined && life.from < heardAt - CLOCK_ERROR &&
-      life.to > begin + CLOCK_ERROR;
+    return life !== undefined && life.from < heardAt - TIME_ERROR &&
+      life.to > begin + TIME_ERROR;
   }
 
   /** The suspicion that no later report has settled. */
