Followed tables: decode a replica entry once for each read

Cause: an entry was checked and translated twice, for its fingerprint and for the table of replicas; a start takes all of them, with code that has just been loaded. Change: the decoded entry is kept with its row. Measured, a whole table of 75 entries, 5 processes of both in turn, medians: the first table 13.0 to 11.5 ms, ratio 0.88; later ones 3.64 to 1.50 ms, ratio 0.41.

--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -141,18 +141,32 @@
     onChange: (rows, removed) => registration.applyChanges(rows, removed),
   });
 
+  /** Each row is looked at for its fingerprint, and used when that is new. */
+  const readEntries = new WeakMap<
+    FeedRow,
+    ReturnType<TableCodec["readEntry"]>
+  >();
+
+  function readEntry(row: FeedRow): ReturnType<TableCodec["readEntry"]> {
+    const known = readEntries.get(row);
+    if (known !== undefined) return known;
+    const entry = codec.readEntry(row.key, row.value);
+    readEntries.set(row, entry);
+    return entry;
+  }
+
   /** Text that differs when more than the heartbeat of an entry does. */
-  function fingerprintEntry({ key, value }: FeedRow): string {
-    const entry = codec.readEntry(key, value);
+  function fingerprintEntry(row: FeedRow): string {
+    const entry = readEntry(row);
     if (entry.isErr()) return "malformed";
     const weights = [...entry.value.weights];
     return JSON.stringify({ ...entry.value, weights });
   }
 
-  function decodeEntry({ key, value }: FeedRow): readonly ReplicaEntry[] {
-    const entry = codec.readEntry(key, value);
+  function decodeEntry(row: FeedRow): readonly ReplicaEntry[] {
+    const entry = readEntry(row);
     if (entry.isOk()) return [entry.value];
-    logger.log("entry_rejected", { key, reason: entry.error });
+    logger.log("entry_rejected", { key: row.key, reason: entry.error });
     return [];
   }
 
