--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -163,23 +163,37 @@
     rows: readonly FeedRow[],
     writtenAfter: Milliseconds,
   ): void {
-    for (const { key, value } of rows) {
-      const known = options.replicas.find(key)?.entry;
+    for (const row of rows) {
+      const known = options.replicas.find(row.key)?.entry;
       if (known === undefined || !options.coldReplicas.isAwaited(known)) {
         continue;
       }
-      const entry = codec.readEntry(key, value);
+      const entry = readEntry(row);
       if (entry.isErr() || entry.value.born !== known.born) continue;
       options.coldReplicas.recordEntry(entry.value, writtenAfter);
     }
   }
 
+  /** Each row is looked at for its fingerprint, and used when that is new. */
+  const readEntries = new WeakMap<
+    FeedRow,
+    ReturnType<TableCodec["readEntry"]>
+  >();
+
+  function readEntry(row: FeedRow): ReturnType<TableCodec["readEntry"]> {
+    const known = readEntries.get(row);
+    if (known !== undefined) return known;
+    const entry = codec.readEntry(row.key, row.value);
+    readEntries.set(row, entry);
+    return entry;
+  }
+
   /**
    * Text that differs when more than the heartbeat of an entry does. The time
    * for which a replica stays cold passes by itself.
    */
-  function fingerprintEntry({ key, value }: FeedRow): string {
-    const entry = codec.readEntry(key, value);
+  function fingerprintEntry(row: FeedRow): string {
+    const entry = readEntry(row);
     if (entry.isErr()) return "malformed";
     const weights = [...entry.value.weights];
     const { coldRemaining } = entry.value;
@@ -187,13 +201,13 @@
     return JSON.stringify({ ...entry.value, weights, coldRemaining: cold });
   }
 
-  function decodeEntry({ key, value }: FeedRow): readonly ReplicaEntry[] {
-    const entry = codec.readEntry(key, value);
+  function decodeEntry(row: FeedRow): readonly ReplicaEntry[] {
+    const entry = readEntry(row);
     if (entry.isOk()) {
       options.coldReplicas.recordEntry(entry.value);
       return [entry.value];
     }
-    logger.log("entry_rejected", { key, reason: entry.error });
+    logger.log("entry_rejected", { key: row.key, reason: entry.error });
     return [];
   }
 
