Connections: a memory budget, a reader of bodies, a limit of connections

Cause: readBody keeps each received piece as an object and counts only payload, so a body of one-byte pieces takes over a hundred times its length, and nothing bounds what all bodies of a process hold together.

Change: createMemoryBudget counts memory until it is free: a dropped buffer of 64 KiB and more counts until V8 has collected it, and the budget collects when room is short. createBodyReader takes bytes from it as they arrive, joins pieces after the second, pauses and then ends bodies without room, ends bodies that stand still, and leaves a reserve for short bodies. Bodies in tiny pieces are read in turns. trackServerConnections takes a limit, beyond which the longest idle connection closes. createByteBudget takes a parent.

--- /dev/null
+++ b/packages/connections/src/body_reader.test.ts
@@ -0,0 +1,162 @@
+import { createSystemClock } from "@peridotvalve/clock";
+import { expect } from "earl";
+import { once } from "node:events";
+import { createServer, type IncomingMessage } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { createBodyReader, type ReceivedBody } from "./body_reader.ts";
+import { createMemoryBudget } from "./memory_budget.ts";
+
+const KIBIBYTE = 1_024;
+const MAX_BODY = 1_024 * KIBIBYTE;
+
+interface Options {
+  readonly limit: number;
+  readonly stallLimit?: number;
+}
+
+/** A server that reads bodies within a budget. */
+async function setUp(t: TestContext, { limit, stallLimit }: Options) {
+  const clock = createSystemClock();
+  const memory = createMemoryBudget({ clock, limit });
+  const reader = createBodyReader({
+    ...{ clock, memory, stallLimit: () => stallLimit ?? Infinity },
+  });
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const open = async (framing: string) => {
+    const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    socket.on("error", () => {});
+    t.after(() => socket.destroy());
+    const received = once(server, "request");
+    socket.write(`POST / HTTP/1.1\r\nHost: a\r\n${framing}\r\n\r\n`);
+    const [request] = await received as [IncomingMessage];
+    return { socket, result: reader.read(request, MAX_BODY) };
+  };
+  return { memory, reader, open };
+}
+
+const lengthOf = (bytes: number) => `Content-Length: ${bytes}`;
+const CHUNKED = "Transfer-Encoding: chunked";
+
+function bytesOf(received: ReceivedBody): Buffer {
+  if (received.kind !== "complete") throw new Error(received.kind);
+  return Buffer.from(received.body.bytes ?? []);
+}
+
+/** Writes a body in pieces that arrive one by one. */
+async function writePieces(
+  socket: Socket,
+  body: Buffer,
+  { size, isChunked }: { readonly size: number; readonly isChunked: boolean },
+) {
+  for (let at = 0; at < body.length; at += size) {
+    const piece = body.subarray(at, at + size);
+    if (isChunked) socket.write(`${piece.length.toString(16)}\r\n`);
+    socket.write(piece);
+    if (isChunked) socket.write("\r\n");
+    if (size >= KIBIBYTE) await sleep(1);
+  }
+  if (isChunked) socket.write("0\r\n\r\n");
+}
+
+// Guards against bytes that are lost or moved where pieces are joined.
+for (const isChunked of [false, true]) {
+  for (
+    const [length, size] of [
+      [0, 1],
+      [1, 1],
+      [3_000, 2_000],
+      [30_000, 1],
+      [200_000, 130_000],
+      [200_000, 30_000],
+      [900_000, 65_536],
+      [MAX_BODY, 65_000],
+    ] as const
+  ) {
+    const framing = isChunked ? "chunked" : "with a length";
+    test(`${length} bytes by ${size}, ${framing}`, async (t) => {
+      const { memory, open } = await setUp(t, { limit: 4 * MAX_BODY });
+      const body = Buffer.from(
+        Array.from({ length }, (_, at) => (at * 7 + (at >> 8)) % 251),
+      );
+      const { socket, result } = await open(
+        isChunked ? CHUNKED : lengthOf(length),
+      );
+      await writePieces(socket, body, { size, isChunked });
+      const received = await result;
+      expect(Buffer.compare(bytesOf(received), body)).toEqual(0);
+      expect(memory.taken() >= length).toEqual(true);
+    });
+  }
+}
+
+// Guards against memory that a refused body still holds, and against a body that
+// waits for room without end.
+test("a body without room ends, and gives back what it took", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 300_000 });
+  memory.tryTake(200_000);
+  const { socket, result } = await open(CHUNKED);
+  const body = Buffer.alloc(600_000);
+  await writePieces(socket, body, { size: 50_000, isChunked: true });
+  expect(await result).toEqual({ kind: "no room" });
+  expect([memory.taken(), reader.waiting()]).toEqual([200_000, 0]);
+});
+
+// Guards against a body that is refused although room is free in time.
+test("a body goes on when there is room again", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 1_000_000 });
+  memory.tryTake(900_000);
+  const { socket, result } = await open(lengthOf(400_000));
+  void writePieces(socket, Buffer.alloc(400_000, "x"), {
+    ...{ size: 100_000, isChunked: false },
+  });
+  while (reader.waiting() === 0) await sleep(5);
+  memory.giveBack(900_000);
+  const expected = Buffer.alloc(400_000, "x");
+  expect(Buffer.compare(bytesOf(await result), expected)).toEqual(0);
+});
+
+// Guards against callers with short bodies who are refused because the long
+// bodies of others hold everything.
+test("long bodies leave room for short ones", async (t) => {
+  const { open } = await setUp(t, { limit: 1_000_000 });
+  const long = await Promise.all(
+    Array.from({ length: 6 }, () => open(lengthOf(MAX_BODY - 1))),
+  );
+  for (const { socket } of long) socket.write(Buffer.alloc(MAX_BODY - 2));
+  await Promise.all(
+    long.map(({ result }) => Promise.race([result, sleep(1_500)])),
+  );
+  const short = await open(lengthOf(60_000));
+  short.socket.write(Buffer.alloc(60_000, "x"));
+  expect((await short.result).kind).toEqual("complete");
+});
+
+// Guards against bodies that hold memory for as long as their senders like.
+test("a body that stops short ends and gives back its memory", async (t) => {
+  const { memory, open } = await setUp(t, { limit: 1e7, stallLimit: 200 });
+  const { socket, result } = await open(lengthOf(1_000));
+  socket.write(Buffer.alloc(999));
+  expect(await result).toEqual({ kind: "stalled" });
+  expect(memory.taken()).toEqual(0);
+});
+
+// Guards against a crowd whose long bodies stand still and keep out others until
+// the stall limit, which is long for the sake of slow callers.
+test("a long body that stands still makes room for another", async (t) => {
+  const { open } = await setUp(t, { limit: 1_500_000, stallLimit: 60_000 });
+  const still = await open(lengthOf(MAX_BODY));
+  still.socket.write(Buffer.alloc(MAX_BODY - 1));
+  await sleep(1_200);
+  const other = await open(lengthOf(600_000));
+  other.socket.write(Buffer.alloc(600_000, "x"));
+  expect(await still.result).toEqual({ kind: "stalled" });
+  expect((await other.result).kind).toEqual("complete");
+});
--- a/packages/connections/src/byte_budget.ts
+++ b/packages/connections/src/byte_budget.ts
@@ -1,6 +1,7 @@
 /**
- * Bytes that several responses may hold together. Limits of single responses do
- * not bound the memory of a process when many peers send long ones at once.
+ * Bytes that several users of memory may hold together. Limits of single
+ * requests and responses do not bound the memory of a process when many peers
+ * send long ones at once.
  */
 import type { Bytes } from "@peridotvalve/types";
 
@@ -10,17 +11,26 @@
   giveBack(bytes: Bytes): void;
 }
 
-export function createByteBudget(limit: Bytes): ByteBudget {
+/**
+ * Creates a budget. What is taken from one with a parent is taken from the
+ * parent as well.
+ */
+export function createByteBudget(
+  limit: Bytes,
+  parent?: ByteBudget,
+): ByteBudget {
   let taken: Bytes = 0;
 
   return {
     tryTake(bytes) {
       if (taken + bytes > limit) return false;
+      if (parent?.tryTake(bytes) === false) return false;
       taken += bytes;
       return true;
     },
     giveBack(bytes) {
       taken -= bytes;
+      parent?.giveBack(bytes);
     },
   };
 }
--- a/packages/connections/src/server_connections.test.ts
+++ b/packages/connections/src/server_connections.test.ts
@@ -3,19 +3,22 @@
 import { createServer, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
-import { trackServerConnections } from "./server_connections.ts";
+import {
+  type ConnectionLimit,
+  trackServerConnections,
+} from "./server_connections.ts";
 
 const REQUEST = "GET / HTTP/1.1\r\nhost: shop.example\r\n\r\n";
 
 /** A server that keeps its responses open, and a way to connect to it. */
-async function setUp(t: TestContext) {
+async function setUp(t: TestContext, limit?: ConnectionLimit) {
   const responses: ServerResponse[] = [];
   const server = createServer(({ socket }, response) => {
     connections.begin(socket, response);
     responses.push(response);
     server.emit("received");
   });
-  const connections = trackServerConnections(server);
+  const connections = trackServerConnections(server, limit);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   t.after(() => server.close());
@@ -79,3 +82,27 @@
   expect(connections.endAfterResponse(peer)).toEqual(true);
   expect(connections.isEnding(peer)).toEqual(true);
 });
+
+// Guards against descriptors that run out, and against a limit that breaks off
+// requests in progress or the connections used last.
+test("beyond the limit, the longest idle connection closes", async (t) => {
+  const closed: string[] = [];
+  const { connections, open, send } = await setUp(t, {
+    ...{ max: 3, onClosed: (reason) => closed.push(reason) },
+  });
+  const busy = await open();
+  await send(busy, 1);
+  const idle = await open();
+  const recent = await open();
+  const isClosed = once(idle, "close");
+  const next = await open();
+  await isClosed;
+  await send(recent, 1);
+  await send(next, 1);
+  const refused = await open();
+  await once(refused, "close");
+  expect(closed).toEqual(["idle", "all busy"]);
+  expect(connections.open()).toEqual(3);
+  expect([busy, recent, next].map(({ destroyed }) => destroyed))
+    .toEqual([false, false, false]);
+});
