Bound the memory and the connections that clients can take

Change: packages/gateway/src/intake.ts derives one budget and the limits of connections from the machine's limits. Bodies of callers, neighbors and peers, requests in progress and buffered responses take from the budget. A body without room gets 503 with Retry-After, one that stands still 408. The rest of a refused body is read for a second before the connection closes. Requests with a body to the other listeners are answered and their connections closed. A connection that owes more than max_pipelined responses closes, and the others are read in turns. Answers of peers and of the store have budgets of their own.

--- a/packages/connections/src/body_reader.test.ts
+++ b/packages/connections/src/body_reader.test.ts
@@ -7,6 +7,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createBodyReader, type ReceivedBody } from "./body_reader.ts";
 import { createMemoryBudget } from "./memory_budget.ts";
+import { createReadTurns } from "./read_turns.ts";
 
 const KIBIBYTE = 1_024;
 const MAX_BODY = 1_024 * KIBIBYTE;
@@ -21,7 +22,8 @@
   const clock = createSystemClock();
   const memory = createMemoryBudget({ clock, limit });
   const reader = createBodyReader({
-    ...{ clock, memory, stallLimit: () => stallLimit ?? Infinity },
+    ...{ clock, memory, turns: createReadTurns() },
+    ...{ stallLimit: () => stallLimit ?? Infinity },
   });
   const server = createServer();
   server.listen(0, "127.0.0.1");
--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -14,8 +14,8 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
 import type { MemoryBudget } from "./memory_budget.ts";
+import type { ReadTurns } from "./read_turns.ts";
 
 export interface HeldBody {
   /** Undefined when the body is empty. */
@@ -44,6 +44,8 @@
 export interface BodyReaderOptions {
   readonly clock: Clock;
   readonly memory: MemoryBudget;
+  /** Turns of bodies in tiny pieces. */
+  readonly turns: ReadTurns;
   /** Time without a byte after which a body ends; default: none. */
   readonly stallLimit?: () => Milliseconds;
   /** Called when a body ends without room. */
@@ -96,18 +98,6 @@
 /** Blocks that are kept for further bodies. */
 const MAX_FREE_BLOCKS = 32;
 
-/**
- * The properties with which the HTTP server of Node.js 20 pauses a connection
- * whose responses are not read: while `_paused` is set, reading the body does not
- * resume the connection, and the parser takes nothing more. `pause` of the request
- * stops reading only after another 16 KiB, which are 16,384 buffer objects if each
- * has one byte.
- */
-interface HeldSocket extends Socket {
-  _paused?: boolean;
-  readonly parser?: { resume(): void } | null;
-}
-
 interface Reading {
   /** Infinity while the body waits for room. */
   progressAt: Milliseconds;
@@ -116,14 +106,13 @@
 }
 
 export function createBodyReader(
-  { clock, memory, stallLimit = () => Infinity, onShort }: BodyReaderOptions,
+  { clock, memory, turns, stallLimit = () => Infinity, onShort }:
+    BodyReaderOptions,
 ): BodyReader {
   const readings = new Set<Reading>();
   /** Bytes of long bodies by the address of their senders. */
   const byAddress = new Map<string, Bytes>();
   const freeBlocks: Buffer[] = [];
-  /** Connections of bodies in tiny pieces, in the order of their turns. */
-  const turns: HeldSocket[] = [];
   let longBytes: Bytes = 0;
   let waiting = 0;
   let timer: ReturnType<typeof setInterval> | undefined;
@@ -143,24 +132,6 @@
     }
   }
 
-  /** Stops reading a connection until the turns of others have passed. */
-  function awaitTurn(socket: HeldSocket): void {
-    if (socket._paused === true) return;
-    socket._paused = true;
-    socket.pause();
-    turns.push(socket);
-    if (turns.length === 1) setImmediate(takeTurn);
-  }
-
-  function takeTurn(): void {
-    const socket = turns.shift();
-    if (turns.length > 0) setImmediate(takeTurn);
-    if (socket === undefined || socket.destroyed) return;
-    socket._paused = false;
-    socket.parser?.resume();
-    socket.resume();
-  }
-
   function addLong(address: string, bytes: Bytes): void {
     longBytes += bytes;
     const sum = (byAddress.get(address) ?? 0) + bytes;
@@ -307,7 +278,7 @@
           }
           if (piece.length < MAX_TINY) {
             tinyPieces += 1;
-            if (tinyPieces % MAX_TINY_PIECES === 0) awaitTurn(request.socket);
+            if (tinyPieces % MAX_TINY_PIECES === 0) turns.wait(request.socket);
           }
           if (size > maxBytes) return fail("too long");
           if (pending.length > 0 || !keep(piece)) wait(piece);
--- a/packages/connections/src/memory_budget.ts
+++ b/packages/connections/src/memory_budget.ts
@@ -23,8 +23,8 @@
   recordPiece(bytes: Bytes): void;
   /** Collects garbage soon if dropped buffers hold room. */
   seekRoom(): void;
-  /** Collects garbage, at most once in `MIN_RELIEF_PERIOD`. */
-  relieve(): void;
+  /** Collects garbage. */
+  collect(): void;
   /** Calls the listener once when bytes have been given back. */
   onRoom(listener: () => void): () => void;
 }
@@ -50,9 +50,6 @@
 /** A collection takes 10 to 40 ms. */
 const COLLECTION_PERIOD: Milliseconds = 250;
 
-/** The heap may not shrink, and a collection takes up to 40 ms. */
-const MIN_RELIEF_PERIOD: Milliseconds = 1_000;
-
 /** Length from which dropped buffers count until they are collected. */
 const MIN_COLLECTED: Bytes = 64 * 1_024;
 
@@ -123,10 +120,7 @@
       if (pieces >= maxPieces) collectNow();
     },
     seekRoom: collectSoon,
-    relieve() {
-      const age = clock.monotonic() - collectedAt;
-      if (age >= MIN_RELIEF_PERIOD) collectNow();
-    },
+    collect: collectNow,
     onRoom(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/connections/src/server_connections.ts
+++ b/packages/connections/src/server_connections.ts
@@ -15,6 +15,7 @@
   owed(socket: Socket): number;
   /** Number of open connections. */
   open(): number;
+  sockets(): Iterable<Socket>;
   /** Returns true while the connection owes a response. */
   isBusy(socket: Socket): boolean;
   /** Number of requests whose responses are not complete. */
@@ -92,6 +93,7 @@
     },
     owed: (socket) => exchanges.get(socket) ?? 0,
     open: () => exchanges.size,
+    sockets: () => exchanges.keys(),
     isBusy: (socket) => (exchanges.get(socket) ?? 0) > 0,
     inFlight: () => inFlight,
     endAfterResponse(socket) {
--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -460,6 +460,16 @@
     fields: { number: N, outcome: S, reason: S, elapsed: N },
     message: "An attempt of a request ended without a usable response.",
   }),
+  connection_closed: defineEvent(2020, "warn", {
+    fields: { listener: S, reason: S, open: N },
+    message:
+      "A connection was closed because of the limit of a listener, or because it sent too many requests before their responses.",
+  }),
+  memory_short: defineEvent(2021, "warn", {
+    fields: { held: N, limit: N, waiting: N },
+    message:
+      "There was no room for a body or a response in the memory for them.",
+  }),
   request_malformed: defineEvent(3038, "warn", {
     fields: { code: S, isBehindRequest: "boolean" },
     message:
--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -51,7 +51,12 @@
    * Destroys the connection, so that the caller sees an incomplete response.
    */
   abstract destroy(): void;
-  abstract refuse(refusal: Refusal): void;
+  /**
+   * Sends a refusal. With `unread`, the rest of the request's body, the
+   * connection is closed when that resolves: closed at once, it would be reset,
+   * and a caller that is still writing might not read the refusal.
+   */
+  abstract refuse(refusal: Refusal, unread?: Promise<void>): void;
 }
 
 export interface CallerOptions {
@@ -124,9 +129,15 @@
       response.destroy();
     }
 
-    override refuse({ status, reason, retryAfter }: Refusal): void {
+    override refuse(
+      { status, reason, retryAfter }: Refusal,
+      unread?: Promise<void>,
+    ): void {
       if (isDisconnected || response.headersSent) return;
-      if (shouldCloseConnection()) response.shouldKeepAlive = false;
+      const mustClose = unread !== undefined;
+      if (shouldCloseConnection() || mustClose) {
+        response.shouldKeepAlive = false;
+      }
       const body = Buffer.from(JSON.stringify({ error: reason }));
       const headers = [
         "content-type",
@@ -140,7 +151,12 @@
         headers.push("retry-after", (retryAfter / 1_000).toFixed(2));
       }
       response.writeHead(status, headers);
-      response.end(body);
+      if (unread === undefined) {
+        response.end(body);
+        return;
+      }
+      response.write(body);
+      void unread.then(() => response.end());
     }
   })();
 }
@@ -164,32 +180,3 @@
     yield value;
   }
 }
-
-export type RequestBody =
-  | { readonly kind: "complete"; readonly bytes: Uint8Array | undefined }
-  | { readonly kind: "too long" }
-  | { readonly kind: "broken off" };
-
-/** Reads the complete body of a request, up to `maxBytes`. */
-export async function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<RequestBody> {
-  const chunks: Uint8Array[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of request as AsyncIterable<Uint8Array>) {
-      size += chunk.length;
-      if (size > maxBytes) return { kind: "too long" };
-      chunks.push(chunk);
-    }
-  } catch {
-    // The caller broke off its request. Its connection closes, which is handled
-    // and logged as a disconnected caller.
-    return { kind: "broken off" };
-  }
-  if (!request.complete) return { kind: "broken off" };
-  if (size === 0) return { kind: "complete", bytes: undefined };
-  const bytes = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-  return { kind: "complete", bytes };
-}
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -5,10 +5,7 @@
  */
 import type { ReplicaContact } from "@peridotvalve/admission";
 import type { Clock } from "@peridotvalve/clock";
-import {
-  type ServerConnections,
-  trackServerConnections,
-} from "@peridotvalve/connections";
+import type { HeldBody, ServerConnections } from "@peridotvalve/connections";
 import {
   chooseTarget,
   type Customer,
@@ -26,12 +23,12 @@
 import type { Socket } from "node:net";
 import {
   createCaller,
-  readBody,
   type Refusal,
   SHUTDOWN_RETRY_AFTER,
   SHUTTING_DOWN,
 } from "./caller.ts";
 import type { HeaderCodec, RequestMetadata } from "./header_codec.ts";
+import { HEAD_CHECK_PERIOD, type Intake } from "./intake.ts";
 import { countTurns } from "./loop_lag.ts";
 import type { Meters } from "./meters.ts";
 import type { createRelay, Ending } from "./relay.ts";
@@ -47,6 +44,7 @@
   readonly meters: Meters;
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly requestIdHeader: string;
+  readonly intake: Intake;
 }
 
 export abstract class Frontend {
@@ -108,8 +106,21 @@
  */
 const STARTING_RETRY_AFTER: Milliseconds = 500;
 
+/** Delay after which bodies in progress should have left room. */
+const NO_MEMORY_RETRY_AFTER: Milliseconds = 1_000;
+
+/**
+ * Memory of a request in progress apart from its body: its head, the objects of
+ * its attempts, and the buffers of its connections.
+ */
+const REQUEST_MEMORY: Bytes = 16 * 1_024;
+
+/** Bodies up to this length are read when their requests are refused. */
+const MAX_READ_TO_END: Bytes = 64 * 1_024;
+
 export function createFrontend(options: FrontendOptions): Frontend {
   const { clock, logger, headerCodec, holder, relay, meters } = options;
+  const { intake } = options;
   let isKeepAliveDisabled = false;
   let isIntakeClosed = false;
   /** Connections and requests so far. */
@@ -125,6 +136,7 @@
       maxHeaderSize: MAX_HEADER_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT,
       requestTimeout: 0,
+      connectionsCheckingInterval: HEAD_CHECK_PERIOD,
       noDelay: true,
     }, (request, response) => {
       arrivals += 1;
@@ -134,7 +146,8 @@
       });
     });
     server.on("connection", () => arrivals += 1);
-    const connections = trackServerConnections(server);
+    const name = isForNeighbors ? "neighbors" : "callers";
+    const connections = intake.track(server, name);
     const listener = { server, connections, isForNeighbors };
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) => {
       const { code = "" } = error;
@@ -169,8 +182,12 @@
     const arrivedAt = clock.monotonic();
     const metadata = headerCodec.readRequest(request.headers);
     const { socket } = request;
+    // What was read together with requests beyond the limit still comes here.
+    if (socket.destroyed) return;
     const isRefused = isIntakeClosed || connections.isEnding(socket);
     connections.begin(socket, response);
+    const name = isForNeighbors ? "neighbors" : "callers";
+    if (intake.closePipelined(socket, name)) return;
     const caller = createCaller({
       request,
       response,
@@ -210,51 +227,96 @@
     if (customer === "unknown") {
       return decline({ status: 401, reason: "unknown key" }, route);
     }
-    const body = await readBody(
-      request,
-      active.state.limits.maxBody || DEFAULT_MAX_BODY_BYTES,
-    );
-    if (body.kind === "broken off") return recordAbandoned(route, "broken off");
-    if (body.kind === "too long") {
-      return decline({ status: 413, reason: "body too long" }, route);
+    if (!intake.memory.tryTake(REQUEST_MEMORY)) {
+      return declineForMemory("no memory for the request");
     }
-    const service = chooseTarget(route, Math.random());
-    if (service === undefined) {
-      return decline({ status: 503, reason: "no service" }, route);
+    try {
+      await readAndServe(active, route, customer);
+    } finally {
+      intake.memory.giveBack(REQUEST_MEMORY);
+    }
+
+    async function readAndServe(
+      active: ActiveState,
+      route: Route,
+      customer: Customer | undefined,
+    ): Promise<void> {
+      const maxBody = active.state.limits.maxBody || DEFAULT_MAX_BODY_BYTES;
+      const { "content-length": declared = "0" } = request.headers;
+      if (Number(declared) > maxBody) {
+        return decline({ status: 413, reason: "body too long" }, route);
+      }
+      const received = await intake.bodies.read(request, maxBody);
+      switch (received.kind) {
+        case "broken off":
+          return recordAbandoned(route, "broken off");
+        case "too long":
+          return decline({ status: 413, reason: "body too long" }, route);
+        case "stalled":
+          return decline({ status: 408, reason: "body stalled" }, route);
+        case "no room":
+          return declineForMemory("no memory for the body");
+      }
+      try {
+        await serve(active, route, customer, received.body);
+      } finally {
+        received.body.release();
+      }
+    }
+
+    function declineForMemory(reason: string): void {
+      const retryAfter = NO_MEMORY_RETRY_AFTER * (1 + Math.random());
+      decline({ status: 503, reason, retryAfter }, route);
+    }
+
+    async function serve(
+      active: ActiveState,
+      route: Route,
+      customer: Customer | undefined,
+      { bytes }: HeldBody,
+    ): Promise<void> {
+      const service = chooseTarget(route, Math.random());
+      if (service === undefined) {
+        return decline({ status: 503, reason: "no service" }, route);
+      }
+      const patience = metadata.patience ?? route.timeout;
+      const content = {
+        method: request.method ?? "GET",
+        path,
+        body: bytes,
+      };
+      const unidentified: DispatchRequest = {
+        id: metadata.id,
+        route,
+        service,
+        ...(customer === undefined ? {} : { customer }),
+        cacheGroup: active.cacheGroup,
+        ...(metadata.model === undefined ? {} : { prompt: metadata.model }),
+        arrivedAt,
+        deadline: arrivedAt + Math.min(route.timeout, patience),
+      };
+      const fingerprint = fingerprintOf(unidentified, content);
+      const dispatchRequest = { ...unidentified, fingerprint };
+      const result = await relay(dispatchRequest, {
+        ...content,
+        headers: request.rawHeaders,
+        ...(metadata.lastEvent === undefined
+          ? {}
+          : { lastEvent: metadata.lastEvent }),
+        ...(metadata.resumes === undefined
+          ? {}
+          : { resumes: metadata.resumes }),
+        callerDeadline: arrivedAt + patience,
+        isPassedOn: isForNeighbors,
+      }, caller);
+      recordEnding(result.ending, result.sends);
     }
-    const patience = metadata.patience ?? route.timeout;
-    const content = {
-      method: request.method ?? "GET",
-      path,
-      body: body.bytes,
-    };
-    const unidentified: DispatchRequest = {
-      id: metadata.id,
-      route,
-      service,
-      ...(customer === undefined ? {} : { customer }),
-      cacheGroup: active.cacheGroup,
-      ...(metadata.model === undefined ? {} : { prompt: metadata.model }),
-      arrivedAt,
-      deadline: arrivedAt + Math.min(route.timeout, patience),
-    };
-    const fingerprint = fingerprintOf(unidentified, content);
-    const dispatchRequest = { ...unidentified, fingerprint };
-    const result = await relay(dispatchRequest, {
-      ...content,
-      headers: request.rawHeaders,
-      ...(metadata.lastEvent === undefined
-        ? {}
-        : { lastEvent: metadata.lastEvent }),
-      ...(metadata.resumes === undefined ? {} : { resumes: metadata.resumes }),
-      callerDeadline: arrivedAt + patience,
-      isPassedOn: isForNeighbors,
-    }, caller);
-    recordEnding(result.ending, result.sends);
 
     function decline(refusal: Refusal, found?: Route): void {
-      // An unread body would keep the connection from being reused.
-      if (!request.complete) request.resume();
+      const { status } = refusal;
+      const unread = status === 408
+        ? Promise.resolve()
+        : discardUnread(request);
       logger.log("request_declined", {
         route: found?.name ?? "",
         reason: refusal.reason,
@@ -268,7 +330,7 @@
         outcome: "refused",
         reason,
       });
-      caller.refuse(refusal);
+      caller.refuse(refusal, unread);
     }
 
     function recordAbandoned(found: Route, reason: string): void {
@@ -334,6 +396,21 @@
     }
   }
 
+  /**
+   * Discards an unread body. A short one is read to its end, so that the
+   * connection can be used again; for others it returns the end of the reading,
+   * after which the connection is to be closed.
+   */
+  function discardUnread(request: IncomingMessage): Promise<void> | undefined {
+    if (request.complete) return undefined;
+    if (!intake.isLimited || declaredLength(request) <= MAX_READ_TO_END) {
+      request.resume();
+      return undefined;
+    }
+    const maxBody = holder.current()?.state.limits.maxBody ?? 0;
+    return intake.bodies.discard(request, maxBody || DEFAULT_MAX_BODY_BYTES);
+  }
+
   return new (class extends Frontend {
     override readonly server = server;
 
@@ -367,6 +444,12 @@
   })();
 }
 
+/** Length of the body as the head states it; Infinity for chunks. */
+function declaredLength({ headers }: IncomingMessage): Bytes {
+  const isChunked = headers["transfer-encoding"] !== undefined;
+  return isChunked ? Infinity : Number(headers["content-length"] ?? 0);
+}
+
 /** Bytes that a header line adds to its name and value: `: ` and CRLF. */
 const HEADER_LINE_OVERHEAD: Bytes = 4;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -136,7 +136,7 @@
   const load = createLoadView(clock, { sharesRate });
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
-  const peerClient = createPeerClient(clock);
+  const peerClient = createPeerClient(clock, options.intake.peers);
   const weights = createWeightTargets({
     clock,
     patience: () => settings.weightGracePeriod,
@@ -295,6 +295,7 @@
   });
   const meters = createMeters(clock, () => ({
     inFlight: frontend.inFlight(),
+    intake: options.intake.readings(),
     peers: peerCount() - 1,
     waiting: queue.size(),
     stateVersion: holder.current()?.state.version ?? 0,
@@ -342,15 +343,8 @@
     rank: () => rank(STREAM_DUTY),
   });
   const relay = createRelay({
-    clock,
-    logger,
-    headerCodec,
-    pools,
-    replicas,
-    statements,
-    pushback,
-    limits,
-    places,
+    ...{ clock, logger, headerCodec, pools, replicas, statements, pushback },
+    ...{ limits, places, memory: options.intake.responses },
     load,
     cache,
     weights,
@@ -384,6 +378,7 @@
     relay,
     meters,
     contact,
+    intake: options.intake,
     requestIdHeader: options.requestIdHeader,
   });
   const cacheFeed = createCacheFeed({
@@ -543,9 +538,9 @@
     !isDraining && holder.current() !== undefined && hasReplicaList &&
     !contact.isLost();
 
-  function openStatusServer(): Server {
+  function openStatusServer(listener: "ready" | "metrics"): Server {
     return createStatusServer({
-      readyPath: options.readyPath,
+      ...{ readyPath: options.readyPath, intake: options.intake, listener },
       isReady,
       metricsPath: settings.metrics?.path,
       renderMetrics: () => meters.render(),
@@ -554,13 +549,13 @@
 
   async function openServers(): Promise<Result<void, string>> {
     const peerServer = createPeerServer({
-      tables: tables.byName,
+      ...{ tables: tables.byName, intake: options.intake },
       dumpStore: (store) => journal.dump(store),
       collect: streams.collect,
       onError: (error) =>
         logger.log("handler_failed", { reason: String(error) }),
     });
-    const ready = openStatusServer();
+    const ready = openStatusServer("ready");
     const bindings: (readonly [Server, Address])[] = [
       [frontend.server, settings.front],
       [ready, settings.ready],
@@ -568,7 +563,7 @@
     bindings.push([peerServer, settings.peers]);
     bindings.push([frontend.neighborServer, settings.datagrams]);
     if (settings.metrics !== undefined) {
-      bindings.push([openStatusServer(), settings.metrics]);
+      bindings.push([openStatusServer("metrics"), settings.metrics]);
     }
     for (const [server, address] of bindings) {
       const opened = await listen(server, address);
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import { createRegistry } from "@peridotvalve/metrics";
+import type { IntakeReadings } from "./intake.ts";
 import type { Milliseconds, RequestRate } from "@peridotvalve/types";
 
 /** How a request ended. */
@@ -42,6 +43,7 @@
   readonly waiting: number;
   readonly replicas: readonly ReplicaCount[];
   readonly limits?: readonly ReplicaLimit[];
+  readonly intake?: IntakeReadings;
   /** Retries that the budget allows now, by service. */
   readonly retriesLeft: ReadonlyMap<string, number>;
 }
@@ -72,6 +74,9 @@
   peridotvalve_state_age_ms: "Time since the operator's table was read.",
   peridotvalve_list_age_ms: "Time since the list of replicas was read.",
   peridotvalve_memory_bytes: "Resident memory of the process.",
+  peridotvalve_held_bytes: "Memory held for bodies and responses.",
+  peridotvalve_held_bytes_limit: "Limit of the memory for them; 0 for none.",
+  peridotvalve_bodies_waiting: "Bodies that wait for memory.",
   peridotvalve_peers: "Other daemons that are registered.",
 } as const;
 
@@ -101,6 +106,8 @@
   ["no route", "no route"],
   ["unknown key", "unknown key"],
   ["too long", "too long"],
+  ["no memory", "no memory"],
+  ["body stalled", "body stalled"],
   ["broken off", "broken off"],
   ["no desired state", "no desired state"],
   ["no service", "no service"],
@@ -165,6 +172,17 @@
     help: "Requests per second that the limited replicas take together.",
     labels: ["service"],
   });
+  const connections = registry.gauge("peridotvalve_connections", {
+    help: "Open connections by listener.",
+    labels: ["listener"],
+  });
+  const closedConnections = registry.gauge(
+    "peridotvalve_connections_closed",
+    {
+      help: "Connections closed for a limit since the start, by reason.",
+      labels: ["reason"],
+    },
+  );
   const loopDelays = registry.histogram("peridotvalve_event_loop_delay_ms", {
     help: "Time by which timers run late.",
   });
@@ -186,6 +204,7 @@
     set("peridotvalve_list_age_ms", Math.min(readings.listAge, MAX_AGE));
     set("peridotvalve_memory_bytes", process.memoryUsage.rss());
     set("peridotvalve_peers", readings.peers);
+    if (readings.intake !== undefined) refreshIntake(readings.intake);
     replicas.clear();
     for (const { service, state, weights } of readings.replicas) {
       replicas.add(1, { service, state, weights });
@@ -202,6 +221,24 @@
     }
   }
 
+  function refreshIntake(intake: IntakeReadings): void {
+    const { held, heldLimit, waiting } = intake;
+    set("peridotvalve_held_bytes", held);
+    set(
+      "peridotvalve_held_bytes_limit",
+      Number.isFinite(heldLimit) ? heldLimit : 0,
+    );
+    set("peridotvalve_bodies_waiting", waiting);
+    connections.clear();
+    for (const [listener, open] of intake.connections) {
+      connections.add(open, { listener });
+    }
+    closedConnections.clear();
+    for (const [reason, count] of intake.closed) {
+      closedConnections.add(count, { reason });
+    }
+  }
+
   return new (class extends Meters {
     override recordRequest(request: RequestRecord): void {
       const { route, outcome, firstEvent = 0, maxEventGap = 0 } = request;
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./bounded_log.ts";
 export * from "./header_codec.ts";
 export * from "./gateway.ts";
+export * from "./intake.ts";
 export * from "./options.ts";
 export * from "./replica_control.ts";
 export { filterHopByHopHeaders as passOn } from "./caller.ts";
--- a/packages/gateway/src/options.ts
+++ b/packages/gateway/src/options.ts
@@ -18,6 +18,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Result } from "ts-results-es";
 import type { HeaderCodec } from "./header_codec.ts";
+import type { Intake } from "./intake.ts";
 import type { ReplicaControl } from "./replica_control.ts";
 
 export interface Address {
@@ -94,4 +95,6 @@
   readonly feed: TableFeed;
   readonly storeEra: StoreEra;
   readonly control: ReplicaControl;
+  /** Bounds what peers make the daemon hold; shared with the adapter. */
+  readonly intake: Intake;
 }
--- a/packages/gateway/src/peer_calls.test.ts
+++ b/packages/gateway/src/peer_calls.test.ts
@@ -3,6 +3,8 @@
 import { once } from "node:events";
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
+import { createEventLogger, createHybridClock } from "@peridotvalve/events";
+import { createIntake } from "./intake.ts";
 import { createPeerClient, createPeerServer } from "./peer_calls.ts";
 import type { OriginRecord } from "./stream_records.ts";
 
@@ -13,15 +15,22 @@
 
 async function setUp(t: TestContext) {
   const collected: OriginRecord[] = [];
+  const clock = createSystemClock();
+  const logger = createEventLogger({
+    process: { name: "test", incarnation: "1" },
+    clock: createHybridClock(clock),
+    write: () => true,
+  });
   const server = createPeerServer({
     tables: new Map(),
+    intake: createIntake({ clock, logger }),
     dumpStore: () => undefined,
     collect: (records) => collected.push(...records),
     onError: (error) => t.diagnostic(String(error)),
   });
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
-  const client = createPeerClient(createSystemClock());
+  const client = createPeerClient(clock);
   t.after(() => {
     client.close();
     server.close();
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -3,6 +3,7 @@
  * table, the contents of a store of cached parts, and records of streams.
  */
 import type { Clock } from "@peridotvalve/clock";
+import type { ByteBudget } from "@peridotvalve/connections";
 import type { JournalDump } from "@peridotvalve/dispatch";
 import {
   createHttpClient,
@@ -20,7 +21,8 @@
 } from "node:http";
 import { Err, Ok, Result } from "ts-results-es";
 import { z } from "zod";
-import { readBody } from "./caller.ts";
+import { HEAD_CHECK_PERIOD, type Intake } from "./intake.ts";
+import { closeUnread, trackRequests } from "./side_servers.ts";
 import type { TablePosition, TableUpdate } from "./followed_rows.ts";
 import type { OriginRecord } from "./stream_records.ts";
 import type { TableFollower } from "./table_follower.ts";
@@ -79,10 +81,11 @@
   readonly collect: (records: readonly OriginRecord[]) => void;
   /** Called when a call cannot be answered; the peer gets 500. */
   readonly onError: (error: unknown) => void;
+  readonly intake: Intake;
 }
 
 export function createPeerServer(
-  { tables, dumpStore, collect, onError }: PeerServerOptions,
+  { tables, dumpStore, collect, onError, intake }: PeerServerOptions,
 ): Server {
   function find(url: URL): unknown {
     const path = decodeURIComponent(url.pathname);
@@ -101,19 +104,25 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const body = await readBody(request, MAX_REQUEST_BYTES);
-    const text = body.kind === "complete" && body.bytes !== undefined
-      ? Buffer.from(body.bytes).toString()
-      : "";
+    const received = await intake.bodies.read(request, MAX_REQUEST_BYTES);
+    if (received.kind !== "complete") {
+      response.shouldKeepAlive = false;
+      response.writeHead(STATUSES[received.kind]).end();
+      return;
+    }
+    const { bytes = "" } = received.body;
+    const text = Buffer.from(bytes).toString();
+    received.body.release();
     const read = STREAMS.safeParse(parseJson(text));
     if (read.success) collect(read.data);
     response.writeHead(read.success ? 200 : 400).end();
   }
 
-  return createServer({ keepAliveTimeout: IDLE_TIMEOUT }, (
-    request,
-    response,
-  ) => {
+  const server = createServer({
+    keepAliveTimeout: IDLE_TIMEOUT,
+    connectionsCheckingInterval: HEAD_CHECK_PERIOD,
+  }, (request, response) => {
+    closeUnread(intake, request, response);
     if (request.method === "POST" && request.url === STREAMS_PATH) {
       takeStreams(request, response).catch(onError);
       return;
@@ -134,8 +143,18 @@
     response.writeHead(200, { "content-type": "application/json" });
     response.end(composed.value);
   });
+  trackRequests(intake, server, "peers");
+  return server;
 }
 
+/** Statuses of calls whose body is not complete. */
+const STATUSES = {
+  "broken off": 400,
+  "too long": 413,
+  "stalled": 408,
+  "no room": 503,
+} as const;
+
 export interface PeerClient {
   /** Reads what a daemon at the position lacks of a table. */
   readRows(
@@ -154,7 +173,10 @@
   close(): void;
 }
 
-export function createPeerClient(clock: Clock): PeerClient {
+export function createPeerClient(
+  clock: Clock,
+  memory?: ByteBudget,
+): PeerClient {
   const clients = new Map<string, HttpClient>();
 
   function clientOf(address: string): HttpClient {
@@ -165,6 +187,7 @@
       clock,
       connections: MAX_CONNECTIONS,
       maxResponseBytes: MAX_RESPONSE_BYTES,
+      ...(memory === undefined ? {} : { memory }),
       createHeaders: () => ({}),
     });
     clients.set(address, client);
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -19,7 +19,7 @@
   Statements,
 } from "@peridotvalve/backpressure";
 import type { Clock } from "@peridotvalve/clock";
-import { createByteBudget } from "@peridotvalve/connections";
+import type { ByteBudget } from "@peridotvalve/connections";
 import {
   type AnswerTimes,
   type CacheView,
@@ -44,7 +44,6 @@
   discardBody,
   forwardPlainResponse,
   forwardStream,
-  MAX_BUFFERED_TOGETHER,
   type ResponseProgress,
 } from "./response_forwarding.ts";
 import {
@@ -107,6 +106,8 @@
   readonly crashGuard: CrashGuard;
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly detour: Detour;
+  /** For buffered plain responses. */
+  readonly memory: ByteBudget;
   readonly streams: Pick<StreamRecords, "find" | "record">;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
@@ -201,9 +202,8 @@
   const { clock, logger, headerCodec, pools, replicas, load, cache } = options;
   const { placement, budget, weights, transfers, replicaClock } = options;
   const { queue, meters, prefillRates, answerTimes, crashGuard } = options;
-  const { statements, pushback, limits, places, sendGate } = options;
+  const { statements, pushback, limits, places, sendGate, memory } = options;
   const replicaFeedback = createReplicaFeedback({ replicas, weights, pools });
-  const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
 
   /** Time for which the replica prefills before it sends the first token. */
   function prefillTimeOf(
