Daemon: join the small pieces of a body as they arrive

Cause: readBody of the product's own daemon kept each received piece as an object, over 100 bytes for a piece of one byte.

Change: the pieces go into a byte queue, which copies short ones into blocks. The memory of all bodies together has no common bound there yet.

Result: the tests of http/respond, lifecycle/bad_input and listeners pass; a body in one-byte chunks was not run against this program.

--- a/packages/daemon/src/http/body.ts
+++ b/packages/daemon/src/http/body.ts
@@ -2,6 +2,7 @@
  * Reads a request body with limits on its size and on its duration.
  */
 import type { Clock } from "@peridotvalve/clock";
+import { createByteQueue } from "@peridotvalve/connections";
 import type { Failure } from "@peridotvalve/errors";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
@@ -41,19 +42,18 @@
   exchange: Exchange,
   limit: Bytes,
 ): Promise<Result<Buffer, Failure>> {
-  const chunks: Buffer[] = [];
-  let size = 0;
+  // A chunk of one byte costs an object of over 100 bytes.
+  const received = createByteQueue();
   try {
     const stream = exchange.request.iterator({ destroyOnReturn: false });
     for await (const chunk of stream) {
-      size += chunk.length;
-      if (size > limit) return Err(tooLarge(exchange, limit));
-      chunks.push(chunk);
+      received.push(chunk);
+      if (received.size > limit) return Err(tooLarge(exchange, limit));
     }
   } catch {
     return Err(truncated());
   }
-  return Ok(Buffer.concat(chunks));
+  return Ok(received.drain());
 }
 
 function tooLarge(exchange: Exchange, limit: Bytes): Failure {
