Connections: read short bodies of an announced length with less work

Change: requests without a body are complete at once; short bodies of an announced length have a path of their own with one budget call.

--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -105,6 +105,46 @@
   readonly end: () => void;
 }
 
+/** A short body of an announced length that is read. */
+interface ShortState extends Reading {
+  pieces: Uint8Array[];
+  /** Takes all pieces from the third on. */
+  whole: Buffer | undefined;
+  size: Bytes;
+  isOver: boolean;
+  readonly taken: Bytes;
+  readonly settle: (received: ReceivedBody) => void;
+}
+
+const isNever = () => false;
+
+function addShort(state: ShortState, piece: Uint8Array, length: Bytes): void {
+  if (state.whole === undefined && state.pieces.length < 2) {
+    state.pieces.push(piece);
+    return;
+  }
+  if (state.whole === undefined) {
+    state.whole = Buffer.allocUnsafe(length);
+    for (const first of state.pieces) {
+      state.whole.set(first, state.size);
+      state.size += first.length;
+    }
+    state.pieces = [];
+  }
+  state.whole.set(piece, state.size);
+  state.size += piece.length;
+}
+
+const EMPTY: ReceivedBody = {
+  kind: "complete",
+  body: { bytes: undefined, release() {} },
+};
+
+function hasBody({ headers }: IncomingMessage): boolean {
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > 0;
+}
+
 export function createBodyReader(
   { clock, memory, turns, stallLimit = () => Infinity, onShort }:
     BodyReaderOptions,
@@ -159,9 +199,76 @@
     } else memory.giveBackCollected(block, BLOCK);
   }
 
+  /** Reads a short body whose bytes are taken from the budget already. */
+  function readShort(
+    request: IncomingMessage,
+    length: Bytes,
+  ): Promise<ReceivedBody> {
+    // Written out, because an object literal with spreads took 35 us here.
+    return new Promise((resolve) => {
+      const state: ShortState = {
+        pieces: [],
+        whole: undefined,
+        size: 0,
+        isOver: false,
+        progressAt: clock.monotonic(),
+        isLong: isNever,
+        end: () => endShort(state, "stalled"),
+        settle: resolve,
+        taken: length + BODY_OVERHEAD,
+      };
+      readings.add(state);
+      timer ??= setInterval(checkStalls, CHECK_PERIOD).unref();
+      request.on("data", (piece: Uint8Array) => {
+        state.progressAt = clock.monotonic();
+        if (!state.isOver) addShort(state, piece, length);
+      });
+      request.on(
+        "end",
+        () => endShort(state, request.complete ? "complete" : "broken off"),
+      );
+      request.on("error", () => endShort(state, "broken off"));
+      request.on("close", () => endShort(state, "broken off"));
+      if (request.destroyed) endShort(state, "broken off");
+    });
+  }
+
+  function endShort(
+    state: ShortState,
+    kind: "complete" | "broken off" | "stalled",
+  ): void {
+    if (state.isOver) return;
+    state.isOver = true;
+    readings.delete(state);
+    const { whole, pieces, taken } = state;
+    if (kind !== "complete") {
+      memory.giveBack(taken);
+      return state.settle({ kind });
+    }
+    const bytes = whole ??
+      (pieces.length === 1 ? pieces[0] : Buffer.concat(pieces));
+    let isReleased = false;
+    state.settle({
+      kind,
+      body: {
+        bytes,
+        release() {
+          if (!isReleased) memory.giveBack(taken);
+          isReleased = true;
+        },
+      },
+    });
+  }
+
   return {
-    read: (request, maxBytes) =>
-      new Promise((resolve) => {
+    read: (request, maxBytes) => {
+      if (!hasBody(request)) return Promise.resolve(EMPTY);
+      const length = Number(request.headers["content-length"]);
+      if (length <= MAX_SHORT && length <= maxBytes) {
+        const bytes = length + BODY_OVERHEAD;
+        if (memory.tryTake(bytes)) return readShort(request, length);
+      }
+      return new Promise((resolve) => {
         /** The first pieces, kept as they came. */
         const kept: Uint8Array[] = [];
         const blocks: Buffer[] = [];
@@ -439,7 +546,8 @@
         request.on("error", onBroken);
         request.on("close", onBroken);
         if (request.destroyed) fail("broken off");
-      }),
+      });
+    },
 
     discard: (request, maxBytes) =>
       new Promise((resolve) => {
