--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -8,7 +8,7 @@
   Places,
   Statements,
 } from "@peridotvalve/backpressure";
-import { createByteBudget } from "@peridotvalve/connections";
+import type { ByteBudget } from "@peridotvalve/connections";
 import type {
   Choice,
   PlacementQueue,
@@ -38,7 +38,6 @@
   forwardPlainResponse,
   forwardStream,
   isEventStream,
-  MAX_BUFFERED_TOGETHER,
 } from "./response_forwarding.ts";
 import { gapLimit, MAX_SILENCE, silenceLimit } from "./silence_limits.ts";
 import type { StageClock } from "./stage_clock.ts";
@@ -52,6 +51,8 @@
   readonly queue: PlacementQueue;
   readonly budget: WindowBudget;
   readonly meters: Meters;
+  /** For buffered plain responses. */
+  readonly memory: ByteBudget;
 }
 
 export interface RunningAttempt extends SentAttempt {
@@ -84,10 +85,9 @@
   options: AttemptStepsOptions,
 ): (stepped: SteppedRequest) => AttemptSteps {
   const { clock, logger, replicas, prefillRates, meters } = options;
-  const { statements, pushback, places, queue, budget } = options;
+  const { statements, pushback, places, queue, budget, memory } = options;
   const createSending = createAttemptSending(options);
   const replicaFeedback = createReplicaFeedback(options);
-  const memory = createByteBudget(MAX_BUFFERED_TOGETHER);
 
   function recordStatement(
     { replica: { entry } }: Choice,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -150,7 +150,7 @@
   });
   const journal = createCacheJournal({ clock, cache });
   const copies = createStoreCopies({ clock, cache });
-  const peerClient = createPeerClient(clock);
+  const peerClient = createPeerClient(clock, options.intake.peers);
   const weights = createWeightTargets({
     clock,
     patience: () => settings.weightGracePeriod,
@@ -298,6 +298,7 @@
   });
   const meters = createMeters(clock, () => ({
     inFlight: frontend.inFlight(),
+    intake: options.intake.readings(),
     peers: peerCount() - 1,
     waiting: queue.size(),
     stateVersion: holder.current()?.state.version ?? 0,
@@ -349,7 +350,7 @@
   const relay = createRelay({
     ...{ clock, logger, headerCodec, pools, replicas, statements, pushback },
     ...{ limits, coldReplicas, places, load, cache, weights, placement },
-    ...{ queue, meters },
+    ...{ queue, meters, memory: options.intake.responses },
     budget,
     transfers,
     sentParts,
@@ -377,6 +378,7 @@
     relay,
     meters,
     contact,
+    intake: options.intake,
     requestIdHeader: options.requestIdHeader,
   });
   const cacheFeed = createCacheFeed({
@@ -504,9 +506,9 @@
     !isDraining && holder.current() !== undefined && hasReplicaList &&
     !contact.isLost();
 
-  function openStatusServer(): Server {
+  function openStatusServer(listener: "ready" | "metrics"): Server {
     return createStatusServer({
-      readyPath: options.readyPath,
+      ...{ readyPath: options.readyPath, intake: options.intake, listener },
       isReady,
       metricsPath: settings.metrics?.path,
       renderMetrics: () => meters.render(),
@@ -515,13 +517,13 @@
 
   async function openServers(): Promise<Result<void, string>> {
     const peerServer = createPeerServer({
-      tables: tables.byName,
+      ...{ tables: tables.byName, intake: options.intake },
       dumpStore: (store) => journal.dump(store),
       collect: streams.collect,
       onError: (error) =>
         logger.log("handler_failed", { reason: String(error) }),
     });
-    const ready = openStatusServer();
+    const ready = openStatusServer("ready");
     const bindings: (readonly [Server, Address])[] = [
       [frontend.server, settings.front],
       [ready, settings.ready],
@@ -529,7 +531,7 @@
     bindings.push([peerServer, settings.peers]);
     bindings.push([frontend.neighborServer, settings.datagrams]);
     if (settings.metrics !== undefined) {
-      bindings.push([openStatusServer(), settings.metrics]);
+      bindings.push([openStatusServer("metrics"), settings.metrics]);
     }
     for (const [server, address] of bindings) {
       const opened = await listen(server, address);
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -11,6 +11,7 @@
   SECOND,
 } from "@peridotvalve/types";
 import { createForecastMeters } from "./forecast_meters.ts";
+import type { IntakeReadings } from "./intake.ts";
 import { STAGES, type StageTimes } from "./stage_clock.ts";
 
 /** How a request ended. */
@@ -52,6 +53,7 @@
   readonly limits?: readonly ReplicaLimit[];
   /** Service of each cold replica. */
   readonly cold?: readonly string[];
+  readonly intake?: IntakeReadings;
   /** Retries that the budget allows now, by service. */
   readonly retriesLeft: ReadonlyMap<string, number>;
 }
@@ -88,6 +90,9 @@
   peridotvalve_state_age_ms: "Time since the operator's table was read.",
   peridotvalve_list_age_ms: "Time since the list of replicas was read.",
   peridotvalve_memory_bytes: "Resident memory of the process.",
+  peridotvalve_held_bytes: "Memory held for bodies and responses.",
+  peridotvalve_held_bytes_limit: "Limit of the memory for them; 0 for none.",
+  peridotvalve_bodies_waiting: "Bodies that wait for memory.",
   peridotvalve_peers: "Other daemons that are registered.",
   peridotvalve_evacuated_zones: "Zones to whose replicas nothing is sent.",
 } as const;
@@ -120,6 +125,8 @@
   ["no route", "no route"],
   ["unknown key", "unknown key"],
   ["too long", "too long"],
+  ["no memory", "no memory"],
+  ["body stalled", "body stalled"],
   ["broken off", "broken off"],
   ["no desired state", "no desired state"],
   ["no service", "no service"],
@@ -199,6 +206,17 @@
     help: "Waits of requests that only cold replicas could take.",
     labels: ["service"],
   });
+  const connections = registry.gauge("peridotvalve_connections", {
+    help: "Open connections by listener.",
+    labels: ["listener"],
+  });
+  const closedConnections = registry.gauge(
+    "peridotvalve_connections_closed",
+    {
+      help: "Connections closed for a limit since the start, by reason.",
+      labels: ["reason"],
+    },
+  );
   const loopDelays = registry.histogram("peridotvalve_event_loop_delay_ms", {
     help: "Time by which timers run late.",
   });
@@ -221,6 +239,7 @@
     set("peridotvalve_memory_bytes", process.memoryUsage.rss());
     set("peridotvalve_peers", readings.peers);
     set("peridotvalve_evacuated_zones", readings.evacuatedZones ?? 0);
+    if (readings.intake !== undefined) refreshIntake(readings.intake);
     replicas.clear();
     for (const { service, state, weights } of readings.replicas) {
       replicas.add(1, { service, state, weights });
@@ -239,6 +258,24 @@
     }
   }
 
+  function refreshIntake(intake: IntakeReadings): void {
+    const { held, heldLimit, waiting } = intake;
+    set("peridotvalve_held_bytes", held);
+    set(
+      "peridotvalve_held_bytes_limit",
+      Number.isFinite(heldLimit) ? heldLimit : 0,
+    );
+    set("peridotvalve_bodies_waiting", waiting);
+    connections.clear();
+    for (const [listener, open] of intake.connections) {
+      connections.add(open, { listener });
+    }
+    closedConnections.clear();
+    for (const [reason, count] of intake.closed) {
+      closedConnections.add(count, { reason });
+    }
+  }
+
   return new (class extends Meters {
     override recordRequest(request: RequestRecord): void {
       const { route, outcome, firstEvent = 0, maxEventGap = 0 } = request;
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -17,6 +17,11 @@
 // Each end-to-end test starts up to a dozen processes; sized for ten cores.
 const PARALLEL_FILES = 3;
 
+/** They measure the memory of processes, so they run alone, after all others. */
+const EXCLUSIVE_FILES: ReadonlySet<string> = new Set([
+  "platform/src/outside_limits.test.ts",
+]);
+
 // A test that hangs fails instead of blocking the whole run.
 const FILE_TIMEOUT_MILLISECONDS = 240_000;
 
@@ -44,10 +49,21 @@
   }).sort();
 }
 
-async function* runFiles(files: readonly string[]): AsyncGenerator<Outcome> {
+/** Runs all files: those that share the machine first, then the others. */
+async function* runAll(files: readonly string[]): AsyncGenerator<Outcome> {
+  const shared = files.filter((file) => !EXCLUSIVE_FILES.has(file));
+  const alone = files.filter((file) => EXCLUSIVE_FILES.has(file));
+  if (shared.length > 0) yield* runFiles(shared, PARALLEL_FILES);
+  if (alone.length > 0) yield* runFiles(alone, 1);
+}
+
+async function* runFiles(
+  files: readonly string[],
+  concurrency: number,
+): AsyncGenerator<Outcome> {
   const stream = run({
     files: [...files],
-    concurrency: PARALLEL_FILES,
+    concurrency,
     timeout: FILE_TIMEOUT_MILLISECONDS,
   });
   for await (const event of stream) {
@@ -84,7 +100,7 @@
   let passed = 0;
   let failed = 0;
   let skipped = 0;
-  for await (const outcome of runFiles(files)) {
+  for await (const outcome of runAll(files)) {
     if (knownFailures.has(outcome.id)) {
       const state = outcome.passed ? "PASSES, remove its entry" : "fails";
       console.log(`known red: ${outcome.id}: ${state}`);
