Gateway: malformed responses fail their attempt at once

Cause: the HTTP library passes on any status of three digits. Status 000 ends in a failed assertion, whose text reached callers of orders; 600 and above were forwarded to callers; an informational response in the place of the answer was waited for until the deadline (504).

Change: malformed_responses.ts decides which heads are no answer, in one check where responses enter (connection_pools.ts). 101, and informational responses with a framing, fail at once; any other informational response may be followed by a final one for 100 ms. Errors of the parser have the product's own text.

--- a/packages/gateway/src/connection_pools.ts
+++ b/packages/gateway/src/connection_pools.ts
@@ -12,6 +12,12 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { type Dispatcher, Pool } from "undici";
+import {
+  explainError,
+  FINAL_RESPONSE_WAIT,
+  findMalformation,
+  malformedStatus,
+} from "./malformed_responses.ts";
 
 export interface AttemptRequest {
   readonly origin: string;
@@ -195,6 +201,7 @@
   let cancelReason: string | undefined;
   let end: { readonly failure?: AttemptFailure } | undefined;
   let wake = () => {};
+  let finalResponseTimer: NodeJS.Timeout | undefined;
   let settleHead: (head: Result<ResponseHead, AttemptFailure>) => void;
   const head = new Promise<Result<ResponseHead, AttemptFailure>>((resolve) =>
     settleHead = resolve
@@ -204,6 +211,7 @@
     const kind = controller === undefined ? "unsent" : "lost";
     const failure: AttemptFailure = { kind, reason: cancelReason ?? reason };
     end ??= { failure };
+    clearTimeout(finalResponseTimer);
     settleHead(Err(failure));
     wake();
   }
@@ -224,7 +232,16 @@
       controller = started;
     },
     onResponseStart(started, status, headers, statusText) {
-      if (status < 200) return;
+      const malformation = findMalformation({ status, headers });
+      if (malformation !== undefined) return cancel(malformation);
+      if (status < 200) {
+        finalResponseTimer ??= setTimeout(
+          () => cancel(malformedStatus(status)),
+          FINAL_RESPONSE_WAIT,
+        );
+        return;
+      }
+      clearTimeout(finalResponseTimer);
       const rawHeaders = decodeHeaders(started.rawHeaders);
       if (containsStatusLine([statusText ?? "", ...rawHeaders])) {
         return cancel(MERGED_HEADS);
@@ -245,7 +262,7 @@
       wake();
     },
     onResponseError(_started, error) {
-      fail(error.message === "" ? error.name : error.message);
+      fail(explainError(error));
     },
   };
   try {
