Gateway: requests with a body are identified without their prompt's parts

Cause: the fingerprint named the model and parts of the prompt, which callers state in headers. A stream of requests with one path, caller and body and another Prompt-Prefix each time crashed 38 replicas in 22 s.

Change: they count only where the body is absent or empty. A short constant body gets no exception; sound requests with one are protected by the evidence (three crashes are needed, a complete answer proves all of them).

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -19,6 +19,7 @@
   SUSPECT,
   SUSPECT_REQUEST,
 } from "./crash_guard.ts";
+import { fingerprintOf } from "./request_fingerprint.ts";
 
 const BROKEN: AttemptOutcome = { kind: "lost", reason: "other side closed" };
 const REFUSED: AttemptOutcome = {
@@ -428,3 +429,74 @@
   }
   expect(guard.check(request, true)).toEqual(undefined);
 });
+
+/** A prompt with a part of its own, as it comes with the body. */
+function createPrompt(part: string, body?: string): DispatchRequest {
+  const request = createRequest(part);
+  const fingerprint = fingerprintOf(request, {
+    ...{ method: "POST", path: "/advice/" },
+    body: body === undefined ? undefined : Buffer.from(body),
+  });
+  return { ...request, fingerprint };
+}
+
+function runPrompts() {
+  const { clock, guard, entryOf } = createSetup();
+  const run = async (request: DispatchRequest, number: number, end: {
+    readonly outcome: AttemptOutcome;
+  }) => {
+    const admission = guard.admit(request, entryOf(number));
+    if (admission.kind === "refused") return admission.reason;
+    admission.attempt.recordEnd(end.outcome, end.outcome === BROKEN);
+    admission.attempt.release();
+    await clock.advance(GAP);
+    return undefined;
+  };
+  return {
+    crash: (request: DispatchRequest, number: number) =>
+      run(request, number, { outcome: BROKEN }),
+    answer: (request: DispatchRequest, number: number) =>
+      run(request, number, { outcome: { kind: "done", status: 200 } }),
+  };
+}
+
+// Guards against a request that crashes one replica after the other, as its
+// caller names another prefix of the prompt each time.
+test("a crashing body is held whatever prefix comes with it", async () => {
+  const { crash } = runPrompts();
+  for (const number of [0, 1, 2]) {
+    const request = createPrompt(`p${number}`, "deadly");
+    expect(await crash(request, number)).toEqual(undefined);
+  }
+  const reason = await crash(createPrompt("p3", "deadly"), 3);
+  expect(reason).toEqual(CONDEMNED_REQUEST);
+  expect(await crash(createPrompt("p4", "sound"), 4)).toEqual(undefined);
+});
+
+// Guards against sound requests without a body that are held for another's
+// crashes, because nothing but the prompt tells them apart.
+test("prompts without a body are held for their own crashes", async () => {
+  for (const body of [undefined, ""]) {
+    const { crash, answer } = runPrompts();
+    for (const number of [0, 1, 2]) {
+      await crash(createPrompt("deadly", body), number);
+    }
+    expect(await crash(createPrompt("deadly", body), 3) !== undefined)
+      .toEqual(true);
+    expect(await answer(createPrompt("sound", body), 4)).toEqual(undefined);
+  }
+});
+
+// Guards against sound requests with a constant body that are held because one
+// of them, or one that looks like them, is on replicas that end.
+test("sound requests with a constant body are not held for crashes", async () => {
+  const { crash, answer } = runPrompts();
+  // Not one of them has been answered yet.
+  expect(await crash(createPrompt("deadly", "{}"), 0)).toEqual(undefined);
+  for (const number of [1, 2, 3, 4]) {
+    const sound = createPrompt(`sound${number}`, "{}");
+    expect(await answer(sound, number)).toEqual(undefined);
+    await crash(createPrompt("deadly", "{}"), number);
+  }
+  expect(await answer(createPrompt("sound", "{}"), 5)).toEqual(undefined);
+});
--- a/packages/gateway/src/request_fingerprint.ts
+++ b/packages/gateway/src/request_fingerprint.ts
@@ -19,19 +19,29 @@
 const CONTENT_LENGTH = 16;
 
 /**
- * Hash of the service, and one of the caller and the content. Prompts are told
- * apart by their parts as well, which name what the body holds. Logs and
+ * Hash of the service, and one of the caller, the path and the body. Logs and
  * heartbeats contain no more of a request than this.
+ *
+ * The model and the parts of a prompt, which callers state in headers, count
+ * only without a body: with one, a caller that states others each time would
+ * get a new fingerprint for each copy of a request that crashes replicas. A
+ * short body that many sound requests share, such as `{}`, is no exception, as
+ * such copies could use it too. These requests are protected by the evidence
+ * instead: a single crash holds none, and a complete answer to one proves all.
  */
 export function fingerprintOf(
   { service, customer, route, prompt }: Omit<DispatchRequest, "fingerprint">,
   { method, path, body }: RequestContent,
 ): string {
-  const parts = prompt?.parts.map(({ id }) => id) ?? [];
   const caller = customer?.name ?? null;
-  const head = [caller, route.host, method, path, prompt?.model, parts];
-  const content = createHash("sha256").update(JSON.stringify(head));
-  if (body !== undefined) content.update(body);
+  const head = [caller, route.host, method, path];
+  const content = createHash("sha256");
+  if (body !== undefined && body.length > 0) {
+    content.update(JSON.stringify(head)).update(body);
+  } else {
+    const parts = prompt?.parts.map(({ id }) => id) ?? [];
+    content.update(JSON.stringify([...head, prompt?.model, parts]));
+  }
   const key = content.digest("base64url").slice(0, CONTENT_LENGTH);
   return `${hashOf(service).slice(0, SERVICE_LENGTH)}/${key}`;
 }
