Gateway: break off responses to HTTP/1.0 callers by a reset

Cause: a response to a caller of HTTP/1.0 has no chunks, so the regular end of its connection completes it. The daemon closed the connection regularly when a response that it was forwarding broke off.

Change: Caller.destroy resets the connection of such a caller.

Measured: the last test of platform/src/early_answers.test.ts, a part of 400,000 bytes, fails without the change (no ECONNRESET) and passes with it.

--- a/packages/gateway/src/caller.ts
+++ b/packages/gateway/src/caller.ts
@@ -121,6 +121,8 @@
     }
 
     override destroy(): void {
+      // Without chunks, a regular end would complete the response.
+      if (request.httpVersion === "1.0") socket.resetAndDestroy();
       response.destroy();
     }
 
