--- a/packages/gateway/src/malformed_responses.ts
+++ b/packages/gateway/src/malformed_responses.ts
@@ -9,10 +9,11 @@
 
 /**
  * Time for the final response to follow an informational one. A replica that
- * ends its answer there keeps the connection open, so that only time tells; the
- * request can still be answered by another replica within its deadline.
+ * ends its answer there keeps the connection open, so that only time tells. A
+ * shorter time would cut off orders that a replica acknowledges before it runs
+ * them.
  */
-export const FINAL_RESPONSE_WAIT: Milliseconds = 100;
+export const FINAL_RESPONSE_WAIT: Milliseconds = 400;
 
 /** Switch of protocols, which no request asks for. */
 const SWITCHING_PROTOCOLS = 101;
