Memory checks of an idle daemon four times a second; listeners of pipelined requests

Cause: the memory of the process was read 20 times a second, each a system call and a wake-up, also far below the bound; more than ten pipelined requests on a connection printed a warning of Node.js for each such connection. Change: 250 ms while the process is below 0.8 of the bound, 50 ms above; no warning, as the number of pipelined requests is limited.

--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -4,9 +4,10 @@
  * The bytes of a body are taken from the budget as they arrive. A body of one or
  * two pieces is kept as it came. Further pieces are copied into one buffer of the
  * announced length, or into blocks of a fixed size, because a peer may send pieces
- * of one byte, each of which costs a buffer object. When there is no room, reading pauses, so that the kernel stops the
- * sender; after a short wait the body ends without room. A body of which nothing
- * has arrived for a while ends too; it does so sooner while others wait for room.
+ * of one byte, each of which costs a buffer object. When there is no room,
+ * reading pauses, so that the kernel stops the sender; after a short wait the body
+ * ends without room. A body of which nothing has arrived for a while ends too; it
+ * does so sooner while others wait for room.
  *
  * Short bodies may use the whole budget. All long ones together leave a part of
  * it, and those from one address leave more, unless one body needs it.
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -145,7 +145,11 @@
         response.destroy();
       });
     });
-    server.on("connection", () => arrivals += 1);
+    server.on("connection", (socket) => {
+      arrivals += 1;
+      // Each pipelined request adds listeners; their number is limited.
+      socket.setMaxListeners(0);
+    });
     const name = isForNeighbors ? "neighbors" : "callers";
     const connections = intake.track(server, name);
     const listener = { server, connections, isForNeighbors };
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -91,8 +91,17 @@
  */
 const RELIEF_SHARE = 0.75;
 const MIN_GROWTH: Bytes = 5_000_000;
+
+/**
+ * Intervals at which the memory is looked at, well below the bound and near it.
+ * Each look is a system call and wakes an idle process.
+ */
+const CALM_CHECK_PERIOD: Milliseconds = 250;
 const RELIEF_CHECK_PERIOD: Milliseconds = 50;
 
+/** Part of the bound from which it is near. */
+const NEAR_SHARE = 0.8;
+
 /** Descriptors for files and the runtime. */
 const FILE_DESCRIPTORS = 200;
 
@@ -191,13 +200,18 @@
 /** Collects garbage above the bound, each time that the process has grown. */
 function collectWhenHigh(memory: MemoryBudget, bound: Bytes): void {
   let lowest = 0;
-  setInterval(() => {
+  function check(): void {
     const resident = process.memoryUsage.rss();
     lowest = Math.min(lowest, resident);
-    if (resident < bound || resident < lowest + MIN_GROWTH) return;
-    memory.collect();
-    lowest = process.memoryUsage.rss();
-  }, RELIEF_CHECK_PERIOD).unref();
+    if (resident >= bound && resident >= lowest + MIN_GROWTH) {
+      memory.collect();
+      lowest = process.memoryUsage.rss();
+    }
+    const isNear = resident >= bound * NEAR_SHARE;
+    const period = isNear ? RELIEF_CHECK_PERIOD : CALM_CHECK_PERIOD;
+    setTimeout(check, period).unref();
+  }
+  check();
 }
 
 /** Bytes that bodies and responses may hold together. */
