--- a/packages/backpressure/src/cold_replicas.ts
+++ b/packages/backpressure/src/cold_replicas.ts
@@ -14,8 +14,11 @@
   SECOND,
   type Timestamp,
 } from "@peridotvalve/types";
-import { type Incarnation, incarnationHash } from "./incarnation.ts";
-import type { PacedReplica } from "./limits.ts";
+import {
+  type Incarnation,
+  incarnationHash,
+  type PacedReplica,
+} from "./incarnation.ts";
 import type { HeardStatement, Statements } from "./statements.ts";
 
 /** What the operator says of the cold replicas of a service. */
--- a/packages/backpressure/src/equal_slots.test.ts
+++ b/packages/backpressure/src/equal_slots.test.ts
@@ -8,11 +8,11 @@
 } from "@peridotvalve/types";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { FleetPosition } from "./equal_slots.ts";
+import type { PacedReplica } from "./incarnation.ts";
 import {
   createLimits,
   DEFAULT_TOLERANCE,
   type Limits,
-  type PacedReplica,
   type Permit,
 } from "./limits.ts";
 
--- a/packages/backpressure/src/equal_slots.ts
+++ b/packages/backpressure/src/equal_slots.ts
@@ -13,8 +13,7 @@
   type RequestRate,
   SECOND,
 } from "@peridotvalve/types";
-import { incarnationHash } from "./incarnation.ts";
-import type { PacedReplica } from "./limits.ts";
+import { incarnationHash, type PacedReplica } from "./incarnation.ts";
 import { hashToUnit } from "./unit_hash.ts";
 
 /** Place of this daemon among all daemons that the fleet has listed. */
--- a/packages/backpressure/src/incarnation.ts
+++ b/packages/backpressure/src/incarnation.ts
@@ -12,6 +12,12 @@
   readonly born?: Timestamp;
 }
 
+/** A replica to which requests keep a pace. */
+export interface PacedReplica extends Incarnation {
+  readonly zone: string;
+  readonly service?: string;
+}
+
 /** Returns the same key in all daemons that know the same entry. */
 export function incarnationKey({ id, born }: Incarnation): string {
   return born === undefined ? id : `${id}@${born}`;
--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -20,15 +20,10 @@
   type FleetPosition,
   type Tolerance,
 } from "./equal_slots.ts";
-import { type Incarnation, incarnationHash } from "./incarnation.ts";
+import { incarnationHash, type PacedReplica } from "./incarnation.ts";
 import { hashToUnit } from "./unit_hash.ts";
 import type { Statements } from "./statements.ts";
 
-export interface PacedReplica extends Incarnation {
-  readonly zone: string;
-  readonly service?: string;
-}
-
 /** Daemons that know each other's rates and share a part of each limit. */
 export interface SharingGroup {
   /** Part of the replica's limit that the group has, from 0 to 1. */
--- a/packages/backpressure/src/places.ts
+++ b/packages/backpressure/src/places.ts
@@ -11,12 +11,8 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds, RequestRate } from "@peridotvalve/types";
-import { incarnationHash } from "./incarnation.ts";
-import {
-  type PacedReplica,
-  SETTLING_TIME,
-  type SharingGroup,
-} from "./limits.ts";
+import { incarnationHash, type PacedReplica } from "./incarnation.ts";
+import { SETTLING_TIME, type SharingGroup } from "./limits.ts";
 import type { Statements } from "./statements.ts";
 import { hashToUnit } from "./unit_hash.ts";
 
--- a/packages/dispatch/src/mod.ts
+++ b/packages/dispatch/src/mod.ts
@@ -5,6 +5,7 @@
 export * from "./cache_journal.ts";
 export * from "./cache_group.ts";
 export * from "./cache_view.ts";
+export * from "./choice.ts";
 export * from "./desired_state.ts";
 export * from "./eligibility.ts";
 export type { Forecast } from "./mixed_prompts.ts";
--- a/packages/dispatch/src/timed_choice.ts
+++ b/packages/dispatch/src/timed_choice.ts
@@ -16,7 +16,7 @@
   type Distance,
   type Forecast,
 } from "./mixed_prompts.ts";
-import type { Choice, PlacementOptions } from "./placement.ts";
+import type { Choice, PlacementOptions } from "./choice.ts";
 import type { Replica } from "./replica.ts";
 import type { TransferPlan } from "./transfers.ts";
 
