Streams taken up: log the evidence of their origin and its age

Cause: stream_taken_up named the origin that was found, but not whether it came from the record of the stream or from the only version of the service, nor how old that knowledge was, so the hypotheses of the incident could not be told apart. Result: 17 tests of stream records and events pass, no behaviour changes.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -437,9 +437,12 @@
       "An attempt of a request was placed on a replica; isRepeat is true for one on a connection of its own, because a replica at the address has answered the request before.",
   }),
   stream_taken_up: defineEvent(3040, "info", {
-    fields: { resumes: S, lastEvent: N, service: S, software: S },
+    fields: {
+      ...{ resumes: S, lastEvent: N, service: S, software: S },
+      ...{ evidence: S, age: N },
+    },
     message:
-      "A caller takes up the stream of an earlier request, which it names in resumes, after an event; service and software say where the stream began and are empty when that is not known.",
+      "A caller takes up the stream of an earlier request, which it names in resumes, after an event; service and software say where the stream began and are empty when that is not known; evidence and its age in milliseconds say how it is known: by the record of the stream, as the only version that the service has had, or not at all.",
   }),
   software_changed: defineEvent(3041, "info", {
     fields: { service: S, versions: S },
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -39,6 +39,7 @@
 import type { ResponseProgress } from "./response_forwarding.ts";
 import { gapLimit } from "./silence_limits.ts";
 import { createStageClock, type StageTimes } from "./stage_clock.ts";
+import { createStreamBinding } from "./stream_binding.ts";
 import type { StreamRecords } from "./stream_records.ts";
 import { createSuccession } from "./succession.ts";
 import { createWaitingLanes } from "./waiting_lanes.ts";
@@ -121,6 +122,7 @@
   const { sendGate } = options;
   const createSteps = createAttemptSteps(options);
   const laneOf = createWaitingLanes(options);
+  const bindStream = createStreamBinding(options);
 
   return async function relay(
     received: DispatchRequest,
@@ -265,21 +267,14 @@
 
     /** Binds a stream to where it began; refuses one that cannot go on there. */
     async function bindToOrigin(): Promise<RelayResult | undefined> {
-      const { resumes, lastEvent = 0 } = forwarded;
-      const found = await options.streams.find(resumes, request.service);
-      const origin = typeof found === "string" ? undefined : found;
-      logger.log("stream_taken_up", {
-        ...{ resumes: resumes ?? "", lastEvent },
-        ...{ service: origin?.service ?? "", software: origin?.software ?? "" },
-      }, subject);
+      const binding = await bindStream(request, forwarded, subject);
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
-      const { targets } = request.route;
-      if (targets.some(({ service }) => service === origin?.service)) {
-        request = { ...request, ...origin };
+      if (typeof binding === "object") {
+        request = { ...request, ...binding };
         return undefined;
       }
       // To wait is of use only where the records may be read later.
-      return found === "unread"
+      return binding === "unread"
         ? fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER)
         : fail(NO_ORIGIN, 502);
     }
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -23,7 +23,14 @@
  * Where a stream began. "unknown": no daemon has saved it, and none will.
  * "unread": the records could not be read now.
  */
-export type FoundOrigin = StreamOrigin | "unknown" | "unread";
+export type FoundOrigin = KnownOrigin | "unknown" | "unread";
+
+export interface KnownOrigin extends StreamOrigin {
+  /** "record": of this stream; "only version": of the service's streams. */
+  readonly evidence: "record" | "only version";
+  /** Time since the store gave the evidence; 0 for that of this daemon. */
+  readonly age: Milliseconds;
+}
 
 /** Where the stream with a key began. */
 export type OriginRecord = readonly [key: string, origin: StreamOrigin];
@@ -279,7 +286,7 @@
       return "unknown";
     }
     origins.remember(key, origin);
-    return origin;
+    return { ...origin, evidence: "record", age: 0 };
   }
 
   async function lookUp(
@@ -291,7 +298,11 @@
     // Another daemon may have seen a further version before this one.
     if (age > VERSIONS_EXPIRY) await recall(service, LOOKUP_TIMEOUT);
     const software = versions.sole(service);
-    if (software !== undefined) return { service, software };
+    if (software !== undefined) {
+      const readAt = versionsReadAt.get(service) ?? -Infinity;
+      const readAge = clock.monotonic() - readAt;
+      return { service, software, evidence: "only version", age: readAge };
+    }
     if (key === undefined) return "unknown";
     const origin = await readOrigin(key);
     if (typeof origin === "object") return origin;
@@ -306,7 +317,7 @@
     async find(request, service) {
       const key = request === undefined ? undefined : keyOf(request);
       const known = key === undefined ? undefined : origins.find(key);
-      if (known !== undefined) return known;
+      if (known !== undefined) return { ...known, evidence: "record", age: 0 };
       if (lookups >= MAX_LOOKUPS) return "unread";
       lookups += 1;
       try {
