Streams begin at a software version only once the record names it

What callers saw: streams that had begun at replicas of a new version broke, were taken up at another daemon and went on at a replica of the old version (ORDER).

Cause: a daemon concluded from what it had not heard that its service has one version. The read of the record could fail, the record was written after the first streams of a version, an expired version was left out of what had just been read and removed from the row, what was read counted as new after a standstill or a suspension, and a record from a returned copy or an unreadable one counted as complete.

Change: an order of writes makes the record complete. A daemon begins resumable streams at a version only while it knows, from a read or write of its own in the last 20 s on a clock that includes suspensions, that the record names it. Who takes a stream up reads the record after the caller came; a failed read concludes nothing, and the request is passed on to a neighbor or refused. A version is removed in two steps, 80 s apart, and each daemon that uses it takes the mark off. After the return of the store from a copy the record is renewed and counts as incomplete for 5 s. Streams wait at a start until it is known where they may begin.

Reads of the record replace one at the start by one each 10 s and service.

--- a/packages/dispatch/src/choice.ts
+++ b/packages/dispatch/src/choice.ts
@@ -58,6 +58,11 @@
   readonly knowsCaches?: () => boolean;
   /** Returns false while the replica takes no further request now. */
   readonly hasRoom?: (replica: ReplicaEntry) => boolean;
+  /**
+   * Returns false while streams that may be taken up must not begin at a software
+   * version of the service.
+   */
+  readonly mayBegin?: (service: string, software: string) => boolean;
   /** Source of random numbers in [0, 1). */
   readonly random?: () => number;
   /** True when prompts are weighed by time; see `mixed_prompts.ts`. */
--- a/packages/dispatch/src/placement.ts
+++ b/packages/dispatch/src/placement.ts
@@ -15,7 +15,7 @@
 import { createCandidateSample } from "./candidate_sample.ts";
 import type { Choice, PlacementOptions } from "./choice.ts";
 import { type Barrier, createEligibility } from "./eligibility.ts";
-import type { Replica, ReplicaEntry } from "./replica.ts";
+import { type Replica, type ReplicaEntry, softwareOf } from "./replica.ts";
 import {
   type DispatchRequest,
   priorityOf,
@@ -180,6 +180,22 @@
       : replicas.usable(service, software, ({ zone }) => isOpen(zone));
   }
 
+  /** Check of the replicas at which a request may start now. */
+  function startGate(
+    { service, software, route }: DispatchRequest,
+  ): (entry: ReplicaEntry) => boolean {
+    const { mayBegin } = options;
+    if (mayBegin === undefined || software !== undefined) return () => true;
+    if (!route.isResumable) return () => true;
+    const known = new Map<string, boolean>();
+    return (entry) => {
+      const version = softwareOf(entry);
+      const mayStart = known.get(version) ?? mayBegin(service, version);
+      known.set(version, mayStart);
+      return mayStart;
+    };
+  }
+
   function choosePlain(usable: readonly Replica[]): Choice | undefined {
     const choices = sample.choose(usable, () => false).map((replica) => {
       const current = load.totalLoad(replica.entry.id);
@@ -328,8 +344,9 @@
       request: DispatchRequest,
       excluded: ReadonlySet<string>,
     ): Choice | undefined {
+      const mayStart = startGate(request);
       const usable = listUsable(request).filter(({ entry }) =>
-        !excluded.has(entry.id) && hasRoom(entry)
+        !excluded.has(entry.id) && mayStart(entry) && hasRoom(entry)
       );
       return request.prompt === undefined
         ? choosePlain(usable)
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -38,6 +38,15 @@
   return software;
 }
 
+/** Software versions of the replicas of a service, in whatever state. */
+export function listSoftware(
+  replicas: readonly Replica[],
+  service: string,
+): ReadonlySet<string> {
+  const own = replicas.filter(({ entry }) => entry.service === service);
+  return new Set(own.map(({ entry }) => softwareOf(entry)));
+}
+
 export type ReplicaChange =
   | "added"
   | "leaving"
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,8 +21,8 @@
   createTransferPlanner,
   createWeightTargets,
   isOutdatedSalt,
+  listSoftware,
   readSalt,
-  softwareOf,
   type StoreTraits,
 } from "@peridotvalve/dispatch";
 import { createLease } from "@peridotvalve/lease";
@@ -63,9 +63,10 @@
 import { createRelay } from "./relay.ts";
 import { createRollouts } from "./rollouts.ts";
 import { createSentPartsQueue } from "./sent_parts.ts";
+import { createSoftwareRecords } from "./software_record.ts";
 import { createStatusServer, listen } from "./status_server.ts";
-import { createStateHolder } from "./state_holder.ts";
-import { createStreamRecords } from "./stream_records.ts";
+import { createStateHolder, listStreamServices } from "./state_holder.ts";
+import { createStreamRecords, STREAM_LIFETIME } from "./stream_records.ts";
 
 export abstract class Gateway {
   /** Counts a call to the platform's store in the metrics. */
@@ -237,6 +238,7 @@
   });
   options.storeEra.onReturn(() => {
     replicas.recordListReturn();
+    software.renew();
     streams.renew();
     registration.renew();
     mesh?.announce();
@@ -276,6 +278,8 @@
     onForecast: (route, forecast) => meters.recordForecast(route, forecast),
     knowsCaches: followedCaches.includesReplicas,
     hasRoom: pace.hasRoom,
+    mayBegin: (service, version) =>
+      software.stateOf(service, version) === "recorded",
   });
   const budget = createWindowBudget({
     clock,
@@ -331,14 +335,16 @@
     announce: () => mesh?.announce(),
     stopped: stopController.signal,
   });
-  const streams = createStreamRecords({
+  const software = createSoftwareRecords({
     ...{ clock, logger, store: options.store, name: settings.name },
-    services: listStreamServices,
-    versionsOf: (service) =>
-      new Set(
-        replicas.all().filter(({ entry }) => entry.service === service)
-          .map(({ entry }) => softwareOf(entry)),
-      ),
+    ...{ usageClock: options.leaseClock, storeEra: options.storeEra },
+    lifetime: STREAM_LIFETIME,
+    services: () => listStreamServices(holder.current()),
+    versionsOf: (service) => listSoftware(replicas.all(), service),
+    isRemover: () => rank(STREAM_DUTY) === 0,
+  });
+  const streams = createStreamRecords({
+    ...{ clock, logger, store: options.store, name: settings.name, software },
     writers: () =>
       (mesh?.groupCount() ?? 1) === 1
         ? peerCount()
@@ -367,7 +373,7 @@
       ...{ clock, logger, pools, headerCodec, eligibility },
       neighbors: () => mesh?.listInContact() ?? [],
     }),
-    streams,
+    ...{ streams, software },
     stopped: stopController.signal,
   });
   const frontend = createFrontend({
@@ -459,19 +465,6 @@
     };
   }
 
-  /** Services whose streams callers may take up. */
-  function listStreamServices(): readonly string[] {
-    const routes = holder.current()?.state.routes ?? [];
-    const resumable = routes.filter(({ isResumable }) => isResumable);
-    return [
-      ...new Set(
-        resumable.flatMap(({ targets }) =>
-          targets.map(({ service }) => service)
-        ),
-      ),
-    ];
-  }
-
   function listStores(): readonly StoreTraits[] {
     const services = holder.current()?.state.services.values() ?? [];
     return [...services].flatMap(({ store }) => store ?? []);
@@ -605,6 +598,7 @@
       ...[...tables.byName.values()].map((table) => table.run(signal)),
       registration.run(signal),
       rollouts.run(signal),
+      software.run(signal),
       streams.run(signal),
       cacheCleaner.run(signal),
       meters.watchEventLoop(signal),
--- a/packages/gateway/src/refusal_reasons.ts
+++ b/packages/gateway/src/refusal_reasons.ts
@@ -1,9 +1,17 @@
 /**
- * States in the reason of a refusal why replicas that exist may not take the
- * request.
+ * Reasons of refusals, and why replicas that exist may not take a request.
  */
 import type { Barrier } from "@peridotvalve/dispatch";
 
+/** Requests that this daemon cannot serve now, and no neighbor takes. */
+export const NO_CONTACT = "no replica can be reached";
+
+/** Requests that no replica wants before it is too late. */
+export const PUSHED_BACK = "all replicas ask for time";
+
+/** Streams that may go on at no replica that is known. */
+export const NO_ORIGIN = "no replica can go on with the stream";
+
 const BARRIER_TEXTS: Readonly<Record<Barrier, string>> = {
   regions: "others are outside the allowed regions",
   evacuation: "others are in evacuated zones",
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -33,11 +33,17 @@
 import { type ResponseHead, START_PUT_OFF } from "./connection_pools.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import type { Detour, DetourOutcome } from "./detour.ts";
-import { type ForwardedRequest, isTakenUp } from "./forwarded_request.ts";
-import { explainRefusal } from "./refusal_reasons.ts";
+import type { ForwardedRequest } from "./forwarded_request.ts";
+import {
+  explainRefusal,
+  NO_CONTACT,
+  NO_ORIGIN,
+  PUSHED_BACK,
+} from "./refusal_reasons.ts";
 import { BUSY_AVOIDANCE } from "./replica_feedback.ts";
 import type { ResponseProgress } from "./response_forwarding.ts";
 import { gapLimit } from "./silence_limits.ts";
+import type { SoftwareRecords } from "./software_record.ts";
 import { createStageClock, type StageTimes } from "./stage_clock.ts";
 import { createStreamBinding } from "./stream_binding.ts";
 import type { StreamRecords } from "./stream_records.ts";
@@ -55,6 +61,7 @@
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly detour: Detour;
   readonly streams: Pick<StreamRecords, "find" | "record">;
+  readonly software: Pick<SoftwareRecords, "mayBegin" | "settled">;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -95,18 +102,9 @@
 /** Minimum remaining time for a further attempt. */
 const MIN_REMAINING: Milliseconds = 60;
 
-/** Reason of requests that no replica can be reached for. */
-const NO_CONTACT = "no replica can be reached";
-
-/** Reason of requests that no replica wants before it is too late. */
-const PUSHED_BACK = "all replicas ask for time";
-
 /** Delay after which a caller may retry on another daemon. */
 const CONTACT_RETRY_AFTER: Milliseconds = 100;
 
-/** Reason of streams that may go on at no replica that is known. */
-const NO_ORIGIN = "no replica can go on with the stream";
-
 /** A replica that has crashed is back after some seconds. */
 const ORIGIN_RETRY_AFTER: Milliseconds = 2_000;
 
@@ -186,10 +184,8 @@
       return { ending, sends, stages: stages.end(clock.monotonic()) };
     };
 
-    if (isTakenUp(request, forwarded)) {
-      const refused = await bindToOrigin();
-      if (refused !== undefined) return refused;
-    }
+    const unbound = await bindToOrigin();
+    if (unbound !== undefined) return unbound;
 
     for (;;) {
       if (options.stopped.aborted) return fail(lastReason, 502);
@@ -268,15 +264,14 @@
     /** Binds a stream to where it began; refuses one that cannot go on there. */
     async function bindToOrigin(): Promise<RelayResult | undefined> {
       const binding = await bindStream(request, forwarded, subject);
+      if (binding === "new") return undefined;
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (typeof binding === "object") {
         request = { ...request, ...binding };
         return undefined;
       }
-      // To wait is of use only where the records may be read later.
-      return binding === "unread"
-        ? fail(NO_ORIGIN, 502, ORIGIN_RETRY_AFTER)
-        : fail(NO_ORIGIN, 502);
+      // Another daemon may know the stream, or read the records.
+      return binding === "unread" ? await passOn() : fail(NO_ORIGIN, 502);
     }
 
     /** Binds the stream to the replica that has written its first event. */
@@ -301,7 +296,7 @@
       let readUpTo = await sendGate.pass();
       if (caller.hasDisconnected()) return end({ kind: "abandoned" });
       if (remaining() <= 0) return fail("timeout", 504);
-      if (isOutOfContact()) return await passOn();
+      if (mustPassOn()) return await passOn();
       const barred = crashGuard.check(request, hasCrashed);
       if (barred !== undefined) return fail(barred.reason, 502, barred.wait);
       const mayRetry = sends === 0 || remaining() > MIN_REMAINING;
@@ -326,7 +321,7 @@
       if (placed === undefined) {
         if (caller.hasDisconnected()) return end({ kind: "abandoned" });
         if (!endsBeforeExit(0)) return refuseAtShutdown();
-        if (isOutOfContact()) return await passOn();
+        if (mustPassOn()) return await passOn();
         if (isPushedBackBeyond(lastStart)) return fail(PUSHED_BACK, 502);
         const late = crashGuard.check(request, hasCrashed);
         if (late !== undefined) return fail(late.reason, 502, late.wait);
@@ -376,6 +371,14 @@
       return options.contact.isLost() && !caller.hasStarted();
     }
 
+    /** True when a neighbor may serve the request, and this daemon cannot. */
+    function mustPassOn(): boolean {
+      const isBegun = caller.hasStarted() || request.software !== undefined;
+      return isOutOfContact() ||
+        (request.route.isResumable && !isBegun && sends === 0 &&
+          !options.software.mayBegin(request.service));
+    }
+
     function takeRetry(): boolean {
       if (budget.tryTake(request.service)) return true;
       logger.log("retry_budget_spent", { kind: request.service }, subject);
@@ -420,7 +423,7 @@
         needs: placement.leastTime(request),
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
-          !endsBeforeExit(0) || isOutOfContact() ||
+          !endsBeforeExit(0) || mustPassOn() ||
           isPushedBackBeyond(deadline) || isBarred() ||
           crashGuard.check(request, hasCrashed) !== undefined,
         place: () => place(),
--- a/packages/gateway/src/state_holder.ts
+++ b/packages/gateway/src/state_holder.ts
@@ -23,6 +23,19 @@
   abstract offer(state: DesiredState, source: string): void;
 }
 
+/** Services whose streams callers may take up. */
+export function listStreamServices(
+  active: ActiveState | undefined,
+): readonly string[] {
+  const routes = active?.state.routes ?? [];
+  const resumable = routes.filter(({ isResumable }) => isResumable);
+  return [
+    ...new Set(
+      resumable.flatMap(({ targets }) => targets.map(({ service }) => service)),
+    ),
+  ];
+}
+
 /** Longest list of regions in the log. */
 const MAX_NAMED_REGIONS = 20;
 
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -1,10 +1,15 @@
 import { createManualClock, type ManualClock } from "@peridotvalve/clock";
 import { EventLogger } from "@peridotvalve/events";
-import type { Json, Platform } from "@peridotvalve/tables";
+import { type Json, type Platform, toVersion } from "@peridotvalve/tables";
 import { expect } from "earl";
 import { test } from "node:test";
 import { Err, Ok } from "ts-results-es";
-import { createStreamRecords, type StreamRecords } from "./stream_records.ts";
+import { createSoftwareRecords } from "./software_record.ts";
+import {
+  createStreamRecords,
+  STREAM_LIFETIME,
+  type StreamRecords,
+} from "./stream_records.ts";
 
 const SERVICE = "llm";
 const unavailable = { kind: "unavailable", reason: "away" } as const;
@@ -15,10 +20,11 @@
 
 type Store = Pick<Platform, "readRow" | "readRows" | "transact">;
 
-/** A store in memory that can be away. */
+/** A store in memory that can be away, and return from a copy. */
 function createStore() {
-  const rows = new Map<string, { value: Json; version: number }>();
-  let version = 0;
+  let rows = new Map<string, { value: Json; version: number }>();
+  let era = 0;
+  let counter = 0;
   let isAway = false;
   const calls = { reads: 0, writes: 0 };
   const nameOf = (row: { table: string; key: string }) =>
@@ -52,7 +58,8 @@
         const reason = { kind: "conflict", rows: [] } as const;
         return Promise.resolve({ kind: "not done", reason });
       }
-      version += 1;
+      counter += 1;
+      const version = toVersion(era, counter);
       for (const write of writes) {
         if (write.value === null) rows.delete(nameOf(write));
         else rows.set(nameOf(write), { value: write.value, version });
@@ -65,22 +72,73 @@
   return {
     ...{ store, calls, countOf },
     setAway: (next: boolean) => isAway = next,
+    put(table: string, key: string, value: Json) {
+      counter += 1;
+      rows.set(`${table}/${key}`, { value, version: toVersion(era, counter) });
+    },
+    /** Returns a function that brings the store back to the present state. */
+    copy() {
+      const copied = new Map(rows);
+      return () => {
+        rows = new Map(copied);
+        era += 1;
+        return era;
+      };
+    },
+  };
+}
+
+/** A path to the store that can be cut, or hold back writes. */
+function createPath(store: Store) {
+  const state = { isCut: false, holdsWrites: false };
+  const held: (() => void)[] = [];
+  const path: Store = {
+    readRow: (...call) =>
+      state.isCut ? Promise.resolve(Err(unavailable)) : store.readRow(...call),
+    readRows: (...call) =>
+      state.isCut ? Promise.resolve(Err(unavailable)) : store.readRows(...call),
+    async transact(...call) {
+      if (state.isCut) return { kind: "unknown", reason: "no answer" };
+      if (!state.holdsWrites) return await store.transact(...call);
+      return await new Promise((resolve) =>
+        held.push(() => resolve(store.transact(...call)))
+      );
+    },
   };
+  const release = () => held.splice(0).forEach((write) => write());
+  return { path, state, release };
+}
+
+interface DaemonOptions {
+  /** Software versions of the replicas that the daemon lists at first. */
+  readonly listed: readonly string[];
+  readonly collector?: StreamRecords;
+  /** Name of the daemon; the first one removes versions. */
+  readonly name?: string;
+  /** The monotonic clock; by default it does not stop in suspensions. */
+  readonly stoppingClock?: ManualClock;
 }
 
-/** Starts a daemon that sees replicas of the versions. */
+/** Starts a daemon with a list of replicas of its own. */
 function startDaemon(
   clock: ManualClock,
   store: Store,
-  versions: readonly string[],
-  collector?: StreamRecords,
+  { listed, collector, name = "front", stoppingClock = clock }: DaemonOptions,
 ) {
-  const present = new Set(versions);
+  let present = new Set(listed);
+  let era = 0;
   const stop = new AbortController();
-  const records = createStreamRecords({
-    ...{ clock, logger: silentLogger, store, name: "front" },
+  const common = { clock: stoppingClock, logger: silentLogger, store, name };
+  const software = createSoftwareRecords({
+    ...{ ...common, usageClock: clock, lifetime: STREAM_LIFETIME },
+    storeEra: { current: () => era },
     services: () => [SERVICE],
     versionsOf: () => present,
+    isRemover: () => name === "front",
+  });
+  const records = createStreamRecords({
+    ...common,
+    software,
     writers: () => 6,
     collector: () => collector === undefined ? undefined : "10.0.0.1:8000",
     send(_collector, sent) {
@@ -89,8 +147,25 @@
     },
     rank: () => 0,
   });
+  void software.run(stop.signal);
   void records.run(stop.signal);
-  return { records, end: () => stop.abort() };
+  return {
+    ...{ records, software },
+    /** Begins a stream if one may begin at the version now. */
+    begin(id: string, version: string): boolean {
+      const mayBegin = software.stateOf(SERVICE, version) === "recorded";
+      const origin = { service: SERVICE, software: version };
+      if (mayBegin) records.record(id, origin);
+      return mayBegin;
+    },
+    list: (...versions: readonly string[]) => present = new Set(versions),
+    hearReturn(next: number) {
+      era = next;
+      software.renew();
+      records.renew();
+    },
+    end: () => stop.abort(),
+  };
 }
 
 async function advance(clock: ManualClock, milliseconds: number) {
@@ -109,15 +184,19 @@
   return typeof origin === "object" ? origin.software : origin;
 }
 
-test("a service with one version costs no calls but the first", async () => {
+// The record is read each ten seconds, and twice before it is written: at first,
+// and when it is complete.
+test("a service with one version costs few calls", async () => {
   const clock = createManualClock();
   const { store, calls } = createStore();
-  const daemon = startDaemon(clock, store, ["v1"]);
+  const daemon = startDaemon(clock, store, { listed: ["v1"] });
   await advance(clock, 2_000);
-  expect([calls.reads, calls.writes]).toEqual([1, 1]);
-  daemon.records.record("a", { service: SERVICE, software: "v1" });
+  expect([calls.reads, calls.writes]).toEqual([2, 1]);
+  await advance(clock, 10_000);
+  expect([calls.reads, calls.writes]).toEqual([4, 2]);
+  expect(daemon.begin("a", "v1")).toEqual(true);
   await advance(clock, 10_000);
-  expect([calls.reads, calls.writes]).toEqual([1, 1]);
+  expect([calls.reads, calls.writes]).toEqual([5, 2]);
   expect(await find(clock, daemon, "b")).toEqual("v1");
   daemon.end();
 });
@@ -127,13 +206,13 @@
 test("a daemon that has just started knows where streams began", async () => {
   const clock = createManualClock();
   const { store } = createStore();
-  const first = startDaemon(clock, store, ["v1", "v2"]);
+  const first = startDaemon(clock, store, { listed: ["v1", "v2"] });
   await advance(clock, 1_000);
-  first.records.record("a", { service: SERVICE, software: "v1" });
-  first.records.record("b", { service: SERVICE, software: "v2" });
+  expect(first.begin("a", "v1")).toEqual(true);
+  expect(first.begin("b", "v2")).toEqual(true);
   await advance(clock, 400);
   first.end();
-  const next = startDaemon(clock, store, ["v2"]);
+  const next = startDaemon(clock, store, { listed: ["v2"] });
   expect(await find(clock, next, "a")).toEqual("v1");
   expect(await find(clock, next, "b")).toEqual("v2");
   expect(await find(clock, next, "c")).toEqual("unknown");
@@ -144,14 +223,17 @@
 test("a collector saves and removes the records of its neighbors", async () => {
   const clock = createManualClock();
   const { store, countOf } = createStore();
-  const collector = startDaemon(clock, store, ["v1", "v2"]);
-  const other = startDaemon(clock, store, ["v1", "v2"], collector.records);
+  const listed = ["v1", "v2"];
+  const collector = startDaemon(clock, store, { listed });
+  const other = startDaemon(clock, store, {
+    ...{ listed, collector: collector.records },
+  });
   await advance(clock, 1_000);
-  other.records.record("a", { service: SERVICE, software: "v1" });
+  expect(other.begin("a", "v1")).toEqual(true);
   await advance(clock, 400);
   other.end();
   expect(countOf("streams")).toEqual(1);
-  const next = startDaemon(clock, store, ["v2"]);
+  const next = startDaemon(clock, store, { listed: ["v2"] });
   expect(await find(clock, next, "a")).toEqual("v1");
   await advance(clock, 31_000);
   expect(countOf("streams")).toEqual(0);
@@ -164,14 +246,18 @@
   const clock = createManualClock();
   const { store, setAway } = createStore();
   setAway(true);
-  const daemon = startDaemon(clock, store, ["v2"]);
+  const daemon = startDaemon(clock, store, { listed: ["v2"] });
   await advance(clock, 1_000);
   expect(await find(clock, daemon, "a")).toEqual("unread");
-  daemon.records.record("b", { service: SERVICE, software: "v2" });
-  expect(await find(clock, daemon, "b")).toEqual("v2");
+  expect(daemon.begin("b", "v2")).toEqual(false);
+  expect(daemon.software.mayBegin(SERVICE)).toEqual(false);
   setAway(false);
-  await advance(clock, 1_000);
+  await advance(clock, 8_000);
+  expect(daemon.begin("b", "v2")).toEqual(true);
   expect(await find(clock, daemon, "a")).toEqual("v2");
+  setAway(true);
+  expect(await find(clock, daemon, "b")).toEqual("v2");
+  expect(await find(clock, daemon, "a")).toEqual("unread");
   daemon.end();
 });
 
@@ -179,14 +265,139 @@
 test("records of daemons that have ended are removed", async () => {
   const clock = createManualClock();
   const { store, countOf } = createStore();
-  const first = startDaemon(clock, store, ["v1", "v2"]);
+  const first = startDaemon(clock, store, { listed: ["v1", "v2"] });
   await advance(clock, 1_000);
-  first.records.record("a", { service: SERVICE, software: "v1" });
+  expect(first.begin("a", "v1")).toEqual(true);
   await advance(clock, 1_000);
   first.end();
   expect(countOf("streams")).toEqual(1);
-  const next = startDaemon(clock, store, ["v2"]);
+  const next = startDaemon(clock, store, { listed: ["v2"] });
   await advance(clock, 125_000);
   expect(countOf("streams")).toEqual(0);
   next.end();
 });
+
+/** Two daemons that list one version, with a complete record of it. */
+async function startPair() {
+  const clock = createManualClock();
+  const storeAccess = createStore();
+  const paths = [createPath(storeAccess.store), createPath(storeAccess.store)];
+  const [first, second] = paths.map(({ path }, index) =>
+    startDaemon(clock, path, {
+      listed: ["v1"],
+      name: index === 0 ? "front" : `front-${index}`,
+    })
+  );
+  await advance(clock, 17_000);
+  if (first === undefined || second === undefined) throw new Error("no pair");
+  return { ...storeAccess, clock, paths, first, second };
+}
+
+// Guards against ORDER: a daemon that is cut off takes the only version it knew
+// before for that of a stream that began at a newer one.
+test("a daemon without the store does not assume a version", async () => {
+  const { clock, paths, first, second } = await startPair();
+  if (paths[1] !== undefined) paths[1].state.isCut = true;
+  first.list("v1", "v2");
+  await advance(clock, 1_000);
+  expect(first.begin("a", "v2")).toEqual(true);
+  expect(await find(clock, second, "a")).toEqual("unread");
+  expect(second.begin("b", "v1")).toEqual(true);
+  // Streams still begin at the version that was recorded before the cut.
+  await advance(clock, 60_000);
+  expect(second.begin("c", "v1")).toEqual(true);
+  for (const { end } of [first, second]) end();
+});
+
+// Guards against ORDER: a stream has begun at a version before the record names
+// it, and another daemon reads the record in between.
+test("no stream begins at a version before the record names it", async () => {
+  const { clock, paths, first, second } = await startPair();
+  if (paths[0] !== undefined) paths[0].state.holdsWrites = true;
+  first.list("v1", "v2");
+  await advance(clock, 1_000);
+  expect(first.begin("a", "v2")).toEqual(false);
+  expect(first.begin("b", "v1")).toEqual(true);
+  expect(await find(clock, second, "a")).toEqual("v1");
+  paths[0]?.release();
+  await advance(clock, 100);
+  expect(first.begin("a", "v2")).toEqual(true);
+  expect(await find(clock, second, "c")).toEqual("unknown");
+  for (const { end } of [first, second]) end();
+});
+
+// Guards against ORDER: a daemon leaves out, or removes, a version that it has not
+// listed for long, although another daemon begins streams at it again.
+test("a version that comes back counts at once", async () => {
+  const { clock, first, second } = await startPair();
+  for (const { list } of [first, second]) list("v1", "v2");
+  await advance(clock, 1_000);
+  for (const { list } of [first, second]) list("v1");
+  await advance(clock, 140_000);
+  expect(await find(clock, first, "a")).toEqual("v1");
+  // The list of the daemon that removes versions is behind for long.
+  second.list("v1", "v2");
+  await advance(clock, 1_000);
+  for (let at = 0; at < 150; at += 1) {
+    expect(second.begin(`b${at}`, "v2")).toEqual(true);
+    expect(await find(clock, first, `c${at}`)).toEqual("unknown");
+    await advance(clock, 1_000);
+  }
+  for (const { end } of [first, second]) end();
+});
+
+// Guards against ORDER: what was read before a suspension of the VM is taken for
+// the present, as the monotonic clock has stood still.
+test("a suspended daemon relies on nothing from before", async () => {
+  const { clock, store, first, second } = await startPair();
+  const stoppingClock = createManualClock();
+  const suspended = startDaemon(clock, store, {
+    ...{ listed: ["v1", "v3"], name: "front-2", stoppingClock },
+  });
+  for (let step = 0; step < 40; step += 1) {
+    await advance(clock, 50);
+    await advance(stoppingClock, 50);
+  }
+  expect(suspended.begin("a", "v3")).toEqual(true);
+  first.list("v1", "v2");
+  await advance(clock, 60_000);
+  expect(suspended.begin("b", "v3")).toEqual(false);
+  const found = suspended.records.find("c", SERVICE);
+  await advance(stoppingClock, 500);
+  expect(await found).toEqual("unknown");
+  for (const { end } of [first, second, suspended]) end();
+});
+
+// Guards against ORDER: a record from before the return of the store lacks a
+// version that had been recorded.
+test("a record from a copy is not taken for complete", async () => {
+  const { clock, copy, first, second, store } = await startPair();
+  const returnFromCopy = copy();
+  first.list("v1", "v2");
+  await advance(clock, 1_000);
+  expect(first.begin("a", "v2")).toEqual(true);
+  const era = returnFromCopy();
+  first.end();
+  second.hearReturn(era);
+  expect(await find(clock, second, "a")).toEqual("unknown");
+  await advance(clock, 1_000);
+  expect(second.begin("b", "v1")).toEqual(true);
+  expect(await find(clock, second, "a")).toEqual("unknown");
+  // A daemon that starts now has not seen the return.
+  const next = startDaemon(clock, store, { listed: ["v1"], name: "front-2" });
+  next.hearReturn(era);
+  expect(await find(clock, next, "a")).toEqual("unknown");
+  // The replicas of the version are listed again.
+  second.list("v1", "v2");
+  await advance(clock, 15_000);
+  expect(await find(clock, next, "a")).toEqual("unknown");
+  for (const { end } of [second, next]) end();
+});
+
+// Guards against ORDER: a row that cannot be read counts as one without versions.
+test("an unreadable record is not taken for complete", async () => {
+  const { clock, put, first, second } = await startPair();
+  put("software", SERVICE, { other: true });
+  expect(await find(clock, second, "a")).toEqual("unknown");
+  for (const { end } of [first, second]) end();
+});
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -1,15 +1,14 @@
 /**
  * Knows at which software version a stream began that a caller takes up. A
  * daemon remembers the streams that it has begun. Beyond its own memory, the
- * store holds a row for each service with the versions that streams may have
- * begun at, and, for services with several versions, a row for each stream. In a
- * large fleet a few neighbors collect the rows of the others, so that the calls to
- * the store do not delay the records.
+ * store holds the versions of each service (`software_record.ts`) and, for
+ * services with several, a row for each stream. In a large fleet a few neighbors
+ * collect the rows of the others, so that the calls to the store do not delay the
+ * records.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
 import {
-  createSoftwareVersions,
   createStreamOrigins,
   type OriginBatch,
   type StreamOrigin,
@@ -18,6 +17,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import { hash } from "node:crypto";
 import { z } from "zod";
+import { LOOKUP_TIMEOUT, type SoftwareRecords } from "./software_record.ts";
 
 /**
  * Where a stream began. "unknown": no daemon has saved it, and none will.
@@ -45,7 +45,7 @@
   find(request: string | undefined, service: string): Promise<FoundOrigin>;
   /** Takes records of a neighbor, to save and to remove them in its place. */
   collect(records: readonly OriginRecord[]): void;
-  /** Saves the records anew, because the store may have lost them. */
+  /** Saves the origins anew, because the store may have lost them. */
   renew(): void;
   run(signal: AbortSignal): Promise<void>;
 }
@@ -55,10 +55,7 @@
   readonly logger: EventLogger;
   readonly store: Pick<Platform, "readRow" | "readRows" | "transact">;
   readonly name: string;
-  /** Services whose streams can be taken up. */
-  readonly services: () => readonly string[];
-  /** Software versions of the listed replicas of a service. */
-  readonly versionsOf: (service: string) => ReadonlySet<string>;
+  readonly software: Pick<SoftwareRecords, "isMixed" | "readSole">;
   /** Number of daemons that write records to the store. */
   readonly writers: () => number;
   /**
@@ -75,14 +72,10 @@
   readonly rank: () => number;
 }
 
-const VERSION_TABLE = "software";
 const ORIGIN_TABLE = "streams";
 
 /** Longer than a stream and all tries of its caller last. */
-const STREAM_LIFETIME: Milliseconds = 30_000;
-
-/** Interval between two looks at the versions of the listed replicas. */
-const CHECK_PERIOD: Milliseconds = 150;
+export const STREAM_LIFETIME: Milliseconds = 30_000;
 
 /**
  * Interval between two batches. What is not saved when a daemon is killed cannot
@@ -104,103 +97,34 @@
 
 const STORE_TIMEOUT: Milliseconds = 900;
 
-/** A caller waits for the answer of the store before its stream goes on. */
-const LOOKUP_TIMEOUT: Milliseconds = 400;
-
 /** Time after which a record that another daemon had not saved yet is there. */
 const LOOKUP_PAUSE: Milliseconds = 200;
 
 /** Lookups at once; further callers come back. */
 const MAX_LOOKUPS = 64;
 
-/** Time for which the recorded versions of a service are not read again. */
-const VERSIONS_EXPIRY: Milliseconds = 200;
-
-/** Spreads the first reads and writes of daemons that see the same change. */
-const SYNC_SPREAD: Milliseconds = 200;
-
-const VERSIONS = z.array(z.string());
 const ORIGIN = z.object({ service: z.string(), software: z.string() });
 
 export function createStreamRecords(
   options: StreamRecordsOptions,
 ): StreamRecords {
-  const { clock, logger, store } = options;
-  const versions = createSoftwareVersions({ clock, lifetime: STREAM_LIFETIME });
+  const { clock, logger, store, software } = options;
   const origins = createStreamOrigins({
     clock,
     lifetime: STREAM_LIFETIME,
-    needsSaving: (service) => versions.sole(service) === undefined,
+    needsSaving: software.isMixed,
   });
-  /** The versions of each service that the store is known to hold. */
-  const recorded = new Map<string, string>();
-  const versionsReadAt = new Map<string, Milliseconds>();
   let lookups = 0;
   let transactions = 0;
 
-  function observe(): void {
-    for (const service of options.services()) {
-      versions.observe(service, options.versionsOf(service));
-    }
-  }
-
-  function transact(
-    writes: readonly RowWrite[],
-    check?: Pick<Row, "table" | "key" | "version">,
-  ) {
+  function transact(writes: readonly RowWrite[]) {
     transactions += 1;
     const id = `${options.name}/streams/${transactions}`;
-    const checks = check === undefined ? [] : [check];
-    return store.transact({ id, checks, writes }, STORE_TIMEOUT);
+    return store.transact({ id, checks: [], writes }, STORE_TIMEOUT);
   }
 
-  function logUnread(table: string, reason: string): void {
-    logger.log("streams_unread", { table, reason });
-  }
-
-  /** Reads the row of a service; undefined when the store does not answer. */
-  async function recall(
-    service: string,
-    timeout: Milliseconds,
-  ): Promise<
-    { readonly text: string; readonly version: number } | undefined
-  > {
-    const key = { table: VERSION_TABLE, key: service };
-    const read = await store.readRow(key, timeout);
-    if (read.isErr()) {
-      logUnread(VERSION_TABLE, read.error.reason);
-      return undefined;
-    }
-    const parsed = VERSIONS.safeParse(read.value?.value ?? []);
-    if (!parsed.success) {
-      logger.log("entry_rejected", { key: service, reason: "not versions" });
-    }
-    const found = parsed.data ?? [];
-    versions.recall(service, found);
-    versionsReadAt.set(service, clock.monotonic());
-    return { text: toText(found), version: read.value?.version ?? 0 };
-  }
-
-  /** Brings the row of a service up to date. */
-  async function saveVersions(service: string): Promise<void> {
-    if (recorded.get(service) === toText(versions.list(service))) return;
-    await clock.sleep(SYNC_SPREAD * Math.random());
-    const row = await recall(service, STORE_TIMEOUT);
-    if (row === undefined) return;
-    const wanted = versions.list(service);
-    if (row.text !== toText(wanted)) {
-      const key = { table: VERSION_TABLE, key: service };
-      const settled = await transact([{ ...key, value: wanted }], {
-        ...key,
-        version: row.version,
-      });
-      if (settled.kind !== "done") return;
-      logger.log("software_changed", {
-        service,
-        versions: wanted.join(" "),
-      });
-    }
-    recorded.set(service, toText(wanted));
+  function logUnread(reason: string): void {
+    logger.log("streams_unread", { table: ORIGIN_TABLE, reason });
   }
 
   async function save({ saves, removals }: OriginBatch): Promise<boolean> {
@@ -227,14 +151,6 @@
     logger.log("streams_unsaved", { streams, collector: collector ?? "" });
   }
 
-  async function keepVersions(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      observe();
-      for (const service of options.services()) await saveVersions(service);
-      await clock.sleep(CHECK_PERIOD, signal);
-    }
-  }
-
   async function keepOrigins(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const collector = options.collector();
@@ -255,7 +171,7 @@
       const range = { table: ORIGIN_TABLE, prefix: "", limit: MAX_SWEPT };
       const read = await store.readRows(range, STORE_TIMEOUT);
       if (read.isErr()) {
-        logUnread(ORIGIN_TABLE, read.error.reason);
+        logUnread(read.error.reason);
         continue;
       }
       const nameOf = ({ key, version }: Row) => `${key}@${version}`;
@@ -276,7 +192,7 @@
     const row = { table: ORIGIN_TABLE, key };
     const read = await store.readRow(row, LOOKUP_TIMEOUT);
     if (read.isErr()) {
-      logUnread(ORIGIN_TABLE, read.error.reason);
+      logUnread(read.error.reason);
       return "unread";
     }
     if (read.value === undefined) return "unknown";
@@ -293,15 +209,10 @@
     key: string | undefined,
     service: string,
   ): Promise<FoundOrigin> {
-    observe();
-    const age = clock.monotonic() - (versionsReadAt.get(service) ?? -Infinity);
-    // Another daemon may have seen a further version before this one.
-    if (age > VERSIONS_EXPIRY) await recall(service, LOOKUP_TIMEOUT);
-    const software = versions.sole(service);
-    if (software !== undefined) {
-      const readAt = versionsReadAt.get(service) ?? -Infinity;
-      const readAge = clock.monotonic() - readAt;
-      return { service, software, evidence: "only version", age: readAge };
+    const sole = await software.readSole(service);
+    if (sole === "unread") return sole;
+    if (sole !== "several") {
+      return { service, ...sole, evidence: "only version" };
     }
     if (key === undefined) return "unknown";
     const origin = await readOrigin(key);
@@ -329,25 +240,13 @@
     collect(records) {
       for (const [key, origin] of records) origins.record(key, origin);
     },
-    renew() {
-      recorded.clear();
-      versionsReadAt.clear();
-      origins.renew();
-    },
+    renew: origins.renew,
     async run(signal) {
-      await Promise.all([
-        keepVersions(signal),
-        keepOrigins(signal),
-        sweep(signal),
-      ]);
+      await Promise.all([keepOrigins(signal), sweep(signal)]);
     },
   };
 }
 
-function toText(versions: readonly string[]): string {
-  return JSON.stringify([...versions].sort());
-}
-
 /** Callers choose the ids of their requests; keys have one length. */
 function keyOf(request: string): string {
   return hash("sha256", request, "hex").slice(0, 32);
