Queue: streams that have begun wait before new requests of their priority

Cause: a stream that has begun can use the replicas of one software version only, and waited in order of arrival behind new ones that can use all. Eight refused placements of such streams also ended a pass of the queue for requests that other replicas could take.

Change: at one priority they go first, and a request that is bound to some replicas holds back only those that are bound to the same.

Result: two tests of the queue, each failing without its half of the change.

--- a/packages/dispatch/src/dispatch_request.ts
+++ b/packages/dispatch/src/dispatch_request.ts
@@ -57,3 +57,12 @@
 export function priorityOf({ route, customer }: DispatchRequest): number {
   return customer?.priority ?? route.priority;
 }
+
+/**
+ * Place of the request among those that wait; the lowest goes first. At the same
+ * priority a stream that has begun goes before new requests: only the replicas of
+ * one software version can go on with it, and its caller has a part of it already.
+ */
+export function waitingRankOf(request: DispatchRequest): number {
+  return priorityOf(request) - (request.software === undefined ? 0 : 0.5);
+}
--- a/packages/dispatch/src/placement_queue.test.ts
+++ b/packages/dispatch/src/placement_queue.test.ts
@@ -2,6 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
+import { type DispatchRequest, waitingRankOf } from "./dispatch_request.ts";
 import { createPlacementQueue } from "./placement_queue.ts";
 
 function createQueue() {
@@ -208,3 +209,74 @@
   queue.retry();
   await Promise.all(waiting);
 });
+
+const BOUND = { software: "v2" };
+
+/**
+ * Streams that wait for replicas of two versions in turn, of which one takes a
+ * request every ten milliseconds: new ones can use both, bound ones the second.
+ */
+async function shareReplicas({ fresh, bound }: {
+  readonly fresh: number;
+  readonly bound: number;
+}): Promise<{ readonly fresh: number; readonly bound: number }> {
+  const clock = createManualClock();
+  const queue = createPlacementQueue(clock);
+  const route = { priority: 2 } as DispatchRequest["route"];
+  let open: string | undefined;
+  const placed = { fresh: 0, bound: 0 };
+  const enter = (kind: "fresh" | "bound") => {
+    const request = { route, ...(kind === "bound" ? BOUND : {}) };
+    return queue.wait({
+      rank: waitingRankOf(request as DispatchRequest),
+      bound: request.software,
+      deadline: 300,
+      isAbandoned: () => false,
+      place() {
+        const mayTake = kind === "bound" ? open === "v2" : open !== undefined;
+        if (!mayTake) return undefined;
+        open = undefined;
+        placed[kind] += 1;
+        return kind;
+      },
+    });
+  };
+  const waits = [
+    ...Array.from({ length: fresh }, () => enter("fresh")),
+    ...Array.from({ length: bound }, () => enter("bound")),
+  ];
+  for (let at = 0; at < 30; at += 1) {
+    open = at % 2 === 0 ? "v1" : "v2";
+    queue.retry();
+    await clock.advance(10);
+  }
+  queue.retry();
+  await Promise.all(waits);
+  return placed;
+}
+
+// Guards against LOST: callers that take streams up wait behind all new ones, and
+// for only some of the replicas.
+test("streams that go on are placed before new ones", async () => {
+  const placed = await shareReplicas({ fresh: 60, bound: 12 });
+  expect(placed.bound / 12).toBeGreaterThanOrEqual(placed.fresh / 60 / 2);
+});
+
+// Guards against new requests that wait although replicas are free, because the
+// replicas of streams ahead of them are full.
+test("streams bound to full replicas hold back no others", async () => {
+  const { clock, queue, placed, enter, open } = createQueue();
+  const waits = Array.from({ length: 9 }, () =>
+    queue.wait<string>({
+      ...{ rank: 1.5, bound: "v2", deadline: 1_000 },
+      isAbandoned: () => false,
+      place: () => undefined,
+    }));
+  waits.push(enter("other", 2));
+  open(1);
+  const placedAtOnce = [...placed];
+  await clock.advance(1_000);
+  queue.retry();
+  await Promise.all(waits);
+  expect(placedAtOnce).toEqual(["other"]);
+});
--- a/packages/dispatch/src/placement_queue.ts
+++ b/packages/dispatch/src/placement_queue.ts
@@ -44,7 +44,12 @@
    * do not wait for each other.
    */
   readonly lane?: string;
-  /** Position by priority; 0 goes first. */
+  /**
+   * Names the replicas of the lane to which the request is bound, if only some of
+   * them can take it. It does not hold back the others of the lane.
+   */
+  readonly bound?: string | undefined;
+  /** Position by priority; the lowest goes first. */
   readonly rank: number;
   readonly place: () => Placed | undefined;
   /** End of the wait, on the monotonic clock. */
@@ -56,6 +61,7 @@
 
 interface QueueEntry {
   readonly rank: number;
+  readonly bound: string;
   readonly since: Milliseconds;
   /** Latest time of a placement that is of use. */
   readonly latest: Milliseconds;
@@ -92,9 +98,12 @@
 
 const DEFAULT_LANE = "";
 
+const UNBOUND = "";
+
 /**
  * Failed placements after which a pass leaves a lane, because the requests
- * behind are unlikely to fit either.
+ * behind are unlikely to fit either. Those that are bound to some replicas say
+ * this only of others that are bound to the same.
  */
 const MAX_REFUSED_PER_PASS = 8;
 
@@ -229,12 +238,18 @@
 
   function placeLane(lane: Lane): void {
     const refused: QueueEntry[] = [];
+    const refusals = new Map<string, number>();
     for (const entry of entriesOf(lane)) {
+      const { bound } = entry;
+      const before = refusals.get(bound) ?? 0;
+      if (before >= MAX_REFUSED_PER_PASS) continue;
       if (entry.attempt()) {
         leave(lane, entry);
         for (const other of refused) other.isOvertaken = true;
         continue;
       }
+      refusals.set(bound, before + 1);
+      if (bound !== UNBOUND) continue;
       refused.push(entry);
       if (holds(lane, entry) || refused.length >= MAX_REFUSED_PER_PASS) break;
     }
@@ -316,6 +331,7 @@
       request: WaitRequest<Placed>,
     ): Promise<Placed | undefined> {
       const { rank, place, deadline, isAbandoned, needs = 0 } = request;
+      const { bound = UNBOUND } = request;
       const lane = laneOf(request.lane ?? DEFAULT_LANE);
       return new Promise((resolve) => {
         const latest = deadline - needs;
@@ -325,7 +341,7 @@
           return true;
         };
         const entry: QueueEntry = {
-          ...{ rank, since: clock.monotonic(), latest, expire },
+          ...{ rank, bound, since: clock.monotonic(), latest, expire },
           isOvertaken: false,
           attempt() {
             if (expire()) return true;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -18,8 +18,8 @@
   type DispatchRequest,
   isRetryable,
   type Placement,
-  priorityOf,
   softwareOf,
+  waitingRankOf,
 } from "@peridotvalve/dispatch";
 import type { LoadView } from "@peridotvalve/load";
 import type { Milliseconds } from "@peridotvalve/types";
@@ -327,7 +327,7 @@
         if (late !== undefined) return fail(late.reason, 502, late.wait);
         const status = remaining() <= 0 ? 504 : 502;
         const lane = laneOf(request, excluded).name;
-        const delay = queue.retryDelay(priorityOf(request), lane);
+        const delay = queue.retryDelay(waitingRankOf(request), lane);
         return fail(`${lastReason}, no room`, status, delay);
       }
       if (request.prompt !== undefined) {
@@ -396,7 +396,7 @@
 
     /** Estimates how long the request waits for a replica that may take it. */
     function estimateWait(): Milliseconds {
-      const rank = priorityOf(request);
+      const rank = waitingRankOf(request);
       const lane = laneOf(request, excluded).name;
       const ahead = queue.countAhead(rank, lane);
       const candidates = placement.candidates(request, excluded);
@@ -419,7 +419,8 @@
       const lane = laneOf(request, excluded);
       if (lane.isCold) meters.recordColdWait(request.service);
       return await queue.wait({
-        ...{ lane: lane.name, rank: priorityOf(request), deadline },
+        ...{ lane: lane.name, rank: waitingRankOf(request), deadline },
+        bound: request.software,
         needs: placement.leastTime(request),
         isAbandoned: () =>
           caller.hasDisconnected() || options.stopped.aborted ||
