Retries: none at an address where another replica answers

Cause: a replica that answers 421 is tried again, as it may refuse a weight version only. Where another replica has the address, each try is refused alike, and uses a retry of the service's budget.

Change: when the answer names another replica, the request does not return there.

--- a/packages/gateway/src/attempt_steps.ts
+++ b/packages/gateway/src/attempt_steps.ts
@@ -198,8 +198,10 @@
         await discardBody(attempt);
         const reason = `replica refused with ${head.status}`;
         const misdirected = metadata.isMisdirected;
+        const sender = metadata.replica ?? choice.replica.entry.id;
+        const replaced = misdirected && sender !== choice.replica.entry.id;
         return ended({
-          ...{ kind: "not run", reason, misdirected },
+          ...{ kind: "not run", reason, misdirected, replaced },
           answer: metadata,
         });
       }
--- a/packages/gateway/src/attempt_watch.ts
+++ b/packages/gateway/src/attempt_watch.ts
@@ -16,6 +16,8 @@
     readonly kind: "not run";
     readonly reason: string;
     readonly misdirected: boolean;
+    /** Another replica has its address now, and names itself in the answer. */
+    readonly replaced: boolean;
     readonly answer: ResponseMetadata;
   }
   | { readonly kind: "unsent"; readonly reason: string }
--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -23,7 +23,12 @@
 
 const BROKEN: AttemptOutcome = { kind: "lost", reason: "other side closed" };
 const REFUSED: AttemptOutcome = {
-  ...{ kind: "not run", reason: "replica full", misdirected: false },
+  ...{
+    kind: "not run",
+    reason: "replica full",
+    misdirected: false,
+    replaced: false,
+  },
   answer: { isRefusal: true, isMisdirected: false },
 };
 const GAP = 400;
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -251,11 +251,12 @@
         : outcome.reason;
       // A replica that refused only because of its weight version may be tried
       // again, and one that named a time after it.
-      const mayReturn = outcome.kind === "not run" &&
+      const hasRefused = outcome.kind === "not run" && !outcome.replaced;
+      const mayReturn = hasRefused &&
         (outcome.misdirected || caller.hasStarted() ||
           pushback.isActive(replica.entry));
       if (!mayReturn) excluded.add(replica.entry.id);
-      if (outcome.kind === "not run") refusedBy.add(replica.entry.id);
+      if (hasRefused) refusedBy.add(replica.entry.id);
       else if (caller.hasStarted()) {
         for (const id of refusedBy) excluded.delete(id);
       }
