Software records: hold across returns of the store, outages and waits

What had been recorded was forgotten with the return, an answer from before it counted after it, a failed call made knowledge of any age usable, and lists of earlier releases counted as complete. Streams could wait for a record without end, reads were repeated without backoff, failed writes were not logged, and a cut daemon counted versions whose replicas leave.

Change: the record names its era; what a daemon has seen recorded counts for as long as the removal takes, goes into the renewed record and keeps a shorter one from counting as complete. Waits end after 2 s, failures back off up to 2 s, services are kept apart, and only versions with usable replicas count for whether streams may begin.

--- a/packages/events/src/catalogue.ts
+++ b/packages/events/src/catalogue.ts
@@ -449,6 +449,11 @@
     message:
       "The software versions that may have begun streams of a service were recorded.",
   }),
+  software_unsaved: defineEvent(3044, "warn", {
+    fields: { service: S, reason: S },
+    message:
+      "The software versions of a service could not be recorded, and are tried again; no streams begin at a version before it is recorded.",
+  }),
   streams_unread: defineEvent(3043, "warn", {
     fields: { table: S, reason: S },
     message:
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -337,10 +337,12 @@
   });
   const software = createSoftwareRecords({
     ...{ clock, logger, store: options.store, name: settings.name },
-    ...{ usageClock: options.leaseClock, storeEra: options.storeEra },
+    ...{ suspendAwareClock: options.leaseClock, storeEra: options.storeEra },
     lifetime: STREAM_LIFETIME,
     services: () => listStreamServices(holder.current()),
     versionsOf: (service) => listSoftware(replicas.all(), service),
+    usableVersionsOf: (service) =>
+      listSoftware(replicas.usable(service), service),
     isRemover: () => rank(STREAM_DUTY) === 0,
   });
   const streams = createStreamRecords({
--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -61,7 +61,7 @@
   readonly contact: Pick<ReplicaContact, "isLost">;
   readonly detour: Detour;
   readonly streams: Pick<StreamRecords, "find" | "record">;
-  readonly software: Pick<SoftwareRecords, "mayBegin" | "settled">;
+  readonly software: Pick<SoftwareRecords, "isBarred" | "settled">;
   /** Aborts when the daemon ends; nothing is sent afterwards. */
   readonly stopped: AbortSignal;
 }
@@ -377,7 +377,7 @@
       const isBegun = caller.hasStarted() || request.software !== undefined;
       return isOutOfContact() ||
         (request.route.isResumable && !isBegun && sends === 0 &&
-          !options.software.mayBegin(request.service));
+          options.software.isBarred(request.service));
     }
 
     function takeRetry(): boolean {
--- a/packages/gateway/src/software_record.ts
+++ b/packages/gateway/src/software_record.ts
@@ -8,21 +8,20 @@
 import {
   createSoftwareVersions,
   type SoftwareRecord,
-  soleVersion,
   type VersionState,
 } from "@peridotvalve/retries";
-import { eraOf, type Platform, type StoreEra } from "@peridotvalve/tables";
+import type { Platform, StoreEra } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
 import { z } from "zod";
 
 export interface SoftwareRecords {
   /** Whether streams of the service may begin at the version. */
   stateOf(service: string, software: string): VersionState;
-  /** False when streams may begin at no listed version, now or soon. */
-  mayBegin(service: string): boolean;
+  /** True when streams may begin at no usable version, now or soon. */
+  isBarred(service: string): boolean;
   /**
-   * Resolves when streams may begin at a listed version, or it is known that
-   * they may not.
+   * Resolves when streams may begin at a usable version, when it is known that
+   * they may not, or after `SETTLING_LIMIT`.
    */
   settled(service: string): Promise<void>;
   /** True unless all streams of the service are known to begin at one version. */
@@ -47,7 +46,7 @@
 export interface SoftwareRecordsOptions {
   readonly clock: Clock;
   /** Its time passes while the VM is suspended. */
-  readonly usageClock: Clock;
+  readonly suspendAwareClock: Clock;
   readonly logger: EventLogger;
   readonly store: Pick<Platform, "readRow" | "transact">;
   readonly storeEra: Pick<StoreEra, "current">;
@@ -58,8 +57,12 @@
   readonly services: () => readonly string[];
   /** Software versions of the listed replicas of a service. */
   readonly versionsOf: (service: string) => ReadonlySet<string>;
+  /** Those of the replicas that take requests; by default all listed ones. */
+  readonly usableVersionsOf?: (service: string) => ReadonlySet<string>;
   /** True when this daemon removes versions that are not in use. */
   readonly isRemover: () => boolean;
+  /** Source of random numbers in [0, 1). */
+  readonly random?: () => number;
 }
 
 /** A record as it was read. */
@@ -67,8 +70,6 @@
   /** Undefined when there is none. */
   readonly record: SoftwareRecord | undefined;
   readonly rowVersion: number;
-  /** The record is of an earlier era of the store. */
-  readonly isOutdated: boolean;
   readonly askedAt: Milliseconds;
 }
 
@@ -88,37 +89,51 @@
 
 const STORE_TIMEOUT: Milliseconds = 900;
 
+/** Longest wait of a new stream for the record of its service. */
+const SETTLING_LIMIT: Milliseconds = 2_000;
+const SETTLING_PERIOD: Milliseconds = 15;
+
+/** Era of a record that says nothing of its era. */
+const NO_ERA = -1;
+
 /** A caller waits for the answer of the store before its stream goes on. */
 export const LOOKUP_TIMEOUT: Milliseconds = 400;
 
 const RECORD = z.union([
   z.object({
+    era: z.number(),
     versions: z.array(z.object({
       software: z.string(),
       leaving: z.string().optional(),
     })),
-    renewal: z.string().optional(),
+    renewal: z.object({ mark: z.string(), time: z.number() }).optional(),
   }),
-  // Earlier releases wrote the versions only.
+  // Earlier releases wrote the versions only, after their first streams.
   z.array(z.string()).transform((versions): SoftwareRecord => ({
+    era: NO_ERA,
     versions: versions.map((software) => ({ software })),
   })),
 ]);
 
+/** Stands for a row that cannot be read. */
+const UNREADABLE: SoftwareRecord = { era: NO_ERA, versions: [] };
+
 export function createSoftwareRecords(
   options: SoftwareRecordsOptions,
 ): SoftwareRecords {
-  const { clock, usageClock, logger, store, name, lifetime } = options;
+  const { clock, suspendAwareClock, logger, store, name } = options;
+  const { lifetime, storeEra, random = Math.random } = options;
+  const { usableVersionsOf = options.versionsOf } = options;
   let marks = 0;
   let transactions = 0;
   const versions = createSoftwareVersions({
-    ...{ clock, usageClock, lifetime },
+    ...{ clock, suspendAwareClock, lifetime, random },
     // The time tells marks of two runs of this daemon apart.
     createMark: () => `${name}/${clock.now()}/${marks += 1}`,
   });
   const reads = new Map<string, Reads>();
-  /** Called when what is known of the records may have changed. */
-  const waiting: (() => void)[] = [];
+  /** Services whose record is being brought up to date. */
+  const kept = new Set<string>();
 
   async function read(
     service: string,
@@ -130,20 +145,16 @@
     if (answer.isErr()) {
       const { reason } = answer.error;
       logger.log("streams_unread", { table: VERSION_TABLE, reason });
-      versions.recordFailure(service);
+      versions.reportFailure(service);
       return undefined;
     }
     const row = answer.value;
-    const parsed = row === undefined ? undefined : RECORD.safeParse(row.value);
-    if (parsed?.success === false) {
+    if (row === undefined) return { record: row, rowVersion: 0, askedAt };
+    const { data } = RECORD.safeParse(row.value);
+    if (data === undefined) {
       logger.log("entry_rejected", { key: service, reason: "not versions" });
     }
-    const rowVersion = row?.version ?? 0;
-    return {
-      ...{ record: parsed?.data, rowVersion, askedAt },
-      isOutdated: parsed?.success === false ||
-        (row !== undefined && eraOf(rowVersion) < options.storeEra.current()),
-    };
+    return { record: data ?? UNREADABLE, rowVersion: row.version, askedAt };
   }
 
   /** Returns a read that begins after the call; calls at one time share it. */
@@ -183,10 +194,15 @@
       });
       return;
     }
-    const isConflict = settled.kind === "not done" &&
-      settled.reason.kind === "conflict";
+    const reason = settled.kind === "unknown"
+      ? settled.reason
+      : settled.reason.kind === "refused"
+      ? settled.reason.reason
+      : undefined;
     // Another daemon has written; what it wrote is read next.
-    if (!isConflict) versions.recordFailure(service);
+    if (reason === undefined) return;
+    logger.log("software_unsaved", { service, reason });
+    versions.reportFailure(service);
   }
 
   function observe(service: string): void {
@@ -197,12 +213,11 @@
   async function review(service: string) {
     const found = await read(service, STORE_TIMEOUT);
     if (found === undefined) return undefined;
-    const { record, isOutdated, askedAt } = found;
-    if (record !== undefined && !isOutdated) {
-      versions.confirm(service, record, askedAt);
-    }
+    const { record, askedAt } = found;
+    const era = storeEra.current();
+    if (record?.era === era) versions.confirm(service, record, askedAt);
     const isRemover = options.isRemover();
-    const revised = versions.revise(service, record, { isRemover, isOutdated });
+    const revised = versions.revise(service, record, { isRemover, era });
     return revised === undefined ? undefined : { found, revised };
   }
 
@@ -210,52 +225,73 @@
   async function keep(service: string): Promise<void> {
     observe(service);
     if (!versions.isDue(service)) return;
-    if (await review(service) !== undefined) {
-      // Another daemon may write the same meanwhile.
-      await clock.sleep(SYNC_SPREAD * Math.random());
-      const last = await review(service);
-      if (last !== undefined) await write(service, last.revised, last.found);
+    if (await review(service) === undefined) return;
+    // Another daemon may write the same meanwhile.
+    await clock.sleep(SYNC_SPREAD * random());
+    const last = await review(service);
+    if (last !== undefined) await write(service, last.revised, last.found);
+  }
+
+  async function keepAlone(service: string): Promise<void> {
+    if (kept.has(service)) return;
+    kept.add(service);
+    try {
+      await keep(service);
+    } catch (error) {
+      logger.log("handler_failed", { reason: String(error) });
+      versions.reportFailure(service);
+    } finally {
+      kept.delete(service);
     }
-    for (const wake of waiting.splice(0)) wake();
+  }
+
+  function stateOfAny(service: string): VersionState {
+    const states = [...usableVersionsOf(service)].map((software) =>
+      versions.stateOf(service, software)
+    );
+    if (states.length === 0 || states.includes("recorded")) return "recorded";
+    return states.includes("pending") ? "pending" : "unknown";
   }
 
   return {
     stateOf: versions.stateOf,
-    mayBegin: (service) => versions.stateOfAny(service) !== "unknown",
+    isMixed: versions.isMixed,
+    isBarred: (service) =>
+      versions.isInOutage(service) && stateOfAny(service) === "unknown",
     async settled(service) {
-      observe(service);
-      while (versions.stateOfAny(service) === "pending") {
-        await new Promise<void>((resolve) => waiting.push(resolve));
+      const end = clock.monotonic() + SETTLING_LIMIT;
+      while (stateOfAny(service) === "pending" && clock.monotonic() < end) {
+        await clock.sleep(SETTLING_PERIOD);
       }
     },
-    isMixed: versions.isMixed,
     async readSole(service) {
       const found = await readAfterwards(service);
       if (found === undefined) return "unread";
-      const { record, isOutdated, askedAt } = found;
-      const software = record === undefined || isOutdated
+      const { record, askedAt } = found;
+      const software = record === undefined
         ? undefined
-        : soleVersion(record);
+        : versions.soleOf(service, record, storeEra.current());
       if (software === undefined) return "several";
       return { software, age: versions.now() - askedAt };
     },
     renew: versions.forget,
     async run(signal) {
       while (!signal.aborted) {
-        await Promise.all(options.services().map(keep));
+        for (const service of options.services()) void keepAlone(service);
         await clock.sleep(CHECK_PERIOD, signal);
       }
     },
   };
 }
 
-function toValue({ versions, renewal }: SoftwareRecord) {
+function toValue({ era, versions, renewal }: SoftwareRecord) {
   return {
+    era,
     versions: versions.map(({ software, leaving }) => ({
       software,
       ...(leaving === undefined ? {} : { leaving }),
     })),
-    ...(renewal === undefined ? {} : { renewal }),
+    ...(renewal === undefined ? {} : { renewal: { ...renewal } }),
   };
 }
 
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -28,7 +28,7 @@
 export interface KnownOrigin extends StreamOrigin {
   /** "record": of this stream; "only version": of the service's streams. */
   readonly evidence: "record" | "only version";
-  /** Time since the store gave the evidence; 0 for that of this daemon. */
+  /** Time since the store was asked for the only version; else 0. */
   readonly age: Milliseconds;
 }
 
@@ -100,7 +100,7 @@
 /** Time after which a record that another daemon had not saved yet is there. */
 const LOOKUP_PAUSE: Milliseconds = 200;
 
-/** Lookups at once; further callers come back. */
+/** Reads of stream records at once; further callers come back. */
 const MAX_LOOKUPS = 64;
 
 const ORIGIN = z.object({ service: z.string(), software: z.string() });
@@ -215,10 +215,16 @@
       return { service, ...sole, evidence: "only version" };
     }
     if (key === undefined) return "unknown";
-    const origin = await readOrigin(key);
-    if (typeof origin === "object") return origin;
-    await clock.sleep(LOOKUP_PAUSE);
-    return await readOrigin(key);
+    if (lookups >= MAX_LOOKUPS) return "unread";
+    lookups += 1;
+    try {
+      const origin = await readOrigin(key);
+      if (typeof origin === "object") return origin;
+      await clock.sleep(LOOKUP_PAUSE);
+      return await readOrigin(key);
+    } finally {
+      lookups -= 1;
+    }
   }
 
   return {
@@ -229,13 +235,7 @@
       const key = request === undefined ? undefined : keyOf(request);
       const known = key === undefined ? undefined : origins.find(key);
       if (known !== undefined) return { ...known, evidence: "record", age: 0 };
-      if (lookups >= MAX_LOOKUPS) return "unread";
-      lookups += 1;
-      try {
-        return await lookUp(key, service);
-      } finally {
-        lookups -= 1;
-      }
+      return await lookUp(key, service);
     },
     collect(records) {
       for (const [key, origin] of records) origins.record(key, origin);
