Stream records: a neighbor saves them for a daemon without the store

Cause: such a daemon kept the records of its streams until the store was back.

Change: it gives them to the preferred neighbor, at once for 2 s after a save has failed, by the call that gives records to a collector.

Result: a test of the records without a network, new.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -352,6 +352,7 @@
         ? peerCount()
         : Math.ceil(peerCount() / DAEMONS_PER_COLLECTOR),
     collector: () => mesh?.collector(STREAM_DUTY),
+    neighbor: () => mesh?.listInContact()[0]?.calls,
     send: peerClient.sendStreams,
     rank: () => rank(STREAM_DUTY),
   });
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -124,6 +124,8 @@
   /** Software versions of the replicas that the daemon lists at first. */
   readonly listed: readonly string[];
   readonly collector?: StreamRecords;
+  /** Saves the records while the store cannot be reached. */
+  readonly neighbor?: StreamRecords;
   /** Name of the daemon; the first one removes versions. */
   readonly name?: string;
   /** The monotonic clock; by default it does not stop in suspensions. */
@@ -134,7 +136,8 @@
 function startDaemon(
   clock: ManualClock,
   store: Store,
-  { listed, collector, name = "front", stoppingClock = clock }: DaemonOptions,
+  { listed, collector, neighbor, name = "front", stoppingClock = clock }:
+    DaemonOptions,
 ) {
   let present = new Set(listed);
   let era = 0;
@@ -153,8 +156,9 @@
     software,
     writers: () => 6,
     collector: () => collector === undefined ? undefined : "10.0.0.1:8000",
-    send(_collector, sent) {
-      collector?.collect(sent);
+    neighbor: () => neighbor === undefined ? undefined : "10.0.0.2:8000",
+    send(_address, sent) {
+      (collector ?? neighbor)?.collect(sent);
       return Promise.resolve(true);
     },
     rank: () => 0,
@@ -289,6 +293,27 @@
   next.end();
 });
 
+// Guards against LOST: streams that began at a daemon without the store are not
+// known at the others, where their callers take them up.
+test("a neighbor saves the records of a daemon without the store", async () => {
+  const clock = createManualClock();
+  const { store, countOf } = createStore();
+  const listed = ["v1", "v2"];
+  const neighbor = startDaemon(clock, store, { listed });
+  const { path, state } = createPath(store);
+  const cut = startDaemon(clock, path, {
+    ...{ listed, name: "front-1", neighbor: neighbor.records },
+  });
+  await advance(clock, 1_000);
+  state.isCut = true;
+  expect(cut.begin("a", "v1")).toEqual(true);
+  await advance(clock, 400);
+  expect(countOf("streams")).toEqual(1);
+  const other = startDaemon(clock, store, { listed, name: "front-2" });
+  expect(await find(clock, other, "a")).toEqual("v1");
+  for (const { end } of [neighbor, cut, other]) end();
+});
+
 /** Two daemons that list one version, with a complete record of it. */
 async function startPair() {
   const clock = createManualClock();
@@ -647,7 +672,7 @@
     });
     const records = createStreamRecords({
       ...{ ...common, software, writers: () => 1, rank: () => 0 },
-      collector: () => undefined,
+      ...{ collector: () => undefined, neighbor: () => undefined },
       send: () => Promise.resolve(true),
     });
     const stop = new AbortController();
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -63,7 +63,12 @@
    * when it saves them itself.
    */
   readonly collector: () => string | undefined;
-  /** Gives records to a collector; returns false when it has not taken them. */
+  /**
+   * Address of a neighbor that is asked to save the records while the store
+   * cannot be reached from here.
+   */
+  readonly neighbor: () => string | undefined;
+  /** Gives records to a neighbor; returns false when it has not taken them. */
   readonly send: (
     collector: string,
     records: readonly OriginRecord[],
@@ -97,6 +102,9 @@
 
 const STORE_TIMEOUT: Milliseconds = 900;
 
+/** Time for which neighbors save in place of a daemon whose save has failed. */
+const OUTAGE_PERIOD: Milliseconds = 2_000;
+
 /** Time after which a record that another daemon had not saved yet is there. */
 const LOOKUP_PAUSE: Milliseconds = 200;
 
@@ -116,6 +124,7 @@
   });
   let lookups = 0;
   let transactions = 0;
+  let nextSave: Milliseconds = -Infinity;
 
   function transact(writes: readonly RowWrite[]) {
     transactions += 1;
@@ -140,17 +149,31 @@
 
   async function saveOrigins(collector: string | undefined): Promise<void> {
     const batch = origins.takeBatch(MAX_ENTRIES);
-    const streams = batch.saves.length;
-    if (streams + batch.removals.length === 0) return;
-    // A collector removes the records itself that it has taken.
+    const { saves, removals } = batch;
+    if (saves.length + removals.length === 0) return;
     const isSaved = collector === undefined
-      ? await save(batch)
-      : streams === 0 || await options.send(collector, batch.saves);
+      ? await saveHere(batch)
+      // A collector removes the records itself that it has taken.
+      : saves.length === 0 || await options.send(collector, saves);
     if (isSaved) return;
+    const neighbor = saves.length > 0 ? options.neighbor() : undefined;
+    if (neighbor !== undefined && await options.send(neighbor, saves)) {
+      return origins.giveBack({ saves: [], removals });
+    }
     origins.giveBack(batch);
+    const streams = saves.length;
     logger.log("streams_unsaved", { streams, collector: collector ?? "" });
   }
 
+  /** Saves in the store, unless it could not be reached a moment ago. */
+  async function saveHere(batch: OriginBatch): Promise<boolean> {
+    const hasNeighbor = options.neighbor() !== undefined;
+    if (hasNeighbor && clock.monotonic() < nextSave) return false;
+    const isSaved = await save(batch);
+    if (!isSaved) nextSave = clock.monotonic() + OUTAGE_PERIOD;
+    return isSaved;
+  }
+
   async function keepOrigins(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const collector = options.collector();
