Body reader: a complete body that waits to be joined is not broken off

Cause: a body in two pieces or without a length needs room for its joined bytes at its end. While it waited, the reader listened for the close of the request, which comes with the end of every body, so the wait ended at once as "broken off" and the caller had no room nor refusal.

Change: it listens for the close of the connection.

Result: the first new test fails on the code before and passes; the second guards the caller that leaves meanwhile.

--- a/packages/connections/src/body_reader.test.ts
+++ b/packages/connections/src/body_reader.test.ts
@@ -5,7 +5,11 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { createBodyReader, type ReceivedBody } from "./body_reader.ts";
+import {
+  type BodyReader,
+  createBodyReader,
+  type ReceivedBody,
+} from "./body_reader.ts";
 import { createMemoryBudget } from "./memory_budget.ts";
 import { createReadTurns } from "./read_turns.ts";
 
@@ -68,6 +72,16 @@
   if (isChunked) socket.write("0\r\n\r\n");
 }
 
+/** Resolves when a body waits for room, or has ended without. */
+async function untilWaiting(
+  reader: BodyReader,
+  result: Promise<ReceivedBody>,
+): Promise<void> {
+  let isOver = false;
+  void result.then(() => isOver = true);
+  while (!isOver && reader.waiting() === 0) await sleep(5);
+}
+
 // Guards against bytes that are lost or moved where pieces are joined.
 for (const isChunked of [false, true]) {
   for (
@@ -125,6 +139,35 @@
   expect(Buffer.compare(bytesOf(await result), expected)).toEqual(0);
 });
 
+// Guards against complete bodies that are taken for broken off because their
+// requests close while they wait for the room in which their pieces are joined.
+test("a complete body waits for the room to be joined", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 1_000_000 });
+  memory.tryTake(850_000);
+  const { socket, result } = await open(CHUNKED);
+  const body = Buffer.alloc(100_000, "x");
+  void writePieces(socket, body, { size: 50_000, isChunked: true });
+  await untilWaiting(reader, result);
+  await sleep(50);
+  memory.giveBack(850_000);
+  expect(Buffer.compare(bytesOf(await result), body)).toEqual(0);
+});
+
+// Guards against memory that is held for a caller who has left, and against
+// listeners that stay at its connection.
+test("a body that waits to be joined ends with its connection", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 1_000_000 });
+  memory.tryTake(850_000);
+  const { socket, result } = await open(CHUNKED);
+  void writePieces(socket, Buffer.alloc(100_000, "x"), {
+    ...{ size: 50_000, isChunked: true },
+  });
+  await untilWaiting(reader, result);
+  socket.destroy();
+  expect(await result).toEqual({ kind: "broken off" });
+  expect([memory.taken(), reader.waiting()]).toEqual([850_000, 0]);
+});
+
 // Guards against callers with short bodies who are refused because the long
 // bodies of others hold everything.
 test("long bodies leave room for short ones", async (t) => {
--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -504,6 +504,7 @@
 
         /** Waits for the room of the whole body in one piece. */
         function waitForJoin(): void {
+          const { socket } = request;
           const expiry = setTimeout(() => fail("no room"), MAX_ROOM_WAIT);
           const stopListening = memory.onRoom(retry);
           waiting += 1;
@@ -511,13 +512,15 @@
             waiting -= 1;
             clearTimeout(expiry);
             stopListening();
+            socket.off("close", onBroken);
             stopWaiting = undefined;
           };
-          request.once("close", onBroken);
+          // A request closes at the end of its body, before its connection.
+          socket.once("close", onBroken);
+          if (socket.destroyed) return fail("broken off");
           function retry(): void {
             if (isOver) return;
             stopWaiting?.();
-            request.off("close", onBroken);
             finish();
           }
         }
