Body reader: free copied and discarded pieces at once

Cause: pieces that were copied stayed until V8 collected garbage.

Only bytes that are freed are given back earlier than before; shorter pieces are collected as before. Giving back bytes allocates nothing when no body waits.

--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -15,6 +15,7 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { IncomingMessage } from "node:http";
+import { freePiece } from "./free_piece.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import type { ReadTurns } from "./read_turns.ts";
 
@@ -194,10 +195,15 @@
   }
 
   function dropBlock(block: Buffer): void {
-    if (freeBlocks.length < MAX_FREE_BLOCKS) {
-      freeBlocks.push(block);
-      memory.giveBack(BLOCK);
-    } else memory.giveBackCollected(block, BLOCK);
+    if (freeBlocks.length < MAX_FREE_BLOCKS) freeBlocks.push(block);
+    else freePiece(block);
+    memory.giveBack(BLOCK);
+  }
+
+  /** Drops a piece that is copied or discarded. */
+  function dropPiece(piece: Uint8Array): void {
+    const { length } = piece;
+    if (!freePiece(piece)) memory.recordPiece(length);
   }
 
   /** Reads a short body whose bytes are taken from the budget already. */
@@ -329,7 +335,7 @@
         function fill(piece: Uint8Array): boolean {
           whole?.set(piece, wholeSize);
           wholeSize += piece.length;
-          memory.recordPiece(piece.length);
+          dropPiece(piece);
           return true;
         }
 
@@ -360,7 +366,7 @@
             blockSize += part.length;
             at += part.length;
           }
-          memory.recordPiece(piece.length);
+          dropPiece(piece);
           return true;
         }
 
@@ -499,6 +505,10 @@
             at += part.length;
           }
           dropBlocks();
+          for (const piece of kept) {
+            const bytes = piece.length + BODY_OVERHEAD;
+            if (freePiece(piece)) giveBack(bytes);
+          }
           succeed(joined);
         }
 
@@ -562,8 +572,8 @@
         let size: Bytes = 0;
         const expiry = setTimeout(finish, MAX_DISCARD_TIME);
         const onData = (piece: Uint8Array) => {
-          memory.recordPiece(piece.length);
           size += piece.length;
+          dropPiece(piece);
           if (size > maxBytes) finish();
         };
         function finish(): void {
--- a/packages/connections/src/memory_budget.ts
+++ b/packages/connections/src/memory_budget.ts
@@ -6,7 +6,7 @@
  * garbage of the old generation, which it does after about 64 MiB of them, more
  * than a small machine has. So a long buffer counts until it is collected, and
  * the budget collects when room is short. It also collects after a number of bytes
- * of the pieces in which Node.js hands out a body and which are not kept.
+ * of the short pieces in which Node.js hands out a body and which are not kept.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
@@ -103,6 +103,7 @@
     giveBack(bytes) {
       if (bytes === 0) return;
       taken -= bytes;
+      if (listeners.size === 0) return;
       const waiting = [...listeners];
       listeners.clear();
       for (const listener of waiting) listener();
