Body reader: join a short piece with one copy

Cause: a piece that fits into the present block was copied through a loop and a view of its own, which costs most for tiny pieces.

Change: such a piece is copied directly; what is taken from the budget is the same.

--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -354,8 +354,14 @@
         /** Copies a piece into the blocks; false when there is no room. */
         function join(piece: Uint8Array): boolean {
           const free = blocks.length === 0 ? 0 : BLOCK - blockSize;
-          const needed = Math.ceil(Math.max(0, piece.length - free) / BLOCK);
-          if (needed > 0 && !take(needed * BLOCK)) return false;
+          if (piece.length <= free) {
+            blocks.at(-1)?.set(piece, blockSize);
+            blockSize += piece.length;
+            dropPiece(piece);
+            return true;
+          }
+          const needed = Math.ceil((piece.length - free) / BLOCK);
+          if (!take(needed * BLOCK)) return false;
           for (let at = 0; at < piece.length;) {
             if (blocks.length === 0 || blockSize === BLOCK) {
               blocks.push(takeBlock());
