Merge less processor time for bodies in pieces

Beside it a fault was found and fixed: a complete body that waited for room to be joined was taken for broken off.

--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -15,6 +15,7 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { IncomingMessage } from "node:http";
+import { freePiece } from "./free_piece.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import type { ReadTurns } from "./read_turns.ts";
 
@@ -194,10 +195,15 @@
   }
 
   function dropBlock(block: Buffer): void {
-    if (freeBlocks.length < MAX_FREE_BLOCKS) {
-      freeBlocks.push(block);
-      memory.giveBack(BLOCK);
-    } else memory.giveBackCollected(block, BLOCK);
+    if (freeBlocks.length < MAX_FREE_BLOCKS) freeBlocks.push(block);
+    else freePiece(block);
+    memory.giveBack(BLOCK);
+  }
+
+  /** Drops a piece that is copied or discarded. */
+  function dropPiece(piece: Uint8Array): void {
+    const { length } = piece;
+    if (!freePiece(piece)) memory.recordPiece(length);
   }
 
   /** Reads a short body whose bytes are taken from the budget already. */
@@ -329,7 +335,7 @@
         function fill(piece: Uint8Array): boolean {
           whole?.set(piece, wholeSize);
           wholeSize += piece.length;
-          memory.recordPiece(piece.length);
+          dropPiece(piece);
           return true;
         }
 
@@ -348,8 +354,14 @@
         /** Copies a piece into the blocks; false when there is no room. */
         function join(piece: Uint8Array): boolean {
           const free = blocks.length === 0 ? 0 : BLOCK - blockSize;
-          const needed = Math.ceil(Math.max(0, piece.length - free) / BLOCK);
-          if (needed > 0 && !take(needed * BLOCK)) return false;
+          if (piece.length <= free) {
+            blocks.at(-1)?.set(piece, blockSize);
+            blockSize += piece.length;
+            dropPiece(piece);
+            return true;
+          }
+          const needed = Math.ceil((piece.length - free) / BLOCK);
+          if (!take(needed * BLOCK)) return false;
           for (let at = 0; at < piece.length;) {
             if (blocks.length === 0 || blockSize === BLOCK) {
               blocks.push(takeBlock());
@@ -360,7 +372,7 @@
             blockSize += part.length;
             at += part.length;
           }
-          memory.recordPiece(piece.length);
+          dropPiece(piece);
           return true;
         }
 
@@ -499,11 +511,16 @@
             at += part.length;
           }
           dropBlocks();
+          for (const piece of kept) {
+            const bytes = piece.length + BODY_OVERHEAD;
+            if (freePiece(piece)) giveBack(bytes);
+          }
           succeed(joined);
         }
 
         /** Waits for the room of the whole body in one piece. */
         function waitForJoin(): void {
+          const { socket } = request;
           const expiry = setTimeout(() => fail("no room"), MAX_ROOM_WAIT);
           const stopListening = memory.onRoom(retry);
           waiting += 1;
@@ -511,13 +528,15 @@
             waiting -= 1;
             clearTimeout(expiry);
             stopListening();
+            socket.off("close", onBroken);
             stopWaiting = undefined;
           };
-          request.once("close", onBroken);
+          // A request closes at the end of its body, before its connection.
+          socket.once("close", onBroken);
+          if (socket.destroyed) return fail("broken off");
           function retry(): void {
             if (isOver) return;
             stopWaiting?.();
-            request.off("close", onBroken);
             finish();
           }
         }
@@ -559,8 +578,8 @@
         let size: Bytes = 0;
         const expiry = setTimeout(finish, MAX_DISCARD_TIME);
         const onData = (piece: Uint8Array) => {
-          memory.recordPiece(piece.length);
           size += piece.length;
+          dropPiece(piece);
           if (size > maxBytes) finish();
         };
         function finish(): void {
