Replicas: the grace period of a missing entry ends without a read of the list

What could happen: after an outage a replica is missing from the list, the store is away again or the daemon cut off, and requests still go to the replica (DRAIN binds also in disturbance).

Cause: missing entries were dropped at the next read only. Change: an entry whose grace period has ended is no longer used.

--- a/packages/dispatch/src/replica.test.ts
+++ b/packages/dispatch/src/replica.test.ts
@@ -75,6 +75,19 @@
   expect(usable()).toEqual(["b"]);
 });
 
+// Guards against DRAIN: a replica whose entry is gone is used for as long as the
+// list cannot be read again.
+test("a missing entry is not used after the grace period, read or not", async () => {
+  const { clock, table, usable } = createTable();
+  table.replaceAll([entry("a"), entry("b")]);
+  await clock.advance(5_000);
+  table.recordListRead();
+  table.replaceAll([entry("b")]);
+  expect(usable()).toEqual(["a", "b"]);
+  await clock.advance(2_500);
+  expect(usable()).toEqual(["b"]);
+});
+
 test("a replica that starts again under its id is another incarnation", () => {
   const { table, changes } = createTable();
   table.put(entry("a", { born: 1, weights: new Map([["m", 4]]) }));
--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -277,6 +277,12 @@
     else drop(id);
   }
 
+  /** True when the entry is missing for good; it is dropped at the next read. */
+  function isRemoved(id: string): boolean {
+    return removals.size > 0 &&
+      clock.monotonic() >= (removals.get(id) ?? Infinity);
+  }
+
   function dropExpiredRemovals(): void {
     if (removals.size === 0) return;
     const now = clock.monotonic();
@@ -318,7 +324,7 @@
       const ready = [...replicas.values()].filter(({ entry }) =>
         entry.service === service && entry.state === "ready" &&
         (software === undefined || softwareOf(entry) === software) &&
-        isEligible(entry)
+        !isRemoved(entry.id) && isEligible(entry)
       );
       const staying = ready.filter(({ entry }) =>
         leavingSince(entry) === undefined
