Lease: a step of the wall clock does not free the lease of another holder

What could happen: two holders order weights within one term (ONE).

Cause: a contender measured how long the row stayed unchanged on the clock that includes suspensions, which takes a forward step of the wall clock for one. Change: contenders wait on the monotonic clock; only the holder's own use is limited by the other one. Leases of packages/daemon have one clock, which does not see a suspension, as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -429,6 +429,7 @@
   const lease = createLease({
     platform: options.store,
     clock: options.leaseClock,
+    contenderClock: clock,
     name: "rollouts",
     holder: settings.name,
     duration: settings.leaseDuration + LEASE_HANDOVER_MARGIN +
--- a/packages/lease/src/lease.test.ts
+++ b/packages/lease/src/lease.test.ts
@@ -1,4 +1,9 @@
-import { createManualClock, type ManualClock } from "@peridotvalve/clock";
+import {
+  type Clock,
+  createManualClock,
+  createSuspendAwareClock,
+  type ManualClock,
+} from "@peridotvalve/clock";
 import { createMemoryPlatform } from "@peridotvalve/tables";
 import { expect } from "earl";
 import { test } from "node:test";
@@ -67,6 +72,33 @@
   expect((await a.renew()).kind).toEqual("lost");
 });
 
+// Guards against ONE: a step of its wall clock counts as time in which the row of
+// the holder has not changed, so that a contender takes over too early.
+test("a step of the wall clock does not free the lease", async () => {
+  const { clock, platform, contender } = setUp();
+  let step = 0;
+  const stepped: Clock = {
+    now: () => clock.now() + step,
+    monotonic: () => clock.monotonic(),
+    sleep: (...wait) => clock.sleep(...wait),
+  };
+  const a = contender("a");
+  await a.acquire();
+  const b = createLease({
+    ...{ platform, name: "sweep", holder: "b" },
+    ...{ duration: DURATION, margin: MARGIN },
+    clock: createSuspendAwareClock(stepped),
+    contenderClock: stepped,
+  });
+  await b.acquire();
+  await clock.advance(100);
+  step = 2 * DURATION;
+  expect((await b.acquire()).kind).toEqual("held by other");
+  expect(a.token()).not.toEqual(undefined);
+  await clock.advance(DURATION);
+  expect((await b.acquire()).kind).toEqual("held");
+});
+
 // Guards against ONE: two holders at the same time, as the row of the first was
 // lost when the store returned from a copy.
 test("a row that the store may have lost does not free the lease", async () => {
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -17,7 +17,14 @@
 
 export interface LeaseOptions {
   readonly platform: Platform;
+  /** Limits the use of the lease by its holder. */
   readonly clock?: Clock;
+  /**
+   * Measures how long the row of another holder stays unchanged; `clock` by
+   * default. No change of the wall clock may move it, and it may stand while the
+   * VM is suspended: the wait gets longer then.
+   */
+  readonly contenderClock?: Clock;
   readonly name: string;
   /** Name of this contender, stored in the row for diagnosis. */
   readonly holder: string;
@@ -87,7 +94,10 @@
   readonly termEnd: AbortController;
 }
 
-/** A version of another holder's row and when this contender first saw it. */
+/**
+ * A version of another holder's row and when this contender first saw it, on its
+ * own clock.
+ */
 interface Observation {
   readonly version: number;
   readonly firstSeenAt: Milliseconds;
@@ -97,6 +107,7 @@
   {
     platform,
     clock = createSystemClock(),
+    contenderClock = clock,
     name,
     holder,
     duration = DURATION,
@@ -152,7 +163,8 @@
     const parsed = parseLeaseRow(row);
     if (parsed === undefined || parsed.holder === null) return isReliable;
     if (observation?.version !== row.version) {
-      observation = { version: row.version, firstSeenAt: clock.monotonic() };
+      const firstSeenAt = contenderClock.monotonic();
+      observation = { version: row.version, firstSeenAt };
       return false;
     }
     // The read returns a state no older than its start, so the row was
@@ -163,7 +175,7 @@
   async function acquire(): Promise<LeaseResult> {
     const active = currentTerm();
     if (active !== undefined) return { kind: "held", token: active.token };
-    const readStartedAt = clock.monotonic();
+    const readStartedAt = contenderClock.monotonic();
     const read = await platform.readRow(key, timeout);
     if (read.isErr()) return unavailable(read.error.reason);
     const row = read.value;
