Tests of callers outside the limits for packages/daemon

A real process of the product, run as on a VM of 350 MB and 300 descriptors (heap of 175 MB), gets crowds of 12 to 600 connections. The tests check that it lives, its peak of resident memory and receive queues, its descriptors, and that an ordinary request is answered. The settings name the VM under `vm`, which is read but has no effect yet. A VM of 160 MB is no target: an idle daemon has 135.

--- a/packages/daemon/src/cache/testing.ts
+++ b/packages/daemon/src/cache/testing.ts
@@ -109,6 +109,7 @@
     bootstrapFolder: folder,
     logLevel: "trace",
     leaseDuration: 15_000,
+    vm: {},
     shutdown: { balancerDelay: 0, requestLimit: 600_000, limit: 5_000 },
   }, { write: (line) => lines.push(line) })).unwrap();
 
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -7,6 +7,7 @@
   milliseconds,
   name,
   nonNegativeInteger,
+  positiveInteger,
 } from "./primitives.ts";
 
 // Shorter secrets can be recovered from recorded datagrams by brute force.
@@ -47,6 +48,15 @@
   ),
 });
 
+const vm = z.strictObject({
+  memory: z.exactOptional(positiveInteger).describe(
+    "Memory of the VM, bytes.",
+  ),
+  descriptors: z.exactOptional(positiveInteger).describe(
+    "Descriptors that the process may open.",
+  ),
+});
+
 const seed = z.strictObject({
   address: address.describe("Peer listener of the other daemon."),
   availabilityZone: name.describe("Availability zone of the other daemon."),
@@ -73,6 +83,7 @@
   shutdown: shutdown.prefault({}).describe(
     "Time limits of a graceful shutdown.",
   ),
+  vm: vm.prefault({}).describe("The VM that the process runs on."),
   leaseDuration: milliseconds.min(MIN_LEASE_DURATION_MS).default(15_000)
     .describe(
       "Time after which another daemon takes over the work of one that no " +
--- a/packages/settings/src/process_settings.ts
+++ b/packages/settings/src/process_settings.ts
@@ -3,7 +3,7 @@
  */
 import { readFile } from "node:fs/promises";
 import { dirname, resolve } from "node:path";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { z } from "zod";
 import { createFileProblem } from "./folder.ts";
@@ -42,10 +42,17 @@
   readonly bootstrapFolder?: string;
   readonly logLevel: LogLevel;
   readonly shutdown: Shutdown;
+  readonly vm: Vm;
   /** Duration of the leases that this process acquires. */
   readonly leaseDuration: Milliseconds;
 }
 
+/** The VM of the process; what is absent is read from the system. */
+export interface Vm {
+  readonly memory?: Bytes;
+  readonly descriptors?: number;
+}
+
 export interface Seed {
   readonly address: string;
   readonly availabilityZone: string;
--- a/scripts/run_tests.ts
+++ b/scripts/run_tests.ts
@@ -19,6 +19,7 @@
 
 /** They measure the memory of processes, so they run alone, after all others. */
 const EXCLUSIVE_FILES: ReadonlySet<string> = new Set([
+  "packages/daemon/src/outside_limits.test.ts",
   "platform/src/outside_limits.test.ts",
 ]);
 
