Daemon: bodies and connections of callers stay within the memory of the VM

Callers saw: a daemon of `peridotvalve serve` that many large bodies at once ended, and connections that stayed open for as long as their clients liked. Cause: only the length of each body was bounded. All bodies were kept until their requests ended, also after a 408, and the rest of a refused body was read for any time. No listener bounded its connections. Change: bodies are read by the reader of packages/connections within a budget that follows from the VM (settings `vm.memory`, `vm.descriptors`; by default what the system states). A chat request takes five times its body, for its text. The listeners track and bound their connections. Without room a request gets 503 `daemon_busy`, Retry-After and ran "no". The garbage collection near the VM's memory moved from the gateway to packages/connections; the reader takes a time by which a body must be complete.

body_reader.test.ts: connections that were opened together all read the first request; each now reads its own.

--- a/packages/connections/src/body_reader.test.ts
+++ b/packages/connections/src/body_reader.test.ts
@@ -15,10 +15,15 @@
 interface Options {
   readonly limit: number;
   readonly stallLimit?: number;
+  /** Time that a body may take in all. */
+  readonly timeout?: number;
 }
 
 /** A server that reads bodies within a budget. */
-async function setUp(t: TestContext, { limit, stallLimit }: Options) {
+async function setUp(
+  t: TestContext,
+  { limit, stallLimit, timeout = Infinity }: Options,
+) {
   const clock = createSystemClock();
   const memory = createMemoryBudget({ clock, limit });
   const reader = createBodyReader({
@@ -32,14 +37,22 @@
     server.closeAllConnections();
     server.close();
   });
+  const arrivals = new Map<string, (request: IncomingMessage) => void>();
+  server.on("request", (request: IncomingMessage) => {
+    arrivals.get(request.url ?? "")?.(request);
+  });
   const open = async (framing: string) => {
     const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
     socket.on("error", () => {});
     t.after(() => socket.destroy());
-    const received = once(server, "request");
-    socket.write(`POST / HTTP/1.1\r\nHost: a\r\n${framing}\r\n\r\n`);
-    const [request] = await received as [IncomingMessage];
-    return { socket, result: reader.read(request, MAX_BODY) };
+    const path = `/${arrivals.size}`;
+    const received = new Promise<IncomingMessage>((resolve) =>
+      arrivals.set(path, resolve)
+    );
+    socket.write(`POST ${path} HTTP/1.1\r\nHost: a\r\n${framing}\r\n\r\n`);
+    const request = await received;
+    const endsAt = clock.monotonic() + timeout;
+    return { socket, result: reader.read(request, MAX_BODY, endsAt) };
   };
   return { memory, reader, open };
 }
@@ -150,6 +163,23 @@
   expect(memory.taken()).toEqual(0);
 });
 
+// Guards against bodies that trickle, which never stall.
+for (
+  const [framing, piece] of [
+    [lengthOf(1_000), "x"],
+    [CHUNKED, "1\r\nx\r\n"],
+  ] as const
+) {
+  test(`a body that arrives too slowly ends: ${framing}`, async (t) => {
+    const { memory, open } = await setUp(t, { limit: 1e7, timeout: 300 });
+    const { socket, result } = await open(framing);
+    const timer = setInterval(() => socket.write(piece), 20);
+    t.after(() => clearInterval(timer));
+    expect(await result).toEqual({ kind: "stalled" });
+    expect(memory.taken()).toEqual(0);
+  });
+}
+
 // Guards against a crowd whose long bodies stand still and keep out others until
 // the stall limit, which is long for the sake of slow callers.
 test("a long body that stands still makes room for another", async (t) => {
--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -35,7 +35,12 @@
   | { readonly kind: "stalled" };
 
 export interface BodyReader {
-  read(request: IncomingMessage, maxBytes: Bytes): Promise<ReceivedBody>;
+  /** A body that is not complete at the monotonic time `endsAt` has stalled. */
+  read(
+    request: IncomingMessage,
+    maxBytes: Bytes,
+    endsAt?: Milliseconds,
+  ): Promise<ReceivedBody>;
   /** Discards the rest of a body; resolves at its end, or after some time. */
   discard(request: IncomingMessage, maxBytes: Bytes): Promise<void>;
   /** Bodies that wait for room. */
@@ -102,6 +107,7 @@
 interface Reading {
   /** Infinity while the body waits for room. */
   progressAt: Milliseconds;
+  readonly endsAt: Milliseconds;
   readonly isLong: () => boolean;
   readonly end: () => void;
 }
@@ -165,7 +171,8 @@
       : stallLimit();
     for (const reading of readings) {
       const own = reading.isLong() ? limit : stallLimit();
-      if (now - reading.progressAt >= own) reading.end();
+      const isOver = now >= reading.endsAt || now - reading.progressAt >= own;
+      if (isOver) reading.end();
     }
     if (readings.size === 0) {
       clearInterval(timer);
@@ -204,6 +211,7 @@
   function readShort(
     request: IncomingMessage,
     length: Bytes,
+    endsAt: Milliseconds,
   ): Promise<ReceivedBody> {
     // Written out, because an object literal with spreads took 35 us here.
     return new Promise((resolve) => {
@@ -213,6 +221,7 @@
         size: 0,
         isOver: false,
         progressAt: clock.monotonic(),
+        endsAt,
         isLong: isNever,
         end: () => endShort(state, "stalled"),
         settle: resolve,
@@ -262,12 +271,12 @@
   }
 
   return {
-    read: (request, maxBytes) => {
+    read: (request, maxBytes, endsAt = Infinity) => {
       if (!hasBody(request)) return Promise.resolve(EMPTY);
       const length = Number(request.headers["content-length"]);
       if (length <= MAX_SHORT && length <= maxBytes) {
         const bytes = length + BODY_OVERHEAD;
-        if (memory.tryTake(bytes)) return readShort(request, length);
+        if (memory.tryTake(bytes)) return readShort(request, length, endsAt);
       }
       return new Promise((resolve) => {
         /** The first pieces, kept as they came. */
@@ -290,6 +299,7 @@
 
         const reading: Reading = {
           progressAt: clock.monotonic(),
+          endsAt,
           isLong: () => long > 0,
           end: () => fail("stalled"),
         };
--- a/packages/connections/src/mod.ts
+++ b/packages/connections/src/mod.ts
@@ -8,5 +8,6 @@
 export * from "./byte_queue.ts";
 export * from "./connector.ts";
 export * from "./memory_budget.ts";
+export * from "./memory_relief.ts";
 export * from "./read_turns.ts";
 export * from "./server_connections.ts";
--- a/packages/daemon/src/callers/receive.ts
+++ b/packages/daemon/src/callers/receive.ts
@@ -3,7 +3,7 @@
  * caller, receiving the body, and refusing a request.
  */
 import type { Failure } from "@peridotvalve/errors";
-import type { VersionedConfiguration } from "@peridotvalve/types";
+import type { Bytes, VersionedConfiguration } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { readBody } from "../http/body.ts";
 import type { Exchange } from "../http/exchange.ts";
@@ -20,8 +20,13 @@
    */
   readonly identity: Result<Identity, Failure>;
   readonly body: Buffer;
+  /** Call this once when nothing refers to the body any more. */
+  release(): void;
 }
 
+/** Objects of a request in progress, apart from its body. */
+const REQUEST_MEMORY: Bytes = 16 * 1_024;
+
 /** The caller left before anything was done for its request. */
 const CALLER_LEFT: Failure = {
   code: "cancelled",
@@ -32,7 +37,7 @@
 /**
  * Authenticates the caller and reads the request body within the configured
  * limits. Fails when there is no configuration yet, when the body is too long
- * or too slow, when the caller has left, and, without a legacy system, when
+ * or too slow, when there is no memory for it, when the caller has left, and, without a legacy system, when
  * authentication fails.
  */
 export async function receiveRequest(
@@ -49,16 +54,29 @@
     bytes: limits.requestBytes,
     timeout: limits.bodyTimeout,
   };
-  const body = await readBody(exchange, bodyLimits, runtime.clock);
-  if (body.isErr()) return body;
+  const work = await runtime.intake.takeForWork(REQUEST_MEMORY);
+  if (work.isErr()) return work;
+  const { release: releaseWork } = work.value;
+  const body = await readBody(exchange, bodyLimits);
+  function release(): void {
+    releaseWork();
+    if (body.isOk()) body.value.release();
+  }
+  if (body.isErr()) {
+    release();
+    return body;
+  }
   await runtime.sendGate.pass();
-  if (exchange.signal.aborted) return Err(CALLER_LEFT);
+  if (exchange.signal.aborted) {
+    release();
+    return Err(CALLER_LEFT);
+  }
   // The configuration may have changed while the body was being received.
   const configuration = requireConfiguration(runtime).unwrapOr(
     configured.value,
   );
   const identity = authenticate(exchange, configuration.content);
-  return Ok({ configuration, identity, body: body.value });
+  return Ok({ configuration, identity, body: body.value.bytes, release });
 }
 
 /** Logs the refusal of a request and sends the failure to the caller. */
--- a/packages/daemon/src/chat/handler.ts
+++ b/packages/daemon/src/chat/handler.ts
@@ -20,6 +20,13 @@
 import { type ChatRequest, parseChatRequest, peekModel } from "./request.ts";
 import { writeCompletion } from "./write.ts";
 
+/**
+ * Memory for the text of a body, its prompt, the prompt's tokens and the attempt's
+ * request, in bytes for each byte of the body. With 3, a crowd took 317 MB on a VM
+ * of 350 MB.
+ */
+const PARSED_BYTES_PER_BYTE = 5;
+
 /**
  * Serves a chat completion, or forwards it to the legacy system when the duty
  * is off. Always answers the exchange.
@@ -30,7 +37,25 @@
 ): Promise<void> {
   const received = await receiveRequest(runtime, exchange);
   if (received.isErr()) return refuse(runtime, exchange, received.error);
-  const { configuration, body, identity } = received.value;
+  const { body, release } = received.value;
+  const work = await runtime.intake.takeForWork(
+    body.length * PARSED_BYTES_PER_BYTE,
+  );
+  try {
+    if (work.isErr()) return refuse(runtime, exchange, work.error);
+    await serveChat(runtime, exchange, received.value);
+  } finally {
+    if (work.isOk()) work.value.release();
+    release();
+  }
+}
+
+async function serveChat(
+  runtime: Runtime,
+  exchange: Exchange,
+  received: ReceivedRequest,
+): Promise<void> {
+  const { configuration, body, identity } = received;
   const { content } = configuration;
   const dutyQuery = {
     duty: "chat",
@@ -42,7 +67,7 @@
   if (!isDutyOn(content, dutyQuery)) {
     return await forwardToLegacy(runtime, exchange, body);
   }
-  const validated = validate(received.value);
+  const validated = validate(received);
   if (validated.isErr()) return refuse(runtime, exchange, validated.error);
   const patience = readPatience(exchange, content.limits.defaultPatience);
   const work = {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -40,6 +40,8 @@
 import { pollFleetReports } from "./fleet/report_polling.ts";
 import { createSlownessByKind } from "./fleet/slowness_by_kind.ts";
 import { createGauges } from "./gauges.ts";
+import { createIntake } from "./http/intake.ts";
+import { readVmLimits } from "./http/vm.ts";
 import { createLatencyWindows } from "./latency_windows.ts";
 import { closeWithin, openListeners } from "./listeners.ts";
 import { runClaimSweeping } from "./maintenance/claim_sweeping.ts";
@@ -234,6 +236,7 @@
     origin: settings,
   });
   const drain = createDrain(clock);
+  const intake = createIntake({ clock, log, vm: readVmLimits(settings) });
   /** What is wrong with the list of VMs; empty while nothing is. */
   let vmListFault = "";
   const claims = createClaims({
@@ -266,6 +269,7 @@
     firstTokenLatencies: createLatencyWindows(clock),
     sendGate: createSendGate({ clock }),
     drain,
+    intake,
     meters,
     log,
     admissionOf: admissions.of,
@@ -315,6 +319,7 @@
     }),
   });
   if (opened.isErr()) {
+    intake.close();
     await Promise.all([peerNetwork.close(), platform.close()]);
     return opened;
   }
@@ -438,6 +443,7 @@
     );
     await listeners.stopBroker();
     gauges.stop();
+    intake.close();
     await Promise.all([
       peerNetwork.close(),
       fleet.close(),
--- a/packages/daemon/src/http/exchange.ts
+++ b/packages/daemon/src/http/exchange.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
+import type { Intake } from "./intake.ts";
 
 const PATIENCE_HEADER = "x-peridotvalve-patience-ms";
 
@@ -18,12 +19,13 @@
   /** Monotonic time in ms at which the request arrived. */
   readonly arrivedAt: Milliseconds;
   readonly clock: Clock;
+  readonly intake: Intake;
 }
 
 export function createExchange(
   request: IncomingMessage,
   response: ServerResponse,
-  clock: Clock,
+  { clock, intake }: Pick<Exchange, "clock" | "intake">,
 ): Exchange {
   const controller = new AbortController();
   const { socket } = request;
@@ -46,6 +48,7 @@
     signal: controller.signal,
     arrivedAt: clock.monotonic(),
     clock,
+    intake,
   };
 }
 
--- a/packages/daemon/src/http/gateway.ts
+++ b/packages/daemon/src/http/gateway.ts
@@ -13,16 +13,14 @@
 } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Clock } from "@peridotvalve/clock";
-import {
-  type ServerConnections,
-  trackServerConnections,
-} from "@peridotvalve/connections";
+import type { ServerConnections } from "@peridotvalve/connections";
 import { toErrorResponse } from "@peridotvalve/errors";
 import type { Milliseconds } from "@peridotvalve/types";
 import type { Context, Service, ServiceBroker } from "moleculer";
 import WebGateway from "moleculer-web";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createExchange, type Exchange } from "./exchange.ts";
+import type { Intake, ListenerName } from "./intake.ts";
 import { sendFailure } from "./respond.ts";
 
 /** Handles one exchange and writes its complete response. */
@@ -30,11 +28,12 @@
 
 export interface GatewayOptions {
   /** Name of the listener and prefix of its action names. */
-  readonly name: string;
+  readonly name: ListenerName;
   readonly address: string;
   /** Handlers by route, such as "POST /v1/chat/completions". */
   readonly handlers: Readonly<Record<string, Handler>>;
   readonly clock: Clock;
+  readonly intake: Intake;
   /** Called with an error that a handler threw. */
   readonly onUnhandledError: (error: unknown, exchange: Exchange) => void;
 }
@@ -119,7 +118,10 @@
   }
   await broker.waitForServices(`${options.name}-gateway`);
   configureServer(server);
-  const connections = trackServerConnections(server);
+  const connections = options.intake.track(server, options.name);
+  server.on("request", (request, response) => {
+    connections.begin(request.socket, response);
+  });
   return Ok({
     setHeadersTimeout(timeout) {
       server.headersTimeout = timeout;
@@ -184,7 +186,7 @@
   params: ExchangeParams,
   options: GatewayOptions,
 ): Promise<void> {
-  const exchange = createExchange(params.$req, params.$res, options.clock);
+  const exchange = createExchange(params.$req, params.$res, options);
   try {
     await handler(exchange);
   } catch (error) {
--- a/packages/daemon/src/http/respond.test.ts
+++ b/packages/daemon/src/http/respond.test.ts
@@ -5,6 +5,7 @@
 import { Writable } from "node:stream";
 import { test } from "node:test";
 import { createExchange } from "./exchange.ts";
+import type { Intake } from "./intake.ts";
 import { writeEvent } from "./respond.ts";
 
 /** Creates a response whose caller reads only when the test calls `read`. */
@@ -21,7 +22,7 @@
   const exchange = createExchange(
     { socket: new EventEmitter() } as unknown as IncomingMessage,
     response as unknown as ServerResponse,
-    clock,
+    { clock, intake: undefined as unknown as Intake },
   );
   const read = () => reads.shift()?.();
   return { clock, exchange, stream, read };
--- a/packages/daemon/src/http/respond.ts
+++ b/packages/daemon/src/http/respond.ts
@@ -5,7 +5,7 @@
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
 import { type Failure, toErrorResponse } from "@peridotvalve/errors";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import type { Exchange } from "./exchange.ts";
 
 export function sendJson(
@@ -19,8 +19,9 @@
   response.writeHead(status, {
     "content-type": "application/json; charset=utf-8",
     "content-length": Buffer.byteLength(text),
+    ...closingHeaders(exchange),
   });
-  response.end(text);
+  endResponse(exchange, text);
 }
 
 export function sendText(
@@ -31,8 +32,42 @@
   exchange.response.writeHead(status, {
     "content-type": "text/plain; version=0.0.4; charset=utf-8",
     "content-length": Buffer.byteLength(text),
+    ...closingHeaders(exchange),
   });
-  exchange.response.end(text);
+  endResponse(exchange, text);
+}
+
+/** Longest body whose rest is read so that the connection can be used again. */
+const MAX_READ_TO_END: Bytes = 64 * 1_024;
+
+/** Bytes of the rest of a body that are read before the connection closes. */
+const MAX_DISCARDED: Bytes = 4 * 1_024 * 1_024;
+
+/** True for a long body that was not read to its end. */
+function isLeftUnread({ request: { complete, headers } }: Exchange): boolean {
+  if (complete) return false;
+  return headers["transfer-encoding"] !== undefined ||
+    Number(headers["content-length"] ?? 0) > MAX_READ_TO_END;
+}
+
+function closingHeaders(exchange: Exchange): { readonly connection?: string } {
+  return isLeftUnread(exchange) ? { connection: "close" } : {};
+}
+
+/**
+ * Closed at once, a connection would be reset while its caller still writes, and
+ * the caller might not read the response. Node.js would read the rest of the body
+ * for any time.
+ */
+function endResponse(exchange: Exchange, text: string): void {
+  const { request, response, intake } = exchange;
+  if (!isLeftUnread(exchange)) {
+    response.end(text);
+    return;
+  }
+  response.write(text);
+  void intake.bodies.discard(request, MAX_DISCARDED)
+    .then(() => response.end());
 }
 
 const failures = new WeakMap<ServerResponse, Failure>();
--- a/packages/daemon/src/listeners.ts
+++ b/packages/daemon/src/listeners.ts
@@ -36,6 +36,7 @@
       address: settings.listeners[name],
       handlers: own,
       clock,
+      intake: runtime.intake,
       onUnhandledError: (error, exchange) =>
         log("handler_failed", { reason: String(error) }, {
           request: exchange.id,
--- a/packages/daemon/src/operators/handlers.ts
+++ b/packages/daemon/src/operators/handlers.ts
@@ -198,9 +198,10 @@
   exchange: Exchange,
 ): Promise<void> {
   const limits = { bytes: MAX_CONFIGURATION_BYTES, timeout: BODY_TIMEOUT };
-  const body = await readBody(exchange, limits, runtime.clock);
+  const body = await readBody(exchange, limits);
   if (body.isErr()) return sendFailure(exchange, body.error);
-  const parsed = CHANGE_REQUEST.safeParse(parseJson(body.value));
+  const parsed = CHANGE_REQUEST.safeParse(parseJson(body.value.bytes));
+  body.value.release();
   if (!parsed.success) {
     return sendFailure(exchange, {
       code: "invalid_request",
--- a/packages/daemon/src/peers/rpc.ts
+++ b/packages/daemon/src/peers/rpc.ts
@@ -48,11 +48,13 @@
       });
     }
     const limits = { bytes: MAX_REQUEST_BYTES, timeout: REQUEST_TIMEOUT };
-    const body = await readBody(exchange, limits, options.clock);
+    const body = await readBody(exchange, limits);
     if (body.isErr()) return sendFailure(exchange, body.error);
     const from = exchange.request.socket.remoteAddress ?? "";
     options.stamps.observe(readHeader(exchange, CLOCK_HEADER), from);
-    const answer = await server.receiveJSON(body.value.toString("utf8"));
+    const text = body.value.bytes.toString("utf8");
+    body.value.release();
+    const answer = await server.receiveJSON(text);
     const headers = Object.entries(options.stamps.headers());
     for (const [name, value] of headers) {
       exchange.response.setHeader(name, value);
--- a/packages/daemon/src/runtime.ts
+++ b/packages/daemon/src/runtime.ts
@@ -18,6 +18,7 @@
 import type { Fleet } from "./fleet/fleet.ts";
 import type { Meters } from "./meters.ts";
 import type { ServiceDirectory } from "./services/directory.ts";
+import type { Intake } from "./http/intake.ts";
 import type { Drain } from "./shutdown.ts";
 
 export interface Runtime {
@@ -39,6 +40,7 @@
   readonly firstTokenLatencies: LatencyWindows;
   readonly sendGate: SendGate;
   readonly drain: Drain;
+  readonly intake: Intake;
   readonly meters: Meters;
   readonly log: EventLogger["log"];
   /** The admission queue of a model group or service. */
--- a/packages/daemon/src/services/handler.ts
+++ b/packages/daemon/src/services/handler.ts
@@ -61,7 +61,22 @@
   }
   const received = await receiveRequest(runtime, exchange);
   if (received.isErr()) return refuse(runtime, exchange, received.error);
-  const { configuration, identity, body } = received.value;
+  try {
+    await serveCall(runtime, exchange, { target, received: received.value });
+  } finally {
+    received.value.release();
+  }
+}
+
+async function serveCall(
+  runtime: Runtime,
+  exchange: Exchange,
+  { target, received }: {
+    readonly target: ServiceTarget;
+    readonly received: ReceivedRequest;
+  },
+): Promise<void> {
+  const { configuration, identity, body } = received;
   const { content } = configuration;
   const method = exchange.request.method ?? "GET";
   const call = { method, path: target.path };
@@ -76,7 +91,7 @@
   if (!isDutyOn(content, dutyQuery)) {
     return await forwardToLegacy(runtime, exchange, body);
   }
-  const authorized = authorize(received.value, target);
+  const authorized = authorize(received, target);
   if (authorized.isErr()) return refuse(runtime, exchange, authorized.error);
   const customer = authorized.value.identity.name;
   const patience = readPatience(exchange, content.limits.defaultPatience);
--- a/packages/errors/src/failure.ts
+++ b/packages/errors/src/failure.ts
@@ -37,6 +37,7 @@
   upstream_protocol: { status: 502, type: "server_error" },
   upstream_unavailable: { status: 503, type: "server_error" },
   platform_unavailable: { status: 503, type: "server_error" },
+  daemon_busy: { status: 503, type: "server_error" },
   shutting_down: { status: 503, type: "server_error" },
   not_configured: { status: 503, type: "server_error" },
   upstream_timeout: { status: 504, type: "server_error" },
--- a/packages/gateway/src/intake.ts
+++ b/packages/gateway/src/intake.ts
@@ -12,6 +12,7 @@
   createMemoryBudget,
   createReadTurns,
   type MemoryBudget,
+  relieveMemory,
   type ServerConnections,
   trackServerConnections,
 } from "@peridotvalve/connections";
@@ -84,24 +85,6 @@
 /** Long answers of peers or of the store together; each has at most 8 MiB. */
 const MAX_ANSWERS: Bytes = 16 * 1_024 * 1_024;
 
-/**
- * Share of the machine's memory from which garbage is collected, whenever the
- * process has grown since the last time. V8 would let the heap grow to its limit
- * first, which is most of the smallest machine.
- */
-const RELIEF_SHARE = 0.75;
-const MIN_GROWTH: Bytes = 5_000_000;
-
-/**
- * Intervals at which the memory is looked at, well below the bound and near it.
- * Each look is a system call and wakes an idle process.
- */
-const CALM_CHECK_PERIOD: Milliseconds = 250;
-const RELIEF_CHECK_PERIOD: Milliseconds = 50;
-
-/** Part of the bound from which it is near. */
-const NEAR_SHARE = 0.8;
-
 /** Descriptors for files and the runtime. */
 const FILE_DESCRIPTORS = 200;
 
@@ -145,7 +128,7 @@
     },
   });
   if (limits !== undefined) {
-    collectWhenHigh(memory, limits.memory * RELIEF_SHARE);
+    relieveMemory(memory, limits.memory);
   }
   const tracked = new Map<ListenerName, ServerConnections>();
   const closed = new Map<string, number>();
@@ -197,23 +180,6 @@
   };
 }
 
-/** Collects garbage above the bound, each time that the process has grown. */
-function collectWhenHigh(memory: MemoryBudget, bound: Bytes): void {
-  let lowest = 0;
-  function check(): void {
-    const resident = process.memoryUsage.rss();
-    lowest = Math.min(lowest, resident);
-    if (resident >= bound && resident >= lowest + MIN_GROWTH) {
-      memory.collect();
-      lowest = process.memoryUsage.rss();
-    }
-    const isNear = resident >= bound * NEAR_SHARE;
-    const period = isNear ? RELIEF_CHECK_PERIOD : CALM_CHECK_PERIOD;
-    setTimeout(check, period).unref();
-  }
-  check();
-}
-
 /** Bytes that bodies and responses may hold together. */
 function budgetOf({ memory, memoryShare }: IntakeLimits): Bytes {
   return Math.max(MIN_BUDGET, (memory - IDLE_MEMORY) * memoryShare);
--- a/packages/settings/src/process_schema.ts
+++ b/packages/settings/src/process_schema.ts
@@ -50,10 +50,12 @@
 
 const vm = z.strictObject({
   memory: z.exactOptional(positiveInteger).describe(
-    "Memory of the VM, bytes.",
+    "Memory of the VM, bytes; callers' bodies get a share of it. When absent, " +
+      "what the operating system states.",
   ),
   descriptors: z.exactOptional(positiveInteger).describe(
-    "Descriptors that the process may open.",
+    "Descriptors that the process may open; each listener's connections get a " +
+      "share of them. When absent, the limit of the process.",
   ),
 });
 
