Attempts: none begins for a silence after the request has ended

Cause: the timer of a replica's silence defers its check by a turn, so that data which has arrived is read first. The check went on when the request had ended, or the limit had been lifted, in that turn. Change: ending the watch, or a new limit, also ends a check that is due.

--- a/packages/gateway/src/attempt_watch.test.ts
+++ b/packages/gateway/src/attempt_watch.test.ts
@@ -62,3 +62,23 @@
   expect(cancelled).toEqual([]);
   expect(watch.cause()).toEqual(undefined);
 });
+
+// Guards against REFUSED and TWICE: an attempt begins after the request has been
+// answered, because the check of its silence was due in the same turn.
+for (const end of ["stop", "limit"] as const) {
+  test(`no other replica is sought after the ${end}`, async (t) => {
+    let sought = 0;
+    const { watch } = setUp(t, () => {
+      sought += 1;
+      return false;
+    });
+    watch.limitSilence(5);
+    // It runs between the timer of the silence and its check.
+    setTimeout(() => {
+      if (end === "stop") watch.stop();
+      else watch.limitSilence(Infinity);
+    }, 5);
+    await sleep(50);
+    expect(sought).toEqual(0);
+  });
+}
--- a/packages/gateway/src/attempt_watch.ts
+++ b/packages/gateway/src/attempt_watch.ts
@@ -85,6 +85,12 @@
     attempt.cancel(reason);
   }
 
+  function endSilence(): void {
+    clearTimeout(silenceTimer);
+    // The check of a timer that has fired may still be due.
+    silenceTimer = undefined;
+  }
+
   const deadlineTimer = setTimeout(
     () => cancelAttempt({ kind: "overdue" }, "timeout"),
     Math.max(0, deadline - clock.monotonic()),
@@ -93,7 +99,7 @@
 
   return {
     limitSilence(limit, busyLimit = limit) {
-      clearTimeout(silenceTimer);
+      endSilence();
       if (limit === Infinity) return;
       const timer = setTimeout(() => {
         // Process data that arrived while the process was paused before judging
@@ -124,7 +130,7 @@
     stop() {
       isStopped = true;
       clearTimeout(deadlineTimer);
-      clearTimeout(silenceTimer);
+      endSilence();
     },
   };
 }
