Software records: one call reads those of all services

Cause: since each daemon reads the record of each service with resumable routes every 7.5 to 10 s, and twice before each write, so that the calls to the store grow with daemons times services.

Change: records that are due together are read in one page, and one that is due by its age takes the others with it. software_reads.ts holds the reads.

--- a/packages/gateway/src/software_record.ts
+++ b/packages/gateway/src/software_record.ts
@@ -12,7 +12,11 @@
 } from "@peridotvalve/retries";
 import type { Platform, StoreEra } from "@peridotvalve/tables";
 import type { Milliseconds } from "@peridotvalve/types";
-import { z } from "zod";
+import {
+  createSoftwareReads,
+  type ReadRecord,
+  VERSION_TABLE,
+} from "./software_reads.ts";
 
 export interface SoftwareRecords {
   /** Whether streams of the service may begin at the version. */
@@ -48,7 +52,7 @@
   /** Its time passes while the VM is suspended. */
   readonly suspendAwareClock: Clock;
   readonly logger: EventLogger;
-  readonly store: Pick<Platform, "readRow" | "transact">;
+  readonly store: Pick<Platform, "readRow" | "readRows" | "transact">;
   readonly storeEra: Pick<StoreEra, "current">;
   readonly name: string;
   /** Longest time from the begin of a stream until it is taken up. */
@@ -65,21 +69,18 @@
   readonly random?: () => number;
 }
 
-/** A record as it was read. */
-interface ReadRecord {
-  /** Undefined when there is none. */
-  readonly record: SoftwareRecord | undefined;
-  readonly rowVersion: number;
-  readonly askedAt: Milliseconds;
-}
-
 /** Reads of one row: the one under way, and the one that follows it. */
 interface Reads {
   readonly present: Promise<ReadRecord | undefined>;
   next?: Promise<ReadRecord | undefined>;
 }
 
-const VERSION_TABLE = "software";
+/** A record that is to be written in place of the one that was read. */
+interface Revision {
+  readonly service: string;
+  readonly read: ReadRecord;
+  readonly revised: SoftwareRecord;
+}
 
 /** Interval between two looks at the versions of the listed replicas. */
 const CHECK_PERIOD: Milliseconds = 150;
@@ -93,31 +94,9 @@
 const SETTLING_LIMIT: Milliseconds = 2_000;
 const SETTLING_PERIOD: Milliseconds = 15;
 
-/** Era of a record that says nothing of its era. */
-const NO_ERA = -1;
-
 /** A caller waits for the answer of the store before its stream goes on. */
 export const LOOKUP_TIMEOUT: Milliseconds = 400;
 
-const RECORD = z.union([
-  z.object({
-    era: z.number(),
-    versions: z.array(z.object({
-      software: z.string(),
-      leaving: z.string().optional(),
-    })),
-    renewal: z.object({ mark: z.string(), time: z.number() }).optional(),
-  }),
-  // Earlier releases wrote the versions only, after their first streams.
-  z.array(z.string()).transform((versions): SoftwareRecord => ({
-    era: NO_ERA,
-    versions: versions.map((software) => ({ software })),
-  })),
-]);
-
-/** Stands for a row that cannot be read. */
-const UNREADABLE: SoftwareRecord = { era: NO_ERA, versions: [] };
-
 export function createSoftwareRecords(
   options: SoftwareRecordsOptions,
 ): SoftwareRecords {
@@ -135,26 +114,13 @@
   /** Services whose record is being brought up to date. */
   const kept = new Set<string>();
 
-  async function read(
-    service: string,
-    timeout: Milliseconds,
-  ): Promise<ReadRecord | undefined> {
-    const askedAt = versions.now();
-    const key = { table: VERSION_TABLE, key: service };
-    const answer = await store.readRow(key, timeout);
-    if (answer.isErr()) {
-      const { reason } = answer.error;
-      logger.log("streams_unread", { table: VERSION_TABLE, reason });
-      versions.reportFailure(service);
-      return undefined;
-    }
-    const row = answer.value;
-    if (row === undefined) return { record: row, rowVersion: 0, askedAt };
-    const { data } = RECORD.safeParse(row.value);
-    if (data === undefined) {
-      logger.log("entry_rejected", { key: service, reason: "not versions" });
-    }
-    return { record: data ?? UNREADABLE, rowVersion: row.version, askedAt };
+  const table = createSoftwareReads({ logger, store, now: versions.now });
+
+  /** Reads a record for a caller who waits. */
+  async function read(service: string): Promise<ReadRecord | undefined> {
+    const found = await table.read(service, LOOKUP_TIMEOUT);
+    if (found === undefined) versions.reportFailure(service);
+    return found;
   }
 
   /** Returns a read that begins after the call; calls at one time share it. */
@@ -166,7 +132,7 @@
   }
 
   function start(service: string): Promise<ReadRecord | undefined> {
-    const present = read(service, LOOKUP_TIMEOUT).finally(() => {
+    const present = read(service).finally(() => {
       if (reads.get(service)?.next === undefined) reads.delete(service);
     });
     reads.set(service, { present });
@@ -209,39 +175,66 @@
     versions.observe(service, options.versionsOf(service));
   }
 
-  /** Reads the record; returns it when another one is to be written. */
-  async function review(service: string) {
-    const found = await read(service, STORE_TIMEOUT);
-    if (found === undefined) return undefined;
-    const { record, askedAt } = found;
+  /** Reads records; returns those in place of which others are to be written. */
+  async function review(
+    services: readonly string[],
+  ): Promise<readonly Revision[]> {
+    const found = await table.readAll(services, STORE_TIMEOUT);
     const era = storeEra.current();
-    if (record?.era === era) versions.confirm(service, record, askedAt);
     const isRemover = options.isRemover();
-    const revised = versions.revise(service, record, { isRemover, era });
-    return revised === undefined ? undefined : { found, revised };
+    return services.flatMap((service) => {
+      const read = found.get(service);
+      if (read === undefined) {
+        versions.reportFailure(service);
+        return [];
+      }
+      const { record, askedAt } = read;
+      if (record?.era === era) versions.confirm(service, record, askedAt);
+      const revised = versions.revise(service, record, { isRemover, era });
+      return revised === undefined ? [] : [{ service, read, revised }];
+    });
   }
 
-  /** Brings the record of a service up to date. */
-  async function keep(service: string): Promise<void> {
-    observe(service);
-    if (!versions.isDue(service)) return;
-    if (await review(service) === undefined) return;
+  /** Brings the records of services up to date; yields those that are early. */
+  async function* keep(
+    services: readonly string[],
+  ): AsyncGenerator<string, void> {
+    const first = await review(services);
+    const revised = first.map(({ service }) => service);
+    yield* services.filter((service) => !revised.includes(service));
+    if (revised.length === 0) return;
     // Another daemon may write the same meanwhile.
     await clock.sleep(SYNC_SPREAD * random());
-    const last = await review(service);
-    if (last !== undefined) await write(service, last.revised, last.found);
+    const last = await review(revised);
+    await Promise.all(
+      last.map(({ service, read, revised }) => write(service, revised, read)),
+    );
   }
 
-  async function keepAlone(service: string): Promise<void> {
-    if (kept.has(service)) return;
-    kept.add(service);
+  /**
+   * Brings all records that are due up to date. One that is due by its age takes
+   * the others with it, so that one read serves all.
+   */
+  async function keepDue(): Promise<void> {
+    const free = options.services().filter((service) => !kept.has(service));
+    for (const service of free) observe(service);
+    const isOutdated = free.some(versions.isOutdated);
+    const due = new Set(free.filter((service) =>
+      versions.isDue(service) ||
+      isOutdated && !versions.isInOutage(service)
+    ));
+    if (due.size === 0) return;
+    for (const service of due) kept.add(service);
     try {
-      await keep(service);
+      for await (const service of keep([...due])) {
+        kept.delete(service);
+        due.delete(service);
+      }
     } catch (error) {
       logger.log("handler_failed", { reason: String(error) });
-      versions.reportFailure(service);
+      for (const service of due) versions.reportFailure(service);
     } finally {
-      kept.delete(service);
+      for (const service of due) kept.delete(service);
     }
   }
 
@@ -277,7 +270,7 @@
     renew: versions.forget,
     async run(signal) {
       while (!signal.aborted) {
-        for (const service of options.services()) void keepAlone(service);
+        void keepDue();
         await clock.sleep(CHECK_PERIOD, signal);
       }
     },
--- a/packages/retries/src/software_versions.ts
+++ b/packages/retries/src/software_versions.ts
@@ -60,6 +60,8 @@
   forget(): void;
   /** True when the record is to be read again. */
   isDue(service: string): boolean;
+  /** True when it is to be read again because of its age alone. */
+  isOutdated(service: string): boolean;
   /**
    * Returns the record that is to be written in the present era in place of the
    * one that was read; undefined when that one is to stay. A daemon with the duty
@@ -339,6 +341,10 @@
         !isUsable(history, software) || isMarked(history, software)
       ) || isRenewed(history, newest);
     },
+    isOutdated(service) {
+      const { failures, nextRead } = historyOf(service);
+      return failures === 0 && now() >= nextRead;
+    },
     revise(service, read, { isRemover, era }) {
       const history = historyOf(service);
       if (read === undefined || read.era !== era) {
