Streams: one of a split route goes on at the service that began it

Callers that took up a stream of a route with two services, at a daemon that did not know it, got the rest from a replica of the other service in about half of the cases. The daemon drew a service for the request, and took the only version in the record of that service for the origin of the stream.

The service of a resumable request is now chosen by a hash of its id, so every daemon finds the service of a stream from the id in `Resumes`, without a row in the store. stream_routes.ts also keeps earlier targets of each route for 60 s. Where they leave several services no sole version is concluded; the origins of streams are saved during that time, and a stream without one is refused.

The listed test "a stream does not go on at another service of its route" failed before and passes now.

--- a/packages/dispatch/src/desired_state.ts
+++ b/packages/dispatch/src/desired_state.ts
@@ -153,7 +153,10 @@
  * Chooses a target at random, in proportion to the weights. `random` is at
  * least 0 and below 1.
  */
-export function chooseTarget(route: Route, random: number): string | undefined {
+export function chooseTarget(
+  route: Pick<Route, "targets">,
+  random: number,
+): string | undefined {
   const total = route.targets.reduce((sum, { weight }) => sum + weight, 0);
   let left = random * total;
   for (const { service, weight } of route.targets) {
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -7,7 +7,6 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { HeldBody, ServerConnections } from "@peridotvalve/connections";
 import {
-  chooseTarget,
   type Customer,
   type DispatchRequest,
   type Route,
@@ -34,6 +33,7 @@
 import type { createRelay, Ending, RelayResult } from "./relay.ts";
 import { fingerprintOf } from "./request_fingerprint.ts";
 import type { ActiveState, StateHolder } from "./state_holder.ts";
+import { chooseService } from "./stream_routes.ts";
 
 export interface FrontendOptions {
   readonly clock: Clock;
@@ -279,7 +279,7 @@
       customer: Customer | undefined,
       { bytes }: HeldBody,
     ): Promise<void> {
-      const service = chooseTarget(route, Math.random());
+      const service = chooseService(route, metadata.id);
       if (service === undefined) {
         return decline({ status: 503, reason: "no service" }, route);
       }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,7 +134,7 @@
   const stopController = new AbortController();
   // Each task of the daemon waits for the signal.
   setMaxListeners(0, stopController.signal);
-  const holder = createStateHolder(logger, settings.topology.regions);
+  const holder = createStateHolder(clock, logger, settings.topology.regions);
   const { regions } = settings.topology;
   const evacuations = createEvacuations({
     ...{ clock, logger, codec, regions },
@@ -347,6 +347,7 @@
   });
   const streams = createStreamRecords({
     ...{ clock, logger, store: options.store, name: settings.name, software },
+    routes: holder.streamRoutes,
     writers: () =>
       (mesh?.groupCount() ?? 1) === 1
         ? peerCount()
--- a/packages/gateway/src/state_holder.ts
+++ b/packages/gateway/src/state_holder.ts
@@ -9,7 +9,10 @@
   type RouteTable,
 } from "@peridotvalve/dispatch";
 import { listUnknownRegions } from "@peridotvalve/routing";
+import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
+import { STREAM_LIFETIME } from "./stream_records.ts";
+import { createStreamRoutes, type StreamRoutes } from "./stream_routes.ts";
 
 export interface ActiveState {
   readonly state: DesiredState;
@@ -19,6 +22,7 @@
 }
 
 export abstract class StateHolder {
+  abstract readonly streamRoutes: StreamRoutes;
   abstract current(): ActiveState | undefined;
   abstract offer(state: DesiredState, source: string): void;
 }
@@ -40,6 +44,7 @@
 const MAX_NAMED_REGIONS = 20;
 
 export function createStateHolder(
+  clock: Clock,
   logger: EventLogger,
   /** Region of each zone of the settings. */
   regions: ReadonlyMap<string, string>,
@@ -58,6 +63,10 @@
   }
 
   return new (class extends StateHolder {
+    override readonly streamRoutes = createStreamRoutes({
+      ...{ clock, lifetime: STREAM_LIFETIME },
+    });
+
     override current(): ActiveState | undefined {
       return active;
     }
@@ -71,6 +80,7 @@
         routes: createRouteTable(state.routes),
         cacheGroup: nameCacheGroup(state.isolatedCustomers),
       };
+      this.streamRoutes.adopt(state);
       logger.log("state_adopted", { version: state.version, source });
       logUnknownRegions(state);
     }
--- a/packages/gateway/src/stream_binding.ts
+++ b/packages/gateway/src/stream_binding.ts
@@ -31,13 +31,13 @@
     forwarded: ForwardedRequest,
     subject: Parameters<EventLogger["log"]>[2],
   ): Promise<StreamBinding> {
-    const { service, route } = request;
+    const { route } = request;
     if (!isTakenUp(request, forwarded)) {
-      if (route.isResumable) await software.settled(service);
+      if (route.isResumable) await software.settled(request.service);
       return "new";
     }
     const { resumes, lastEvent = 0 } = forwarded;
-    const found = await streams.find(resumes, service);
+    const found = await streams.find(resumes, route);
     const origin = typeof found === "string" ? undefined : found;
     logger.log("stream_taken_up", {
       ...{ resumes: resumes ?? "", lastEvent },
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -15,8 +15,13 @@
   STREAM_LIFETIME,
   type StreamRecords,
 } from "./stream_records.ts";
+import { createStreamRoutes, type StreamRoute } from "./stream_routes.ts";
 
 const SERVICE = "llm";
+const ROUTE: StreamRoute = {
+  ...{ host: "models.test", prefix: "/" },
+  targets: [{ service: SERVICE, weight: 1 }],
+};
 const unavailable = { kind: "unavailable", reason: "away" } as const;
 
 const silentLogger = new (class extends EventLogger {
@@ -141,6 +146,7 @@
 ) {
   let present = new Set(listed);
   let era = 0;
+  const lifetime = STREAM_LIFETIME;
   const stop = new AbortController();
   const common = { clock: stoppingClock, logger: silentLogger, store, name };
   const software = createSoftwareRecords({
@@ -152,8 +158,7 @@
     isRemover: () => name === "front",
   });
   const records = createStreamRecords({
-    ...common,
-    software,
+    ...{ ...common, software, routes: createStreamRoutes({ clock, lifetime }) },
     writers: () => 6,
     collector: () => collector === undefined ? undefined : "10.0.0.1:8000",
     neighbor: () => neighbor === undefined ? undefined : "10.0.0.2:8000",
@@ -194,7 +199,7 @@
   { records }: ReturnType<typeof startDaemon>,
   id: string,
 ) {
-  const found = records.find(id, SERVICE);
+  const found = records.find(id, ROUTE);
   await advance(clock, 500);
   const origin = await found;
   return typeof origin === "object" ? origin.software : origin;
@@ -399,7 +404,7 @@
   first.list("v1", "v2");
   await advance(clock, 60_000);
   expect(suspended.begin("b", "v3")).toEqual(false);
-  const found = suspended.records.find("c", SERVICE);
+  const found = suspended.records.find("c", ROUTE);
   await advance(stoppingClock, 500);
   expect(await found).toEqual("unknown");
   for (const { end } of [first, second, suspended]) end();
@@ -592,7 +597,7 @@
   const reads = calls.reads;
   const found = Array.from(
     { length: 100 },
-    (_, at) => second.records.find(`a${at}`, SERVICE),
+    (_, at) => second.records.find(`a${at}`, ROUTE),
   );
   await advance(clock, 500);
   const unread = (await Promise.all(found)).filter((each) => each === "unread");
@@ -655,12 +660,12 @@
   expect(before).toEqual(true);
 });
 
-// Guards against streams of two services in one: a split route chooses a service
-// for each request by chance, also for a stream that began at the other one.
-test("a stream does not go on at another service of its route", async () => {
+/** Two daemons with a route that may have led to either of two services. */
+async function startSplitPair() {
   const clock = createManualClock();
-  const { store } = createStore();
+  const { store, calls } = createStore();
   const services = ["llm-a", "llm-b"];
+  const targets = services.map((service) => ({ service, weight: 1 }));
   const [first, second] = ["front", "front-1"].map((name) => {
     const common = { clock, logger: silentLogger, store, name };
     const software = createSoftwareRecords({
@@ -672,6 +677,7 @@
     });
     const records = createStreamRecords({
       ...{ ...common, software, writers: () => 1, rank: () => 0 },
+      routes: { servicesOf: () => services, isAmbiguous: () => true },
       ...{ collector: () => undefined, neighbor: () => undefined },
       send: () => Promise.resolve(true),
     });
@@ -682,13 +688,30 @@
   });
   if (first === undefined || second === undefined) throw new Error("no pair");
   await advance(clock, 17_000);
+  return { clock, calls, route: { ...ROUTE, targets }, first, second };
+}
+
+// Guards against streams of two services in one: a stream goes on at the service
+// that was drawn when it was taken up, as that has one version.
+test("a stream does not go on at another service of its route", async () => {
+  const { clock, route, first, second } = await startSplitPair();
   first.records.record("a", { service: "llm-a", software: "v1" });
   await advance(clock, 1_000);
-  const found = second.records.find("a", "llm-b");
+  const found = second.records.find("a", route);
   await advance(clock, 1_000);
   const origin = await found;
   const service = typeof origin === "object" ? origin.service : origin;
-  expect(service).not.toEqual("llm-b");
+  expect(service).toEqual("llm-a");
+  for (const { end } of [first, second]) end();
+});
+
+// Guards against streams of two services in one: the one version of one of the
+// services is taken for the origin of a stream that was not saved.
+test("a route to several services has no sole version", async () => {
+  const { clock, route, first, second } = await startSplitPair();
+  const found = second.records.find("a", route);
+  await advance(clock, 1_000);
+  expect(await found).toEqual("unknown");
   for (const { end } of [first, second]) end();
 });
 
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -2,7 +2,8 @@
  * Knows at which software version a stream began that a caller takes up. A
  * daemon remembers the streams that it has begun. Beyond its own memory, the
  * store holds the versions of each service (`software_record.ts`) and, for
- * services with several, a row for each stream. In a large fleet a few neighbors
+ * services with several, or after a change of a route to them
+ * (`stream_routes.ts`), a row for each stream. In a large fleet a few neighbors
  * collect the rows of the others, so that the calls to the store do not delay the
  * records.
  */
@@ -18,6 +19,7 @@
 import { hash } from "node:crypto";
 import { z } from "zod";
 import { LOOKUP_TIMEOUT, type SoftwareRecords } from "./software_record.ts";
+import type { StreamRoute, StreamRoutes } from "./stream_routes.ts";
 
 /**
  * Where a stream began. "unknown": no daemon has saved it, and none will.
@@ -39,10 +41,11 @@
   /** Records the first event of a stream. */
   record(request: string, origin: StreamOrigin): void;
   /**
-   * Finds where the stream of a request began. Without a request, as when the
-   * caller names none, it is known while the service has had one version only.
+   * Finds where the stream of a request began that is taken up by a route.
+   * Without a request, as when the caller names none, it is known while the route
+   * leads to one service, which has had one version only.
    */
-  find(request: string | undefined, service: string): Promise<FoundOrigin>;
+  find(request: string | undefined, route: StreamRoute): Promise<FoundOrigin>;
   /** Takes records of a neighbor, to save and to remove them in its place. */
   collect(records: readonly OriginRecord[]): void;
   /** Saves the origins anew, because the store may have lost them. */
@@ -56,6 +59,7 @@
   readonly store: Pick<Platform, "readRow" | "readRows" | "transact">;
   readonly name: string;
   readonly software: Pick<SoftwareRecords, "isMixed" | "readSole">;
+  readonly routes: Pick<StreamRoutes, "servicesOf" | "isAmbiguous">;
   /** Number of daemons that write records to the store. */
   readonly writers: () => number;
   /**
@@ -116,11 +120,12 @@
 export function createStreamRecords(
   options: StreamRecordsOptions,
 ): StreamRecords {
-  const { clock, logger, store, software } = options;
+  const { clock, logger, store, software, routes } = options;
   const origins = createStreamOrigins({
     clock,
     lifetime: STREAM_LIFETIME,
-    needsSaving: software.isMixed,
+    needsSaving: (service) =>
+      software.isMixed(service) || routes.isAmbiguous(service),
   });
   let lookups = 0;
   let transactions = 0;
@@ -228,15 +233,22 @@
     return { ...origin, evidence: "record", age: 0 };
   }
 
+  /** Finds the origin of all streams that may have begun at the services. */
+  async function findSole(services: readonly string[]): Promise<FoundOrigin> {
+    const [service, ...others] = services;
+    if (service === undefined || others.length > 0) return "unknown";
+    const sole = await software.readSole(service);
+    if (sole === "unread") return sole;
+    if (sole === "several") return "unknown";
+    return { service, ...sole, evidence: "only version" };
+  }
+
   async function lookUp(
     key: string | undefined,
-    service: string,
+    services: readonly string[],
   ): Promise<FoundOrigin> {
-    const sole = await software.readSole(service);
-    if (sole === "unread") return sole;
-    if (sole !== "several") {
-      return { service, ...sole, evidence: "only version" };
-    }
+    const sole = await findSole(services);
+    if (sole !== "unknown") return sole;
     if (key === undefined) return "unknown";
     if (lookups >= MAX_LOOKUPS) return "unread";
     lookups += 1;
@@ -254,11 +266,11 @@
     record(request, origin) {
       origins.record(keyOf(request), origin);
     },
-    async find(request, service) {
+    async find(request, route) {
       const key = request === undefined ? undefined : keyOf(request);
       const known = key === undefined ? undefined : origins.find(key);
       if (known !== undefined) return { ...known, evidence: "record", age: 0 };
-      return await lookUp(key, service);
+      return await lookUp(key, routes.servicesOf(route, request));
     },
     collect(records) {
       for (const [key, origin] of records) origins.record(key, origin);
