Software records: a second version is noticed during a slow read

Callers that took up a stream of v1 at another daemon, shortly after v2 had joined, got 503: the row of versions named two, and the origin was not saved.

A daemon saves the origins of its streams under way once it notices that its list has two versions. It looked at the list only where it also began to review the record, and not while an earlier review was under way, up to two reads of 900 ms and a pause of 200 ms. It now looks at the list in each check (150 ms).

The new test of stream_records.test.ts, with reads of 800 ms, found no saved origin after 300 ms before, and one now. It costs no call to the store.

--- a/packages/gateway/src/software_record.ts
+++ b/packages/gateway/src/software_record.ts
@@ -217,7 +217,6 @@
    */
   async function keepDue(): Promise<void> {
     const free = options.services().filter((service) => !kept.has(service));
-    for (const service of free) observe(service);
     const isOutdated = free.some(versions.isOutdated);
     const due = new Set(free.filter((service) =>
       versions.isDue(service) ||
@@ -270,6 +269,8 @@
     renew: versions.forget,
     async run(signal) {
       while (!signal.aborted) {
+        // Origins have to be saved at once, not after a slow read.
+        for (const service of options.services()) observe(service);
         void keepDue();
         await clock.sleep(CHECK_PERIOD, signal);
       }
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -773,3 +773,30 @@
   stop.abort();
   expect(isSettled).toEqual(true);
 });
+
+// Guards against LOST: streams of the earlier version are refused elsewhere, as
+// their daemon learns of a second one only after a slow read of the record.
+test("origins are saved as soon as a second version is listed", async () => {
+  const { clock, store, countOf, first, second } = await startPair();
+  let isReading = false;
+  const slowStore: Store = {
+    ...store,
+    async readRow(...call) {
+      isReading = true;
+      await clock.sleep(800);
+      isReading = false;
+      return await store.readRow(...call);
+    },
+  };
+  const third = startDaemon(clock, slowStore, {
+    ...{ listed: ["v1"], name: "front-2" },
+  });
+  await advance(clock, 5_000);
+  expect(third.begin("a", "v1")).toEqual(true);
+  while (!isReading) await advance(clock, 50);
+  expect(countOf("streams")).toEqual(0);
+  third.list("v1", "v2");
+  await advance(clock, 300);
+  expect(countOf("streams")).toEqual(1);
+  for (const { end } of [first, second, third]) end();
+});
