Stream records: origins that a neighbor was given are not dropped

Callers that took up a stream of a service with two versions got 503 although a neighbor had been given its origin, in two cases.

- A daemon without the store gives origins to a neighbor.
In an outage of the store for all daemons this one gave them on, and the first one ignored what came back, as it had given it away.
So after an outage of a second or more the origins of the streams before it were in no store.
- A daemon saves origins of services with two versions.
One that had been given origins, but did not list the second version yet, kept them to itself.

In calm there is no further call.

--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -130,7 +130,7 @@
   readonly listed: readonly string[];
   readonly collector?: StreamRecords;
   /** Saves the records while the store cannot be reached. */
-  readonly neighbor?: StreamRecords;
+  readonly neighbor?: () => StreamRecords | undefined;
   /** Name of the daemon; the first one removes versions. */
   readonly name?: string;
   /** The monotonic clock; by default it does not stop in suspensions. */
@@ -161,9 +161,9 @@
     ...{ ...common, software, routes: createStreamRoutes({ clock, lifetime }) },
     writers: () => 6,
     collector: () => collector === undefined ? undefined : "10.0.0.1:8000",
-    neighbor: () => neighbor === undefined ? undefined : "10.0.0.2:8000",
+    neighbor: () => neighbor?.() === undefined ? undefined : "10.0.0.2:8000",
     send(_address, sent) {
-      (collector ?? neighbor)?.collect(sent);
+      (collector ?? neighbor?.())?.collect(sent);
       return Promise.resolve(true);
     },
     rank: () => 0,
@@ -307,7 +307,7 @@
   const neighbor = startDaemon(clock, store, { listed });
   const { path, state } = createPath(store);
   const cut = startDaemon(clock, path, {
-    ...{ listed, name: "front-1", neighbor: neighbor.records },
+    ...{ listed, name: "front-1", neighbor: () => neighbor.records },
   });
   await advance(clock, 1_000);
   state.isCut = true;
@@ -800,3 +800,49 @@
   expect(countOf("streams")).toEqual(1);
   for (const { end } of [first, second, third]) end();
 });
+
+// Guards against LOST after an outage of the store: daemons give their origins to
+// each other, and each counts what comes back as saved.
+test("origins outlast an outage of the store for all daemons", async () => {
+  const clock = createManualClock();
+  const { store, countOf, setAway } = createStore();
+  const neighbors: StreamRecords[] = [];
+  const daemons = ["front", "front-1", "front-2"].map((name, index) =>
+    startDaemon(clock, store, {
+      ...{ listed: ["v1", "v2"], name },
+      neighbor: () => neighbors[(index + 1) % 3],
+    })
+  );
+  neighbors.push(...daemons.map(({ records }) => records));
+  await advance(clock, 6_000);
+  setAway(true);
+  for (const [index, daemon] of daemons.entries()) {
+    expect(daemon.begin(`a${index}`, "v1")).toEqual(true);
+  }
+  await advance(clock, 5_000);
+  setAway(false);
+  await advance(clock, 3_000);
+  expect(countOf("streams")).toEqual(3);
+  await advance(clock, 35_000);
+  expect(countOf("streams")).toEqual(0);
+  for (const { end } of daemons) end();
+});
+
+// Guards against LOST: a neighbor has not learnt of the second version yet, and
+// keeps the origins that it has been given to itself.
+test("a neighbor saves origins of versions that it does not list", async () => {
+  const { clock, paths, countOf, first, second, store } = await startPair();
+  const { path, state } = createPath(store);
+  const cut = startDaemon(clock, path, {
+    ...{ listed: ["v1"], name: "front-2", neighbor: () => second.records },
+  });
+  await advance(clock, 1_000);
+  // The first daemon alone learns of the new version from the list.
+  cut.list("v1", "v2");
+  await advance(clock, 1_000);
+  state.isCut = true;
+  expect(cut.begin("a", "v1")).toEqual(true);
+  await advance(clock, 400);
+  expect([countOf("streams"), paths.length]).toEqual([1, 2]);
+  for (const { end } of [first, second, cut]) end();
+});
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -130,6 +130,7 @@
   let lookups = 0;
   let transactions = 0;
   let nextSave: Milliseconds = -Infinity;
+  let nextReturn: Milliseconds = -Infinity;
 
   function transact(writes: readonly RowWrite[]) {
     transactions += 1;
@@ -161,15 +162,32 @@
       // A collector removes the records itself that it has taken.
       : saves.length === 0 || await options.send(collector, saves);
     if (isSaved) return;
-    const neighbor = saves.length > 0 ? options.neighbor() : undefined;
-    if (neighbor !== undefined && await options.send(neighbor, saves)) {
-      return origins.giveBack({ saves: [], removals });
+    const [left, given] = splitReturned(saves);
+    const neighbor = given.length > 0 ? options.neighbor() : undefined;
+    if (neighbor !== undefined && await options.send(neighbor, given)) {
+      return origins.giveBack({ saves: left, removals });
     }
     origins.giveBack(batch);
-    const streams = saves.length;
+    const streams = given.length;
+    if (left.length > 0 && streams === 0) return;
     logger.log("streams_unsaved", { streams, collector: collector ?? "" });
   }
 
+  /**
+   * Keeps what has come back for a time, as it would go round among the daemons
+   * in an outage of the store for all of them.
+   */
+  function splitReturned(saves: OriginBatch["saves"]) {
+    const now = clock.monotonic();
+    const returned = saves.filter(([key]) => origins.hasReturned(key));
+    if (returned.length === 0) return [[], saves] as const;
+    if (now < nextReturn) {
+      return [returned, saves.filter((each) => !returned.includes(each))];
+    }
+    nextReturn = now + OUTAGE_PERIOD;
+    return [[], saves] as const;
+  }
+
   /** Saves in the store, unless it could not be reached a moment ago. */
   async function saveHere(batch: OriginBatch): Promise<boolean> {
     const hasNeighbor = options.neighbor() !== undefined;
@@ -273,7 +291,7 @@
       return await lookUp(key, routes.servicesOf(route, request));
     },
     collect(records) {
-      for (const [key, origin] of records) origins.record(key, origin);
+      for (const [key, origin] of records) origins.collect(key, origin);
     },
     renew: origins.renew,
     async run(signal) {
--- a/packages/retries/src/stream_origins.test.ts
+++ b/packages/retries/src/stream_origins.test.ts
@@ -78,3 +78,15 @@
   expect(origins.find("9999")).toEqual(undefined);
   expect(origins.find("10000")).toEqual(ORIGIN);
 });
+
+// Guards against LOST: a daemon drops what another one has given to it.
+test("collected origins are saved, also after they were given away", () => {
+  const { origins } = setUp();
+  origins.collect("a", ORIGIN);
+  expect(origins.hasReturned("a")).toEqual(false);
+  expect(keysOf(origins.takeBatch(10))).toEqual([["a"], []]);
+  origins.collect("a", ORIGIN);
+  expect(origins.hasReturned("a")).toEqual(true);
+  expect(keysOf(origins.takeBatch(10))).toEqual([["a"], []]);
+  expect(keysOf(origins.takeBatch(10))).toEqual([[], []]);
+});
--- a/packages/retries/src/stream_origins.ts
+++ b/packages/retries/src/stream_origins.ts
@@ -23,6 +23,16 @@
 export interface StreamOrigins {
   /** Records the origin of a stream of this daemon. */
   record(key: string, origin: StreamOrigin): void;
+  /**
+   * Takes an origin that another daemon has given to this one. It needs saving,
+   * also where this daemon knows no second version yet, or has given it away.
+   */
+  collect(key: string, origin: StreamOrigin): void;
+  /**
+   * True when the origin was given to this daemon after it had been saved or
+   * given away here.
+   */
+  hasReturned(key: string): boolean;
   /** Remembers an origin that another daemon has saved and will remove. */
   remember(key: string, origin: StreamOrigin): void;
   find(key: string): StreamOrigin | undefined;
@@ -45,7 +55,11 @@
 interface KnownOrigin {
   readonly origin: StreamOrigin;
   readonly at: Milliseconds;
+  /** True when this daemon saves it, as it is its own or was given to it. */
   readonly isOwn: boolean;
+  /** True when it was given to this daemon to be saved. */
+  readonly isCollected: boolean;
+  readonly hasReturned: boolean;
 }
 
 /**
@@ -77,20 +91,30 @@
     }
   }
 
-  function put(key: string, origin: StreamOrigin, isOwn: boolean): void {
+  function put(
+    key: string,
+    origin: StreamOrigin,
+    { isOwn = true, isCollected = false, hasReturned = false } = {},
+  ): void {
     known.delete(key);
-    known.set(key, { origin, at: clock.monotonic(), isOwn });
+    const at = clock.monotonic();
+    known.set(key, { origin, at, isOwn, isCollected, hasReturned });
     expired.delete(key);
     dropExpired();
   }
 
   return {
     record(key, origin) {
-      put(key, origin, true);
+      put(key, origin);
       if (!saved.has(key)) unsaved.add(key);
     },
+    collect(key, origin) {
+      put(key, origin, { isCollected: true, hasReturned: saved.has(key) });
+      unsaved.add(key);
+    },
+    hasReturned: (key) => known.get(key)?.hasReturned === true,
     remember(key, origin) {
-      if (known.get(key)?.isOwn !== true) put(key, origin, false);
+      if (known.get(key)?.isOwn !== true) put(key, origin, { isOwn: false });
     },
     find(key) {
       dropExpired();
@@ -108,8 +132,10 @@
       };
       for (const key of unsaved) {
         if (saves.length >= limit) break;
-        const origin = known.get(key)?.origin;
-        if (origin === undefined || !isNeeded(origin.service)) continue;
+        const entry = known.get(key);
+        if (entry === undefined) continue;
+        const { origin, isCollected } = entry;
+        if (!isCollected && !isNeeded(origin.service)) continue;
         unsaved.delete(key);
         saved.add(key);
         saves.push([key, origin]);
