Stream origins: expired ones are removed together

Cause: each daemon looks every 50 ms or more for origins to save or to remove, so origins that expire one after the other cost a call to the store each, as many as their saves, in each release and in the first 5 s of a service.

Change: removals go with saves, as a full batch, or 5 s after the last removal.

Result: the new test of stream_origins.test.ts, which failed before, and those of the stream records pass.

--- a/packages/retries/src/stream_origins.test.ts
+++ b/packages/retries/src/stream_origins.test.ts
@@ -47,6 +47,26 @@
   expect(keysOf(origins.takeBatch(10))).toEqual([[], ["a"]]);
 });
 
+// Guards against a call to the store for each origin that expires.
+test("origins that expire one after the other are removed together", async () => {
+  const { clock, several, origins } = setUp();
+  several.add("llm");
+  for (const key of ["a", "b", "c"]) {
+    origins.record(key, ORIGIN);
+    origins.takeBatch(10);
+    await clock.advance(1_000);
+  }
+  await clock.advance(LIFETIME - 3_000);
+  expect(keysOf(origins.takeBatch(10))).toEqual([[], ["a"]]);
+  await clock.advance(2_000);
+  expect(keysOf(origins.takeBatch(10))).toEqual([[], []]);
+  expect(keysOf(origins.takeBatch(2))).toEqual([[], ["b", "c"]]);
+  origins.record("d", ORIGIN);
+  origins.takeBatch(10);
+  await clock.advance(LIFETIME);
+  expect(keysOf(origins.takeBatch(10))).toEqual([[], ["d"]]);
+});
+
 test("what could not be saved is tried again", async () => {
   const { clock, several, origins } = setUp();
   several.add("llm");
--- a/packages/retries/src/stream_origins.ts
+++ b/packages/retries/src/stream_origins.ts
@@ -36,7 +36,10 @@
   /** Remembers an origin that another daemon has saved and will remove. */
   remember(key: string, origin: StreamOrigin): void;
   find(key: string): StreamOrigin | undefined;
-  /** Takes changes to be saved, at most `limit` together. */
+  /**
+   * Takes changes to be saved, at most `limit` together. Removals wait for saves,
+   * or for others, so that they cost few calls.
+   */
   takeBatch(limit: number): OriginBatch;
   /** Returns a batch that could not be saved. */
   giveBack(batch: OriginBatch): void;
@@ -68,6 +71,9 @@
  */
 const MAX_ORIGINS = 20_000;
 
+/** Interval between two batches that only remove origins; none is urgent. */
+const REMOVAL_PERIOD: Milliseconds = 5_000;
+
 export function createStreamOrigins(
   { clock, lifetime, needsSaving }: StreamOriginsOptions,
 ): StreamOrigins {
@@ -76,6 +82,7 @@
   const unsaved = new Set<string>();
   const saved = new Set<string>();
   const expired = new Set<string>();
+  let nextRemoval: Milliseconds = -Infinity;
 
   function drop(key: string): void {
     known.delete(key);
@@ -140,7 +147,11 @@
         saved.add(key);
         saves.push([key, origin]);
       }
-      const removals = [...expired].slice(0, limit - saves.length);
+      const now = clock.monotonic();
+      const isDue = saves.length > 0 || expired.size >= limit ||
+        now >= nextRemoval;
+      const removals = isDue ? [...expired].slice(0, limit - saves.length) : [];
+      if (removals.length > 0) nextRemoval = now + REMOVAL_PERIOD;
       for (const key of removals) expired.delete(key);
       return { saves, removals };
     },
@@ -150,6 +161,7 @@
         if (known.has(key)) unsaved.add(key);
       }
       for (const key of removals) expired.add(key);
+      if (removals.length > 0) nextRemoval = -Infinity;
     },
     renew() {
       for (const [key, { isOwn }] of known) if (isOwn) unsaved.add(key);
