Software versions: what others remember goes into a first record

A daemon without knowledge of the earlier record may write the first one of the era; the others then added only the versions of their present replicas, so that after 5 s the record counted as complete without the others.

Change: each daemon adds what it has seen recorded within the removal delay. A regular removal comes later than that, so it is not undone.

Result: the new test of software_versions.test.ts failed before and passes, with the other tests of the records.

--- a/packages/retries/src/software_versions.test.ts
+++ b/packages/retries/src/software_versions.test.ts
@@ -159,6 +159,21 @@
 
 // Guards against ORDER: an answer from before the return of the store is taken for
 // what it holds now.
+// Guards against ORDER: after the return of a store, a daemon that has just started
+// writes the first record, and the others add only what their replicas have now.
+test("a first record after a return gets the versions that others remember", () => {
+  const { versions, see, read, soleOf } = setUp();
+  see("v1", "v2");
+  read(recordOf("v1", "v2"));
+  see("v1");
+  versions.forget();
+  const renewal = { mark: "other", time: CREATION_TIME };
+  const first = { ...recordOf("v1"), renewal };
+  const revised = read(first);
+  expect(revised).toEqual({ ...recordOf("v1", "v2"), renewal });
+  expect(revised && soleOf(revised)).toEqual(undefined);
+});
+
 test("an answer to a question from before a return says nothing", async () => {
   const { clock, versions, see, stateOf } = setUp();
   see("v1");
--- a/packages/retries/src/software_versions.ts
+++ b/packages/retries/src/software_versions.ts
@@ -354,7 +354,10 @@
         reviseVersion(history, each, isRemover)
       );
       const named = new Set(kept.map(({ software }) => software));
-      const added = [...history.present].filter((each) => !named.has(each));
+      // One that a returned store has lost may be missing in the first record
+      // of the era, if a daemon without knowledge of the earlier ones wrote it.
+      const known = new Set([...history.present, ...listRemembered(history)]);
+      const added = [...known].filter((each) => !named.has(each));
       const versions = [...kept, ...added.map((software) => ({ software }))];
       const renewal = isRenewed(history, read) ? undefined : read.renewal;
       const revised = {
