Stream records: a slow store delays no origins

Callers that took up streams which had begun at a daemon without the store got 503 in a third of the cases while a second version joined. Such a daemon tries the store again each 2 s and waited 900 ms for its answer; only then a neighbor was given the origins, and those of the streams that had begun meanwhile. Whoever takes a stream up looks for its origin for about a quarter of a second.

Where the store has not answered after 200 ms, a neighbor is given the origins too, and those that follow for 2 s or until the store answers. Origins that a daemon was given itself wait for its own store for as long as before, so that a slow store gets each origin twice at most from this.

--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -846,3 +846,32 @@
   expect([countOf("streams"), paths.length]).toEqual([1, 2]);
   for (const { end } of [first, second, cut]) end();
 });
+
+// Guards against LOST: a daemon that is cut from the store tries it again each two
+// seconds, and keeps the origins to itself until that has failed.
+test("a cut from the store delays no origins", async () => {
+  const { clock, countOf, first, second, store } = await startPair();
+  const { path, state } = createPath(store);
+  const silent: Store = {
+    ...path,
+    async transact(...call) {
+      if (state.isCut) await clock.sleep(900);
+      return await path.transact(...call);
+    },
+  };
+  for (const { list } of [first, second]) list("v1", "v2");
+  const cut = startDaemon(clock, silent, {
+    ...{ listed: ["v1", "v2"], name: "front-2" },
+    neighbor: () => second.records,
+  });
+  await advance(clock, 1_000);
+  state.isCut = true;
+  const late: number[] = [];
+  for (let at = 0; at < 24; at += 1) {
+    expect(cut.begin(`a${at}`, "v1")).toEqual(true);
+    await advance(clock, 400);
+    if (countOf("streams") <= at) late.push(at);
+  }
+  expect(late).toEqual([]);
+  for (const { end } of [first, second, cut]) end();
+});
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -106,6 +106,13 @@
 
 const STORE_TIMEOUT: Milliseconds = 900;
 
+/**
+ * Time after which a neighbor is given what the store has not confirmed. A stream
+ * is taken up a moment after its begin, and its origin is looked for twice within
+ * `LOOKUP_PAUSE`.
+ */
+const ANSWER_TIME: Milliseconds = 200;
+
 /** Time for which neighbors save in place of a daemon whose save has failed. */
 const OUTAGE_PERIOD: Milliseconds = 2_000;
 
@@ -157,11 +164,17 @@
     const batch = origins.takeBatch(MAX_ENTRIES);
     const { saves, removals } = batch;
     if (saves.length + removals.length === 0) return;
-    const isSaved = collector === undefined
-      ? await saveHere(batch)
-      // A collector removes the records itself that it has taken.
-      : saves.length === 0 || await options.send(collector, saves);
-    if (isSaved) return;
+    if (collector === undefined) return await saveHere(batch);
+    // A collector removes the records itself that it has taken.
+    const isTaken = saves.length === 0 || await options.send(collector, saves);
+    if (!isTaken) await giveToNeighbor(batch, collector);
+  }
+
+  async function giveToNeighbor(
+    batch: OriginBatch,
+    collector = "",
+  ): Promise<void> {
+    const { saves, removals } = batch;
     const [left, given] = splitReturned(saves);
     const neighbor = given.length > 0 ? options.neighbor() : undefined;
     if (neighbor !== undefined && await options.send(neighbor, given)) {
@@ -170,7 +183,7 @@
     origins.giveBack(batch);
     const streams = given.length;
     if (left.length > 0 && streams === 0) return;
-    logger.log("streams_unsaved", { streams, collector: collector ?? "" });
+    logger.log("streams_unsaved", { streams, collector });
   }
 
   /**
@@ -188,13 +201,37 @@
     return [[], saves] as const;
   }
 
-  /** Saves in the store, unless it could not be reached a moment ago. */
-  async function saveHere(batch: OriginBatch): Promise<boolean> {
-    const hasNeighbor = options.neighbor() !== undefined;
-    if (hasNeighbor && clock.monotonic() < nextSave) return false;
-    const isSaved = await save(batch);
-    if (!isSaved) nextSave = clock.monotonic() + OUTAGE_PERIOD;
-    return isSaved;
+  /**
+   * Saves in the store, unless it could not be reached a moment ago. Where it does
+   * not answer soon, a neighbor is given the origins of this daemon as well, and
+   * those that follow.
+   */
+  async function saveHere(batch: OriginBatch): Promise<void> {
+    const neighbor = options.neighbor();
+    if (neighbor !== undefined && clock.monotonic() < nextSave) {
+      return await giveToNeighbor(batch);
+    }
+    const saving = save(batch).catch(() => false);
+    const answered = new AbortController();
+    const answer = neighbor === undefined ? await saving : await Promise.race([
+      saving,
+      clock.sleep(ANSWER_TIME, answered.signal).then(() => undefined),
+    ]);
+    answered.abort();
+    if (answer === true) return;
+    nextSave = clock.monotonic() + OUTAGE_PERIOD;
+    if (answer === false) return await giveToNeighbor(batch);
+    const { saves, removals } = batch;
+    const own = saves.filter(([key]) => !origins.isCollected(key));
+    const isTaken = neighbor !== undefined && own.length > 0 &&
+      await options.send(neighbor, own);
+    const left = isTaken
+      ? saves.filter(([key]) => origins.isCollected(key))
+      : saves;
+    void saving.then((isSaved) => {
+      if (isSaved) nextSave = -Infinity;
+      else origins.giveBack({ saves: left, removals });
+    });
   }
 
   async function keepOrigins(signal: AbortSignal): Promise<void> {
--- a/packages/retries/src/stream_origins.ts
+++ b/packages/retries/src/stream_origins.ts
@@ -28,6 +28,8 @@
    * also where this daemon knows no second version yet, or has given it away.
    */
   collect(key: string, origin: StreamOrigin): void;
+  /** True when the origin was given to this daemon. */
+  isCollected(key: string): boolean;
   /**
    * True when the origin was given to this daemon after it had been saved or
    * given away here.
@@ -119,6 +121,7 @@
       put(key, origin, { isCollected: true, hasReturned: saved.has(key) });
       unsaved.add(key);
     },
+    isCollected: (key) => known.get(key)?.isCollected === true,
     hasReturned: (key) => known.get(key)?.hasReturned === true,
     remember(key, origin) {
       if (known.get(key)?.isOwn !== true) put(key, origin, { isOwn: false });
