Software records: a rejected read of a record is not kept

After one read of a record that was rejected while a second take-up waited for the next one, all later take-ups of the service at this daemon failed. The next read was chained to the success of the present one, so it was rejected with it, and stayed the answer for all later callers. It now begins in both cases.

The new test of stream_records.test.ts failed before and passes now.

--- a/packages/gateway/src/software_record.ts
+++ b/packages/gateway/src/software_record.ts
@@ -127,7 +127,8 @@
   function readAfterwards(service: string): Promise<ReadRecord | undefined> {
     const known = reads.get(service);
     if (known === undefined) return start(service);
-    known.next ??= known.present.then(() => start(service));
+    const begin = () => start(service);
+    known.next ??= known.present.then(begin, begin);
     return known.next;
   }
 
--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -875,3 +875,32 @@
   expect(late).toEqual([]);
   for (const { end } of [first, second, cut]) end();
 });
+
+// Guards against LOST: one rejected read of a record is kept, and all later
+// take-ups of the service fail with it.
+test("a rejected read of the record is not kept", async () => {
+  const { clock, store, first, second } = await startPair();
+  let rejects = false;
+  const failing: Store = {
+    ...store,
+    async readRow(...call) {
+      await clock.sleep(20);
+      if (rejects) throw new Error("no memory");
+      return await store.readRow(...call);
+    },
+  };
+  const third = startDaemon(clock, failing, {
+    ...{ listed: ["v1"], name: "front-2" },
+  });
+  await advance(clock, 1_000);
+  rejects = true;
+  // The second one waits for a read that begins after the first one.
+  const failed = Promise.allSettled(
+    ["a", "b"].map((id) => third.records.find(id, ROUTE)),
+  );
+  await advance(clock, 100);
+  await failed;
+  rejects = false;
+  expect(await find(clock, third, "c")).toEqual("v1");
+  for (const { end } of [first, second, third]) end();
+});
