Statements of replicas: silence ends no limit

What callers could see: a replica that had named Server-Limit and then got no request for 10 s was taken to have no limit, and the next burst went to it unchecked (LIMIT). It was the same with Server-Brittle. The wire says that both hold until an answer no longer has them.

Cause: `findAt` dropped a statement by the time since the last answer, though nothing may have been sent in that time.

Why it works: only an answer without the statement, or another incarnation, ends it. Requests at the named rate go on (at least at PROBE_RATE), so a limit ends with the first answer without it. A daemon that missed an end would now keep the limit, so an end is told again every 2 s for 30 s. A replica that gets no requests keeps its own word, but no longer holds its whole service brittle once another one has answered otherwise for 10 s. Statements of replicas that have not been listed for 60 s are dropped; the entry of a live one can be missing for some seconds.

--- a/packages/backpressure/src/places.test.ts
+++ b/packages/backpressure/src/places.test.ts
@@ -47,6 +47,43 @@
   expect(countPlaces(first)).toEqual(Infinity);
 });
 
+// Guards against LIMIT: replicas that nothing was sent to were taken for sound
+// after 10 s. One that gets no requests must not keep its service brittle for ever.
+test("brittle replicas stay so until an answer says otherwise", async () => {
+  const clock = createManualClock();
+  const statements = createStatements({ clock });
+  const [asked, unasked, silent] = ["a", "b", "c"].map((id) => ({
+    ...{ id, zone: HOME, service: SERVICE, slots: 4 },
+  })) as [PlacedReplica, PlacedReplica, PlacedReplica];
+  const places = createPlaces({
+    ...{ clock, statements, random: () => 0 },
+    replicasOf: () => [asked, unasked, silent],
+    inFlight: () => 4,
+    rates: () => ({ own: 1, peers: 0 }),
+    groupOf: () => ({ fraction: 1, members: 1, live: 1 }),
+  });
+  const listRooms = () =>
+    [asked, unasked, silent].map((replica) => places.hasRoom(replica));
+  statements.record(asked, { brittle: 3 });
+  statements.record(unasked, { brittle: 3 });
+  await clock.advance(60_000);
+  expect(listRooms()).toEqual([false, false, false]);
+  statements.record(asked, { brittle: 3 });
+  await clock.advance(5_000);
+  statements.record(asked, {});
+  await clock.advance(200);
+  expect(listRooms()).toEqual([false, false, false]);
+  await clock.advance(10_000);
+  statements.record(asked, {});
+  await clock.advance(200);
+  // The one that has not been asked since still is.
+  expect(listRooms()).toEqual([true, false, true]);
+  expect(places.isBrittle(SERVICE)).toEqual(false);
+  statements.record(unasked, {});
+  await clock.advance(200);
+  expect(listRooms()).toEqual([true, true, true]);
+});
+
 const STEP = 20;
 const DURATION = 12_000;
 const WORK = 200;
--- a/packages/backpressure/src/places.ts
+++ b/packages/backpressure/src/places.ts
@@ -25,7 +25,9 @@
 export abstract class Places {
   /**
    * Returns true while the replicas of the service are brittle. They become so
-   * together, and one that starts again may not have said so yet.
+   * together, and one that starts again may not have said so yet. It ends when
+   * none says so any more, or one no more for `END_CONFIRMED_AFTER` in which no
+   * other has said so: a replica that gets no requests keeps its last word.
    */
   abstract isBrittle(service: string): boolean;
   /** Returns true when the replica has a place for one more request. */
@@ -36,7 +38,7 @@
 
 export interface PlacesOptions {
   readonly clock: Clock;
-  readonly statements: Pick<Statements, "find">;
+  readonly statements: Pick<Statements, "find" | "findEnd">;
   readonly replicasOf: (service: string) => readonly PlacedReplica[];
   /** Requests of this daemon that the replica has now. */
   readonly inFlight: (id: string) => number;
@@ -56,6 +58,9 @@
 /** Interval at which the statements of a service are looked at again. */
 const CHECK_PERIOD: Milliseconds = 100;
 
+/** Time within which all replicas that get requests answer. */
+const END_CONFIRMED_AFTER: Milliseconds = 10_000;
+
 /** Part of the places that is left after each refusal for want of room. */
 const REFUSAL_FACTOR = 0.8;
 const MIN_FACTOR = 0.3;
@@ -107,13 +112,27 @@
     if (last !== undefined && now - last.at < CHECK_PERIOD) {
       return last.isBrittle;
     }
-    const isAnyBrittle = replicasOf(service).some((replica) =>
-      statements.find(replica, "brittle") !== undefined
+    const listed = replicasOf(service);
+    const lastSaid = Math.max(
+      ...listed.map((replica) =>
+        statements.find(replica, "brittle")?.heardAt ?? -Infinity
+      ),
     );
+    const isAnyBrittle = lastSaid > -Infinity && !listed.some((replica) => {
+      const end = statements.findEnd(replica, "brittle");
+      return end !== undefined &&
+        end.heardAt >= Math.max(end.since, lastSaid) + END_CONFIRMED_AFTER;
+    });
     checks.set(service, { at: now, isBrittle: isAnyBrittle });
     return isAnyBrittle;
   }
 
+  /** True when the replica itself says so, or its service is brittle. */
+  function isKept(replica: PlacedReplica): boolean {
+    return isBrittle(replica.service) ||
+      statements.find(replica, "brittle") !== undefined;
+  }
+
   function shareOf(replica: PlacedReplica): Share {
     const key = incarnationHash(replica);
     const now = clock.monotonic();
@@ -166,7 +185,7 @@
     override isBrittle = isBrittle;
 
     override hasRoom(replica: PlacedReplica): boolean {
-      if (!isBrittle(replica.service)) return true;
+      if (!isKept(replica)) return true;
       const { factor, pausedUntil } = shareOf(replica);
       if (clock.monotonic() < pausedUntil) return false;
       const part = partOf(replica, factor);
@@ -177,7 +196,7 @@
     }
 
     override recordRefusal(replica: PlacedReplica): void {
-      if (!isBrittle(replica.service)) return;
+      if (!isKept(replica)) return;
       const share = shareOf(replica);
       share.factor = Math.max(MIN_FACTOR, share.factor * REFUSAL_FACTOR);
       share.pausedUntil = clock.monotonic() + REFUSAL_PAUSE;
--- a/packages/backpressure/src/statement.ts
+++ b/packages/backpressure/src/statement.ts
@@ -37,8 +37,8 @@
 ];
 
 /**
- * Kinds that hold until the end of the incarnation, also when nothing is heard
- * from it any more.
+ * Kinds that hold until the end of the incarnation, also when an answer of it
+ * does not have them.
  */
 export const LASTING_KINDS: ReadonlySet<StatementKind> = new Set([
   "leaving",
--- a/packages/backpressure/src/statements.ts
+++ b/packages/backpressure/src/statements.ts
@@ -2,8 +2,8 @@
  * What replicas say of themselves in their answers. Each statement is kept with
  * its age and the incarnation of its replica, and the newest one counts, whether
  * this daemon or a peer heard it. A statement ends when an answer no longer has
- * it, or when no daemon has heard it for `STATEMENT_EXPIRY`; one of a lasting
- * kind ends with the incarnation only.
+ * it; one of a lasting kind ends with the incarnation only. That nothing is heard
+ * of a replica, to which perhaps nothing was sent, ends none.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
@@ -30,6 +30,14 @@
   readonly since: Milliseconds;
 }
 
+/** The end of a statement. */
+export interface StatementEnd {
+  /** Time of the newest answer without the statement. */
+  readonly heardAt: Milliseconds;
+  /** Time since which the end is known here. */
+  readonly since: Milliseconds;
+}
+
 export abstract class Statements {
   /** Records everything that one answer of the replica says of itself. */
   abstract record(replica: Incarnation, statement: Statement): void;
@@ -44,7 +52,7 @@
   ): void;
   /**
    * Reports a statement that cannot be read to `onRejected`, at most once per
-   * replica in `STATEMENT_EXPIRY`.
+   * replica in `REJECTION_PERIOD`.
    */
   abstract reject(replica: Incarnation, reason: string): void;
   /** Returns the statement in force; undefined when there is none. */
@@ -52,6 +60,14 @@
     replica: Incarnation,
     kind: StatementKind,
   ): HeardStatement | undefined;
+  /**
+   * Returns the end of a statement that the replica had made; undefined while it
+   * is in force or was never made.
+   */
+  abstract findEnd(
+    replica: Incarnation,
+    kind: StatementKind,
+  ): StatementEnd | undefined;
   /**
    * Takes news for the peers of at most `limit` bytes of JSON; undefined when
    * there are none.
@@ -73,10 +89,22 @@
     value: number | undefined,
   ) => void;
   readonly onRejected?: (replica: Incarnation, reason: string) => void;
+  /**
+   * The replicas of the platform's list. What others said is dropped after
+   * `UNLISTED_EXPIRY`; by default it is kept.
+   */
+  readonly listed?: () => Iterable<Incarnation>;
 }
 
-/** Time without a further answer after which a statement no longer holds. */
-export const STATEMENT_EXPIRY: Milliseconds = 10_000;
+/** Interval at which statements of one replica that cannot be read are logged. */
+const REJECTION_PERIOD: Milliseconds = 10_000;
+
+/**
+ * Time for which the statements of a replica are kept that is not listed. The
+ * entry of a live replica can be missing for some seconds after an outage of the
+ * store.
+ */
+export const UNLISTED_EXPIRY: Milliseconds = 60_000;
 
 /** More replicas than a fleet has; the oldest statements are dropped. */
 const MAX_REPLICAS = 2_000;
@@ -84,14 +112,23 @@
 /** Times that a change is told to the peers, as datagrams can be lost. */
 const CHANGE_ROUNDS = 3;
 
-/** Interval at which peers learn that a statement still holds. */
+/** Interval at which peers learn that a statement still holds, or has ended. */
 const RENEWAL_PERIOD: Milliseconds = 2_000;
 
+/**
+ * Time for which an end is told again, since a peer that has missed it keeps the
+ * statement until it hears the replica itself.
+ */
+const END_RENEWED_FOR: Milliseconds = 30_000;
+
 interface StatementRecord {
   /** Undefined when the replica no longer says so. */
   readonly value: number | undefined;
   readonly heardAt: Milliseconds;
+  /** Time since which the statement is in force, or has ended. */
   readonly since: Milliseconds;
+  /** Time at which the replica was last found in the list. */
+  readonly listedAt: Milliseconds;
   /** False when only peers have heard it. */
   readonly isOwn: boolean;
   /** Times that peers are still to be told of the last change. */
@@ -101,6 +138,7 @@
 
 export function createStatements(options: StatementsOptions): Statements {
   const { clock, onChange = () => {}, onRejected = () => {} } = options;
+  const { listed } = options;
   /** Records by kind and replica key, the one heard last at the end. */
   const records = new Map(
     STATEMENT_KINDS.map((kind) => [kind, new Map<string, StatementRecord>()]),
@@ -115,10 +153,7 @@
     kind: StatementKind,
     key: string,
   ): StatementRecord | undefined {
-    const known = recordsOf(kind).get(key);
-    if (known === undefined || LASTING_KINDS.has(kind)) return known;
-    const age = clock.monotonic() - known.heardAt;
-    return age < STATEMENT_EXPIRY ? known : undefined;
+    return recordsOf(kind).get(key);
   }
 
   /** Stores what was heard unless something newer is known. */
@@ -135,11 +170,13 @@
     if (known !== undefined && known.heardAt > heardAt) return;
     if (value === undefined && LASTING_KINDS.has(kind)) return;
     const isChanged = isNews || known?.value !== value;
-    const wasInForce = known?.value !== undefined;
+    const isContinued = known !== undefined &&
+      (known.value === undefined) === (value === undefined);
     setBounded(recordsOf(kind), key, {
       value,
       heardAt,
-      since: wasInForce ? known.since : clock.monotonic(),
+      since: isContinued ? known.since : clock.monotonic(),
+      listedAt: known?.listedAt ?? -Infinity,
       isOwn,
       roundsLeft: isChanged ? CHANGE_ROUNDS : known?.roundsLeft ?? 0,
       toldAt: known?.toldAt ?? -Infinity,
@@ -149,14 +186,28 @@
   function isDue({ value, heardAt, ...record }: StatementRecord): boolean {
     if (!record.isOwn) return false;
     if (record.roundsLeft > 0) return true;
-    if (value === undefined || heardAt <= record.toldAt) return false;
-    return clock.monotonic() - record.toldAt >= RENEWAL_PERIOD;
+    const now = clock.monotonic();
+    const isNews = value === undefined
+      ? now - record.since < END_RENEWED_FOR
+      : heardAt > record.toldAt;
+    return isNews && now - record.toldAt >= RENEWAL_PERIOD;
   }
 
-  function dropExpired(): void {
-    for (const [kind, known] of records) {
-      for (const key of [...known.keys()]) {
-        if (findAt(kind, key) === undefined) known.delete(key);
+  /** Drops what ends with an answer, of replicas that are gone. */
+  function dropUnlisted(): void {
+    const passing = [...records].filter(([kind, known]) =>
+      !LASTING_KINDS.has(kind) && known.size > 0
+    );
+    if (listed === undefined || passing.length === 0) return;
+    const present = new Set([...listed()].map(incarnationHash));
+    const now = clock.monotonic();
+    for (const [, known] of passing) {
+      for (const [key, record] of [...known]) {
+        const { heardAt, listedAt } = record;
+        if (present.has(key)) known.set(key, { ...record, listedAt: now });
+        else if (now - Math.max(heardAt, listedAt) >= UNLISTED_EXPIRY) {
+          known.delete(key);
+        }
       }
     }
   }
@@ -187,7 +238,7 @@
     override reject(replica: Incarnation, reason: string): void {
       const key = incarnationHash(replica);
       const last = rejections.get(key) ?? -Infinity;
-      if (clock.monotonic() - last < STATEMENT_EXPIRY) return;
+      if (clock.monotonic() - last < REJECTION_PERIOD) return;
       setBounded(rejections, key, clock.monotonic());
       onRejected(replica, reason);
     }
@@ -203,8 +254,19 @@
       return { value, heardAt, since };
     }
 
+    override findEnd(
+      replica: Incarnation,
+      kind: StatementKind,
+    ): StatementEnd | undefined {
+      if (recordsOf(kind).size === 0) return undefined;
+      const found = findAt(kind, incarnationHash(replica));
+      if (found === undefined || found.value !== undefined) return undefined;
+      const { heardAt, since } = found;
+      return { heardAt, since };
+    }
+
     override compose(limit: Bytes): StatementNews | undefined {
-      dropExpired();
+      dropUnlisted();
       const now = clock.monotonic();
       const due = STATEMENT_KINDS.flatMap((kind) =>
         [...recordsOf(kind)].filter(([, record]) => isDue(record))
--- a/packages/gateway/src/replica_pace.ts
+++ b/packages/gateway/src/replica_pace.ts
@@ -60,6 +60,7 @@
   const { clock, logger, load, replicas, announce } = options;
   const statements = createStatements({
     clock,
+    listed: () => replicas.all().map(({ entry }) => entry),
     onChange({ id }, kind, value) {
       const isInForce = value !== undefined;
       const fields = { kind, value: value ?? 0, isInForce };
