Limits and places: equal parts until the rates of the others are heard

What callers could see: after a lull each daemon took most of a replica's limit for as long as it had not heard the rates of the others, which had begun to send at the same time (LIMIT).

Cause: the share was the own rate of now against rates that the peers had told before. No rate heard counted as no requests sent. A rest of the own rate that is too small to be told even made the share whole.

Why it works: a daemon claims its share by the lowest own rate of the last 1.5 s and more, so that what it claims has been heard by the others and they by it. Until then it takes an equal part. Own rates are rounded like those that are told. Places of brittle replicas divide by the same rates.

Evidence: "N daemons keep a replica's limit after a lull" (limits.test.ts).

--- a/packages/backpressure/src/limits.test.ts
+++ b/packages/backpressure/src/limits.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { createManualClock } from "@peridotvalve/clock";
 import { createLoadView } from "@peridotvalve/load";
-import { SECOND } from "@peridotvalve/types";
+import { type Milliseconds, SECOND } from "@peridotvalve/types";
 import { expect } from "earl";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createLimits, divideLimit } from "./limits.ts";
@@ -22,6 +22,9 @@
 const ANSWER_TIME = 150;
 const MAX_WAIT = 2 * SECOND;
 
+/** Time in which a replica names its limit before a lull. */
+const LULL_START = 2 * SECOND;
+
 /** Share of a limit that must be used when three times as much comes in. */
 const MIN_USED_SHARE = 0.5;
 
@@ -38,11 +41,16 @@
   readonly skew: number;
   readonly lossRate: number;
   readonly seed: number;
+  /** Time at which the demand begins; it is low at first and then 0. */
+  readonly lull?: Milliseconds;
+  readonly answerTime?: Milliseconds;
 }
 
 /** Requests that reach one limited replica, by time and by daemon. */
 async function simulate(scenario: Scenario) {
-  const { daemons, zones, limit, seed } = scenario;
+  const { daemons, zones, limit, seed, lull = 0 } = scenario;
+  const { answerTime = ANSWER_TIME } = scenario;
+  const duration = DURATION + lull;
   const clock = createManualClock();
   const generator = xoroshiro128plus(seed);
   const random = () => (generator.next() >>> 0) / 2 ** 32;
@@ -76,7 +84,7 @@
     [];
   const counted: number[] = [];
   let taken = 0;
-  while (clock.monotonic() < DURATION) {
+  while (clock.monotonic() < duration) {
     await clock.advance(STEP);
     const now = clock.monotonic();
     while (answers[0] !== undefined && answers[0].at <= now) {
@@ -86,8 +94,8 @@
     }
     for (const daemon of fleet) {
       const { load, limits, statements, name, zone } = daemon;
-      const expected = scenario.demand * limit * daemon.weight / total * STEP /
-        SECOND;
+      const demand = now > lull ? scenario.demand : now < LULL_START ? 1 : 0;
+      const expected = demand * limit * daemon.weight / total * STEP / SECOND;
       if (random() < expected) daemon.waiting.push(now);
       if (expected > 1) {
         for (let more = 1; more < expected; more += 1) daemon.waiting.push(now);
@@ -97,10 +105,10 @@
         daemon.waiting.shift();
         limits.take(REPLICA);
         const request = load.trackRequest("a", { unread: 1, memory: 1 });
-        answers.push({ at: now + ANSWER_TIME, daemon });
+        answers.push({ at: now + answerTime, daemon });
         request.end();
         if (now >= daemon.heardAt + NOTICE) counted.push(now);
-        if (now > DURATION / 2) taken += 1;
+        if (now > lull + DURATION / 2) taken += 1;
       }
       if (now < daemon.digestAt) continue;
       daemon.digestAt = now + 600 + random() * 200;
@@ -198,3 +206,21 @@
     }
   });
 }
+
+// Guards against daemons that forget a limit in a lull, and against ones that each
+// take all of it afterwards, as they have heard of no requests of the others.
+for (const [daemons, zones] of FLEETS) {
+  test(`${daemons} daemons keep a replica's limit after a lull`, async () => {
+    for (const limit of [9.5, 40]) {
+      for (const lull of [8 * SECOND, 30 * SECOND]) {
+        const scenario = {
+          ...{ daemons, zones, limit, demand: 20, skew: 0, lull },
+          ...{ answerTime: 1.5 * SECOND, lossRate: 0.05, seed: daemons },
+        };
+        const { most, used } = await simulate(scenario);
+        const text = JSON.stringify({ ...scenario, most, used });
+        assert(most <= allowedFor(limit), text);
+      }
+    }
+  });
+}
--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -1,8 +1,8 @@
 /**
  * Keeps the requests of all daemons to a replica within the limit that it
  * names. Each daemon may use a share of the limit: what its recent rate is of
- * the rates of all that share it, and at least an equal part. Shares follow the
- * load, so the limit is used wherever the requests come in, and a daemon that
+ * the rates of all that share it, and at least an equal part; it has an equal part
+ * also while the rates of the others are on their way. Shares follow the load, so the limit is used wherever the requests come in, and a daemon that
  * does not know the others yet takes an equal part.
  *
  * A cold replica has a limit of its own, which holds in any second and is divided
@@ -21,8 +21,9 @@
   type Tolerance,
 } from "./equal_slots.ts";
 import { incarnationHash, type PacedReplica } from "./incarnation.ts";
-import { hashToUnit } from "./unit_hash.ts";
+import { createSettledRates, SETTLING_TIME } from "./settled_rates.ts";
 import type { Statements } from "./statements.ts";
+import { hashToUnit } from "./unit_hash.ts";
 
 /** Daemons that know each other's rates and share a part of each limit. */
 export interface SharingGroup {
@@ -122,12 +123,6 @@
 /** Rate at which a replica that takes less is asked whether it still does. */
 const PROBE_RATE: RequestRate = 0.5;
 
-/**
- * Time after a statement is first known in which the rates of the others are
- * still on their way, so that each daemon takes an equal part.
- */
-export const SETTLING_TIME: Milliseconds = 1_500;
-
 /**
  * Time for which an unused share is kept. It bounds the requests that daemons
  * with unused shares send at once.
@@ -144,9 +139,10 @@
 }
 
 export function createLimits(options: LimitsOptions): Limits {
-  const { clock, statements, rates, groupOf, random = Math.random } = options;
+  const { clock, statements, groupOf, random = Math.random } = options;
   const { coldness = () => undefined, position = () => undefined } = options;
   const { tolerance = () => DEFAULT_TOLERANCE } = options;
+  const rates = createSettledRates(clock, options.rates);
   const buckets = new Map<string, Bucket>();
   const slots = createEqualSlots({ clock, position, tolerance });
 
--- a/packages/backpressure/src/places.ts
+++ b/packages/backpressure/src/places.ts
@@ -12,7 +12,8 @@
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds, RequestRate } from "@peridotvalve/types";
 import { incarnationHash, type PacedReplica } from "./incarnation.ts";
-import { SETTLING_TIME, type SharingGroup } from "./limits.ts";
+import type { SharingGroup } from "./limits.ts";
+import { createSettledRates, SETTLING_TIME } from "./settled_rates.ts";
 import type { Statements } from "./statements.ts";
 import { hashToUnit } from "./unit_hash.ts";
 
@@ -98,8 +99,9 @@
 }
 
 export function createPlaces(options: PlacesOptions): Places {
-  const { clock, statements, replicasOf, inFlight, rates, groupOf } = options;
+  const { clock, statements, replicasOf, inFlight, groupOf } = options;
   const { random = Math.random } = options;
+  const rates = createSettledRates(clock, options.rates);
   const shares = new Map<string, Share>();
   const checks = new Map<
     string,
--- a/packages/load/src/load_view.ts
+++ b/packages/load/src/load_view.ts
@@ -216,8 +216,7 @@
 
   /** Recent requests in steps, if the peers need them. */
   function stepsOf(replica: string): number {
-    if (!sharesRate(replica)) return 0;
-    return Math.round(recentOf(replica).requests / REQUEST_STEP);
+    return sharesRate(replica) ? roundToSteps(recentOf(replica)) : 0;
   }
 
   function computeTotal(replica: string): ReplicaLoad {
@@ -281,7 +280,8 @@
     override rates(replica: string): PlacementRates {
       const steps = peerRequestSteps.get(replicaKey(replica)) ?? 0;
       return {
-        own: toRate(recentOf(replica).requests),
+        // As the peers know it: a rest that they take for 0 is no share of theirs.
+        own: toRate(roundToSteps(recentOf(replica)) * REQUEST_STEP),
         peers: toRate(steps * REQUEST_STEP),
       };
     }
@@ -343,6 +343,10 @@
   return { requests, unread, memory, recentTokens: steps * RECENT_STEP };
 }
 
+function roundToSteps({ requests }: RecentPlacements): number {
+  return Math.round(requests / REQUEST_STEP);
+}
+
 function toRate(recentRequests: number): RequestRate {
   return recentRequests * SECOND / RECENT_TIME;
 }
