Lists of neighbors: removed entries get their grace period

What callers could see: after an outage of the store the first list that a daemon took from a neighbor dropped the replicas whose entries had expired, though they were alive and listed again within two seconds; with few others left, requests failed for lack of replicas.

Cause: rows of a neighbor were handed to the replicas before the end of the outage was recorded (`recordPeerRead` comes after `adopt`), so the missing entries counted as removed in calm.

Why it works: the replicas learn before the rows that a list is taken. When the last read is longer ago than an outage lasts at least, the missing entries get the grace period. This does not count as a read: the neighbor may have read the list in the outage, and the next read is then still the first one after it.

--- a/packages/dispatch/src/replica.ts
+++ b/packages/dispatch/src/replica.ts
@@ -105,6 +105,11 @@
   abstract remove(id: string): void;
   /** Records that the list has been read. */
   abstract recordListRead(): void;
+  /**
+   * Records that a list follows which another daemon has read at some time.
+   * Entries that it lacks get a grace period as after a read.
+   */
+  abstract recordListTaken(): void;
   /**
    * Records that the list comes from an older copy from now on, so that entries
    * which it lacks get a grace period.
@@ -283,6 +288,11 @@
       clock.monotonic() >= (removals.get(id) ?? Infinity);
   }
 
+  function grantGrace(): void {
+    const now = clock.monotonic();
+    if (now - lastListRead > MIN_OUTAGE) graceUntil = now + REMOVAL_GRACE;
+  }
+
   function dropExpiredRemovals(): void {
     if (removals.size === 0) return;
     const now = clock.monotonic();
@@ -305,12 +315,17 @@
     }
 
     override recordListRead(): void {
-      const now = clock.monotonic();
-      if (now - lastListRead > MIN_OUTAGE) graceUntil = now + REMOVAL_GRACE;
-      lastListRead = now;
+      grantGrace();
+      lastListRead = clock.monotonic();
       dropExpiredRemovals();
     }
 
+    override recordListTaken(): void {
+      // The other daemon may have read it before the end of the outage, so that
+      // the next read is still the first one after it.
+      grantGrace();
+    }
+
     override recordListReturn(): void {
       graceUntil = clock.monotonic() + REMOVAL_GRACE;
     }
--- a/packages/gateway/src/followed_tables.ts
+++ b/packages/gateway/src/followed_tables.ts
@@ -130,6 +130,7 @@
     fingerprintOf: fingerprintEntry,
     onRead: reportAwaited,
     onContact: () => options.replicas.recordListRead(),
+    onAdopt: () => options.replicas.recordListTaken(),
     onSnapshot(rows) {
       options.onReplicasKnown();
       options.replicas.replaceAll(rows.flatMap(decodeEntry));
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -49,6 +49,8 @@
   ) => void;
   /** Called when the table is known as of now. */
   readonly onContact?: () => void;
+  /** Called before the rows of a peer are handed on. */
+  readonly onAdopt?: () => void;
 }
 
 export abstract class TableFollower {
@@ -255,6 +257,7 @@
       const change = known.adopt(update);
       if (change === undefined) return false;
       needsSnapshot = false;
+      options.onAdopt?.();
       if (update.isWhole) options.onSnapshot(known.list());
       else if (change.changed.length + change.removed.length > 0) {
         options.onChange(change.changed, change.removed);
