Evacuations: one that a returned store lacks ends with a read, not by time

What callers could see: a store returned from a copy without the row of an evacuation, and was away again or not reached for 30 s; requests then went into the evacuated zone, though the operator could not have written the row again.

Cause: the 30 s ran on the clock, whether the table was read in them or not.

Why it works: the evacuation ends when a read that began after the 30 s has not found the row. `TableFollower.knownUntil` gives the begin of the newest read, so an answer that lay unread while the process stood still does not count as one of now. Of a peer's read only the age of the answer is known, so the longest time of a call is taken off.

The test "an evacuation that a returned store lacks is kept for 30 s" expected the end without a read, which is the fault; it now reads the table first.

Evidence: "an evacuation is kept until a read has not found it" failed on the code before and passes now; "a table is known until the begin of a read" is new, as its method is.

--- a/packages/gateway/src/evacuations.test.ts
+++ b/packages/gateway/src/evacuations.test.ts
@@ -31,6 +31,7 @@
     isHeld: (key) => readEvacuation(key) !== undefined,
   });
   const names: EventName[] = [];
+  let knownUntil = -Infinity;
   const evacuations = createEvacuations({
     clock,
     logger: new (class extends EventLogger {
@@ -40,15 +41,19 @@
     })(),
     codec: { readEvacuation },
     regions: REGIONS,
-    table: () => ({ ...rows, rows: rows.list }),
+    table: () => ({
+      ...{ ...rows, rows: rows.list, knownUntil: () => knownUntil },
+    }),
   });
   /** Takes the whole table as the store has it. */
   const read = (version: number, ...present: FeedRow[]) => {
     rows.replaceAll(present, version);
+    knownUntil = clock.monotonic();
     evacuations.refresh();
   };
   const change = (version: number, put: FeedRow[], removed: string[] = []) => {
     rows.applyChanges({ rows: put, removed, version });
+    knownUntil = clock.monotonic();
     evacuations.refresh();
   };
   const zones = () => [...evacuations.zones()].sort();
@@ -81,6 +86,7 @@
   await clock.advance(9_000);
   expect([zones(), names.at(-1)]).toEqual([["espoo"], "evacuation_kept"]);
   await clock.advance(1_500);
+  read(after(6), state(after(3)));
   expect(zones()).toEqual([]);
   expect(names.includes("evacuation_expired")).toEqual(true);
   // A peer that still keeps the row does not bring it back, and drops it too.
@@ -93,6 +99,19 @@
   expect(peer.rows.list().map(({ key }) => key)).toEqual(["config"]);
 });
 
+// Guards against requests into an evacuated zone because its row was not found for
+// 30 s in which nothing was read.
+test("an evacuation is kept until a read has not found it", async () => {
+  const { clock, zones, read, change } = setUp();
+  read(after(4), state(after(3)));
+  await clock.advance(90_000);
+  expect(zones()).toEqual(["espoo"]);
+  change(after(5), [evacuation("espoo", after(5))]);
+  expect(zones()).toEqual(["espoo"]);
+  await clock.advance(90_000);
+  expect(zones()).toEqual(["espoo"]);
+});
+
 test("the operator's next write or removal decides after a return", async () => {
   const written = setUp();
   written.read(after(4), state(after(3)));
--- a/packages/gateway/src/evacuations.ts
+++ b/packages/gateway/src/evacuations.ts
@@ -4,7 +4,8 @@
  * name the zones.
  *
  * A store that has returned from an older copy may lack such a row. The
- * evacuation is then kept for a time in which the operator can write it again.
+ * evacuation is then kept for a time in which the operator can write it again,
+ * and until a later read has not found the row.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
@@ -27,7 +28,10 @@
   /** Region of each zone of the settings. */
   readonly regions: ReadonlyMap<string, string>;
   /** The operator's table. */
-  readonly table: () => Pick<TableFollower, "forget" | "rows" | "version">;
+  readonly table: () => Pick<
+    TableFollower,
+    "forget" | "knownUntil" | "rows" | "version"
+  >;
 }
 
 /** Time for which an evacuation is kept that a returned store lacks. */
@@ -35,7 +39,10 @@
 
 interface Evacuation {
   readonly zone: string;
-  /** End of the time for which it is kept; absent while the store has it. */
+  /**
+   * Time of which the table must be known before it ends; absent while the store
+   * has it.
+   */
   readonly keptUntil?: Milliseconds;
 }
 
@@ -90,13 +97,14 @@
   function refresh(): void {
     era = eraOf(table().version());
     take(readRows());
-    if (clock.monotonic() >= nextExpiry) dropExpired();
+    dropExpired();
   }
 
   function dropExpired(): void {
-    const now = clock.monotonic();
+    const knownUntil = table().knownUntil();
+    if (knownUntil < nextExpiry) return;
     for (const [key, { zone, keptUntil = Infinity }] of known) {
-      if (keptUntil > now) continue;
+      if (keptUntil > knownUntil) continue;
       table().forget(key);
       logger.log("evacuation_expired", { zone });
     }
@@ -107,7 +115,7 @@
     zones() {
       // A peer can tell of the new era without a row that has changed.
       if (eraOf(table().version()) !== era) refresh();
-      if (clock.monotonic() >= nextExpiry) dropExpired();
+      dropExpired();
       return zones;
     },
     refresh,
--- a/packages/gateway/src/table_follower.test.ts
+++ b/packages/gateway/src/table_follower.test.ts
@@ -212,3 +212,35 @@
   expect(reads).toEqual([[2, 0], [3, 1_000]]);
   expect(changes).toEqual([]);
 });
+
+// Guards against an answer that lay unread while the process stood still and that
+// counts as the state of the table after that.
+test("a table is known until the begin of a read", async () => {
+  const answers: ((answer: Answer) => void)[] = [];
+  const feed = new (class extends TableFeed {
+    override snapshot = () => Promise.resolve(Ok({ rows: [], version: 1 }));
+    override changes = () =>
+      new Promise<Answer>((resolve) => answers.push(resolve));
+  })();
+  const clock = createManualClock();
+  const follower = createTableFollower({
+    ...{ clock, feed, table: "t", wait: 800, pause: 0 },
+    logger: new (class extends EventLogger {
+      override log(): void {}
+    })(),
+    onSnapshot: () => {},
+    onChange: () => {},
+  });
+  expect(follower.knownUntil()).toEqual(-Infinity);
+  const stop = new AbortController();
+  void follower.run(stop.signal);
+  await clock.advance(40_000);
+  expect(follower.knownUntil()).toEqual(0);
+  answers[0]?.(Ok({ rows: [], removed: [], version: 2 }));
+  await clock.advance(1_000);
+  expect(follower.knownUntil()).toEqual(0);
+  // The answer of a peer's read may have come as long after its begin.
+  follower.recordPeerRead(500);
+  expect(follower.knownUntil()).toEqual(41_000 - 500 - 800 - 1_200);
+  stop.abort();
+});
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -83,6 +83,12 @@
   abstract lastContact(): Milliseconds;
   /** Time of the newest read by this daemon. */
   abstract lastOwnRead(): Milliseconds;
+  /**
+   * Time up to which the known rows are those of the store: a read, whose rows
+   * are known here, began later. What the process stood still for after that is
+   * no part of it.
+   */
+  abstract knownUntil(): Milliseconds;
 }
 
 /** Timeout of a call, in addition to the requested wait. */
@@ -122,6 +128,8 @@
   let lastOwnRead = -Infinity;
   /** Start of the newest read of this daemon that was answered. */
   let lastReadStart = -Infinity;
+  /** Time after which the newest read of a peer began. */
+  let peerReadStart = -Infinity;
   let lostSince: Milliseconds | undefined;
   let timeout = INITIAL_TIMEOUT;
 
@@ -267,6 +275,9 @@
 
     override recordPeerRead(age: Milliseconds): void {
       const at = clock.monotonic() - age;
+      // The age counts from the answer.
+      const start = at - wait - RESPONSE_TIMEOUT;
+      peerReadStart = Math.max(peerReadStart, start);
       if (at <= lastContact) return;
       lastContact = at;
       if (age <= MAX_CONTACT_AGE) options.onContact?.();
@@ -279,5 +290,9 @@
     override lastOwnRead(): Milliseconds {
       return lastOwnRead;
     }
+
+    override knownUntil(): Milliseconds {
+      return Math.max(lastReadStart, peerReadStart);
+    }
   })();
 }
