Lease: a row that cannot be parsed is free only after the whole duration

What could happen: two holders at one time (ONE), where the row of the holder is one that this release cannot parse, for instance of another release.

Cause: a row without a readable holder counted as released. Change: such a row is waited for like that of another holder: it may be replaced once it has been unchanged for the whole duration, so it never blocks the duty. Evidence: 'an unreadable row is free only after the whole duration' took over at once before ("held" instead of "held by other"); it passes now, with all of the package.

--- a/packages/lease/src/lease.test.ts
+++ b/packages/lease/src/lease.test.ts
@@ -4,7 +4,7 @@
   createSuspendAwareClock,
   type ManualClock,
 } from "@peridotvalve/clock";
-import { createMemoryPlatform } from "@peridotvalve/tables";
+import { createMemoryPlatform, type Json } from "@peridotvalve/tables";
 import { expect } from "earl";
 import { test } from "node:test";
 import { createLease, type Lease } from "./lease.ts";
@@ -123,6 +123,28 @@
   expect(await takeOver(b, clock) <= MARGIN / 1_000).toEqual(true);
 });
 
+// Guards against ONE: a row that this release cannot read counts as free, although
+// another one that can holds the lease.
+test("an unreadable row is free only after the whole duration", async () => {
+  const { clock, platform, contender } = setUp();
+  const b = contender("b");
+  const write = (value: Json) => {
+    const writes = [{ table: "leases", key: "sweep", value }];
+    const id = `${clock.now()}`;
+    return platform.transact({ id, checks: [], writes }, 1_000);
+  };
+  const renewals = 15;
+  for (let second = 0; second < renewals; second += 1) {
+    await write({ owner: "a", renewals: second });
+    expect((await b.acquire()).kind).toEqual("held by other");
+    await clock.advance(1_000);
+  }
+  await clock.advance(DURATION - 1_000 - 1);
+  expect((await b.acquire()).kind).toEqual("held by other");
+  await clock.advance(1);
+  expect((await b.acquire()).kind).toEqual("held");
+});
+
 test("a renewal restarts a contender's observation", async () => {
   const { clock, contender } = setUp();
   const [a, b] = [contender("a"), contender("b")];
--- a/packages/lease/src/lease.ts
+++ b/packages/lease/src/lease.ts
@@ -56,8 +56,8 @@
 export abstract class Lease {
   /**
    * Reads the row once and acquires the lease if it is free. A row of another
-   * holder counts as free once repeated calls have seen it unchanged for the
-   * whole `duration`.
+   * holder, or one that cannot be parsed, counts as free once repeated calls have
+   * seen it unchanged for the whole `duration`.
    */
   abstract acquire(): Promise<LeaseResult>;
   /**
@@ -160,8 +160,8 @@
   ): boolean {
     const isReliable = storeAge() >= duration;
     if (row === undefined) return isReliable;
-    const parsed = parseLeaseRow(row);
-    if (parsed === undefined || parsed.holder === null) return isReliable;
+    // A row that cannot be parsed may belong to a holder of another release.
+    if (parseLeaseRow(row)?.holder === null) return isReliable;
     if (observation?.version !== row.version) {
       const firstSeenAt = contenderClock.monotonic();
       observation = { version: row.version, firstSeenAt };
