Tables: a fresh reader takes what its neighbors keep from before a return

Two neighbors that kept different rows did not tell each other either.

Cause: rows of an earlier era have lower versions, so the comparison of content versions said that a reader of the copy lacks nothing, and a daemon whose reads succeed takes nothing from neighbors.

Change: heartbeats name a fingerprint of the rows that a daemon keeps from before the return. Whoever keeps others fetches the whole table of that neighbor and takes the kept rows by their progress. A row that is unknown here is taken only from a neighbor that has read as far as this daemon, as it may have been removed since; a neighbor that is behind reads once when it is asked. Why it works: kept rows only grow by progress or by rows that no known removal covers, so the fingerprints of neighbors become equal and the calls end.

'rows that neighbors keep are fetched once' guards the new calls.

--- a/packages/gateway/src/followed_rows.ts
+++ b/packages/gateway/src/followed_rows.ts
@@ -9,6 +9,7 @@
  * here falls back meanwhile.
  */
 import { eraOf, type FeedRow } from "@peridotvalve/tables";
+import { createHash } from "node:crypto";
 
 /** Rows for a peer: a whole table, or the changes after a content version. */
 export interface TableUpdate {
@@ -50,9 +51,26 @@
   forget(key: string): void;
   /** Takes the rows of a peer; returns the changes, or undefined if none. */
   adopt(update: TableUpdate): RowChange | undefined;
+  /**
+   * Fingerprint of the rows that are kept although the returned store lacks them
+   * or has older ones, until they are written again; undefined when there are
+   * none.
+   */
+  keptFingerprint(): string | undefined;
+  /** Takes the rows that a peer keeps, from its whole table. */
+  adoptKept(update: TableUpdate): KeptAdoption;
   changesSince(position: TablePosition): TableUpdate;
 }
 
+export interface KeptAdoption {
+  readonly changed: readonly FeedRow[];
+  /**
+   * False when the peer may not know of removals that came before the rows known
+   * here, so that some of its rows were left out.
+   */
+  readonly isComplete: boolean;
+}
+
 /** How far a daemon knows a table. */
 export interface TablePosition {
   /** See `FollowedRows.contentVersion`. */
@@ -100,6 +118,9 @@
 /** Removed keys that are remembered for peers with older rows. */
 const MAX_REMOVALS = 1_000;
 
+/** Characters of the fingerprint of kept rows, 6 bits each. */
+const FINGERPRINT_LENGTH = 12;
+
 export function createFollowedRows(
   {
     fingerprintOf,
@@ -193,6 +214,15 @@
     }
   }
 
+  /**
+   * True for a row of an earlier era that is known only from before the return.
+   * Rows without progress that are not held are written again by their writers.
+   */
+  function isKept(row: FeedRow): boolean {
+    return keepsMissing && eraOf(row.version) < eraOf(version) &&
+      (progressOf(row) !== undefined || isHeld(row.key));
+  }
+
   return {
     version: () => version,
     contentVersion: () => content,
@@ -232,6 +262,24 @@
       if (update.isWhole) forgottenUpTo = update.version;
       return { changed, removed };
     },
+    keptFingerprint() {
+      const kept = [...known.values()].filter(({ row }) => isKept(row))
+        .map(({ row }) => [row.key, progressOf(row) ?? null]);
+      if (kept.length === 0) return undefined;
+      const text = JSON.stringify(kept.sort());
+      return createHash("sha256").update(text).digest("base64url")
+        .slice(0, FINGERPRINT_LENGTH);
+    },
+    adoptKept(update) {
+      const isSameEra = eraOf(update.version) === eraOf(version);
+      if (!isSameEra) return { changed: [], isComplete: false };
+      const kept = update.rows.filter(isKept);
+      // This daemon knows of no removal from before its whole table.
+      const isCurrent = update.version >= forgottenUpTo;
+      const usable = kept.filter(({ key }) => isCurrent || known.has(key));
+      const isComplete = usable.length === kept.length;
+      return { changed: usable.filter(put), isComplete };
+    },
     changesSince({ content: since, version: peerVersion }) {
       const isWhole = since === 0 || peerVersion < forgottenUpTo;
       const rows = [...known.values()].filter(({ changedAt }) =>
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -20,6 +20,11 @@
   readonly contentVersion: number;
   /** Time since the peer's own newest read; absent when it does not read. */
   readonly age?: Milliseconds;
+  /**
+   * Fingerprint of the rows that the sender keeps although the returned store
+   * lacks them or has older ones; absent when there are none.
+   */
+  readonly kept?: string;
 }
 
 /** Parts that a replica is expected to cache after a request. */
@@ -94,6 +99,9 @@
 
 const PEER_DIGEST = z.object({
   t: z.array(z.tuple([name, count, count.nullable()])).max(8),
+  // Fingerprints of kept rows by table; daemons of earlier releases take exactly
+  // three members in each item of `t`.
+  r: z.record(name, name).optional(),
   e: z.number().int().nonnegative().max(MAX_ERA).optional(),
   b: names.optional(),
   s: names.optional(),
@@ -127,6 +135,7 @@
       table,
       contentVersion,
       ...(age === null ? {} : { age }),
+      ...(data.r?.[table] !== undefined && { kept: data.r[table] }),
     })),
     ...(data.e === undefined ? {} : { storeEra: data.e }),
     busy: data.b ?? [],
@@ -161,12 +170,16 @@
 export function encodePeerDigest(digest: PeerDigest): unknown {
   const { busy, silent, load, zoneLoad, sent, pages } = digest;
   const { crashes, statements, storeEra, receivedAge, loaded = [] } = digest;
+  const kept = digest.tables.flatMap(({ table, kept }) =>
+    kept === undefined ? [] : [[table, kept] as const]
+  );
   return {
     t: digest.tables.map(({ table, contentVersion, age }) => [
       table,
       contentVersion,
       age === undefined ? null : Math.round(age),
     ]),
+    ...(kept.length > 0 && { r: Object.fromEntries(kept) }),
     ...(storeEra !== undefined && { e: storeEra }),
     ...(busy.length > 0 && { b: busy }),
     ...(loaded.length > 0 && {
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -14,8 +14,12 @@
 import {
   type Changes,
   createStoreEra,
+  eraOf,
+  type FeedRow,
+  type HistoryLost,
   type Snapshot,
   TableFeed,
+  toVersion,
   type Unavailable,
 } from "@peridotvalve/tables";
 import { expect } from "earl";
@@ -39,34 +43,57 @@
   override log(): void {}
 })();
 
-/** A store whose one row has the version that the test sets. */
+const EVACUATION = "evacuate/vaasa";
+
+/** A store with one table, whose first row has the version that the test sets. */
 function createFeed() {
+  const rows = new Map<string, FeedRow>();
+  const removals: (readonly [key: string, version: number])[] = [];
   let version = 1;
   let calls = 0;
+  const put = (key: string, value: number, next: number) => {
+    version = next;
+    rows.set(key, { key, value, version });
+  };
+  put("state", 1, 1);
   const feed = new (class extends TableFeed {
     override snapshot(): Promise<Result<Snapshot, Unavailable>> {
       calls += 1;
-      const rows = [{ key: "state", value: version, version }];
-      return Promise.resolve(Ok({ rows, version }));
+      return Promise.resolve(Ok({ rows: [...rows.values()], version }));
     }
     override changes(
       { after }: { readonly after: number },
-    ): Promise<Result<Changes, Unavailable>> {
+    ): Promise<Result<Changes, Unavailable | HistoryLost>> {
       calls += 1;
-      const rows = version > after
-        ? [{ key: "state", value: version, version }]
-        : [];
-      return Promise.resolve(Ok({ rows, removed: [], version }));
+      if (eraOf(after) !== eraOf(version)) {
+        return Promise.resolve(Err({ kind: "history lost" }));
+      }
+      const changed = [...rows.values()].filter((row) => row.version > after);
+      const removed = removals.filter(([, at]) => at > after)
+        .map(([key]) => key);
+      return Promise.resolve(Ok({ rows: changed, removed, version }));
     }
   })();
   return {
     feed,
+    put,
     calls: () => calls,
-    setVersion: (next: number) => version = next,
+    setVersion: (next: number) => put("state", next, next),
+    remove(key: string, next: number) {
+      version = next;
+      rows.delete(key);
+      removals.push([key, next]);
+    },
+    /** Returns from a copy that holds this state only. */
+    restore(value: number, next: number) {
+      rows.clear();
+      put("state", value, next);
+    },
   };
 }
 
-function createFleet(perZone: number) {
+/** The last `late` daemons are started by the test. */
+function createFleet(perZone: number, { late } = { late: 0 }) {
   const clock = createManualClock(1_700_000_000_000);
   const network = createMemoryNetwork(clock, 1);
   const store = createFeed();
@@ -100,9 +127,11 @@
     sendStreams = () => Promise.resolve(false);
     close(): void {}
   })();
-  const daemons = peers.map((peer) =>
+  /** Names of the only daemons that read the table; all are candidates first. */
+  const readers = new Set<string>();
+  const start = (peer: PeerAddress) =>
     startDaemon(peer, {
-      ...{ clock, network, peers, followers, store },
+      ...{ clock, network, peers, followers, store, readers },
       calls: {
         readStore: calls.readStore,
         sendStreams: calls.sendStreams,
@@ -112,9 +141,19 @@
             ? Promise.resolve(Err("unreachable"))
             : calls.readRows(address, query),
       },
-    })
-  );
-  return { clock, network, store, daemons, cutCallers };
+    });
+  const daemons = peers.slice(0, peers.length - late).map(start);
+  const waiting = peers.slice(peers.length - late);
+  return {
+    clock,
+    network,
+    store,
+    daemons,
+    cutCallers,
+    readers,
+    waiting,
+    start,
+  };
 }
 
 function startDaemon(peer: PeerAddress, fleet: {
@@ -124,8 +163,9 @@
   readonly followers: Map<string, TableFollower>;
   readonly calls: PeerClient;
   readonly store: ReturnType<typeof createFeed>;
+  readonly readers: ReadonlySet<string>;
 }) {
-  const { clock, peers, followers, calls, store } = fleet;
+  const { clock, peers, followers, calls, store, readers } = fleet;
   const stop = new AbortController();
   const logged: (readonly [name: string, fields: unknown])[] = [];
   const logger = new (class extends EventLogger {
@@ -165,7 +205,14 @@
   const follower = createTableFollower({
     ...{ clock, logger: silentLogger, feed: store.feed, table: TABLE },
     ...{ wait: 0, pause: 500 },
-    mayRead: (age) => mesh.rank("table op") === 0 || age > 2_000,
+    mayRead: (age) =>
+      readers.size > 0
+        ? readers.has(peer.name)
+        : mesh.rank("table op") === 0 || age > 2_000,
+    progressOf: ({ key, value }) =>
+      key === "state" ? [value as number] : undefined,
+    keepsMissing: true,
+    isHeld: (key) => key === EVACUATION,
     onSnapshot: () => {},
     onChange: () => {},
   });
@@ -389,3 +436,75 @@
     expect((heard.get(name) ?? Infinity) - start < 1_000).toEqual(true);
   }
 });
+
+/**
+ * Daemons that keep a state and an evacuation which the returned store lacks,
+ * and a fresh one that alone reads the table.
+ */
+async function startAfterReturn() {
+  const { waiting: [last], ...fleet } = createFleet(2, { late: 1 });
+  const { clock, store, readers, daemons, start } = fleet;
+  if (last === undefined) throw new Error("no daemon is left to start");
+  store.put("state", 7, toVersion(1, 8));
+  store.put(EVACUATION, 0, toVersion(1, 9));
+  await advance(clock, 5_000);
+  store.restore(4, toVersion(2, 3));
+  await advance(clock, 3_000);
+  readers.add(last.name);
+  await advance(clock, 1_000);
+  const stop = () => {
+    for (const daemon of [...daemons, fresh]) daemon?.stop.abort();
+  };
+  const valuesAt = (daemon: typeof daemons[number] | undefined) =>
+    new Map(daemon?.follower.rows().map(({ key, value }) => [key, value]));
+  let fresh = daemons[0];
+  const startFresh = () => fresh = start(last);
+  return { clock, store, daemons, startFresh, stop, valuesAt };
+}
+
+// Guards against CONFIG: a daemon that was started after the return of the store
+// and reads it itself puts the older state of the copy in force.
+test("a fresh reader learns what its neighbors keep from before a return", async () => {
+  const { clock, store, startFresh, stop, valuesAt } = await startAfterReturn();
+  store.put("other", 1, toVersion(2, 5));
+  const fresh = startFresh();
+  await advance(clock, 4_000);
+  expect(valuesAt(fresh)).toEqual(
+    new Map([["state", 7], [EVACUATION, 0], ["other", 1]]),
+  );
+  stop();
+});
+
+// Guards against an evacuation that comes back from a neighbor which has not
+// read its end.
+test("a fresh reader takes no row that was removed after the return", async () => {
+  const { clock, store, daemons, startFresh, stop, valuesAt } =
+    await startAfterReturn();
+  store.remove(EVACUATION, toVersion(2, 5));
+  expect(valuesAt(daemons[0]).has(EVACUATION)).toEqual(true);
+  const fresh = startFresh();
+  const seen = new Set<string>();
+  for (let round = 0; round < 80; round += 1) {
+    await advance(clock, 50);
+    for (const key of valuesAt(fresh).keys()) seen.add(key);
+  }
+  expect(seen).toEqual(new Set(["state"]));
+  expect(valuesAt(fresh)).toEqual(new Map([["state", 7]]));
+  for (const daemon of daemons) {
+    expect(valuesAt(daemon)).toEqual(new Map([["state", 7]]));
+  }
+  stop();
+});
+
+// Guards against a call for the whole table with each heartbeat.
+test("rows that neighbors keep are fetched once", async () => {
+  const { clock, startFresh, stop } = await startAfterReturn();
+  const fresh = startFresh();
+  await advance(clock, 6_000);
+  const count = () =>
+    fresh?.logged.filter(([name]) => name === "peer_rows_taken").length;
+  const before = count();
+  await advance(clock, 10_000);
+  expect(count()).toEqual(before);
+  stop();
+});
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -38,11 +38,11 @@
   type LoadedWeights,
   measureJson,
   type PeerDigest,
-  type TableNews,
   type ZoneDigest,
 } from "./peer_digest.ts";
 import type { PeerAddress, Registration } from "./registration.ts";
 import type { SentPartsQueue } from "./sent_parts.ts";
+import { createTableExchange } from "./table_exchange.ts";
 import type { TableFollower } from "./table_follower.ts";
 
 export interface PeerMeshOptions {
@@ -132,9 +132,6 @@
 
 const EXPIRY_CHECK_PERIOD: Milliseconds = 1_000;
 
-/** Minimum interval between calls while a table is still unknown. */
-const INITIAL_FETCH_PERIOD: Milliseconds = 300;
-
 /** Minimum interval between two requests for the contents of one store. */
 const STORE_FETCH_PERIOD: Milliseconds = 1_000;
 
@@ -163,9 +160,9 @@
 const MAX_UNKNOWN_SENDERS = 200;
 
 export function createPeerMesh(options: PeerMeshOptions): PeerMesh {
-  const { clock, logger, name, zone, registration, tables, load } = options;
+  const { clock, logger, name, zone, registration, load } = options;
   const { cache, journal, copies, sentParts, calls, crashes } = options;
-  const fetching = new Set<string>();
+  const tables = createTableExchange(options);
   const unknownSenders = new Set<string>();
   /** Names of the neighbors that reach no replica. */
   const outOfContact = new Set<string>();
@@ -295,17 +292,6 @@
       .map(({ entry }) => entry.id);
   }
 
-  function listTableNews(): readonly TableNews[] {
-    const now = clock.monotonic();
-    return [...tables].map(([table, follower]) => ({
-      table,
-      contentVersion: follower.contentVersion(),
-      ...(follower.isReading() && follower.lastOwnRead() > -Infinity
-        ? { age: now - follower.lastOwnRead() }
-        : {}),
-    }));
-  }
-
   function listBusy(): readonly string[] {
     const isRecent = clock.monotonic() - zoneBusy.at < BUSY_EXPIRY;
     const ids = [...options.busy(), ...isRecent ? zoneBusy.ids : []];
@@ -327,7 +313,7 @@
     const era = options.storeEra.current();
     const loaded = options.takeLoaded();
     const base: PeerDigest = {
-      tables: listTableNews(),
+      tables: tables.listNews(),
       ...(era > 0 && { storeEra: era }),
       busy: listBusy(),
       ...(loaded.length > 0 && { loaded }),
@@ -392,7 +378,7 @@
       const isNeeded = copies.apply(peer, page);
       if (isNeeded) void fetchStore(peer, page.store);
     }
-    for (const news of digest.tables) applyTableNews(peer, news);
+    for (const news of digest.tables) tables.applyNews(peer, news);
   }
 
   function applyZoneLoad(from: string, zoneLoad: Delta): void {
@@ -405,50 +391,6 @@
     zoneLoads.set(from, { load: known?.load ?? zoneLoad, at, isPassedOn });
   }
 
-  function applyTableNews(peer: string, news: TableNews): void {
-    const follower = tables.get(news.table);
-    if (follower === undefined) return;
-    if (news.contentVersion <= follower.contentVersion()) {
-      recordPeerRead(follower, news);
-    } else if (follower.needsPeers()) void fetchRows(peer, follower, news);
-  }
-
-  /** Counts the read of a peer, whose rows must be known here. */
-  function recordPeerRead(
-    follower: TableFollower,
-    news: Pick<TableNews, "age">,
-    elapsed: Milliseconds = 0,
-  ): void {
-    if (news.age !== undefined) follower.recordPeerRead(news.age + elapsed);
-  }
-
-  async function fetchRows(
-    peer: string,
-    follower: TableFollower,
-    news: Pick<TableNews, "table" | "age">,
-  ): Promise<void> {
-    const { table } = news;
-    const address = registration.find(peer)?.calls;
-    if (address === undefined || fetching.has(table)) return;
-    fetching.add(table);
-    const start = clock.monotonic();
-    const position = {
-      content: follower.contentVersion(),
-      version: follower.version(),
-    };
-    const read = await calls.readRows(address, { table, position });
-    fetching.delete(table);
-    if (read.isErr()) {
-      logger.log("peer_unreachable", { peer, reason: read.error });
-      follower.requestRead();
-    } else if (follower.adopt(read.value)) {
-      const { version } = read.value;
-      const elapsed = clock.monotonic() - start;
-      recordPeerRead(follower, news, elapsed);
-      logger.log("peer_rows_taken", { peer, table, version });
-    }
-  }
-
   async function fetchStore(peer: string, store: string): Promise<void> {
     const address = registration.find(peer)?.calls;
     const last = storeFetches.get(store) ?? -Infinity;
@@ -465,24 +407,6 @@
     logger.log("store_copied", { peer, store, parts });
   }
 
-  /** Fetches tables of which nothing is known yet from peers, in turn. */
-  async function fetchInitialRows(signal: AbortSignal): Promise<void> {
-    for (let round = 0; !signal.aborted; round += 1) {
-      const unknown = [...tables].filter(([, follower]) =>
-        follower.version() === 0
-      );
-      if (unknown.length === 0) return;
-      await clock.sleep(INITIAL_FETCH_PERIOD * (1 + Math.random()), signal);
-      const others = registration.peers().filter((peer) => peer.name !== name);
-      const peer = others[round % Math.max(1, others.length)];
-      if (peer === undefined) continue;
-      for (const [table, follower] of unknown) {
-        if (follower.version() !== 0) continue;
-        await fetchRows(peer.name, follower, { table });
-      }
-    }
-  }
-
   async function dropExpiredLoads(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await clock.sleep(EXPIRY_CHECK_PERIOD, signal);
@@ -508,7 +432,7 @@
       });
       await Promise.all([
         membership.run(signal),
-        fetchInitialRows(signal),
+        tables.fetchInitialRows(signal),
         dropExpiredLoads(signal),
       ]);
     }
--- a/packages/gateway/src/table_follower.ts
+++ b/packages/gateway/src/table_follower.ts
@@ -77,6 +77,12 @@
   abstract changesSince(position: TablePosition): TableUpdate;
   /** Takes rows from a peer; returns true if they were newer. */
   abstract adopt(update: TableUpdate): boolean;
+  /** See `FollowedRows.keptFingerprint`. */
+  abstract keptFingerprint(): string | undefined;
+  /** See `FollowedRows.adoptKept`. */
+  abstract adoptKept(
+    update: TableUpdate,
+  ): { readonly hasChanged: boolean; readonly isComplete: boolean };
   /** Records that a peer has read the table `age` ago. */
   abstract recordPeerRead(age: Milliseconds): void;
   /** Time of the newest read, by this daemon or a peer. */
@@ -257,6 +263,11 @@
     }
 
     override changesSince(position: TablePosition): TableUpdate {
+      // The peer takes kept rows only if this daemon has read as far as it has.
+      const isBehind = position.version > known.version();
+      if (isBehind && known.keptFingerprint() !== undefined) {
+        isReadRequested = true;
+      }
       return known.changesSince(position);
     }
 
@@ -273,6 +284,17 @@
       return true;
     }
 
+    override keptFingerprint(): string | undefined {
+      return known.keptFingerprint();
+    }
+
+    override adoptKept(update: TableUpdate) {
+      const { changed, isComplete } = known.adoptKept(update);
+      const hasChanged = changed.length > 0;
+      if (hasChanged) options.onChange(changed, []);
+      return { hasChanged, isComplete };
+    }
+
     override recordPeerRead(age: Milliseconds): void {
       const at = clock.monotonic() - age;
       // The age counts from the answer.
