Weights: a standstill gives older weights no time anew

What callers could see: requests that begin on older weights later than the time allowed after a newer version was acknowledged (VERSION), at a daemon that was stopped or whose VM was suspended while the version was named.

Cause: the grace period began when the daemon learned of the version, whatever it had missed before; and it was measured on a clock that stops in a suspension.

Change: the watch of the event loop knows the start of a standstill of over 1 s. What is learned until 3 s after its end counts as named at its start. The grace period is measured on the suspend-aware clock of the lease, so a forward step of the wall clock may end it too early, never too late. Cached parts of older weights are still freed by the time of learning, as that needs the shortest age. Why it works: a running process learns of a version within the propagation margin; one that did not run can have missed it since the last moment at which it ran.

Not shown by real processes.

--- a/packages/dispatch/src/weights.test.ts
+++ b/packages/dispatch/src/weights.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createManualClock } from "@peridotvalve/clock";
+import { type Clock, createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
 import type { Replica } from "./replica.ts";
 import { createWeightTargets, planWeightLoads } from "./weights.ts";
@@ -75,3 +75,40 @@
   expect(choose(replicas, ["a"]).replicas.length).toEqual(1);
   expect(choose(replicas, ["a", "b"]).replicas.length).toEqual(0);
 });
+
+// Guards against VERSION: a daemon that stood still for 20 s learns of a version
+// that was named meanwhile, and lets requests start below it as if it were new.
+test("a version that was named during a standstill gets no time anew", async () => {
+  const clock = createManualClock();
+  await clock.advance(60_000);
+  const weights = createWeightTargets({
+    ...{ clock, patience: () => PATIENCE },
+    unheardSince: () => clock.monotonic() - 20_000,
+  });
+  weights.name("m", 2);
+  assert(!weights.mayStart("m", 1));
+  expect(weights.age("m")).toEqual(20_000);
+  // It may have been named just now, when others still start requests below it.
+  expect(weights.target("m", 5_000)).toEqual(0);
+  await clock.advance(5_000);
+  expect(weights.target("m", 5_000)).toEqual(2);
+});
+
+// Guards against VERSION: the grace period of a version does not pass while the
+// VM is suspended, as the monotonic clock stops then.
+test("the grace period passes during a suspension of the VM", () => {
+  const clock = createManualClock();
+  let suspended = 0;
+  const suspendAwareClock: Clock = {
+    now: () => clock.now() + suspended,
+    monotonic: () => clock.monotonic() + suspended,
+    sleep: (...wait) => clock.sleep(...wait),
+  };
+  const weights = createWeightTargets({
+    ...{ clock, suspendAwareClock, patience: () => PATIENCE },
+  });
+  weights.name("m", 2);
+  assert(weights.mayStart("m", 1));
+  suspended = PATIENCE;
+  assert(!weights.mayStart("m", 1));
+});
--- a/packages/dispatch/src/weights.ts
+++ b/packages/dispatch/src/weights.ts
@@ -8,10 +8,10 @@
 
 interface NamedVersion {
   readonly version: number;
-  /**
-   * Time at which this daemon learned of the version, on the monotonic clock.
-   */
-  readonly namedAt: Milliseconds;
+  /** Time at which this daemon learned of it; it was named by then. */
+  readonly learnedAt: Milliseconds;
+  /** Time on the suspend-aware clock after which it was named. */
+  readonly namedAfter: Milliseconds;
 }
 
 export abstract class WeightTargets {
@@ -25,9 +25,12 @@
     version: number,
     options?: { readonly isOld: boolean },
   ): void;
-  /** The newest version that was named at least `age` ago, or 0. */
+  /**
+   * The newest version that was certainly named at least `age` ago, or 0. What
+   * no request may use any more is derived from it.
+   */
   abstract target(model: string, age?: Milliseconds): number;
-  /** Time since this daemon learned of the newest version. */
+  /** The longest time for which the newest version may have been named. */
   abstract age(model: string): Milliseconds;
   /** False when the version is too old for a request to start on it. */
   abstract mayStart(model: string, version: number): boolean;
@@ -36,6 +39,14 @@
 
 export interface WeightTargetsOptions {
   readonly clock: Clock;
+  /** Counts suspensions of the VM in the grace period; `clock` by default. */
+  readonly suspendAwareClock?: Clock;
+  /**
+   * Time on the suspend-aware clock since which a version that is learned of now
+   * may have been named; the present time by default. Earlier after a standstill
+   * of the process, which learns only then of what was named meanwhile.
+   */
+  readonly unheardSince?: () => Milliseconds;
   /**
    * Time after the naming of a version during which requests may still start on
    * the version before it.
@@ -50,7 +61,12 @@
 const PROPAGATION_MARGIN: Milliseconds = 3_000;
 
 export function createWeightTargets(
-  { clock, patience }: WeightTargetsOptions,
+  {
+    clock,
+    patience,
+    suspendAwareClock = clock,
+    unheardSince = () => suspendAwareClock.monotonic(),
+  }: WeightTargetsOptions,
 ): WeightTargets {
   const namedVersions = new Map<string, readonly NamedVersion[]>();
 
@@ -65,8 +81,11 @@
       { isOld } = { isOld: false },
     ): void {
       if (version <= this.target(model)) return;
-      const namedAt = isOld ? -Infinity : clock.monotonic();
-      const target = { version, namedAt };
+      const target = {
+        version,
+        learnedAt: isOld ? -Infinity : clock.monotonic(),
+        namedAfter: isOld ? -Infinity : unheardSince(),
+      };
       namedVersions.set(
         model,
         [...versionsOf(model), target].slice(-MAX_NAMED_VERSIONS),
@@ -75,23 +94,23 @@
 
     override target(model: string, age: Milliseconds = 0): number {
       const latest = clock.monotonic() - age;
-      const settled = versionsOf(model).filter(({ namedAt }) =>
-        namedAt <= latest
+      const settled = versionsOf(model).filter(({ learnedAt }) =>
+        learnedAt <= latest
       );
       return settled.at(-1)?.version ?? 0;
     }
 
     override age(model: string): Milliseconds {
-      const namedAt = versionsOf(model).at(-1)?.namedAt ?? -Infinity;
-      return clock.monotonic() - namedAt;
+      const namedAfter = versionsOf(model).at(-1)?.namedAfter ?? -Infinity;
+      return suspendAwareClock.monotonic() - namedAfter;
     }
 
     override mayStart(model: string, version: number): boolean {
       // Each named version has its own grace period.
-      const now = clock.monotonic();
+      const now = suspendAwareClock.monotonic();
       return versionsOf(model).every((target) =>
         version >= target.version ||
-        now - target.namedAt < patience() - PROPAGATION_MARGIN
+        now - target.namedAfter < patience() - PROPAGATION_MARGIN
       );
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -153,7 +153,8 @@
   const copies = createStoreCopies({ clock, cache });
   const peerClient = createPeerClient(clock, options.intake.peers);
   const weights = createWeightTargets({
-    clock,
+    ...{ clock, suspendAwareClock: options.leaseClock },
+    unheardSince: () => loopLag.unheardSince(),
     patience: () => settings.weightGracePeriod,
   });
   let isDraining = false;
@@ -291,7 +292,7 @@
         settings.retrySlack * SLACK_SHARE / (peerCount() + SPARE_DAEMONS),
       ),
   });
-  const loopLag = createLoopLag(clock);
+  const loopLag = createLoopLag(clock, options.leaseClock);
   const queue = createPlacementQueue(clock, {
     ...{ isLate: loopLag.isLate, isFair: () => settings.mixedPrompts },
     spacing: () => settings.mixedPrompts ? PASS_SPACING : 0,
--- a/packages/gateway/src/loop_lag.test.ts
+++ b/packages/gateway/src/loop_lag.test.ts
@@ -143,3 +143,40 @@
   stop.abort();
   await step(100);
 });
+
+// Guards against VERSION: a daemon that stood still takes weights that were named
+// meanwhile for new ones, as it learns of them only now.
+test("what is learned after a standstill may be as old as its start", async () => {
+  const { clock, step, pass } = createSteppedClock();
+  const lag = createLoopLag(clock, clock);
+  const stop = new AbortController();
+  void lag.run(stop.signal);
+  await step(100);
+  const start = clock.monotonic();
+  expect(lag.unheardSince()).toEqual(start);
+  pass(20_000);
+  // Events of sockets are handled before the timer of the tick.
+  expect(lag.unheardSince()).toEqual(start);
+  await step(500);
+  // A second standstill before all has been read again.
+  pass(5_000);
+  await step(0);
+  expect(lag.unheardSince()).toEqual(start);
+  for (let tick = 0; tick < 40; tick += 1) await step(100);
+  expect(lag.unheardSince()).toEqual(clock.monotonic());
+  stop.abort();
+  await step(100);
+});
+
+test("a suspension of the VM is a standstill", () => {
+  let suspended = 0;
+  const { clock } = createSteppedClock();
+  const lag = createLoopLag(clock, {
+    now: () => clock.now(),
+    monotonic: () => clock.monotonic() + suspended,
+    sleep: () => clock.sleep(),
+  });
+  const start = clock.monotonic();
+  suspended = 20_000;
+  expect(lag.unheardSince()).toEqual(start);
+});
