Configuration: a head that cannot be parsed is not none

What callers could see: a daemon that starts beside a head of a later release (or a damaged one) serves the older bootstrap folder; a rollout goes on from a configuration that the head may have replaced; a change could overwrite the head with version 1 where no history row stands in its way.

Cause: readHead and applyConfiguration took a row that cannot be parsed for an absent one. Change: readHead fails on it, so the callers wait as in an outage; a change is refused as unavailable before anything of it but its object is written. Evidence: 'an unreadable head does not let the bootstrap folder apply' (version 0 adopted before) and 'a head that cannot be parsed is not taken as none' (ready before) fail without the change and pass with it, with the other tests of packages/configuration.

--- a/packages/configuration/src/apply.ts
+++ b/packages/configuration/src/apply.ts
@@ -14,6 +14,7 @@
   contentObjectName,
   HEAD_KEY,
   historyKey,
+  MALFORMED_HEAD,
   parseChange,
   toRowValue,
 } from "./rows.ts";
@@ -89,6 +90,9 @@
   if (accepted !== undefined) return { kind: "done", value: accepted };
 
   const current = parseChange(head.row);
+  if (head.row !== undefined && current === undefined) {
+    return unavailable(MALFORMED_HEAD);
+  }
   if (base !== undefined && base !== (current?.version ?? 0)) {
     return rejected(conflictWith(current));
   }
--- a/packages/configuration/src/history.ts
+++ b/packages/configuration/src/history.ts
@@ -10,6 +10,7 @@
   HEAD_KEY,
   HISTORY_PREFIX,
   historyKey,
+  MALFORMED_HEAD,
   parseChange,
 } from "./rows.ts";
 
@@ -33,11 +34,19 @@
   readonly limit: number;
 }
 
-/** Reads the current change; undefined when there is none yet. */
+/**
+ * Reads the current change; undefined when there is none yet. Fails on a head
+ * that cannot be parsed, as it may name a change that a later release accepted.
+ */
 export async function readHead(
   { platform, timeout }: ReadOptions,
 ): Promise<Result<Change | undefined, Unavailable>> {
-  return (await platform.readRow(HEAD_KEY, timeout)).map(parseChange);
+  const row = await platform.readRow(HEAD_KEY, timeout);
+  if (row.isErr()) return row;
+  const change = parseChange(row.value);
+  return row.value !== undefined && change === undefined
+    ? Err({ kind: "unavailable", reason: MALFORMED_HEAD })
+    : Ok(change);
 }
 
 /** Reads changes in ascending order of their versions. */
--- a/packages/configuration/src/rows.ts
+++ b/packages/configuration/src/rows.ts
@@ -39,6 +39,9 @@
   return `config/${change}`;
 }
 
+/** Reason for which nothing is concluded from a head that cannot be parsed. */
+export const MALFORMED_HEAD = "the head is not a change";
+
 const CHANGE = z.object({
   version: z.number().int().positive(),
   change: z.string(),
--- a/packages/configuration/src/watch.test.ts
+++ b/packages/configuration/src/watch.test.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { applyConfiguration } from "./apply.ts";
 import type { RawConfiguration } from "./history.ts";
+import { HEAD_KEY } from "./rows.ts";
 import { createConfigurationWatch } from "./watch.ts";
 
 function check(content: Json): Result<Configuration, string> {
@@ -175,3 +176,21 @@
   expect(adopted).toEqual([1]);
   watch.stop();
 });
+
+// Guards against a change that is reverted: a head that this release cannot read
+// counts as none, so that a daemon starts with the older operators' folder.
+test("an unreadable head does not let the bootstrap folder apply", async () => {
+  const { clock, platform, apply, watch, start, version } = setUp();
+  await apply("a", 1);
+  const writes = [{ ...HEAD_KEY, value: { release: 9 } }];
+  await platform.transact({ id: "later", checks: [], writes }, 1_000);
+  await start();
+  expect(version()).toEqual(undefined);
+  const settlement = apply("b", 2);
+  await clock.advance(30_000);
+  expect(await settlement).toEqual({
+    kind: "not done",
+    reason: { kind: "unavailable", reason: "the head is not a change" },
+  });
+  watch.stop();
+});
--- a/packages/daemon/src/rollouts/wait_until_current.test.ts
+++ b/packages/daemon/src/rollouts/wait_until_current.test.ts
@@ -5,11 +5,17 @@
 import { test } from "node:test";
 import { waitUntilCurrent } from "./wait_until_current.ts";
 
-async function setUp({ outage = false, version = 0 } = {}) {
+async function setUp(
+  { outage = false, version = 0, isMalformed = false } = {},
+) {
   const clock = createManualClock();
   const platform = createMemoryPlatform({ clock });
   const change = { change: "a", content: {}, author: "test" };
   await applyConfiguration(change, { platform, clock });
+  if (isMalformed) {
+    const head = { table: "config", key: "head", value: { release: 9 } };
+    await platform.transact({ id: "b", checks: [], writes: [head] }, 1_000);
+  }
   platform.setFaults({ outage });
   const state = { version, outcome: undefined as boolean | undefined };
   const controller = new AbortController();
@@ -39,3 +45,13 @@
   await clock.advance(1_000);
   expect(state.outcome).toEqual(false);
 });
+
+// Guards against orders from an older configuration, because the head was
+// written by a later release and counted as none.
+test("a head that cannot be parsed is not taken as none", async () => {
+  const { clock, state, controller } = await setUp({ isMalformed: true });
+  await clock.advance(10_000);
+  expect(state.outcome).toEqual(undefined);
+  controller.abort();
+  await clock.advance(1_000);
+});
