Configuration: heartbeats alone do not say that somebody reads the head

What callers could see: a change of the configuration that never comes into force at daemons which reach the platform, because the two readers of their zone do not reach it and still send heartbeats.

Cause: a daemon that is no reader read the head only after 3 s without any heartbeat; 'a heartbeat came' stood for 'the head is read'. Change: heartbeats of a daemon that has read the head carry the age of that read, and each daemon reads it unless it was told of a read that is recent enough. A read counts from its start, and only if the content of its version could be read too. The age is a field beside the load, which daemons of earlier releases ignore. Why it works: the conclusion now rests on a read of known age, of this process or of a peer.

Tests: 'a daemon polls unless a peer has told of a recent read' (new; the former 'others poll only without heartbeats' asserted the fault: version 1 stayed in force with heartbeats alone) and 'a daemon tells its peers of its recent read of the head' do not run before, as there was no such news, and pass now.

--- a/packages/configuration/src/watch.test.ts
+++ b/packages/configuration/src/watch.test.ts
@@ -67,22 +67,39 @@
   content,
 });
 
-test("a reader polls; others poll only without heartbeats", async () => {
+// Guards against a change that is never adopted: the heartbeats of peers say that
+// somebody reads the head, also where no reader reaches the platform.
+test("a daemon polls unless a peer has told of a recent read", async () => {
+  const { clock, watch, apply, start, version } = setUp();
+  await apply("a", 1);
+  await start();
+  await apply("b", 2);
+  for (let second = 0; second < 6; second += 1) {
+    watch.announce(1, "p");
+    watch.recordPeerRead(5_000);
+    await clock.advance(1_000);
+  }
+  expect(version()).toEqual(2);
+  expect(watch.readAge() <= 1_000).toEqual(true);
+  watch.stop();
+});
+
+test("a reader polls; others poll only without news of reads", async () => {
   const { clock, watch, apply, start, becomeReader, version } = setUp();
   await apply("a", 1);
   await start();
-  watch.announce(1, "p");
+  watch.recordPeerRead(0);
   await apply("b", 2);
   for (let second = 0; second < 6; second += 1) {
     await clock.advance(1_000);
-    watch.announce(1, "p");
+    watch.recordPeerRead(0);
   }
   expect(version()).toEqual(1);
   await clock.advance(4_000);
   expect(version()).toEqual(2);
   await apply("c", 3);
   becomeReader();
-  watch.announce(2, "p");
+  watch.recordPeerRead(0);
   await clock.advance(1_000);
   expect(version()).toEqual(3);
   watch.stop();
--- a/packages/configuration/src/watch.ts
+++ b/packages/configuration/src/watch.ts
@@ -34,15 +34,13 @@
   /** Validates the content of a version; the error says why it is invalid. */
   readonly check: (content: Json) => Result<Configuration, string>;
   readonly report?: (event: WatchEvent) => void;
-  /**
-   * Time since the last heartbeat of any peer. Defaults to the time since the
-   * last call of `announce`.
-   */
-  readonly silence?: () => Milliseconds;
   /** Time between two reads of the head. */
   readonly pollInterval?: Milliseconds;
-  /** Silence after which a daemon polls the head without being a reader. */
-  readonly silenceLimit?: Milliseconds;
+  /**
+   * Age of the newest read of the head that a peer has told of, after which a
+   * daemon polls the head without being a reader.
+   */
+  readonly peerReadLimit?: () => Milliseconds;
   /** Maximum duration of `start`; the search continues in the background. */
   readonly startTimeout?: Milliseconds;
   /** Timeout of each call to the platform or a peer. */
@@ -67,8 +65,15 @@
 export abstract class ConfigurationWatch {
   /** The adopted version; undefined until the first one is found. */
   abstract current(): VersionedConfiguration | undefined;
-  /** Processes a heartbeat of a peer and the version in it. */
+  /** Processes the version that a peer has. */
   abstract announce(version: number, peer: string): void;
+  /** Processes news that a peer has read the head `age` ago. */
+  abstract recordPeerRead(age: Milliseconds): void;
+  /**
+   * Time since the start of the newest read of the head by this process;
+   * infinite before the first one.
+   */
+  abstract readAge(): Milliseconds;
   /** Subscribes to versions adopted from now on; returns the unsubscriber. */
   abstract subscribe(
     subscriber: (configuration: VersionedConfiguration) => void,
@@ -79,7 +84,7 @@
 }
 
 const POLL_INTERVAL: Milliseconds = SECOND;
-const SILENCE_LIMIT: Milliseconds = 3 * SECOND;
+const PEER_READ_LIMIT: Milliseconds = 3 * SECOND;
 const START_TIMEOUT: Milliseconds = 3 * SECOND;
 const START_RETRY_DELAY: Milliseconds = 200;
 const TIMEOUT: Milliseconds = SECOND;
@@ -94,7 +99,7 @@
     platform,
     clock = createSystemClock(),
     pollInterval = POLL_INTERVAL,
-    silenceLimit = SILENCE_LIMIT,
+    peerReadLimit = () => PEER_READ_LIMIT,
     startTimeout = START_TIMEOUT,
     timeout = TIMEOUT,
     report = () => {},
@@ -106,13 +111,14 @@
   // would fail it again.
   const rejectedVersions = new Set<number>();
   let current: VersionedConfiguration | undefined;
-  let lastHeartbeat = clock.monotonic();
+  let lastOwnRead = -Infinity;
+  // Peers are given time to tell of their reads.
+  let lastPeerRead = clock.monotonic();
   let catchingUp: Promise<void> | undefined;
   const announced = new Map<string, number>();
 
   const heldVersion = () => current?.version ?? -1;
-  const silence = options.silence ??
-    (() => clock.monotonic() - lastHeartbeat);
+  const peerReadAge = () => clock.monotonic() - lastPeerRead;
 
   function adopt(raw: RawConfiguration, source: string): void {
     if (raw.version <= heldVersion() || stopped.signal.aborted) return;
@@ -130,17 +136,21 @@
 
   /** Reads the head and adopts its version if it is higher. */
   async function poll(): Promise<"read" | "no head" | "unreadable"> {
+    const startedAt = clock.monotonic();
     const head = await readHead(readOptions);
     if (head.isErr()) {
       report({ kind: "unreadable", reason: head.error.reason });
       return "unreadable";
     }
     const change = head.value;
-    if (change === undefined) return "no head";
-    if (!isWanted(change.version)) return "read";
+    if (change === undefined || !isWanted(change.version)) {
+      lastOwnRead = startedAt;
+      return change === undefined ? "no head" : "read";
+    }
     const content = await readContent(change, readOptions);
     if (content.isOk()) {
       adopt(content.value, PLATFORM);
+      lastOwnRead = startedAt;
       return "read";
     }
     report({ kind: "unreadable", reason: content.error.reason });
@@ -184,7 +194,9 @@
       await clock.sleep(pollInterval, stopped.signal);
       if (stopped.signal.aborted) return;
       if (heldVersion() < 0) await tryInitialVersion();
-      else if (options.isReader() || silence() >= silenceLimit) await poll();
+      else if (options.isReader() || peerReadAge() >= peerReadLimit()) {
+        await poll();
+      }
     }
   }
 
@@ -237,12 +249,19 @@
     }
 
     override announce(version: number, peer: string): void {
-      lastHeartbeat = clock.monotonic();
       if (!isWanted(version)) return;
       announced.set(peer, version);
       startCatchUp();
     }
 
+    override recordPeerRead(age: Milliseconds): void {
+      lastPeerRead = Math.max(lastPeerRead, clock.monotonic() - age);
+    }
+
+    override readAge(): Milliseconds {
+      return clock.monotonic() - lastOwnRead;
+    }
+
     override subscribe(
       subscriber: (configuration: VersionedConfiguration) => void,
     ): () => void {
--- a/packages/daemon/src/configuration_source.ts
+++ b/packages/daemon/src/configuration_source.ts
@@ -101,6 +101,13 @@
 
     override announce(): void {}
 
+    override recordPeerRead(): void {}
+
+    /** The head is not read while the folder is the source. */
+    override readAge(): Milliseconds {
+      return Infinity;
+    }
+
     override subscribe(
       subscriber: (configuration: VersionedConfiguration) => void,
     ): () => void {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -21,7 +21,11 @@
   createSlownessDetector,
 } from "@peridotvalve/routing";
 import type { ProcessSettings } from "@peridotvalve/settings";
-import type { Configuration, Milliseconds } from "@peridotvalve/types";
+import {
+  type Configuration,
+  type Milliseconds,
+  SECOND,
+} from "@peridotvalve/types";
 import { Ok, type Result } from "ts-results-es";
 import { createAdmissions } from "./admissions.ts";
 import { createCache } from "./cache/cache.ts";
@@ -144,6 +148,8 @@
     tracker,
     onAnnounce: ({ peer: _, address, version }) =>
       configuration.announce(version, address),
+    headReadAge: () => configuration.readAge(),
+    onHeadRead: (age) => configuration.recordPeerRead(age),
     onUpstreamLeaving: (leaving) => fleet.recordLeaving(leaving),
     listLeaving: () => fleet.listLeaving(),
   });
@@ -157,7 +163,8 @@
       platform,
       clock,
       isReader: () => membership.isReader("configuration", READERS_PER_ZONE),
-      silence: () => membership.silence(),
+      peerReadLimit: () =>
+        Math.max(MIN_PEER_READ_LIMIT, 2 * membership.interval() + SECOND),
       peers: peerNetwork.addresses,
       fetchFromPeer: peerNetwork.fetchConfiguration,
       bootstrap: () => readBootstrapConfiguration(settings.bootstrapFolder),
@@ -476,6 +483,13 @@
 /** Daemons per availability zone that poll the head and the VM list. */
 const READERS_PER_ZONE = 2;
 
+/**
+ * Age of the newest read of the head that a peer has told of, after which each
+ * daemon reads it. The heartbeats of a large zone are further apart; one of them
+ * may be lost.
+ */
+const MIN_PEER_READ_LIMIT: Milliseconds = 3 * SECOND;
+
 function parseAfter(params: unknown): number {
   const after = (params as { readonly after?: unknown } | undefined)?.after;
   return typeof after === "number" ? after : 0;
--- a/packages/daemon/src/peers/peer_network.test.ts
+++ b/packages/daemon/src/peers/peer_network.test.ts
@@ -19,22 +19,23 @@
   return port;
 }
 
-async function startZones() {
+async function startZones(zones: readonly string[] = ZONES) {
   const clock = createSystemClock();
-  const seeds = await Promise.all(ZONES.map(async (availabilityZone) => ({
+  const seeds = await Promise.all(zones.map(async (availabilityZone) => ({
     availabilityZone,
     address: `127.0.0.1:${await findFreePort()}`,
   })));
-  return await Promise.all(seeds.map(async (own) => {
+  return await Promise.all(seeds.map(async (own, index) => {
     const tracker = createLoadTracker(clock);
     const settings = {
-      name: `${own.availabilityZone}-1`,
+      name: `${own.availabilityZone}-${index}`,
       availabilityZone: own.availabilityZone,
       listeners: { peers: own.address },
       peerSecret: "peer-secret-of-two-zones-00000000",
       seeds,
     } as unknown as ProcessSettings;
     const hybridClock = createHybridClock(clock);
+    const heard: number[] = [];
     const peerNetwork = (await createPeerNetwork({
       settings,
       clock,
@@ -43,11 +44,13 @@
       log: () => {},
       tracker,
       onAnnounce: () => {},
+      headReadAge: () => index === 0 ? 700 : Infinity,
+      onHeadRead: (age) => heard.push(age),
       onUpstreamLeaving: () => {},
       listLeaving: () => [],
     })).unwrap();
     peerNetwork.start();
-    return { tracker, peerNetwork };
+    return { tracker, peerNetwork, heard };
   }));
 }
 
@@ -70,3 +73,19 @@
     ]);
   }
 });
+
+// Guards against a configuration that nobody reads: heartbeats said nothing of
+// the reads of the head.
+test("a daemon tells its peers of its recent read of the head", async () => {
+  const daemons = await startZones(["espoo", "espoo"]);
+  const [reader, other] = daemons;
+  try {
+    for (let tries = 0; tries < 100 && other?.heard.length === 0; tries += 1) {
+      await new Promise((resolve) => setTimeout(resolve, 100));
+    }
+    expect(other?.heard[0]).toEqual(700);
+    expect(reader?.heard).toEqual([]);
+  } finally {
+    await Promise.all(daemons.map(({ peerNetwork }) => peerNetwork.close()));
+  }
+});
--- a/packages/daemon/src/peers/peer_network.ts
+++ b/packages/daemon/src/peers/peer_network.ts
@@ -15,7 +15,7 @@
 import type { LoadTracker } from "@peridotvalve/load";
 import type { ListedVm } from "@peridotvalve/tables";
 import type { ProcessSettings } from "@peridotvalve/settings";
-import type { Milliseconds } from "@peridotvalve/types";
+import type { Bytes, Milliseconds } from "@peridotvalve/types";
 import { Err, Ok, type Result } from "ts-results-es";
 import { z } from "zod";
 import type { DaemonVersion } from "../operators/daemon_version.ts";
@@ -35,6 +35,15 @@
 
 const STATUS = z.object({ name: z.string(), version: z.number().nullable() });
 
+/** Read of the configuration head, beside the load in a digest. */
+const HEAD_READ = z.object({ h: z.number().nonnegative().optional() });
+
+/** An older read keeps no peer from reading the head itself. */
+const MAX_TOLD_READ_AGE: Milliseconds = 3_000;
+
+/** Bytes of a digest for the age of that read: `,"h":2999`. */
+const HEAD_READ_FIELD: Bytes = 10;
+
 /** Limit on leaving upstreams, because an aggregate is a single datagram. */
 const MAX_LEAVING_PER_AGGREGATE = 8;
 
@@ -71,6 +80,10 @@
   readonly log: EventLogger["log"];
   readonly tracker: LoadTracker;
   readonly onAnnounce: (newer: NewerVersion) => void;
+  /** Age of this daemon's newest read of the configuration head. */
+  readonly headReadAge: () => Milliseconds;
+  /** Called when a peer tells that it has read the head `age` ago. */
+  readonly onHeadRead: (age: Milliseconds) => void;
   readonly onUpstreamLeaving: (incarnation: string) => void;
   /** Leaving upstream incarnations of this daemon's availability zone. */
   readonly listLeaving: () => readonly string[];
@@ -100,8 +113,15 @@
       address: seed.address,
       zone: seed.availabilityZone,
     })),
-    createDigest: (limit) => tracker.composeDigest(limit),
+    createDigest(limit) {
+      const age = options.headReadAge();
+      if (age > MAX_TOLD_READ_AGE) return tracker.composeDigest(limit);
+      const load = tracker.composeDigest(limit - HEAD_READ_FIELD);
+      return { ...load, h: Math.round(age) };
+    },
     onDigest(peer, digest) {
+      const { data: headRead } = HEAD_READ.safeParse(digest);
+      if (headRead?.h !== undefined) options.onHeadRead(headRead.h);
       const taken = tracker.applyDigest(peer, digest);
       if (taken.isErr()) {
         options.log("datagram_rejected", { reason: taken.error, from: peer });
