Software versions: a first record is complete after 3 s

Callers see: in the first 5 s of a service, streams that are taken up at another daemon before their origin is saved are refused. Each stream of that time also costs a save in the store.

Cause: the time was set without regard to how long the daemons need to read the first record and to write what they miss in it: 150 ms between two looks, two calls of up to 900 ms, 200 ms between them.

Change: 3 s cover this.

--- a/packages/retries/src/software_versions.ts
+++ b/packages/retries/src/software_versions.ts
@@ -148,10 +148,12 @@
 const ABSENCE: Milliseconds = 10_000;
 
 /**
- * Time for which the first record of a service is incomplete: all daemons write
- * what they list at a common start.
+ * Time for which the first record of a service is incomplete. Within it each
+ * daemon that has a link to the store reads the record, and writes it again if
+ * versions are missing: an interval between two looks, two calls that take as long
+ * as they may, and the delay between them.
  */
-export const CREATION_TIME: Milliseconds = 5_000;
+export const CREATION_TIME: Milliseconds = 3_000;
 
 /** Versions of a service whose last record is remembered. */
 const MAX_REMEMBERED = 100;
