Store eras: a rise that neighbors tell before the first own answer is a return

What callers could see: a daemon that started while it could not reach the store, and took the rows of its neighbors, did not notice when the store returned from a copy. Replicas that the copy lacked were dropped without a grace period, and the daemon did not write its rows again, until it had the next answer.

Cause: `hear` and `record` compared an era with own answers only; before the first one nothing was known, so nothing had changed.

Why it works: the newest era that others named before counts as the one of the rows that were taken from them. A higher one, from a neighbor or from the first own answer, is told as a return once. A first own answer of the same era is none.

Evidence: "a rise before the first own answer is told" and "the first own answer tells of a return that no neighbor told" failed on the code before and pass now.

--- a/packages/tables/src/store_era.test.ts
+++ b/packages/tables/src/store_era.test.ts
@@ -28,6 +28,35 @@
   expect([era.record(3), era.current(), returns]).toEqual([false, 4, [4]]);
 });
 
+// Guards against a daemon that starts while it cannot reach the store, takes the
+// rows of its neighbors, and drops live replicas and rows of daemons at once when
+// the store returns without them.
+test("a rise before the first own answer is told", () => {
+  const era = createStoreEra(createManualClock());
+  const returns: number[] = [];
+  era.onReturn((next) => returns.push(next));
+  era.hear(4);
+  // A neighbor that has not heard of the era yet.
+  era.hear(3);
+  expect([era.current(), returns]).toEqual([0, []]);
+  era.hear(5);
+  era.hear(5);
+  expect([era.current(), returns]).toEqual([0, [5]]);
+  era.record(5);
+  expect([era.current(), returns]).toEqual([5, [5]]);
+  era.record(6);
+  expect(returns).toEqual([5, 6]);
+});
+
+test("the first own answer tells of a return that no neighbor told", () => {
+  const era = createStoreEra(createManualClock());
+  const returns: number[] = [];
+  era.onReturn((next) => returns.push(next));
+  era.hear(4);
+  era.record(5);
+  expect([era.current(), returns]).toEqual([5, [5]]);
+});
+
 // Guards against DRAIN: a daemon that does not read the store itself learns of
 // its return only with the next change, and gives missing replicas more time.
 test("another process tells of a return once, before the store does", () => {
--- a/packages/tables/src/store_era.ts
+++ b/packages/tables/src/store_era.ts
@@ -50,6 +50,11 @@
 export function createStoreEra(clock: Clock): StoreEra {
   const listeners: ((era: number) => void)[] = [];
   let known: { readonly era: number; readonly since: Milliseconds } | undefined;
+  /**
+   * The newest era that others have named before the first own answer. What this
+   * process has taken from them may be of that era.
+   */
+  let heard: number | undefined;
   /** The newest era of which the listeners know. */
   let told = 0;
 
@@ -63,14 +68,21 @@
     current: () => known?.era ?? 0,
     record(era) {
       if (known !== undefined && era <= known.era) return era === known.era;
-      const isReturn = known !== undefined;
+      const isReturn = known !== undefined ||
+        (heard !== undefined && era > heard);
       known = { era, since: clock.monotonic() };
       if (isReturn) tell(era);
       else told = Math.max(told, era);
       return true;
     },
     hear(era) {
-      if (known !== undefined && era > known.era) tell(era);
+      if (known !== undefined) {
+        if (era > known.era) tell(era);
+        return;
+      }
+      const isReturn = heard !== undefined && era > heard;
+      heard = Math.max(heard ?? era, era);
+      if (isReturn) tell(era);
     },
     age: () => known === undefined ? 0 : clock.monotonic() - known.since,
     onReturn(listener) {
