Daemon: leases end during a suspension of the VM

What could happen: a daemon whose VM was suspended for longer than its lease orders loads of weights when it resumes, beside the holder that took over (ONE); replicas that do not check fences obey both.

Cause: the leases of packages/daemon had the monotonic clock only, which stops in a suspension. The signal of a term is aborted by a timer on that clock, so it came late as well. Change: these leases limit their use by the suspend-aware clock and contend on the monotonic one, like that of the gateway; a rollout asks the lease itself right before each order (LeaseTerm.isHeld). Evidence: 'a lease does not outlast a suspension of the VM' ordered under the first fence before and only under the next one now. Tests of packages/lease, daemon/src/rollouts and daemon/src/maintenance pass (26).

--- a/packages/daemon/src/maintenance/claim_sweeping.ts
+++ b/packages/daemon/src/maintenance/claim_sweeping.ts
@@ -3,7 +3,7 @@
  * daemon scans the table.
  */
 import { createClaimSweeper } from "@peridotvalve/claims";
-import type { Clock } from "@peridotvalve/clock";
+import { type Clock, createSuspendAwareClock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
 import {
   createLease,
@@ -51,7 +51,9 @@
   const { clock, platform, holder, leaseDuration } = options;
   const margin = leaseDuration / INTERVALS_PER_LEASE;
   const lease = createLease({
-    ...{ platform, clock, holder, margin },
+    ...{ platform, holder, margin },
+    clock: createSuspendAwareClock(clock),
+    contenderClock: clock,
     name: LEASE_NAME,
     duration: leaseDuration,
   });
--- a/packages/daemon/src/rollouts/rollout.ts
+++ b/packages/daemon/src/rollouts/rollout.ts
@@ -103,7 +103,7 @@
 
   async function commandLoad(replica: string, weights: string): Promise<void> {
     // The lease may have been lost while the reports were read.
-    if (tenure.signal.aborted) return;
+    if (!tenure.isHeld()) return;
     const found = options.fleet.find(replica);
     if (found === undefined) return;
     const fence = tenure.token;
--- a/packages/daemon/src/rollouts/rollouts.ts
+++ b/packages/daemon/src/rollouts/rollouts.ts
@@ -3,7 +3,7 @@
  * daemons in each availability zone contend for the group's lease, and only
  * while a load report shows other weights.
  */
-import type { Clock } from "@peridotvalve/clock";
+import { type Clock, createSuspendAwareClock } from "@peridotvalve/clock";
 import type { EventLogger } from "@peridotvalve/events";
 import {
   createLease,
@@ -102,7 +102,9 @@
   const { clock, platform, log, holder, leaseDuration } = options;
   const margin = leaseDuration / MARGINS_PER_LEASE;
   const lease = createLease({
-    ...{ platform, clock, holder, margin },
+    ...{ platform, holder, margin },
+    clock: createSuspendAwareClock(clock),
+    contenderClock: clock,
     name: `rollouts/${name}`,
     duration: leaseDuration,
   });
--- a/packages/lease/src/run.ts
+++ b/packages/lease/src/run.ts
@@ -20,6 +20,12 @@
   readonly token: number;
   /** Aborted when the lease is lost; `work` must then have no more effects. */
   readonly signal: AbortSignal;
+  /**
+   * Whether the lease is held now. After a suspension of the VM the signal is
+   * aborted late, as timers stand still meanwhile; an effect that another holder
+   * must not see needs this check immediately before it.
+   */
+  readonly isHeld: () => boolean;
 }
 
 const INTERVAL: Milliseconds = 3 * SECOND;
@@ -39,7 +45,11 @@
     const token = lease.token();
     const lost = lease.lost();
     if (token !== undefined && lost !== undefined) {
-      const tenure = { token, signal: AbortSignal.any([lost, signal]) };
+      const tenure = {
+        token,
+        signal: AbortSignal.any([lost, signal]),
+        isHeld: () => !signal.aborted && lease.token() === token,
+      };
       const renewing = renewPeriodically(tenure.signal, {
         lease,
         clock,
