Daemon: a suspension of the VM is a pause

What callers could see: work that had waited is sent to a replica that began to leave while the VM was suspended, as the state known of it counted as current.

Cause: the detector of pauses compared times of the monotonic clock, which stops in a suspension. Change: it compares times of the suspend-aware clock; the time of the resumption stays on the monotonic one, on which the ages of reports are measured. Evidence: 'a suspension of the VM is a pause' saw none before; it passes now, with the other tests of daemon/src/fleet (12).

--- a/packages/daemon/src/fleet/pause_detector.test.ts
+++ b/packages/daemon/src/fleet/pause_detector.test.ts
@@ -1,4 +1,4 @@
-import { createManualClock } from "@peridotvalve/clock";
+import { type Clock, createManualClock } from "@peridotvalve/clock";
 import { expect } from "earl";
 import { test } from "node:test";
 import { createPauseDetector } from "./pause_detector.ts";
@@ -17,3 +17,23 @@
   await clock.advance(5_000);
   expect(watch.resumedAt()).toEqual(clock.monotonic());
 });
+
+// Guards against work for a replica that began to leave during a suspension of
+// the VM: the monotonic clock stops then, and nothing looked like a pause.
+test("a suspension of the VM is a pause", async () => {
+  const manual = createManualClock(1_000_000);
+  let suspended = 0;
+  const clock: Clock = {
+    now: () => manual.now() + suspended,
+    monotonic: () => manual.monotonic(),
+    sleep: (...wait) => manual.sleep(...wait),
+  };
+  const watch = createPauseDetector(clock);
+  await manual.advance(500);
+  expect(watch.resumedAt()).toEqual(0);
+  suspended = 5_000;
+  await manual.advance(10);
+  expect(watch.resumedAt()).toEqual(clock.monotonic());
+  await manual.advance(900);
+  expect(watch.resumedAt()).toEqual(510);
+});
--- a/packages/daemon/src/fleet/pause_detector.ts
+++ b/packages/daemon/src/fleet/pause_detector.ts
@@ -1,10 +1,11 @@
 /**
- * Detects pauses of this process. After a pause, the known state of the
- * replicas is as old as the pause, and a replica that started to leave in the
- * meantime must not receive work that waited in this process. A start counts as
- * the end of a pause, because nothing is known of the replicas then.
+ * Detects pauses of this process, also by a suspension of its VM. After a pause,
+ * the known state of the replicas is as old as the pause, and a replica that
+ * started to leave in the meantime must not receive work that waited in this
+ * process. A start counts as the end of a pause, because nothing is known of the
+ * replicas then.
  */
-import type { Clock } from "@peridotvalve/clock";
+import { type Clock, createSuspendAwareClock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
 
 export interface PauseDetector {
@@ -24,16 +25,18 @@
 const PAUSE_THRESHOLD: Milliseconds = 1_000;
 
 export function createPauseDetector(clock: Clock): PauseDetector {
-  let checkedAt = clock.monotonic();
-  let resumedAt: Milliseconds = checkedAt;
+  // A forward step of the wall clock counts as a pause, which costs a load report.
+  const suspendAwareClock = createSuspendAwareClock(clock);
+  let checkedAt = suspendAwareClock.monotonic();
+  let resumedAt: Milliseconds = clock.monotonic();
 
   /**
    * Also called by `resumedAt`: after a pause, other code may run before the
    * timer of `run` does.
    */
   function check(): void {
-    const now = clock.monotonic();
-    if (now - checkedAt > PAUSE_THRESHOLD) resumedAt = now;
+    const now = suspendAwareClock.monotonic();
+    if (now - checkedAt > PAUSE_THRESHOLD) resumedAt = clock.monotonic();
     checkedAt = now;
   }
 
