Bound the processor time of bodies in tiny pieces

Callers saw: 50 to 160 connections that send chunks of one byte took a daemon for up to half a minute. Its descriptors did not fall back 10 s (platform's daemon) and 20 s (packages/daemon) after they had left, as the rest in the kernel's buffers was still read at 4 us a piece.

Cause: each piece passed through the stream of its request, which schedules a callback in the next tick for it, and read the clock. Nothing bounded what such bodies take together. Refused bodies were discarded without turns, with up to 32 reads of 64 KiB of a connection in one turn of the event loop.

Change: `push` of a request is overridden while its chunked body is read, so that tiny pieces are copied directly. tiny_pieces.ts measures the time that bodies in tiny pieces take. Beyond half of the time of the process and 500 ms, all that are read but the first get 503 with Retry-After, are not read any more, and their connections close after 1 s, which drops what the kernel holds. Discarding ends after 2,000 tiny pieces in the same way. A body that is alone is not refused, nor is any without `limits`. This works because the bound follows the measured time, so it holds on a slow machine too.

--- a/packages/connections/src/body_reader.test.ts
+++ b/packages/connections/src/body_reader.test.ts
@@ -1,4 +1,4 @@
-import { createSystemClock } from "@peridotvalve/clock";
+import { Clock, createSystemClock } from "@peridotvalve/clock";
 import { expect } from "earl";
 import { once } from "node:events";
 import { createServer, type IncomingMessage } from "node:http";
@@ -21,14 +21,27 @@
   readonly stallLimit?: number;
   /** Time that a body may take in all. */
   readonly timeout?: number;
+  /** Time that each reading of the clock adds. */
+  readonly clockStep?: number;
+}
+
+function createSteppingClock(step: number): Clock {
+  const inner = createSystemClock();
+  let added = 0;
+  return new (class extends Clock {
+    override now = () => inner.now();
+    override monotonic = () => inner.monotonic() + (added += step);
+    override sleep = (...args: Parameters<Clock["sleep"]>) =>
+      inner.sleep(...args);
+  })();
 }
 
 /** A server that reads bodies within a budget. */
 async function setUp(
   t: TestContext,
-  { limit, stallLimit, timeout = Infinity }: Options,
+  { limit, stallLimit, timeout = Infinity, clockStep = 0 }: Options,
 ) {
-  const clock = createSystemClock();
+  const clock = createSteppingClock(clockStep);
   const memory = createMemoryBudget({ clock, limit });
   const reader = createBodyReader({
     ...{ clock, memory, turns: createReadTurns() },
@@ -56,7 +69,8 @@
     socket.write(`POST ${path} HTTP/1.1\r\nHost: a\r\n${framing}\r\n\r\n`);
     const request = await received;
     const endsAt = clock.monotonic() + timeout;
-    return { socket, result: reader.read(request, MAX_BODY, endsAt) };
+    const result = reader.read(request, MAX_BODY, endsAt);
+    return { socket, request, result };
   };
   return { memory, reader, open };
 }
@@ -235,3 +249,71 @@
   expect(await still.result).toEqual({ kind: "stalled" });
   expect((await other.result).kind).toEqual("complete");
 });
+
+const TINY_PIECES = 100_000;
+/** Chunks of one byte without the last one. */
+const TINY_CHUNKS = "1\r\nx\r\n".repeat(TINY_PIECES);
+
+// Guards against tiny pieces that pass by long ones, or by a body that waits.
+test("long and tiny pieces in turn keep their order", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 1_000_000 });
+  memory.tryTake(900_000);
+  const { socket, result } = await open(CHUNKED);
+  const sizes = Array.from(
+    { length: 800 },
+    (_, at) => [1, 500, 900, 3][at % 4],
+  );
+  const pieces = sizes.map((size, at) => Buffer.alloc(size ?? 0, at % 251));
+  const chunks = pieces.map((piece) => [
+    Buffer.from(`${piece.length.toString(16)}\r\n`),
+    piece,
+    Buffer.from("\r\n"),
+  ]);
+  socket.write(Buffer.concat([...chunks.flat(), Buffer.from("0\r\n\r\n")]));
+  await untilWaiting(reader, result);
+  memory.giveBack(900_000);
+  const body = Buffer.concat(pieces);
+  expect(Buffer.compare(bytesOf(await result), body)).toEqual(0);
+});
+
+// Guards against crowds of bodies in chunks of one byte that take the processor
+// for minutes, and against the rest of refused ones that is read all the same.
+test("a crowd of bodies in tiny pieces is refused but for one", {
+  timeout: 60_000,
+}, async (t) => {
+  // Each reading of the clock takes longer than the pieces since the last one.
+  const { reader, open } = await setUp(t, { limit: 1e8, clockStep: 5 });
+  const bodies = await Promise.all(
+    Array.from({ length: 10 }, () => open(CHUNKED)),
+  );
+  const refused = new Map<IncomingMessage, number>();
+  for (const { request, result } of bodies) {
+    void result.then(({ kind }) => {
+      if (kind !== "too many pieces") return;
+      refused.set(request, request.socket.bytesRead);
+    });
+  }
+  for (const { socket } of bodies) socket.write(TINY_CHUNKS);
+  while (refused.size < bodies.length - 1) await sleep(5);
+  await Promise.all(
+    [...refused.keys()].map((request) => reader.discard(request, MAX_BODY)),
+  );
+  expect([...refused.keys()].map(({ socket }) => socket.bytesRead))
+    .toEqual([...refused.values()]);
+  const kept = bodies.find(({ request }) => !refused.has(request));
+  kept?.socket.write("0\r\n\r\n");
+  expect(kept && bytesOf(await kept.result).length).toEqual(TINY_PIECES);
+});
+
+// Guards against the rest of a refused body in tiny pieces that is read in full.
+test("the rest of a refused body in tiny pieces is not read", async (t) => {
+  const { memory, reader, open } = await setUp(t, { limit: 1e8 });
+  memory.tryTake(1e8);
+  const { socket, request, result } = await open(CHUNKED);
+  for (let at = 0; at < 10; at += 1) socket.write(TINY_CHUNKS);
+  expect(await result).toEqual({ kind: "no room" });
+  const before = request.socket.bytesRead;
+  await reader.discard(request, 100 * MAX_BODY);
+  const read = request.socket.bytesRead - before;
+  expect(read < TINY_CHUNKS.length / 2).toEqual(true);
+});
--- a/packages/connections/src/body_reader.ts
+++ b/packages/connections/src/body_reader.ts
@@ -18,6 +18,12 @@
 import { freePiece } from "./free_piece.ts";
 import type { MemoryBudget } from "./memory_budget.ts";
 import type { ReadTurns } from "./read_turns.ts";
+import {
+  createTinyPieces,
+  dropPieces,
+  MAX_TINY,
+  passTinyPieces,
+} from "./tiny_pieces.ts";
 
 export interface HeldBody {
   /** Undefined when the body is empty. */
@@ -32,6 +38,8 @@
   | { readonly kind: "broken off" }
   /** The budget has no room for the body. */
   | { readonly kind: "no room" }
+  /** Bodies in tiny pieces take too much time together. */
+  | { readonly kind: "too many pieces" }
   /** Nothing has arrived for too long. */
   | { readonly kind: "stalled" };
 
@@ -65,11 +73,8 @@
 /** Longest body that may use the whole budget. */
 const MAX_SHORT: Bytes = 64 * 1_024;
 
-/** Length below which a piece costs more time than its bytes. */
-const MAX_TINY: Bytes = 512;
-
 /**
- * Tiny pieces after which a body lets others be read. They take about 4 us each,
+ * Tiny pieces after which a body lets others be read. They take about 2 us each,
  * and one read of a connection may have 10,000.
  */
 const MAX_TINY_PIECES = 2_000;
@@ -108,6 +113,8 @@
 interface Reading {
   /** Infinity while the body waits for room. */
   progressAt: Milliseconds;
+  /** True after tiny pieces since the last check, which read no clock. */
+  hasTinyProgress: boolean;
   readonly endsAt: Milliseconds;
   readonly isLong: () => boolean;
   readonly end: () => void;
@@ -161,6 +168,8 @@
   /** Bytes of long bodies by the address of their senders. */
   const byAddress = new Map<string, Bytes>();
   const freeBlocks: Buffer[] = [];
+  const isLimited = memory.limit < Infinity;
+  const tiny = createTinyPieces({ clock, isLimited });
   let longBytes: Bytes = 0;
   let waiting = 0;
   let timer: ReturnType<typeof setInterval> | undefined;
@@ -171,6 +180,10 @@
       ? Math.min(STALL_UNDER_PRESSURE, stallLimit())
       : stallLimit();
     for (const reading of readings) {
+      if (reading.hasTinyProgress) {
+        reading.hasTinyProgress = false;
+        reading.progressAt = Math.max(reading.progressAt, now);
+      }
       const own = reading.isLong() ? limit : stallLimit();
       const isOver = now >= reading.endsAt || now - reading.progressAt >= own;
       if (isOver) reading.end();
@@ -213,6 +226,14 @@
     if (!freePiece(piece)) memory.recordPiece(length);
   }
 
+  /** Reads nothing more of a connection, whose rest would take time. */
+  function refuseRest(request: IncomingMessage): void {
+    // After a complete body, the connection may be used again.
+    if (request.complete) return;
+    dropPieces(request);
+    turns.stop(request.socket);
+  }
+
   /** Reads a short body whose bytes are taken from the budget already. */
   function readShort(
     request: IncomingMessage,
@@ -227,6 +248,7 @@
         size: 0,
         isOver: false,
         progressAt: clock.monotonic(),
+        hasTinyProgress: false,
         endsAt,
         isLong: isNever,
         end: () => endShort(state, "stalled"),
@@ -301,10 +323,11 @@
         let isOver = false;
         let stopWaiting: (() => void) | undefined;
         const pending: Uint8Array[] = [];
-        let tinyPieces = 0;
+        const tinyPieces = tiny.track(() => fail("too many pieces"));
 
         const reading: Reading = {
           progressAt: clock.monotonic(),
+          hasTinyProgress: false,
           endsAt,
           isLong: () => long > 0,
           end: () => fail("stalled"),
@@ -402,14 +425,16 @@
         function onData(piece: Uint8Array): void {
           size += piece.length;
           headway += piece.length;
+          const isTiny = piece.length < MAX_TINY;
           if (headway >= MIN_HEADWAY || size <= MAX_SHORT) {
             headway = 0;
-            reading.progressAt = clock.monotonic();
+            if (isTiny) reading.hasTinyProgress = true;
+            else reading.progressAt = clock.monotonic();
           }
-          if (piece.length < MAX_TINY) {
-            tinyPieces += 1;
-            if (tinyPieces % MAX_TINY_PIECES === 0) turns.wait(request.socket);
+          if (isTiny && tinyPieces.add() % MAX_TINY_PIECES === 0) {
+            turns.wait(request.socket);
           }
+          if (isOver) return;
           if (size > maxBytes) return fail("too long");
           if (pending.length > 0 || !keep(piece)) wait(piece);
         }
@@ -447,6 +472,8 @@
         function stop(): void {
           isOver = true;
           readings.delete(reading);
+          tinyPieces.end();
+          stopPassing();
           stopWaiting?.();
           request.off("data", onData);
           request.off("end", onEnd);
@@ -468,12 +495,13 @@
         }
 
         function fail(
-          kind: "too long" | "broken off" | "no room" | "stalled",
+          kind: Exclude<ReceivedBody["kind"], "complete">,
         ): void {
           if (isOver) return;
           if (kind === "no room") onShort?.(waiting);
           stop();
           request.pause();
+          if (kind === "too many pieces") refuseRest(request);
           // Errors of the connection are handled as its close.
           request.on("error", () => {});
           dropBlocks();
@@ -571,6 +599,7 @@
           });
         }
 
+        const stopPassing = passTinyPieces(request, onData);
         request.on("data", onData);
         request.on("end", onEnd);
         request.on("error", onBroken);
@@ -586,10 +615,13 @@
           return resolve();
         }
         let size: Bytes = 0;
+        let tinyPieces = 0;
         const expiry = setTimeout(finish, MAX_DISCARD_TIME);
         const onData = (piece: Uint8Array) => {
           size += piece.length;
           dropPiece(piece);
+          if (piece.length < MAX_TINY) tinyPieces += 1;
+          if (tinyPieces === MAX_TINY_PIECES) refuseRest(request);
           if (size > maxBytes) finish();
         };
         function finish(): void {
--- a/packages/connections/src/measure_bodies.ts
+++ b/packages/connections/src/measure_bodies.ts
@@ -98,7 +98,8 @@
   const read = isPlain ? readPlainly : reader;
   let pieces = 0;
   const server = createServer((request, response) => {
-    request.on("data", () => pieces += 1);
+    // With another listener, the reader takes tiny pieces as any others.
+    if (isPlain) request.on("data", () => pieces += 1);
     read(request).then((release) => {
       response.end("x");
       release();
@@ -258,7 +259,7 @@
         const measured = await measure(server, shape);
         // The first round warms up.
         if (round >= 0) ofVariants[at]?.push(measured.microseconds);
-        pieces.set(shape, measured.pieces);
+        if (at === 0) pieces.set(shape, measured.pieces);
       }
     }
   }
--- a/packages/connections/src/read_turns.ts
+++ b/packages/connections/src/read_turns.ts
@@ -9,6 +9,8 @@
 export interface ReadTurns {
   /** Stops reading the connection until those before it have been read. */
   wait(socket: Socket): void;
+  /** Stops reading the connection for good. */
+  stop(socket: Socket): void;
 }
 
 /**
@@ -25,11 +27,14 @@
 
 export function createReadTurns(): ReadTurns {
   const waiting: HeldSocket[] = [];
+  const stopped = new WeakSet<HeldSocket>();
 
   function readNext(): void {
     const socket = waiting.shift();
     if (waiting.length > 0) setImmediate(readNext);
-    if (socket === undefined || socket.destroyed) return;
+    if (socket === undefined || socket.destroyed || stopped.has(socket)) {
+      return;
+    }
     socket._paused = false;
     socket.parser?.resume();
     socket.resume();
@@ -43,5 +48,10 @@
       waiting.push(socket);
       if (waiting.length === 1) setImmediate(readNext);
     },
+    stop(socket: HeldSocket) {
+      stopped.add(socket);
+      socket._paused = true;
+      socket.pause();
+    },
   };
 }
--- a/packages/daemon/src/http/body.ts
+++ b/packages/daemon/src/http/body.ts
@@ -45,6 +45,7 @@
     case "stalled":
       return Err(late(exchange, limits.timeout));
     case "no room":
+    case "too many pieces":
       closeAfterwards(exchange);
       return Err(createBusyFailure());
   }
--- a/packages/gateway/src/frontend.ts
+++ b/packages/gateway/src/frontend.ts
@@ -106,8 +106,8 @@
  */
 const STARTING_RETRY_AFTER: Milliseconds = 500;
 
-/** Delay after which bodies in progress should have left room. */
-const NO_MEMORY_RETRY_AFTER: Milliseconds = 1_000;
+/** Delay after which bodies in progress should have left room and time. */
+const LOAD_RETRY_AFTER: Milliseconds = 1_000;
 
 /**
  * Memory of a request in progress apart from its body: its head, the objects of
@@ -232,7 +232,7 @@
       return decline({ status: 401, reason: "unknown key" }, route);
     }
     if (!intake.memory.tryTake(REQUEST_MEMORY)) {
-      return declineForMemory("no memory for the request");
+      return declineForLoad("no memory for the request");
     }
     try {
       await readAndServe(active, route, customer);
@@ -259,7 +259,9 @@
         case "stalled":
           return decline({ status: 408, reason: "body stalled" }, route);
         case "no room":
-          return declineForMemory("no memory for the body");
+          return declineForLoad("no memory for the body");
+        case "too many pieces":
+          return declineForLoad("too many small pieces");
       }
       try {
         await serve(active, route, customer, received.body);
@@ -268,8 +270,8 @@
       }
     }
 
-    function declineForMemory(reason: string): void {
-      const retryAfter = NO_MEMORY_RETRY_AFTER * (1 + Math.random());
+    function declineForLoad(reason: string): void {
+      const retryAfter = LOAD_RETRY_AFTER * (1 + Math.random());
       decline({ status: 503, reason, retryAfter }, route);
     }
 
--- a/packages/gateway/src/meters.ts
+++ b/packages/gateway/src/meters.ts
@@ -126,6 +126,7 @@
   ["unknown key", "unknown key"],
   ["too long", "too long"],
   ["no memory", "no memory"],
+  ["small pieces", "small pieces"],
   ["body stalled", "body stalled"],
   ["broken off", "broken off"],
   ["no desired state", "no desired state"],
--- a/packages/gateway/src/peer_calls.ts
+++ b/packages/gateway/src/peer_calls.ts
@@ -153,6 +153,7 @@
   "too long": 413,
   "stalled": 408,
   "no room": 503,
+  "too many pieces": 503,
 } as const;
 
 export interface PeerClient {
--- a/packages/gateway/src/reason_labels.test.ts
+++ b/packages/gateway/src/reason_labels.test.ts
@@ -20,6 +20,7 @@
     "no service": "no service",
     "the daemon stops": "stopping",
     "shutting down": "stopping",
+    "too many small pieces": "small pieces",
     "timeout": "timeout",
     "silent": "silent",
     "ended within an event": "broken off",
