Datagrams: ages include the time that they waited to be read

What callers could see: a VM that had stood still read what its neighbors had sent before as new. It took their reads of stores and tables, and what they had heard of replicas, for as recent as they were when they were sent, so that it could fetch from a store that had restarted since.

Cause: ages travel as of the time of sending; the time in the receive buffer was not added.

Why it works: `receive_delay.ts` knows when the buffer was empty last. Timers run before sockets are read, so a turn of the event loop after a tick that found less than a whole batch has emptied it. What is read later can have waited since then at most. The clock counts suspensions. Ages of tables, pages of stores, received data and statements grow by the bound. News of crashes do not: proofs and crashes are compared with times of this daemon, and an upper bound is not the safe side for both. `packages/daemon` has its own digests and is not changed.

--- a/packages/backpressure/src/statements.test.ts
+++ b/packages/backpressure/src/statements.test.ts
@@ -128,3 +128,21 @@
   );
   expect(isLeaving(statements, { id: "a", born: 2 })).toEqual(false);
 });
+
+// Guards against news that lay unread while the VM stood still and that replace
+// what a replica has said since.
+test("news count as old as the time that they waited to be read", async () => {
+  const clock = createManualClock(0);
+  const [statements, peer] = [
+    createStatements({ clock }),
+    createStatements({ clock }),
+  ];
+  await clock.advance(1_000);
+  peer.record(REPLICA, { limit: 2 });
+  const news = peer.compose(200) ?? {};
+  await clock.advance(100);
+  statements.record(REPLICA, { limit: 1 });
+  await clock.advance(3_000);
+  expect(statements.apply(news, 3_100)).toEqual(true);
+  expect(statements.find(REPLICA, "limit")?.value).toEqual(1);
+});
--- a/packages/backpressure/src/statements.ts
+++ b/packages/backpressure/src/statements.ts
@@ -73,8 +73,11 @@
    * there are none.
    */
   abstract compose(limit: Bytes): StatementNews | undefined;
-  /** Merges the news of a peer; returns false when they are malformed. */
-  abstract apply(news: StatementNews): boolean;
+  /**
+   * Merges the news of a peer, which may have waited here before they were read;
+   * returns false when they are malformed.
+   */
+  abstract apply(news: StatementNews, waited?: Milliseconds): boolean;
 }
 
 export interface StatementsOptions {
@@ -280,8 +283,8 @@
       return news;
     }
 
-    override apply(news: StatementNews): boolean {
-      const decoded = decodeNews(news, clock.monotonic());
+    override apply(news: StatementNews, waited: Milliseconds = 0): boolean {
+      const decoded = decodeNews(news, clock.monotonic() - waited);
       if (decoded === undefined) return false;
       for (const { kind, key, ...heard } of decoded) {
         merge(kind, key, { ...heard, isOwn: false });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -541,7 +541,8 @@
   }
 
   async function openMesh(): Promise<Result<void, string>> {
-    const transport = await createUdpTransport(settings.datagrams);
+    const bound = { ...settings.datagrams, clock: options.leaseClock };
+    const transport = await createUdpTransport(bound);
     if (transport.isErr()) return Err(String(transport.error));
     mesh = createPeerMesh({
       clock,
@@ -560,7 +561,7 @@
       sentParts,
       crashes,
       statements: {
-        apply: (news) => statements.apply(news),
+        apply: (news, waited) => statements.apply(news, waited),
         // What looks like the end of a replica is the cut of this daemon.
         compose: (limit) =>
           contact.isLost() ? undefined : statements.compose(limit),
--- a/packages/gateway/src/peer_digest.test.ts
+++ b/packages/gateway/src/peer_digest.test.ts
@@ -48,6 +48,17 @@
   expect(decodeZoneDigest(zoneWire)).toEqual(zone);
 });
 
+// Guards against ages as of the time at which a digest was sent: one that lay in the
+// receive buffer while the VM stood still tells of reads that are old by now.
+test("ages include the time that a digest waited to be read", () => {
+  const wire = encodePeerDigest(DIGEST);
+  const { tables, receivedAge, pages } = decodePeerDigest(wire, 4_000) ?? {};
+  expect(tables?.map(({ age }) => age)).toEqual([4_040, undefined]);
+  expect([receivedAge, pages?.[0]?.age]).toEqual([4_030, 4_020]);
+  const zoneWire = encodeZoneDigest({ busy: [], receivedAge: 40 });
+  expect(decodeZoneDigest(zoneWire, 4_000)?.receivedAge).toEqual(4_040);
+});
+
 // Guards against a datagram that stops the task that receives them.
 test("any value is decoded or refused without an exception", () => {
   fc.assert(fc.property(fc.jsonValue(), (value) => {
--- a/packages/gateway/src/peer_digest.ts
+++ b/packages/gateway/src/peer_digest.ts
@@ -126,15 +126,21 @@
   c: z.unknown().optional(),
 });
 
-/** Returns undefined when the digest is malformed. */
-export function decodePeerDigest(wire: unknown): PeerDigest | undefined {
+/**
+ * Returns undefined when the digest is malformed. Ages include the time that it
+ * may have waited here before it was read.
+ */
+export function decodePeerDigest(
+  wire: unknown,
+  waited: Milliseconds = 0,
+): PeerDigest | undefined {
   const { data } = PEER_DIGEST.safeParse(wire);
   if (data === undefined) return undefined;
   return {
     tables: data.t.map(([table, contentVersion, age]) => ({
       table,
       contentVersion,
-      ...(age === null ? {} : { age }),
+      ...(age === null ? {} : { age: age + waited }),
       ...(data.r?.[table] !== undefined && { kept: data.r[table] }),
     })),
     ...(data.e === undefined ? {} : { storeEra: data.e }),
@@ -147,7 +153,7 @@
       })),
     }),
     silent: data.s ?? [],
-    ...(data.a === undefined ? {} : { receivedAge: data.a }),
+    ...(data.a === undefined ? {} : { receivedAge: data.a + waited }),
     ...(data.o === undefined ? {} : { isOutOfContact: data.o }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
     ...(data.z === undefined
@@ -159,7 +165,7 @@
       parts,
     })),
     pages: (data.k ?? []).map(([store, epoch, first, age, events]) => ({
-      ...{ store, epoch, first, age },
+      ...{ store, epoch, first, age: age + waited },
       events: events.map(decodeCacheEvent),
     })),
     ...(data.n === undefined ? {} : { statements: data.n as StatementNews }),
@@ -204,12 +210,15 @@
   };
 }
 
-export function decodeZoneDigest(wire: unknown): ZoneDigest | undefined {
+export function decodeZoneDigest(
+  wire: unknown,
+  waited: Milliseconds = 0,
+): ZoneDigest | undefined {
   const { data } = ZONE_DIGEST.safeParse(wire);
   if (data === undefined) return undefined;
   return {
     busy: data.b ?? [],
-    ...(data.a === undefined ? {} : { receivedAge: data.a }),
+    ...(data.a === undefined ? {} : { receivedAge: data.a + waited }),
     ...(data.l === undefined ? {} : { load: data.l as Delta }),
     ...decodeCrashes(data.c),
   };
--- a/packages/gateway/src/peer_mesh.ts
+++ b/packages/gateway/src/peer_mesh.ts
@@ -203,8 +203,8 @@
       const crashField = news === undefined ? {} : { crashes: news };
       return encodeZoneDigest({ ...digest, ...crashField });
     },
-    onAggregate({ zone: from, content }) {
-      const digest = decodeZoneDigest(content);
+    onAggregate({ zone: from, content }, waited) {
+      const digest = decodeZoneDigest(content, waited);
       if (digest === undefined) return reject(from);
       if (digest.busy.length > 0) {
         options.onBusy(digest.busy);
@@ -347,8 +347,8 @@
     return { ...digest, sent: sentParts.take(left()) };
   }
 
-  function applyDigest(peer: string, wire: unknown): void {
-    const digest = decodePeerDigest(wire);
+  function applyDigest(peer: string, wire: unknown, waited: number): void {
+    const digest = decodePeerDigest(wire, waited);
     if (digest === undefined) return reject(peer);
     if (digest.storeEra !== undefined) options.storeEra.hear(digest.storeEra);
     if (digest.busy.length > 0) options.onBusy(digest.busy);
@@ -365,7 +365,7 @@
     }
     applyCrashes(peer, digest);
     if (digest.statements !== undefined) {
-      const isApplied = options.statements.apply(digest.statements);
+      const isApplied = options.statements.apply(digest.statements, waited);
       if (!isApplied) reject(peer, "malformed statements");
     }
     if (digest.zoneLoad !== undefined) applyZoneLoad(...digest.zoneLoad);
--- a/packages/membership/src/membership.test.ts
+++ b/packages/membership/src/membership.test.ts
@@ -1,8 +1,11 @@
+import { createHybridClock } from "@peridotvalve/events";
 import { expect } from "earl";
 import { test } from "node:test";
+import { createMembership } from "./membership.ts";
 import type { MembershipOptions } from "./options.ts";
 import type { PeerChange, PeerState } from "./peer_table.ts";
 import { createTestZone, type TestDaemon } from "./testing.ts";
+import { Transport } from "./transport.ts";
 
 function stateOf(
   daemon: TestDaemon | undefined,
@@ -304,3 +307,38 @@
   );
   expect(chosen.length).toEqual(2);
 });
+
+// Guards against contents that count as new although they lay unread.
+test("contents come with the time that their datagram waited", async () => {
+  const zone = createTestZone(2);
+  const address = "10.0.0.1:7000";
+  const inner = zone.network.attach(address);
+  const transport = new (class extends Transport {
+    override address = () => address;
+    override send = (to: string, bytes: Uint8Array) => inner.send(to, bytes);
+    override close = () => inner.close();
+    override async *receive(signal: AbortSignal) {
+      for await (const packet of inner.receive(signal)) {
+        yield { ...packet, waited: 700 };
+      }
+    }
+  })();
+  const waits = new Set<number>();
+  const listener = {
+    onDigest: (_peer: string, _digest: unknown, waited: number) => {
+      waits.add(waited);
+    },
+  };
+  const options = { createDigest: () => ({ table: 1 }) };
+  zone.start(0, { ...options, zone: "z" });
+  const started = createMembership({
+    ...{ name: "entry-1", secret: "secret", zone: "z", transport },
+    ...{ clock: zone.clock, hybridClock: createHybridClock(zone.clock) },
+    ...{ seeds: [{ address: "10.0.0.0:7000", zone: "z" }], ...listener },
+  });
+  const stop = new AbortController();
+  void started.run(stop.signal);
+  await zone.clock.advance(3_000);
+  stop.abort();
+  expect([...waits]).toEqual([700]);
+});
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -94,7 +94,7 @@
     options.onDatagramRejected?.(reason, from);
   }
 
-  function receive({ from, bytes }: Packet): void {
+  function receive({ from, bytes, waited = 0 }: Packet): void {
     receivedBytes += bytes.length + HEADER_BYTES;
     receivedDatagrams += 1;
     if (options.accepts?.(from) === false) {
@@ -104,11 +104,15 @@
     if (decoded.isErr()) return reject(decoded.error, from);
     const datagram = decoded.value;
     if (datagram.name === name) return receiveOwnName(datagram);
-    if (datagram.kind === "heartbeat") receiveHeartbeat(datagram, from);
-    else receiveAggregate(datagram, from);
+    if (datagram.kind === "heartbeat") receiveHeartbeat(datagram, from, waited);
+    else receiveAggregate(datagram, from, waited);
   }
 
-  function receiveHeartbeat(heartbeat: Heartbeat, from: string): void {
+  function receiveHeartbeat(
+    heartbeat: Heartbeat,
+    from: string,
+    waited: Milliseconds,
+  ): void {
     const accepted = table.accept(heartbeat, from);
     if (accepted.isErr()) return reject(accepted.error, from);
     lastHeartbeatAt = clock.monotonic();
@@ -119,19 +123,23 @@
       options.onUpstreamLeaving?.(upstream, heartbeat.name);
     }
     if (heartbeat.digest !== undefined) {
-      options.onDigest?.(heartbeat.name, heartbeat.digest);
+      options.onDigest?.(heartbeat.name, heartbeat.digest, waited);
     }
     observeHeader(heartbeat, from);
   }
 
-  function receiveAggregate(aggregate: Aggregate, from: string): void {
+  function receiveAggregate(
+    aggregate: Aggregate,
+    from: string,
+    waited: Milliseconds,
+  ): void {
     if (aggregate.zone === zone) return reject("malformed", from);
     const senderKey = `${aggregate.zone}/${aggregate.name}`;
     const checked = aggregateGuard.check(senderKey, aggregate);
     if (checked.isErr()) return reject(checked.error, from);
     aggregateGuard.record(senderKey, aggregate);
     lastAggregateAt.set(aggregate.zone, clock.monotonic());
-    options.onAggregate?.(aggregate);
+    options.onAggregate?.(aggregate, waited);
     observeHeader(aggregate, from);
   }
 
--- a/packages/membership/src/options.ts
+++ b/packages/membership/src/options.ts
@@ -22,10 +22,15 @@
   readonly onChange?: (change: PeerChange) => void;
   /** A peer announced a version higher than this daemon's. */
   readonly onNewerVersion?: (newer: NewerVersion) => void;
-  readonly onDigest?: (peer: string, digest: unknown) => void;
+  /** `waited` is the most that the digest can have lain unread here. */
+  readonly onDigest?: (
+    peer: string,
+    digest: unknown,
+    waited: Milliseconds,
+  ) => void;
   /** A peer reported a leaving upstream incarnation. */
   readonly onUpstreamLeaving?: (incarnation: string, peer: string) => void;
-  readonly onAggregate?: (aggregate: Aggregate) => void;
+  readonly onAggregate?: (aggregate: Aggregate, waited: Milliseconds) => void;
   readonly onDatagramRejected?: (reason: Rejection, from: string) => void;
   /** A peer's clock stamp is too far ahead and was not merged. */
   readonly onClockDrift?: (peer: string, ahead: Milliseconds) => void;
--- a/packages/membership/src/transport.ts
+++ b/packages/membership/src/transport.ts
@@ -2,10 +2,14 @@
  * The transport of datagrams. Datagrams can be lost, duplicated, reordered and
  * delayed.
  */
+import type { Milliseconds } from "@peridotvalve/types";
+
 export interface Packet {
   /** Address of the sender, as `host:port`. */
   readonly from: string;
   readonly bytes: Uint8Array;
+  /** The most that it can have waited here before it was read; 0 by default. */
+  readonly waited?: Milliseconds;
 }
 
 export abstract class Transport {
--- a/packages/membership/src/udp_transport.ts
+++ b/packages/membership/src/udp_transport.ts
@@ -5,13 +5,18 @@
 import { createSocket, type RemoteInfo, type Socket } from "node:dgram";
 import { once } from "node:events";
 import { isIPv6 } from "node:net";
+import { performance } from "node:perf_hooks";
+import { type Clock, createSystemClock } from "@peridotvalve/clock";
 import { Err, Ok, type Result } from "ts-results-es";
+import { createReceiveDelay, TICK_PERIOD } from "./receive_delay.ts";
 import { createInbox, type Packet, Transport } from "./transport.ts";
 
 export interface UdpOptions {
   readonly host: string;
   /** 0 selects a free port. */
   readonly port: number;
+  /** Clock for the waits of datagrams; one that counts suspensions sees them. */
+  readonly clock?: Pick<Clock, "monotonic">;
 }
 
 /** Binds a socket. The error is the message of the failed bind. */
@@ -25,15 +30,25 @@
   } catch (error) {
     return Err(String(error));
   }
-  return Ok(wrapSocket(socket));
+  return Ok(wrapSocket(socket, options.clock ?? createSystemClock()));
 }
 
-function wrapSocket(socket: Socket): Transport {
+function wrapSocket(
+  socket: Socket,
+  clock: Pick<Clock, "monotonic">,
+): Transport {
   const inbox = createInbox();
   const local = socket.address();
   let closed = false;
+  const delay = createReceiveDelay({
+    clock,
+    countTurns: () => performance.nodeTiming.uvMetricsInfo.loopCount,
+  });
+  const ticks = setInterval(() => delay.tick(), TICK_PERIOD);
+  ticks.unref();
   socket.on("message", (bytes, remote) => {
-    inbox.put({ from: formatAddress(remote), bytes });
+    const waited = delay.record();
+    inbox.put({ from: formatAddress(remote), bytes, waited });
   });
   // A socket error, such as a refused or unreachable receiver, means a lost
   // datagram.
@@ -61,6 +76,7 @@
     override async close(): Promise<void> {
       if (closed) return;
       closed = true;
+      clearInterval(ticks);
       await new Promise<void>((resolve) => socket.close(() => resolve()));
     }
   })();
