Relay: the wait for a replica begins at the end of the body

Callers saw: 503 "no replica, too many wait", with ready and idle replicas, for any plain request whose body took longer to arrive than 1.4 s (0.7 of 2 s or of the route's latency targets), such as one of the limit in chunks of one byte.

Change: it counts from the complete body, which the stage clock knows. The deadline of the request still counts from its head.

--- a/packages/gateway/src/relay.ts
+++ b/packages/gateway/src/relay.ts
@@ -521,8 +521,8 @@
     }
 
     /**
-     * Returns the time after which a caller without a further event has left or
-     * has no use for it, or the answer would come too late.
+     * Returns the time after which a caller without a further event, since the
+     * end of its body or the last one, has left, or the answer would be too late.
      */
     function waitDeadline(): Milliseconds {
       const lastStart = request.deadline - answerTimes.estimate(request);
@@ -531,7 +531,7 @@
         return Math.max(clock.monotonic(), lastStart);
       }
       const isNew = progress.firstEvent === 0;
-      const start = isNew ? request.arrivedAt : clock.monotonic();
+      const start = isNew ? stages.readAt : clock.monotonic();
       const end = start + gapLimit(request.route);
       return isNew && pushbackTime() > 0 ? Math.min(end, lastStart) : end;
     }
--- a/packages/gateway/src/stage_clock.ts
+++ b/packages/gateway/src/stage_clock.ts
@@ -32,6 +32,8 @@
 }
 
 export interface StageClock {
+  /** End of the request's body. */
+  readonly readAt: Milliseconds;
   /** Records an attempt that ended the request. */
   keep(attempt: AttemptTimes, endedAt: Milliseconds): void;
   /**
@@ -92,6 +94,7 @@
 
   divide("body", readAt);
   return {
+    readAt,
     keep: divideAttempt,
     lose(attempt, endedAt, usedUntil) {
       const { startedAt } = attempt;
