--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -339,16 +339,15 @@
   const software = createSoftwareRecords({
     ...{ clock, logger, store: options.store, name: settings.name },
     ...{ suspendAwareClock: options.leaseClock, storeEra: options.storeEra },
-    lifetime: STREAM_LIFETIME,
     services: () => listStreamServices(holder.current()),
     versionsOf: (service) => listSoftware(replicas.all(), service),
     usableVersionsOf: (service) =>
       listSoftware(replicas.usable(service), service),
-    isRemover: () => rank(STREAM_DUTY) === 0,
+    ...{ lifetime: STREAM_LIFETIME, isRemover: () => rank(STREAM_DUTY) === 0 },
   });
   const streams = createStreamRecords({
-    ...{ clock, logger, store: options.store, name: settings.name, software },
-    routes: holder.streamRoutes,
+    ...{ clock, logger, store: options.store, name: settings.name },
+    ...{ software, routes: holder.streamRoutes },
     writers: () =>
       (mesh?.groupCount() ?? 1) === 1
         ? peerCount()
