Stream records: an origin that is saved late is found

Callers that took up a stream got 503 where its origin was saved more than about a quarter of a second after its begin: beside load, by a neighbor, in the first 5 s of a service's record, and while a second version joined. Who takes a stream up looked for the origin twice, with a pause of 200 ms.

It now looks a third time, after 100 and a further 350 ms. Each look alone counts for the limit of 64 reads at once, not the pauses. A look that the store does not answer passes the request to a neighbor at once. A stream that nobody has saved costs one more read; a refused caller that comes back cost two and a read of the versions.

The new test of stream_records.test.ts found nothing before and the origin now.

--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -904,3 +904,21 @@
   expect(await find(clock, third, "c")).toEqual("v1");
   for (const { end } of [first, second, third]) end();
 });
+
+// Guards against LOST: a stream is refused, as its daemon or the store is busy and
+// its origin is saved some hundred milliseconds late.
+test("an origin that is saved late is found", async () => {
+  const { clock, paths, first, second } = await startPair();
+  for (const { list } of [first, second]) list("v1", "v2");
+  await advance(clock, 1_000);
+  if (paths[0] !== undefined) paths[0].state.holdsWrites = true;
+  expect(first.begin("a", "v1")).toEqual(true);
+  await advance(clock, 100);
+  const found = second.records.find("a", ROUTE);
+  await advance(clock, 300);
+  paths[0]?.release();
+  await advance(clock, 200);
+  const origin = await found;
+  expect(typeof origin === "object" ? origin.software : origin).toEqual("v1");
+  for (const { end } of [first, second]) end();
+});
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -108,16 +108,20 @@
 
 /**
  * Time after which a neighbor is given what the store has not confirmed. A stream
- * is taken up a moment after its begin, and its origin is looked for twice within
- * `LOOKUP_PAUSE`.
+ * is taken up a moment after its begin, and its origin is looked for until
+ * `LOOKUP_PAUSES` have passed.
  */
 const ANSWER_TIME: Milliseconds = 200;
 
 /** Time for which neighbors save in place of a daemon whose save has failed. */
 const OUTAGE_PERIOD: Milliseconds = 2_000;
 
-/** Time after which a record that another daemon had not saved yet is there. */
-const LOOKUP_PAUSE: Milliseconds = 200;
+/**
+ * Pauses before further looks for a record that another daemon had not saved yet.
+ * The first one covers `SAVE_PERIOD` in calm, both together a busy machine or the
+ * way by a neighbor.
+ */
+const LOOKUP_PAUSES: readonly Milliseconds[] = [100, 350];
 
 /** Reads of stream records at once; further callers come back. */
 const MAX_LOOKUPS = 64;
@@ -272,8 +276,11 @@
   }
 
   async function readOrigin(key: string): Promise<FoundOrigin> {
+    if (lookups >= MAX_LOOKUPS) return "unread";
+    lookups += 1;
     const row = { table: ORIGIN_TABLE, key };
-    const read = await store.readRow(row, LOOKUP_TIMEOUT);
+    const read = await store.readRow(row, LOOKUP_TIMEOUT)
+      .finally(() => lookups -= 1);
     if (read.isErr()) {
       logUnread(read.error.reason);
       return "unread";
@@ -305,16 +312,13 @@
     const sole = await findSole(services);
     if (sole !== "unknown") return sole;
     if (key === undefined) return "unknown";
-    if (lookups >= MAX_LOOKUPS) return "unread";
-    lookups += 1;
-    try {
-      const origin = await readOrigin(key);
-      if (typeof origin === "object") return origin;
-      await clock.sleep(LOOKUP_PAUSE);
-      return await readOrigin(key);
-    } finally {
-      lookups -= 1;
+    let origin = await readOrigin(key);
+    for (const pause of LOOKUP_PAUSES) {
+      if (origin !== "unknown") break;
+      await clock.sleep(pause);
+      origin = await readOrigin(key);
     }
+    return origin;
   }
 
   return {
