Limits and places: a rise in the settling time is noticed

The lowest recent rate was not sampled while equal parts hold. A daemon whose load rose in these 1.5 s used its newest rate right after them, of which its peers had not heard: four daemons could each take a whole limit for a heartbeat.

--- a/packages/backpressure/src/limits.test.ts
+++ b/packages/backpressure/src/limits.test.ts
@@ -224,3 +224,25 @@
     }
   });
 }
+
+// Guards against LIMIT right after the settling time: the load of all daemons rises
+// within it, and each takes the others to send what they sent before.
+test("a rate that rises while equal parts hold is not used at once", async () => {
+  const clock = createManualClock();
+  await clock.advance(60 * SECOND);
+  const statements = createStatements({ clock });
+  let own = 0;
+  const limits = createLimits({
+    ...{ clock, statements, rates: () => ({ own, peers: 0 }) },
+    groupOf: () => ({ fraction: 1, members: 4, live: 4 }),
+  });
+  statements.record(REPLICA, { limit: 40 });
+  for (let at = 0; at < 14; at += 1) {
+    expect(limits.rateOf(REPLICA)).toEqual(10);
+    await clock.advance(100);
+  }
+  // Requests come in; the peers hear of them a heartbeat later.
+  own = 10;
+  await clock.advance(100);
+  expect(limits.rateOf(REPLICA)).toEqual(10);
+});
--- a/packages/backpressure/src/limits.ts
+++ b/packages/backpressure/src/limits.ts
@@ -153,8 +153,9 @@
     const { fraction, members, live } = groupOf(replica);
     const whole = Math.max(limit.value, PROBE_RATE) * fraction;
     const equal = whole / Math.max(1, members);
-    if (clock.monotonic() - limit.since < SETTLING_TIME) return equal;
+    // Asked in the settling time as well, so that a rise within it is noticed.
     const { own, peers } = rates(replica.id);
+    if (clock.monotonic() - limit.since < SETTLING_TIME) return equal;
     const share = own > 0 ? own / (own + peers) : 0;
     // Daemons that cannot be reached use their parts as well.
     return Math.max(equal, whole * share * live / Math.max(live, members));
--- a/packages/backpressure/src/places.ts
+++ b/packages/backpressure/src/places.ts
@@ -174,10 +174,11 @@
     const all = Math.max(1, live, members);
     // Where places go round, rates show who has them and not who needs them.
     if (whole < all) return HANDOVER_SHARE * whole / all;
+    // Asked in the settling time as well, so that a rise within it is noticed.
+    const { own, peers } = rates(replica.id);
     const since = statements.find(replica, "brittle")?.since ?? Infinity;
     // The rates of the others are on their way.
     if (clock.monotonic() - since < SETTLING_TIME) return whole / all;
-    const { own, peers } = rates(replica.id);
     const demand = own > 0 ? own / (own + peers) : 0;
     return whole *
       (EVEN_SHARE / all + (1 - EVEN_SHARE) * demand * live / all);
