Statements: replicas that never said they are brittle end that time too

Callers see: a service stays brittle, so that its replicas get few requests, while a listed replica that is frozen or gets no requests has said so, and the others, which have started since, answer without it.

Cause: an end counts only from a replica that had said so itself.

Change: while a replica of any service has said that it is brittle, answers of the others are recorded as ends too, without telling peers; such records are dropped once none says so.

--- a/packages/backpressure/src/places.test.ts
+++ b/packages/backpressure/src/places.test.ts
@@ -274,3 +274,26 @@
   const starved = daemons.filter(({ hadRoom }) => !hadRoom).length;
   expect(starved).toEqual(0);
 });
+
+// Guards against a service that stays brittle for ever: its only statement is of a
+// replica that gets no requests, and the others have started after it.
+test("replicas that never said so end a brittle time", async () => {
+  const clock = createManualClock();
+  const statements = createStatements({ clock });
+  const [silent, started] = ["a", "b"].map((id) => ({
+    ...{ id, zone: HOME, service: SERVICE, slots: 4 },
+  })) as [PlacedReplica, PlacedReplica];
+  const places = createPlaces({
+    ...{ clock, statements, random: () => 0 },
+    replicasOf: () => [silent, started],
+    inFlight: () => 4,
+    rates: () => ({ own: 1, peers: 0 }),
+    groupOf: () => ({ fraction: 1, members: 1, live: 1 }),
+  });
+  statements.record(silent, { brittle: 3 });
+  for (let second = 0; second < 120; second += 1) {
+    await clock.advance(1_000);
+    statements.record(started, {});
+  }
+  expect(places.hasRoom(started)).toEqual(true);
+});
--- a/packages/backpressure/src/statements.ts
+++ b/packages/backpressure/src/statements.ts
@@ -159,6 +159,14 @@
     return recordsOf(kind).get(key);
   }
 
+  /**
+   * True while a replica has said what concerns its whole service. Answers of
+   * other replicas then say whether it still holds.
+   */
+  function isOfService(kind: StatementKind): boolean {
+    return kind === "brittle" && recordsOf(kind).size > 0;
+  }
+
   /** Stores what was heard unless something newer is known. */
   function merge(
     kind: StatementKind,
@@ -205,7 +213,14 @@
     const present = new Set([...listed()].map(incarnationHash));
     const now = clock.monotonic();
     for (const [, known] of passing) {
+      const isInForce = [...known.values()].some(({ value }) =>
+        value !== undefined
+      );
       for (const [key, record] of [...known]) {
+        if (!isInForce && !record.isOwn) {
+          known.delete(key);
+          continue;
+        }
         const { heardAt, listedAt } = record;
         if (present.has(key)) known.set(key, { ...record, listedAt: now });
         else if (now - Math.max(heardAt, listedAt) >= UNLISTED_EXPIRY) {
@@ -222,9 +237,13 @@
       for (const kind of STATEMENT_KINDS) {
         const value = statement[kind];
         const known = findAt(kind, key);
-        const mayEnd = known !== undefined && !LASTING_KINDS.has(kind);
+        const mayEnd = !LASTING_KINDS.has(kind) &&
+          (known !== undefined || isOfService(kind));
         if (value === undefined && !mayEnd) continue;
-        merge(kind, key, { value, heardAt, isOwn: true });
+        // Peers are told of the end of a statement, not that there was none.
+        const isOwn = value !== undefined || known?.value !== undefined ||
+          known?.isOwn === true;
+        merge(kind, key, { value, heardAt, isOwn });
         if (value !== known?.value) onChange(replica, kind, value);
       }
     }
