Stream records: a daemon that has just started reads saved origins

Callers see: a stream of a split route goes on at another service, where it is taken up at a daemon that started after the shares of the route had changed.

Cause: such a daemon knows no former targets, so that one service is left, and it does not look for the origin that others saved after the change.

A route that was replaced as a whole stays open.

--- a/packages/gateway/src/stream_records.test.ts
+++ b/packages/gateway/src/stream_records.test.ts
@@ -1,4 +1,5 @@
 import { createManualClock, type ManualClock } from "@peridotvalve/clock";
+import type { Route } from "@peridotvalve/dispatch";
 import { EventLogger } from "@peridotvalve/events";
 import {
   counterOf,
@@ -15,7 +16,11 @@
   STREAM_LIFETIME,
   type StreamRecords,
 } from "./stream_records.ts";
-import { createStreamRoutes, type StreamRoute } from "./stream_routes.ts";
+import {
+  createStreamRoutes,
+  type StreamRoute,
+  type StreamRoutes,
+} from "./stream_routes.ts";
 
 const SERVICE = "llm";
 const ROUTE: StreamRoute = {
@@ -922,3 +927,57 @@
   expect(typeof origin === "object" ? origin.software : origin).toEqual("v1");
   for (const { end } of [first, second]) end();
 });
+
+// Guards against streams of two services in one: a daemon that has started after a
+// change of the shares of a route does not know where its streams began before,
+// though their origins are in the store.
+test("a daemon that started after a new split reads the origins", async () => {
+  const clock = createManualClock();
+  const { store } = createStore();
+  const split = (...weights: readonly [number, number]): StreamRoute => ({
+    ...ROUTE,
+    targets: ["llm-a", "llm-b"].map((service, at) => ({
+      ...{ service, weight: weights[at] ?? 0 },
+    })),
+  });
+  const adopt = (...routes: readonly StreamRoute[]) => {
+    const known = createStreamRoutes({ clock, lifetime: STREAM_LIFETIME });
+    for (const route of routes) {
+      known.adopt({ routes: [{ ...route, isResumable: true } as Route] });
+    }
+    return known;
+  };
+  const start = (routes: StreamRoutes) => {
+    const stop = new AbortController();
+    const records = createStreamRecords({
+      ...{ clock, logger: silentLogger, store, name: "front", routes },
+      software: {
+        isMixed: () => false,
+        readSole: () => Promise.resolve({ software: "v1", age: 0 }),
+      },
+      ...{ writers: () => 1, collector: () => undefined, rank: () => 0 },
+      ...{ neighbor: () => undefined, send: () => Promise.resolve(false) },
+    });
+    void records.run(stop.signal);
+    return { records, stop: () => stop.abort() };
+  };
+  const before = split(19, 1);
+  const after = split(1, 19);
+  const [id = ""] = Array.from({ length: 100 }, (_, at) => `request-${at}`)
+    .filter((each) => {
+      const [first, ...others] = adopt(before).servicesOf(before, each);
+      const [second] = adopt(after).servicesOf(after, each);
+      return first === "llm-a" && others.length === 0 && second === "llm-b";
+    });
+  const known = start(adopt(before, after));
+  known.records.record(id, { service: "llm-a", software: "v1" });
+  await advance(clock, 500);
+  const fresh = start(adopt(after));
+  const found = fresh.records.find(id, after);
+  await advance(clock, 500);
+  const origin = await found;
+  known.stop();
+  fresh.stop();
+  expect(typeof origin === "object" ? origin.service : origin)
+    .toEqual("llm-a");
+});
--- a/packages/gateway/src/stream_records.ts
+++ b/packages/gateway/src/stream_records.ts
@@ -138,6 +138,7 @@
     needsSaving: (service) =>
       software.isMixed(service) || routes.isAmbiguous(service),
   });
+  const startedAt = clock.monotonic();
   let lookups = 0;
   let transactions = 0;
   let nextSave: Milliseconds = -Infinity;
@@ -305,6 +306,21 @@
     return { service, ...sole, evidence: "only version" };
   }
 
+  /**
+   * Finds the origin that others have saved after a change of the route of which
+   * this daemon does not know, as it has started since.
+   */
+  async function findSaved(
+    key: string | undefined,
+    route: StreamRoute,
+  ): Promise<FoundOrigin> {
+    const isRecent = clock.monotonic() - startedAt < 2 * STREAM_LIFETIME;
+    if (!isRecent || route.targets.length <= 1 || key === undefined) {
+      return "unknown";
+    }
+    return await readOrigin(key);
+  }
+
   async function lookUp(
     key: string | undefined,
     services: readonly string[],
@@ -329,6 +345,8 @@
       const key = request === undefined ? undefined : keyOf(request);
       const known = key === undefined ? undefined : origins.find(key);
       if (known !== undefined) return { ...known, evidence: "record", age: 0 };
+      const saved = await findSaved(key, route);
+      if (saved !== "unknown") return saved;
       return await lookUp(key, routes.servicesOf(route, request));
     },
     collect(records) {
