Stream routes: earlier routes with another prefix count

Callers see: a stream that began by a shorter prefix is taken up at the service of a longer one that was added since, and the other way round after one is removed.

Cause: former targets were kept by host and prefix only.

Change: a route takes over what led its requests before: the former targets of the longest shorter prefix if it is new, and of longer ones that are gone.

--- a/packages/gateway/src/stream_routes.test.ts
+++ b/packages/gateway/src/stream_routes.test.ts
@@ -90,3 +90,16 @@
   );
   expect(routes.isAmbiguous("llm-a")).toEqual(false);
 });
+
+// Guards against streams of two services in one: requests below a new prefix were
+// led by a shorter one before, and those of a removed prefix are led by it now.
+test("earlier routes with another prefix count", () => {
+  const whole = { ...createRoute(["llm-a", 1]), prefix: "/" };
+  const part = createRoute(["llm-b", 1]);
+  const added = setUp([whole], [whole, part]);
+  expect(added.routes.servicesOf(part, "a")).toEqual(["llm-b", "llm-a"]);
+  expect(added.routes.isAmbiguous("llm-b")).toEqual(true);
+  const removed = setUp([whole, part], [whole]);
+  expect(removed.routes.servicesOf(whole, "a")).toEqual(["llm-a", "llm-b"]);
+  expect(removed.routes.isAmbiguous("llm-a")).toEqual(true);
+});
--- a/packages/gateway/src/stream_routes.ts
+++ b/packages/gateway/src/stream_routes.ts
@@ -71,20 +71,33 @@
     return (former.get(keyOf(route)) ?? []).filter(({ until }) => now < until);
   }
 
+  function addFormer(route: StreamRoute, entries: readonly FormerTargets[]) {
+    const key = keyOf(route);
+    const all = new Map<string, FormerTargets>();
+    for (const entry of [...former.get(key) ?? [], ...entries]) {
+      const shares = sharesOf(entry.targets);
+      const until = Math.max(all.get(shares)?.until ?? 0, entry.until);
+      all.set(shares, { targets: entry.targets, until });
+    }
+    former.set(key, [...all.values()]);
+  }
+
   function recordChanges(next: readonly Route[]): void {
     // A request that is placed in time has its first event within a lifetime.
     const until = clock.monotonic() + 2 * lifetime;
     const nextShares = new Map(
       next.map((route) => [keyOf(route), sharesOf(route.targets)]),
     );
-    for (const { targets, ...route } of routes) {
-      const key = keyOf(route);
-      const shares = sharesOf(targets);
-      if (nextShares.get(key) === shares) continue;
-      const others = (former.get(key) ?? []).filter((each) =>
-        sharesOf(each.targets) !== shares
-      );
-      former.set(key, [...others, { targets, until }]);
+    for (const route of routes) {
+      const { targets } = route;
+      if (nextShares.get(keyOf(route)) === sharesOf(targets)) continue;
+      addFormer(route, [{ targets, until }]);
+    }
+    for (const route of next) {
+      for (const source of findSources(route, { before: routes, next })) {
+        const earlier = former.get(keyOf(source)) ?? [];
+        addFormer(route, [{ targets: source.targets, until }, ...earlier]);
+      }
     }
     const now = clock.monotonic();
     for (const [key, all] of former) {
@@ -134,6 +147,29 @@
   return `${host} ${prefix}`;
 }
 
+/**
+ * Finds the routes with other prefixes that led requests of a route before: the
+ * one with the longest shorter prefix if the route is new, and longer ones that
+ * are gone.
+ */
+function findSources(
+  { host, prefix }: StreamRoute,
+  { before, next }: {
+    readonly before: readonly Route[];
+    readonly next: readonly Route[];
+  },
+): readonly Route[] {
+  const related = before.filter((route) => route.host === host);
+  const isNew = !related.some((route) => route.prefix === prefix);
+  const shorter = related.filter((route) => prefix.startsWith(route.prefix))
+    .sort((one, other) => other.prefix.length - one.prefix.length);
+  const longer = related.filter((route) =>
+    route.prefix !== prefix && route.prefix.startsWith(prefix) &&
+    !next.some((each) => keyOf(each) === keyOf(route))
+  );
+  return [...isNew ? shorter.slice(0, 1) : [], ...longer];
+}
+
 /** Names the share of the requests that each service gets. */
 function sharesOf(targets: readonly RouteTarget[]): string {
   const total = targets.reduce((sum, { weight }) => sum + weight, 0);
