--- a/review/standins-2/deployment.mjs
+++ b/review/standins-2/deployment.mjs
@@ -145,7 +145,9 @@
         more_pages: found.length > limit,
       });
     }
-    if (url.pathname !== "/peridotvalve/rows-feed") return answer(response, 404);
+    if (url.pathname !== "/peridotvalve/rows-feed") {
+      return answer(response, 404);
+    }
     const since = Number(query.get("after"));
     const respond = () => {
       clearTimeout(timer);
@@ -216,7 +218,22 @@
   const folder = mkdtempSync(join(tmpdir(), "review-2-"));
   const daemons = [];
 
-  function start(name, { zone = Object.keys(zones)[0], host = takeHost() } = {}) {
+  function stop() {
+    for (const { child } of daemons) child.kill("SIGKILL");
+    rmSync(folder, { recursive: true, force: true });
+  }
+
+  for (const signal of ["SIGINT", "SIGTERM"]) {
+    process.once(signal, () => {
+      stop();
+      process.exit(2);
+    });
+  }
+
+  function start(
+    name,
+    { zone = Object.keys(zones)[0], host = takeHost() } = {},
+  ) {
     const file = join(folder, `${name}.json`);
     writeFileSync(
       file,
@@ -235,7 +252,9 @@
           control: `${host}:${PORTS.control}`,
         },
         internal_ports: [7_700, 7_715],
-        seeds: daemons.slice(0, 3).map((each) => `${each.host}:${PORTS.control}`),
+        seeds: daemons.slice(0, 3).map((each) =>
+          `${each.host}:${PORTS.control}`
+        ),
         bootstrap: true,
         counts_toward_loss: false,
         limits: {
@@ -256,15 +275,19 @@
       }),
     );
     const [program, ...words] = RUN;
-    const child = spawn(program === "node" ? process.execPath : program, words, {
-      cwd: ROOT,
-      env: {
-        PATH: process.env.PATH,
-        HOME: process.env.HOME,
-        PERIDOTVALVE_NODE_FILE: file,
+    const child = spawn(
+      program === "node" ? process.execPath : program,
+      words,
+      {
+        cwd: ROOT,
+        env: {
+          PATH: process.env.PATH,
+          HOME: process.env.HOME,
+          PERIDOTVALVE_NODE_FILE: file,
+        },
+        stdio: ["ignore", "pipe", "pipe"],
       },
-      stdio: ["ignore", "pipe", "pipe"],
-    });
+    );
     let output = "";
     child.stdout.on("data", (chunk) => output += chunk);
     child.stderr.on("data", (chunk) => output += chunk);
@@ -295,10 +318,7 @@
       }
       return daemon;
     },
-    stop() {
-      for (const { child } of daemons) child.kill("SIGKILL");
-      rmSync(folder, { recursive: true, force: true });
-    },
+    stop,
   };
 }
 
@@ -328,7 +348,10 @@
 }
 
 /** Sends a request on a channel of its own; resolves with what came back. */
-export function send(host, { method = "GET", path, headers = {}, body, patience = 4_000, id = nextId() }) {
+export function send(
+  host,
+  { method = "GET", path, headers = {}, body, patience = 4_000, id = nextId() },
+) {
   return new Promise((resolve) => {
     const result = { id, status: 0, body: "", isComplete: false, error: "" };
     const sent = httpRequest({
@@ -355,7 +378,10 @@
         resolve(result);
       });
     });
-    const timer = setTimeout(() => sent.destroy(new Error("patience")), patience + 1_000);
+    const timer = setTimeout(
+      () => sent.destroy(new Error("patience")),
+      patience + 1_000,
+    );
     sent.on("error", (error) => {
       clearTimeout(timer);
       result.error = error.code ?? error.message;
--- a/review/standins-2/replica.mjs
+++ b/review/standins-2/replica.mjs
@@ -1,5 +1,6 @@
-// Stand-in for a replica that may crash: all its channels are reset, nothing
-// listens for some seconds, and a new incarnation with a new id follows.
+// Stand-in for a replica that may crash: its channels are reset and nothing
+// listens, or it falls dark and nothing is answered; some seconds later a new
+// incarnation with a new id follows.
 import { entry, listen, sleep } from "./deployment.mjs";
 
 export const HEARTBEAT = 1_200;
@@ -53,6 +54,21 @@
     setTimeout(() => server.listen(port, "127.0.0.1", begin), RESTART);
   }
 
+  /** Like a machine without power: channels hang until it is back. */
+  function fallDark(incarnation, request) {
+    if (isDown || incarnation !== id) return;
+    isDown = true;
+    record(`replica ${incarnation} of ${service} falls dark on ${request}`);
+    onCrash(incarnation, request);
+    clearInterval(beat);
+    for (const socket of sockets) socket.pause();
+    setTimeout(() => store.remove("servers", incarnation), 3 * HEARTBEAT);
+    setTimeout(() => {
+      for (const socket of sockets) socket.resetAndDestroy();
+      begin();
+    }, RESTART);
+  }
+
   function sendJson(response, body) {
     response.setHeader("content-type", "application/json");
     response.end(JSON.stringify({ ...body, born }));
@@ -61,6 +77,7 @@
   async function handle(request, response) {
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
+    if (isDown) return;
     const { headers, url } = request;
     if (url === "/peridotvalve/report") {
       return sendJson(response, {
@@ -89,6 +106,8 @@
         ...(model === undefined ? {} : { "Weight-Versions": "1" }),
       },
       crash: () => crash(mine, name),
+      fallDark: () => fallDark(mine, name),
+      isDark: () => isDown || mine !== id,
     });
   }
 
@@ -97,6 +116,7 @@
   });
   server.on("connection", (socket) => {
     sockets.add(socket);
+    if (isDown) socket.pause();
     socket.on("close", () => sockets.delete(socket));
   });
   begin();
