--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -1,7 +1,7 @@
 /**
- * A part that crashes replicas reaches them again and again when some of the
- * tenants that have it in their prompts are isolated: what is known of a part
- * counts for one isolated tenant only, and none has enough of all crashes.
+ * A part that crashes replicas reaches them for as long as requests with it come
+ * in small groups some seconds apart: crashes at one time count as one, and
+ * earlier ones are forgotten before there are three.
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import {
@@ -25,12 +25,12 @@
 
 const DAEMONS = 3;
 const REPLICAS = 6;
-const TENANTS = 10;
-const ISOLATED = 4;
 const DEADLY_PART = "dead";
 const SHARED_PART = "f1f1";
-const PAUSE_MS = 700;
-const DEADLY_REQUESTS = 60;
+/** Requests that come together, and the time until the next ones. */
+const GROUP = 4;
+const PERIOD_MS = 16_000;
+const GROUPS = 7;
 const SOUND_PER_SECOND = 10;
 
 /** Crashes after which the rule bounds the requests with the part. */
@@ -53,11 +53,6 @@
     replicas.push(replica);
     register(tables, replica);
   }
-  const tenants = Array.from({ length: TENANTS }, (_, index) => ({
-    name: `tenant-${index + 1}`,
-    api_keys: [`key-${index + 1}`],
-    isolated: index < ISOLATED,
-  }));
   tables.put(
     "op",
     "config",
@@ -80,23 +75,20 @@
           kv_token_bytes: 18_432,
         },
       }],
-      tenants,
     ),
   );
   await waitUntilReady(daemons);
   await sleep(BOUNDS.contact_ms);
 
   let requests = 0;
-  function ask(parts: readonly string[], id: string, count: number) {
+  function ask(parts: readonly string[], id: string) {
     requests += 1;
     const { host } = daemons[requests % DAEMONS]!;
-    const key = `key-${1 + count % TENANTS}`;
     const own = `c${requests.toString(16).padStart(7, "0")}`;
     return send(host, {
       ...{ id, path: `/fit/${requests}`, method: "POST", deadline: 12_000 },
       body: `breed=lapphund;case=${requests}`,
       headers: {
-        Authorization: `Token ${key}`,
         Model: "m0",
         "Token-Usage": "600,10",
         "Prompt-Prefix": [...parts, own].map((part) => `${part}:200`).join(","),
@@ -112,7 +104,7 @@
   const sendSound = (async () => {
     while (!isOver) {
       sound += 1;
-      void ask([SHARED_PART], nextId(), sound).then(({ status, isComplete }) =>
+      void ask([SHARED_PART], nextId()).then(({ status, isComplete }) =>
         served += status === 200 && isComplete ? 1 : 0
       );
       await sleep(1_000 / SOUND_PER_SECOND);
@@ -122,15 +114,19 @@
 
   let fifthCrash = Infinity;
   const sentAt = new Map<string, number>();
-  for (let count = 0; count < DEADLY_REQUESTS; count += 1) {
-    const id = nextId();
-    sentAt.set(id, now());
-    note(`deadly ${id} sent by tenant-${1 + count % TENANTS}`);
-    void ask([SHARED_PART, DEADLY_PART], id, count).then(({ status, body }) =>
-      note(`deadly ${id} answered ${status} ${body.slice(0, 60)}`)
-    );
-    await sleep(PAUSE_MS);
-    if (crashes() >= CRASHES && fifthCrash === Infinity) {
+  for (let group = 0; group < GROUPS; group += 1) {
+    for (let count = 0; count < GROUP; count += 1) {
+      const id = nextId();
+      sentAt.set(id, now());
+      note(`deadly ${id} sent`);
+      void ask([SHARED_PART, DEADLY_PART], id).then(({ status, body }) =>
+        note(`deadly ${id} answered ${status} ${body.slice(0, 60)}`)
+      );
+    }
+    const next = now() + PERIOD_MS;
+    while (now() < next) {
+      await sleep(100);
+      if (crashes() < CRASHES || fifthCrash < Infinity) continue;
       fifthCrash = now();
       note("the fifth crash");
     }
