--- a/review/11/case.ts
+++ b/review/11/case.ts
@@ -31,6 +31,7 @@
 const GROUP = 4;
 const PERIOD_MS = 16_000;
 const GROUPS = 7;
+const LAST_WAIT_MS = 3_000;
 const SOUND_PER_SECOND = 10;
 
 /** Crashes after which the rule bounds the requests with the part. */
@@ -123,7 +124,8 @@
         note(`deadly ${id} answered ${status} ${body.slice(0, 60)}`)
       );
     }
-    const next = now() + PERIOD_MS;
+    const isLast = group === GROUPS - 1;
+    const next = now() + (isLast ? LAST_WAIT_MS : PERIOD_MS);
     while (now() < next) {
       await sleep(100);
       if (crashes() < CRASHES || fifthCrash < Infinity) continue;
