--- /dev/null
+++ b/packages/retries/src/testing.ts
@@ -0,0 +1,214 @@
+/**
+ * A simulated fleet for the tests of crash evidence: daemons that exchange news,
+ * and replicas that end under a part of their requests or for another reason and
+ * start again. Times are on a manual clock, so that a play repeats exactly.
+ */
+import { createManualClock } from "@peridotvalve/clock";
+import type { Milliseconds } from "@peridotvalve/types";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import {
+  type BegunAnswer,
+  type CrashEvidence,
+  createCrashEvidence,
+  TELL_DELAY,
+} from "./crash_evidence.ts";
+
+export const DEADLY = "deadly";
+export const POPULAR = "popular";
+
+const DAEMONS = 3;
+const REPLICAS = 6;
+const RESTART: Milliseconds = 2_500;
+const HEARTBEAT: Milliseconds = 500;
+const TICK: Milliseconds = 10;
+const PREFILL: Milliseconds = 40;
+const EVENT_PERIOD: Milliseconds = 40;
+const MAX_ATTEMPTS = 3;
+const CONVERSATIONS = 7;
+
+/** Size of the news in one datagram, in bytes. */
+const NEWS_LIMIT = 420;
+
+/** Time after which the part may no longer reach replicas freely. */
+const CONTACT: Milliseconds = 3_000;
+
+/** Crashes from which that time counts. */
+const CRASHES_IN_RULE = 5;
+
+/** Requests with the part that may reach replicas later than that. */
+export const ALLOWED_LATE = 3;
+
+interface Stream {
+  readonly parts: readonly string[];
+  readonly daemon: number;
+  readonly attempt: number;
+  readonly beginsAt: Milliseconds;
+  readonly endsAt: Milliseconds;
+  /** Time at which the stream crashes its replica. */
+  readonly crashesAt: Milliseconds;
+  answer?: BegunAnswer;
+}
+
+interface SimulatedReplica {
+  readonly index: number;
+  incarnation: number;
+  upAt: Milliseconds;
+  streams: Stream[];
+}
+
+/** What happens in a play; by default only sound streams, ten a second. */
+export interface Day {
+  readonly daemons?: number;
+  readonly length?: Milliseconds;
+  /** Time from the first event of an answer on the part to the crash. */
+  readonly crashDelay?: Milliseconds;
+  readonly deadlyPeriod?: Milliseconds;
+  /** Requests with the part that come together; one by default. */
+  readonly deadlyGroup?: number;
+  /** Interval at which replicas end for another reason. */
+  readonly endPeriod?: Milliseconds;
+  /** Time from the first event to the last. */
+  readonly duration?: Milliseconds;
+  /** Time after which all conversations are replaced by new ones. */
+  readonly conversationLife?: Milliseconds;
+}
+
+export interface Play {
+  readonly crashes: number;
+  /** Requests with the part that reached replicas later than allowed. */
+  readonly late: number;
+  /** All parts that any daemon condemned, sorted. */
+  readonly condemned: readonly string[];
+  /** For each daemon, whether it refuses the part at the end. */
+  readonly views: readonly boolean[];
+}
+
+/** Plays a day, 30 s by default, with three daemons and six replicas. */
+export async function playFleet(seed: number, day: Day): Promise<Play> {
+  const { crashDelay = Infinity, deadlyPeriod = Infinity } = day;
+  const { endPeriod = Infinity, duration = 480 } = day;
+  const { conversationLife = Infinity, length = 30_000 } = day;
+  const { daemons: daemonCount = DAEMONS, deadlyGroup = 1 } = day;
+  const clock = createManualClock();
+  const now = () => clock.monotonic();
+  const generator = xoroshiro128plus(seed);
+  const random = () => uniformInt(generator, 0, 999_999) / 1_000_000;
+  const condemned = new Set<string>();
+  const daemons: readonly CrashEvidence[] = Array.from(
+    { length: daemonCount },
+    () =>
+      createCrashEvidence({
+        ...{ clock, random },
+        onCondemned: ({ suspect }) => condemned.add(suspect),
+      }),
+  );
+  const replicas: readonly SimulatedReplica[] = Array.from(
+    { length: REPLICAS },
+    (_, index) => ({ index, incarnation: 0, upAt: 0, streams: [] }),
+  );
+  const crashes: Milliseconds[] = [];
+  const deadlySends: Milliseconds[] = [];
+  let sent = 0;
+
+  function send(
+    parts: readonly string[],
+    attempt: number,
+    daemon: number,
+    left = duration,
+  ): void {
+    const evidence = daemons[daemon];
+    if (evidence === undefined || attempt > MAX_ATTEMPTS) return;
+    if (evidence.check(parts) !== undefined) return;
+    if (attempt > 1 && evidence.isSuspect(parts)) return;
+    const up = replicas.filter(({ upAt }) => upAt <= now());
+    const replica = up[Math.floor(random() * up.length)];
+    if (replica === undefined) return;
+    const isDeadly = parts.includes(DEADLY);
+    if (isDeadly) deadlySends.push(now());
+    const beginsAt = now() + PREFILL;
+    const crashesAt = isDeadly ? beginsAt + crashDelay : Infinity;
+    const endsAt = isDeadly ? Infinity : beginsAt + left;
+    replica.streams.push({
+      ...{ parts, daemon, attempt, beginsAt, endsAt, crashesAt },
+    });
+  }
+
+  function end(replica: SimulatedReplica): void {
+    crashes.push(now());
+    const key = `r${replica.index}@${replica.incarnation}`;
+    const broken = replica.streams.splice(0);
+    replica.upAt = now() + RESTART;
+    replica.incarnation += 1;
+    for (const { daemon, parts, answer } of broken) {
+      const suspects = answer?.breakOff() ?? { suspects: parts };
+      daemons[daemon]?.recordLoss({ replica: key, ...suspects });
+    }
+    for (const { parts, attempt, daemon, endsAt, beginsAt } of broken) {
+      const left = endsAt - Math.max(now(), beginsAt);
+      send(parts, attempt + 1, daemon, left);
+    }
+  }
+
+  function run(replica: SimulatedReplica): void {
+    const key = `r${replica.index}@${replica.incarnation}`;
+    for (const stream of replica.streams) {
+      const evidence = daemons[stream.daemon];
+      if (evidence === undefined || stream.beginsAt > now()) continue;
+      if (stream.beginsAt === now()) evidence.recordReceived(key);
+      stream.answer ??= evidence.recordBegin(key, stream.parts);
+      const age = now() - stream.beginsAt;
+      if (age % EVENT_PERIOD === 0) evidence.recordReceived(key);
+      if (stream.endsAt <= now()) stream.answer.complete();
+    }
+    const isEnding = replica.streams.some(({ crashesAt }) =>
+      crashesAt <= now()
+    );
+    replica.streams = replica.streams.filter(({ endsAt }) => endsAt > now());
+    if (isEnding) end(replica);
+  }
+
+  function tell(from: number): void {
+    const news = daemons[from]?.compose(NEWS_LIMIT, "neighbors");
+    if (news === undefined) return;
+    const wire = JSON.stringify(news);
+    for (const [number, daemon] of daemons.entries()) {
+      if (number !== from) daemon.apply(JSON.parse(wire));
+    }
+  }
+
+  for (let at = 0; at < length; at += TICK) {
+    await clock.advance(TICK);
+    for (const replica of replicas) run(replica);
+    const [oldest] = replicas.filter(({ upAt }) => upAt <= at)
+      .sort(() => random() - 0.5);
+    if (at > 4_000 && at % endPeriod === 0 && oldest) end(oldest);
+    for (let from = 0; from < daemonCount; from += 1) {
+      const phase = (from * HEARTBEAT) / daemonCount;
+      const isAfterCrash = crashes.some((crash) =>
+        at - crash >= TELL_DELAY && at - crash < TELL_DELAY + TICK
+      );
+      const beat = Math.floor((at + phase) / TICK) % (HEARTBEAT / TICK);
+      if (beat === 0 || isAfterCrash) tell(from);
+    }
+    if (at % 100 === 0) {
+      sent += 1;
+      const generation = Math.floor(at / conversationLife);
+      const own = `conversation${sent % CONVERSATIONS}.${generation}`;
+      send([POPULAR, own], 1, sent % daemonCount);
+    }
+    if (at > 4_000 && at % deadlyPeriod === 0) {
+      for (let count = 0; count < deadlyGroup; count += 1) {
+        sent += 1;
+        send([POPULAR, DEADLY], 1, sent % daemonCount);
+      }
+    }
+  }
+  const counted = crashes[CRASHES_IN_RULE - 1] ?? Infinity;
+  return {
+    crashes: crashes.length,
+    late: deadlySends.filter((at) => at > counted + CONTACT).length,
+    condemned: [...condemned].sort(),
+    views: daemons.map((evidence) => evidence.check([DEADLY]) !== undefined),
+  };
+}
