Crashes count against parts for 15 minutes, as they do against requests

Cause: a crash counted against parts for 30 s, in which two groups come. Crashes of one group coincide and count once, so that there were never three.

One expiry now holds for parts and requests. After 30 s a record keeps what was not answered since, so an answer still clears a part however long ago it crashed, and three crashes without an answer between them are as rare for a sound part as before. Records without suspects are kept too, as the share of a suspect is that of all crashes of its time. The explanation of a failed trial compares crashes since the verdict lapsed; it compared those of 30 s, which were the same ones.

Two tests of old code name the shorter time now: a trial that fails after 30 s, and a request that explains the crashes of its part, which it does at any distance.

--- a/packages/retries/src/crash_attribution.ts
+++ b/packages/retries/src/crash_attribution.ts
@@ -121,10 +121,8 @@
   const needsBegun = listEarly(suspect, counted).length < needed;
   const found = { times: crashes, records: counted, needsBegun };
   if (!isCommon(observations, suspect, found, needed)) return undefined;
-  if (isExplained(observations, suspect, counted, crashes.length, needed)) {
-    return undefined;
-  }
-  return found;
+  const explained = { counted, crashes: crashes.length, needed };
+  return isExplained(observations, suspect, explained) ? undefined : found;
 }
 
 /**
@@ -156,16 +154,20 @@
     (at <= start || at >= end) && (at <= told || !begun.has(suspect));
 }
 
-/** Records with a suspect that are neither void nor before its last proof. */
+/**
+ * Records with a suspect that are neither void nor before its last proof, nor
+ * before a time.
+ */
 export function countedRecords(
   observations: Observations,
   suspect: string,
+  since: Milliseconds = -Infinity,
 ): readonly CrashRecord[] {
   const { records, proofs } = observations;
   if (records.count(suspect) === 0) return [];
-  const proof = proofs.lastProof(suspect);
+  const start = Math.max(since, proofs.lastProof(suspect));
   return records.list().filter(({ at, suspects, voidedAt }) =>
-    voidedAt === undefined && at > proof && suspects.has(suspect)
+    voidedAt === undefined && at > start && suspects.has(suspect)
   );
 }
 
@@ -217,6 +219,18 @@
   );
 }
 
+/** Crashes for which another explanation is sought. */
+export interface ExplainedCrashes {
+  /** Records of the suspect that need another explanation. */
+  readonly counted: readonly CrashRecord[];
+  /** Number of the suspect's crashes. */
+  readonly crashes: number;
+  /** Crashes that another suspect needs to explain them. */
+  readonly needed: number;
+  /** Time after which crashes of others count; all by default. */
+  readonly since?: Milliseconds;
+}
+
 /**
  * Returns true when each of the records has another suspect that is more likely
  * the cause.
@@ -224,9 +238,7 @@
 export function isExplained(
   observations: Observations,
   suspect: string,
-  counted: readonly CrashRecord[],
-  crashes: number,
-  needed: number,
+  { counted, crashes, needed, since = -Infinity }: ExplainedCrashes,
 ): boolean {
   const { records, proofs, unsettled } = observations;
   const proof = proofs.lastProof(suspect);
@@ -238,7 +250,7 @@
     const otherProof = proofs.lastProof(other);
     const isCandidate = otherProof <= proof && records.count(other) >= needed;
     const otherCrashes = isCandidate
-      ? listCrashes(other, countedRecords(observations, other)).length
+      ? listCrashes(other, countedRecords(observations, other, since)).length
       : 0;
     // A part with the same crashes may be sound in other requests.
     const isNarrower = isRequest(other) && !isRequest(suspect);
--- a/packages/retries/src/crash_digest.ts
+++ b/packages/retries/src/crash_digest.ts
@@ -12,8 +12,8 @@
 import {
   type Audience,
   type CrashRecord,
+  DETAIL_EXPIRY,
   isUsable,
-  RECORD_EXPIRY,
   type RecordedSuspects,
 } from "./crash_records.ts";
 import { groupOf } from "./suspects.ts";
@@ -93,9 +93,7 @@
   function listProofs(audience: Audience): CrashNews["proofs"] {
     const now = clock.monotonic();
     const condemned = verdicts.list().map(({ suspect }) => suspect);
-    const recent = records.list().filter(({ isTrimmed }) => !isTrimmed)
-      .flatMap(({ suspects }) => [...suspects]);
-    const named = new Set([...condemned, ...recent]);
+    const named = new Set([...condemned, ...records.listSuspects()]);
     const isCondemned = (suspect: string) =>
       verdicts.find(suspect) !== undefined;
     const due: (readonly [string, Proof])[] = [];
@@ -243,7 +241,7 @@
         age: Milliseconds,
         suspects: RecordedSuspects,
       ) => {
-        if (age >= RECORD_EXPIRY) return;
+        if (age >= DETAIL_EXPIRY) return;
         const { record, isChanged } = records.add(replica, now - age, suspects);
         if (!isChanged) return;
         options.onCrash(record);
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -12,6 +12,7 @@
   type CrashEvidence,
   type CrashNews,
   createCrashEvidence,
+  DETAIL_EXPIRY,
   INITIAL_HOLD,
   MAX_HOLD,
   MAX_STRIKES,
@@ -399,7 +400,7 @@
     expect(evidence.check(["sound"])).toEqual(undefined);
     expect(isCondemned(evidence, DEADLY)).toEqual(true);
     // A crash that nothing else explains renews the verdict.
-    await clock.advance(RECORD_EXPIRY);
+    await clock.advance(DETAIL_EXPIRY);
     await crash("sound");
     expect(isCondemned(evidence, "sound")).toEqual(true);
     expect(condemned.at(-1)?.strikes).toEqual(2);
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -24,10 +24,11 @@
  *   suspects began while it crashed replicas, which an outage does not admit.
  * - A suspect whose crashes ended begun answers is condemned only if answers on
  *   others lived longer, at several replicas, as they do not in an outage.
- * - Requests are judged by the crashes and answers of their service alone, and
- *   for longer than parts, as a caller may repeat one after minutes. One that
- *   was never answered is refused for longer, because each trial can crash one
- *   more replica.
+ * - Crashes count for `RECORD_EXPIRY`, however far apart they are. Those of long
+ *   ago alone condemn nothing that was answered since.
+ * - Requests are judged by the crashes and answers of their service alone. One
+ *   that was never answered is refused for longer, because each trial can crash
+ *   one more replica.
  * - A request explains the crashes of its parts until another request with them
  *   crashes a replica too.
  *
@@ -96,10 +97,10 @@
 } from "./crash_digest.ts";
 export {
   type Audience,
+  DETAIL_EXPIRY,
   MAX_SUSPECT_LENGTH,
   RECORD_EXPIRY,
   type RecordedSuspects,
-  REQUEST_RECORD_EXPIRY,
 } from "./crash_records.ts";
 export { fingerprintOfSuspect, isRequest, requestSuspect } from "./suspects.ts";
 export {
--- a/packages/retries/src/crash_records.ts
+++ b/packages/retries/src/crash_records.ts
@@ -6,16 +6,19 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
-import { groupOf, isRequest } from "./suspects.ts";
+import { groupOf } from "./suspects.ts";
 
-/** Age after which a crash does not count against parts. */
-export const RECORD_EXPIRY: Milliseconds = 30_000;
+/**
+ * Age after which a crash does not count. Callers repeat a request, or come back
+ * to a part, after minutes.
+ */
+export const RECORD_EXPIRY: Milliseconds = 15 * 60_000;
 
 /**
- * Age after which a crash does not count against requests. A caller may repeat
- * one after minutes, and most requests stand in no second record.
+ * Age after which a record is no longer told and keeps only the suspects that
+ * were not answered since. Answers are compared with crashes of this time.
  */
-export const REQUEST_RECORD_EXPIRY: Milliseconds = 15 * 60_000;
+export const DETAIL_EXPIRY: Milliseconds = 30_000;
 
 /**
  * Losses of one replica within this time belong to one crash. A replica that
@@ -70,7 +73,7 @@
   readonly begun: Map<string, Milliseconds>;
   /** Groups of all suspects that the record ever had. */
   readonly groups: Set<string>;
-  /** True once the suspects were removed that no longer count. */
+  /** True once it is `DETAIL_EXPIRY` old and has lost its details. */
   isTrimmed: boolean;
   isFromPeer: boolean;
   /** Time of data from the same incarnation, which voids the record. */
@@ -123,8 +126,8 @@
    */
   abstract voidByData(replica: string): boolean;
   /**
-   * Drops old records, and from the others the parts that no longer count and
-   * the requests that were answered since. Returns true when anything changed.
+   * Drops old records, and from the others the suspects that were answered
+   * since. Returns true when anything changed.
    */
   abstract dropExpired(): boolean;
 }
@@ -187,12 +190,13 @@
 
   function dropOutdated(record: CrashRecord): void {
     record.isTrimmed = true;
-    record.begun.clear();
     for (const rounds of Object.values(record.told)) rounds.clear();
     for (const suspect of record.suspects) {
-      const counts = isRequest(suspect) && record.voidedAt === undefined &&
+      const counts = record.voidedAt === undefined &&
         lastProof(suspect) < record.at;
-      if (!counts) record.suspects.delete(suspect);
+      if (counts) continue;
+      record.suspects.delete(suspect);
+      record.begun.delete(suspect);
     }
   }
 
@@ -320,13 +324,14 @@
 
     override dropExpired(): boolean {
       const now = clock.monotonic();
-      const old = records.filter(({ at }) => now - at >= RECORD_EXPIRY);
       const isDue = ({ at, isTrimmed }: CrashRecord) =>
-        !isTrimmed || now - at >= REQUEST_RECORD_EXPIRY;
-      if (!old.some(isDue)) return false;
-      for (const record of old) dropOutdated(record);
-      records = records.filter(({ at, suspects, isTrimmed }) =>
-        !isTrimmed || (suspects.size > 0 && now - at < REQUEST_RECORD_EXPIRY)
+        now - at >= (isTrimmed ? RECORD_EXPIRY : DETAIL_EXPIRY);
+      const due = records.filter(isDue);
+      if (due.length === 0) return false;
+      for (const record of due) dropOutdated(record);
+      // A record without suspects still counts among the crashes of its time.
+      records = records.filter(({ at, voidedAt }) =>
+        now - at < (voidedAt === undefined ? RECORD_EXPIRY : DETAIL_EXPIRY)
       );
       recordCounts = undefined;
       return true;
--- a/packages/retries/src/crashing_requests.test.ts
+++ b/packages/retries/src/crashing_requests.test.ts
@@ -9,10 +9,10 @@
 import {
   type CrashEvidence,
   createCrashEvidence,
+  DETAIL_EXPIRY,
   holdOf,
   PROOF_VALIDITY,
   RECORD_EXPIRY,
-  REQUEST_RECORD_EXPIRY,
   requestSuspect,
   UNANSWERED_REQUEST_STRIKES,
   type Verdict,
@@ -106,12 +106,13 @@
 });
 
 // Guards against a request that a caller sends again after minutes, and that
-// crashes replicas each time because the earlier crashes have been forgotten.
-test("crashes of a request count for longer than those of a part", async () => {
+// crashes replicas each time because the earlier crashes have been forgotten, and
+// against refusals of its part in other requests.
+test("a request explains crashes minutes apart better than its part", async () => {
   const { clock, evidence, crash } = createDaemon();
   for (const _ of [1, 2, 3]) {
     await crash(DEADLY, "part");
-    await clock.advance(2 * RECORD_EXPIRY);
+    await clock.advance(2 * DETAIL_EXPIRY);
   }
   expect(isCondemned(evidence, DEADLY)).toEqual(true);
   expect(isCondemned(evidence, "part")).toEqual(false);
@@ -122,10 +123,10 @@
   const { clock, evidence, crash } = createDaemon();
   for (const _ of [1, 2]) await crash(SOUND, ELSEWHERE);
   evidence.recordSuccess([SOUND]);
-  await clock.advance(2 * RECORD_EXPIRY);
+  await clock.advance(2 * DETAIL_EXPIRY);
   await crash(SOUND);
   expect(isCondemned(evidence, SOUND)).toEqual(false);
-  await clock.advance(REQUEST_RECORD_EXPIRY);
+  await clock.advance(RECORD_EXPIRY);
   await crash(ELSEWHERE);
   expect(isCondemned(evidence, ELSEWHERE)).toEqual(false);
 });
@@ -151,7 +152,7 @@
   const clock = createManualClock();
   const [old, fresh] = [createDaemon(clock), createDaemon(clock)];
   for (const _ of [1, 2, 3]) await old.crash(DEADLY);
-  await clock.advance(2 * RECORD_EXPIRY);
+  await clock.advance(2 * DETAIL_EXPIRY);
   const news = old.evidence.compose(LIMIT, "neighbors");
   if (news === undefined) throw new Error("no news");
   fresh.evidence.apply(JSON.parse(JSON.stringify(news)));
--- a/packages/retries/src/outlived_answers.ts
+++ b/packages/retries/src/outlived_answers.ts
@@ -3,12 +3,12 @@
  * they sent afterwards on any request.
  *
  * Of the answers of a replica, one is kept in each `SAMPLE_INTERVAL`, for
- * `RECORD_EXPIRY`; of all, at most `MAX_SAMPLES` with `MAX_SAMPLED_SUSPECTS`, the
+ * `DETAIL_EXPIRY`; of all, at most `MAX_SAMPLES` with `MAX_SAMPLED_SUSPECTS`, the
  * newest.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
-import { RECORD_EXPIRY } from "./crash_records.ts";
+import { DETAIL_EXPIRY } from "./crash_records.ts";
 import { groupOf } from "./suspects.ts";
 
 const SAMPLE_INTERVAL: Milliseconds = 100;
@@ -66,7 +66,7 @@
   let suspectCount = 0;
 
   function dropOldest(): void {
-    const oldest = clock.monotonic() - RECORD_EXPIRY;
+    const oldest = clock.monotonic() - DETAIL_EXPIRY;
     for (const sample of samples) {
       const isExcess = samples.size > MAX_SAMPLES ||
         suspectCount > MAX_SAMPLED_SUSPECTS;
--- a/packages/retries/src/suspect_proofs.ts
+++ b/packages/retries/src/suspect_proofs.ts
@@ -6,7 +6,7 @@
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
-import { type Audience, RECORD_EXPIRY } from "./crash_records.ts";
+import { type Audience, DETAIL_EXPIRY } from "./crash_records.ts";
 import { groupOf, isRequest } from "./suspects.ts";
 
 /**
@@ -122,7 +122,7 @@
       at: Milliseconds,
       suspects: readonly string[],
     ): boolean {
-      if (clock.monotonic() - at >= RECORD_EXPIRY) return false;
+      if (clock.monotonic() - at >= DETAIL_EXPIRY) return false;
       const interval = intervalOf(at);
       const intervals = answerIntervals.get(group) ?? new Map();
       answerIntervals.set(group, intervals);
@@ -149,7 +149,7 @@
     }
 
     override dropExpired(): void {
-      const oldest = intervalOf(clock.monotonic() - RECORD_EXPIRY);
+      const oldest = intervalOf(clock.monotonic() - DETAIL_EXPIRY);
       for (const [group, intervals] of answerIntervals) {
         for (const interval of intervals.keys()) {
           if (interval < oldest) intervals.delete(interval);
--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -197,13 +197,13 @@
     const { at } = record;
     const { renewal } = verdict;
     if (renewal?.record === record) {
-      if (isTrialExplained(suspect, record)) {
+      if (isTrialExplained(renewal.previous, record)) {
         verdicts.set(suspect, renewal.previous);
       }
       return;
     }
     if (at <= verdict.until || at <= proofs.lastProof(suspect)) return;
-    if (isTrialExplained(suspect, record)) return;
+    if (isTrialExplained(verdict, record)) return;
     const strikes = Math.min(MAX_STRIKES, verdict.strikes + 1);
     const hold = holdOf(strikes);
     putVerdict({ suspect, since: at, until: at + hold, strikes });
@@ -217,12 +217,18 @@
   /**
    * Two crashes of the other suspect suffice, because a trial that is explained
    * wrongly costs one more replica, while a renewal refuses a sound suspect for
-   * a long time.
+   * a long time. Crashes of before do not count: those that led to the verdict
+   * say nothing about the trial.
    */
-  function isTrialExplained(suspect: string, record: CrashRecord): boolean {
-    const crashes =
-      listCrashes(suspect, countedRecords(options, suspect)).length;
-    return isExplained(options, suspect, [record], crashes, CRASHES_TO_SUSPECT);
+  function isTrialExplained(
+    { suspect, until: since }: VerdictTerms,
+    record: CrashRecord,
+  ): boolean {
+    const tried = countedRecords(options, suspect, since);
+    return isExplained(options, suspect, {
+      ...{ counted: [record], since, needed: CRASHES_TO_SUSPECT },
+      crashes: listCrashes(suspect, tried).length,
+    });
   }
 
   function putVerdict(verdict: VerdictTerms): void {
@@ -253,8 +259,9 @@
     if (strikes > 1) return false;
     const counted = countedRecords(options, suspect);
     const crashes = listCrashes(suspect, counted).length;
-    return crashes >= CRASHES_TO_CONDEMN &&
-      isExplained(options, suspect, counted, crashes, CRASHES_TO_CONDEMN);
+    const needed = CRASHES_TO_CONDEMN;
+    return crashes >= needed &&
+      isExplained(options, suspect, { counted, crashes, needed });
   }
 
   /**
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -25,6 +25,8 @@
 const PREFILL: Milliseconds = 40;
 const EVENT_PERIOD: Milliseconds = 40;
 const MAX_ATTEMPTS = 3;
+
+/** Conversations that ask in turn. */
 const CONVERSATIONS = 7;
 
 /** Size of the news in one datagram, in bytes. */
@@ -70,8 +72,12 @@
   readonly endPeriod?: Milliseconds;
   /** Time from the first event to the last. */
   readonly duration?: Milliseconds;
+  /** Number of conversations that ask in turn; the more, the more seldom. */
+  readonly conversations?: number;
   /** Time after which all conversations are replaced by new ones. */
   readonly conversationLife?: Milliseconds;
+  /** True for requests that go to the first replica that is up. */
+  readonly isAffine?: boolean;
 }
 
 export interface Play {
@@ -90,6 +96,7 @@
   const { endPeriod = Infinity, duration = 480 } = day;
   const { conversationLife = Infinity, length = 30_000 } = day;
   const { daemons: daemonCount = DAEMONS, deadlyGroup = 1 } = day;
+  const { conversations = CONVERSATIONS } = day;
   const clock = createManualClock();
   const now = () => clock.monotonic();
   const generator = xoroshiro128plus(seed);
@@ -122,7 +129,8 @@
     if (evidence.check(parts) !== undefined) return;
     if (attempt > 1 && evidence.isSuspect(parts)) return;
     const up = replicas.filter(({ upAt }) => upAt <= now());
-    const replica = up[Math.floor(random() * up.length)];
+    const place = day.isAffine === true ? 0 : random();
+    const replica = up[Math.floor(place * up.length)];
     if (replica === undefined) return;
     const isDeadly = parts.includes(DEADLY);
     if (isDeadly) deadlySends.push(now());
@@ -194,7 +202,7 @@
     if (at % 100 === 0) {
       sent += 1;
       const generation = Math.floor(at / conversationLife);
-      const own = `conversation${sent % CONVERSATIONS}.${generation}`;
+      const own = `conversation${sent % conversations}.${generation}`;
       send([POPULAR, own], 1, sent % daemonCount);
     }
     if (at > 4_000 && at % deadlyPeriod === 0) {
