One daemon at a time tries what was condemned

Requests with a deadly part that come together, at the moment when its verdict lapses, met daemons that each let one through: with three daemons the three requests that the rule allows were used up by one group, and with eight it was broken.

Cause: each daemon delayed its trial by a random share of the hold, and from then on admitted the next request. Some seconds later all had lapsed.

Daemons now take turns of 4 s, by rendezvous hashing over the live neighbors, and a trial begins only where its turn is known everywhere. While no request with the suspect comes, ever more daemons have the turn, all of them after 16 times the longest interval between its crashes (16 s at least): what was refused by mistake comes free wherever it is asked for, and what crashes replicas each minute is still tried once. The turns replace the random delays.

Test: rare_crashes.test.ts, groups of three to eight at 3 and 8 daemons.

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -100,7 +100,6 @@
   let announced = 0;
   const crashes = createCrashEvidence({
     clock,
-    random: () => 0,
     onCondemned: (verdict) => guard.recordVerdict(verdict),
     onLifted: (key) => guard.recordRelease(key),
     onProven: (key, count) => guard.recordProof(key, count),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,6 +67,7 @@
 import { createStatusServer, listen } from "./status_server.ts";
 import { createStateHolder, listStreamServices } from "./state_holder.ts";
 import { createStreamRecords, STREAM_LIFETIME } from "./stream_records.ts";
+import { createTrialTurns } from "./trial_turns.ts";
 
 export abstract class Gateway {
   /** Counts a call to the platform's store in the metrics. */
@@ -323,16 +324,13 @@
     ),
   }));
   const crashes = createCrashEvidence({
-    ...{ clock, random: Math.random },
+    ...{ clock, hasTurn: createTrialTurns(() => mesh) },
     onProven: (suspect, count) => crashGuard.recordProof(suspect, count),
     onCondemned: (verdict) => crashGuard.recordVerdict(verdict),
     onLifted: (key) => crashGuard.recordRelease(key),
   });
   const crashGuard = createCrashGuard({
-    clock,
-    logger,
-    crashes,
-    replicas,
+    ...{ clock, logger, crashes, replicas },
     announce: () => mesh?.announce(),
     stopped: stopController.signal,
   });
--- a/packages/gateway/src/peer_mesh.test.ts
+++ b/packages/gateway/src/peer_mesh.test.ts
@@ -180,7 +180,6 @@
   const contact = createReplicaContact(clock);
   const crashes = createCrashEvidence({
     clock,
-    random: () => 0,
     onCondemned: () => mesh.announce(),
   });
   const statements = createStatements({ clock });
--- a/packages/retries/src/begun_answers.test.ts
+++ b/packages/retries/src/begun_answers.test.ts
@@ -31,7 +31,6 @@
   const proven: string[] = [];
   const evidence = createCrashEvidence({
     clock,
-    random: () => 0,
     onCondemned: ({ suspect }) => condemned.push(suspect),
     onProven: (suspect) => proven.push(suspect),
   });
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -35,7 +35,6 @@
   const lifted: string[] = [];
   const evidence = createCrashEvidence({
     clock,
-    random: () => 0,
     onCondemned: (verdict) => condemned.push(verdict),
     onLifted: (part) => lifted.push(part),
   });
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -160,7 +160,8 @@
   abstract check(suspects: readonly string[]): CondemnedSuspect | undefined;
   /**
    * Admits one attempt, or returns the suspect for which it must not be sent.
-   * After a verdict lapses, one attempt with the suspect is admitted at a time.
+   * After a verdict lapses, one attempt with the suspect is admitted at a time,
+   * and only in the turn of this daemon.
    */
   abstract admit(suspects: readonly string[]): Admission;
   /**
@@ -180,8 +181,12 @@
 
 export interface CrashEvidenceOptions {
   readonly clock: Clock;
-  /** Returns a number from 0 up to 1. */
-  readonly random: () => number;
+  /**
+   * Returns true when this daemon has a turn, in which it may try what was
+   * condemned. `share` is the share of the fleet that may have it, from 0 to 1;
+   * one daemon always does. By default, each turn is this daemon's.
+   */
+  readonly hasTurn?: (turn: string, share: number) => boolean;
   readonly onCondemned?: (verdict: Verdict) => void;
   readonly onLifted?: (suspect: string) => void;
   /** Reports an answer after which crashes no longer count against a suspect. */
@@ -206,7 +211,11 @@
   const observations: Observations = {
     ...{ clock, records, proofs, unsettled, outlived },
   };
-  const verdicts = createSuspectVerdicts({ ...options, ...observations });
+  const verdicts = createSuspectVerdicts({
+    hasTurn: () => true,
+    ...options,
+    ...observations,
+  });
   const answers = createBegunAnswers({
     ...{ clock, unsettled, records },
     prove: ({ suspects, beganAt }) => proveAll(suspects, beganAt),
--- a/packages/retries/src/crashing_requests.test.ts
+++ b/packages/retries/src/crashing_requests.test.ts
@@ -17,6 +17,7 @@
   UNANSWERED_REQUEST_STRIKES,
   type Verdict,
 } from "./crash_evidence.ts";
+import { hasTurn } from "./testing.ts";
 
 const DEADLY = requestSuspect("shop-1/deadly");
 const SOUND = requestSuspect("shop-1/sound");
@@ -31,7 +32,6 @@
   const condemned: Verdict[] = [];
   const evidence = createCrashEvidence({
     clock,
-    random: () => 0,
     onCondemned: (verdict) => condemned.push(verdict),
   });
   let crashed = 0;
@@ -264,7 +264,7 @@
     (_, from) =>
       createCrashEvidence({
         clock,
-        random,
+        hasTurn: (turn, share) => hasTurn(from, DAEMONS, turn, share),
         onCondemned: ({ crashes }) => {
           if (crashes > 0) announcements.push({ at: now() + 100, from });
         },
--- a/packages/retries/src/outage_detection.test.ts
+++ b/packages/retries/src/outage_detection.test.ts
@@ -36,7 +36,7 @@
   { hasOther, lead = 0, leads = 5, isProven = false, survivors = 0 }: Case,
 ): Promise<boolean> {
   const clock = createManualClock();
-  const evidence = createCrashEvidence({ clock, random: () => 0 });
+  const evidence = createCrashEvidence({ clock });
   if (isProven) {
     await outlive(evidence, "r", [PART]);
     await clock.advance(10_000);
@@ -108,7 +108,7 @@
 // parts of its own requests look like answers without it.
 test("requests with the part alone on the replicas are no others", async () => {
   const clock = createManualClock();
-  const evidence = createCrashEvidence({ clock, random: () => 0 });
+  const evidence = createCrashEvidence({ clock });
   for (let crash = 0; crash < 5; crash += 1) {
     const replica = `r${crash}`;
     const first = evidence.recordBegin(replica, [PART, `first${crash}`]);
--- a/packages/retries/src/rare_crashes.test.ts
+++ b/packages/retries/src/rare_crashes.test.ts
@@ -30,6 +30,28 @@
   }
 }
 
+/** Requests that come together meet daemons of which each may try the part. */
+const GROUP_DAYS: Readonly<Record<string, Day>> = {
+  "four each 16 s": { deadlyPeriod: 16_000, deadlyGroup: 4 },
+  "three each 20 s": { deadlyPeriod: 20_000, deadlyGroup: 3 },
+  "eight each minute": { deadlyPeriod: MINUTE, deadlyGroup: 8, daemons: 8 },
+};
+
+for (const [name, day] of Object.entries(GROUP_DAYS)) {
+  for (const crashDelay of [-10, 80]) {
+    // Guards against trials of one part by all daemons at the same time.
+    test(`one daemon at a time tries a part with requests ${name}, crash at ${crashDelay} ms`, async () => {
+      for (let seed = 1; seed <= 4; seed += 1) {
+        const length = PERIODS * (day.deadlyPeriod ?? 0);
+        const group = { ...day, isDeadlyAffine: true, length };
+        const result = await playFleet(seed, { ...group, crashDelay });
+        expect(result.late).toBeLessThanOrEqual(ALLOWED_LATE);
+        expect(result.condemned).toEqual([DEADLY]);
+      }
+    });
+  }
+}
+
 for (const endPeriod of [700, 2_000, 8_000]) {
   // Guards against refusals of parts that come back seldom, because the crashes
   // of minutes add up.
--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -39,11 +39,18 @@
 const FORGET_AFTER: Milliseconds = 15 * 60_000;
 
 /**
- * Shares of the hold by which a daemon delays its trial, so that not all
- * daemons try at once.
+ * Duration of a turn, in which one daemon of many may try a suspect after its
+ * verdict. Within it, a trial is placed, crashes a replica and is told of.
  */
-const MIN_TRIAL_DELAY = 0.05;
-const MAX_TRIAL_DELAY = 0.5;
+export const TURN: Milliseconds = 4_000;
+
+/**
+ * Multiple of the longest interval between the crashes of a suspect, and the
+ * least time, after which all daemons may try it at once. Requests with it that
+ * come together should have met a daemon that had the turn before.
+ */
+const OPEN_INTERVALS = 16;
+const MIN_OPEN_TIME: Milliseconds = 16_000;
 
 /**
  * Minimum interval between evaluations of all suspects because of proofs.
@@ -57,6 +64,7 @@
 /**
  * Times of one verdict differ by less between daemons. Without this tolerance,
  * the delays of datagrams would add up while daemons adopt it from each other.
+ * No trial begins this close to the end of a turn.
  */
 const SAME_TIME: Milliseconds = 500;
 
@@ -93,8 +101,6 @@
   since: Milliseconds;
   until: Milliseconds;
   strikes: number;
-  /** Share of the hold by which this daemon delays its trial. */
-  readonly trialDelay: number;
   isTried: boolean;
   /** The verdict before its renewal, and the crash that renewed it. */
   renewal?: {
@@ -110,8 +116,8 @@
 >;
 
 export interface SuspectVerdictsOptions extends Observations {
-  /** Returns a number from 0 up to 1. */
-  readonly random: () => number;
+  /** As in `CrashEvidenceOptions`. */
+  readonly hasTurn: (turn: string, share: number) => boolean;
   readonly onCondemned?: (verdict: Verdict) => void;
   readonly onLifted?: (suspect: string) => void;
 }
@@ -150,7 +156,7 @@
 export function createSuspectVerdicts(
   options: SuspectVerdictsOptions,
 ): SuspectVerdicts {
-  const { clock, random, records, proofs, unsettled } = options;
+  const { clock, hasTurn, records, proofs, unsettled } = options;
   const verdicts = new Map<string, ActiveVerdict>();
   /** Changes since the last evaluation of all suspects. */
   let staleness: "none" | "by proofs" | "by records" = "none";
@@ -232,13 +238,8 @@
   }
 
   function putVerdict(verdict: VerdictTerms): void {
-    const range = MAX_TRIAL_DELAY - MIN_TRIAL_DELAY;
     verdicts.delete(verdict.suspect);
-    verdicts.set(verdict.suspect, {
-      ...verdict,
-      trialDelay: MIN_TRIAL_DELAY + random() * range,
-      isTried: false,
-    });
+    verdicts.set(verdict.suspect, { ...verdict, isTried: false });
     if (verdicts.size <= MAX_VERDICTS) return;
     const [first] = [...verdicts.values()].sort((a, b) => a.until - b.until);
     if (first !== undefined) verdicts.delete(first.suspect);
@@ -275,6 +276,30 @@
     return end - since > MAX_NEWS_DELAY && until - holdOf(strikes) > start;
   }
 
+  /** Returns true when a verdict has lapsed and this daemon may try its suspect. */
+  function mayTry({ suspect, until, isTried }: ActiveVerdict): boolean {
+    if (isTried) return false;
+    const lapsedFor = clock.monotonic() - until;
+    const isWithin = lapsedFor % TURN >= SAME_TIME &&
+      lapsedFor % TURN < TURN - SAME_TIME;
+    if (!isWithin) return false;
+    const share = Math.min(1, lapsedFor / openTime(suspect));
+    return hasTurn(`${Math.floor(lapsedFor / TURN)} ${suspect}`, share);
+  }
+
+  /**
+   * Time after a verdict in which ever more daemons have the turn. The more
+   * seldom a suspect crashes replicas, the longer are requests with it awaited.
+   */
+  function openTime(suspect: string): Milliseconds {
+    const crashes = listCrashes(suspect, countedRecords(options, suspect));
+    const intervals = crashes.slice(1).map((at, one) =>
+      at - (crashes[one] ?? at)
+    );
+    if (intervals.length === 0) return Infinity;
+    return Math.max(MIN_OPEN_TIME, Math.max(...intervals) * OPEN_INTERVALS);
+  }
+
   return new (class extends SuspectVerdicts {
     override list(): readonly ActiveVerdict[] {
       return [...verdicts.values()];
@@ -296,8 +321,8 @@
       for (const suspect of suspects) {
         const verdict = verdicts.get(suspect);
         if (verdict === undefined) continue;
-        const left = lapseOf(verdict) - now;
-        const wait = verdict.isTried ? TRIAL_WAIT : 0;
+        const left = verdict.until + SAME_TIME - now;
+        const wait = mayTry(verdict) ? 0 : TRIAL_WAIT;
         const remaining = left > 0 ? left : wait;
         if (remaining > (worst?.remaining ?? 0)) worst = { suspect, remaining };
       }
@@ -369,10 +394,6 @@
   })();
 }
 
-function lapseOf({ until, strikes, trialDelay }: ActiveVerdict): Milliseconds {
-  return until + trialDelay * holdOf(strikes);
-}
-
 /**
  * Orders the verdicts on one suspect. That of the latest crash prevails, so
  * that an answer that contradicts it contradicts all.
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -5,6 +5,7 @@
  */
 import { createManualClock } from "@peridotvalve/clock";
 import type { Milliseconds } from "@peridotvalve/types";
+import { hash } from "node:crypto";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import {
@@ -76,8 +77,8 @@
   readonly conversations?: number;
   /** Time after which all conversations are replaced by new ones. */
   readonly conversationLife?: Milliseconds;
-  /** True for requests that go to the first replica that is up. */
-  readonly isAffine?: boolean;
+  /** True if requests with the part go to the first replica that is up. */
+  readonly isDeadlyAffine?: boolean;
 }
 
 export interface Play {
@@ -90,6 +91,20 @@
   readonly views: readonly boolean[];
 }
 
+/** Returns true when one of some daemons has a turn to try what was condemned. */
+export function hasTurn(
+  daemon: number,
+  daemons: number,
+  turn: string,
+  share: number,
+): boolean {
+  const orderOf = (one: number) => hash("sha256", `${turn} ${one}`);
+  const own = orderOf(daemon);
+  const rank = Array.from({ length: daemons }, (_, one) => orderOf(one))
+    .filter((order) => order < own).length;
+  return rank < Math.max(1, daemons * share);
+}
+
 /** Plays a day, 30 s by default, with three daemons and six replicas. */
 export async function playFleet(seed: number, day: Day): Promise<Play> {
   const { crashDelay = Infinity, deadlyPeriod = Infinity } = day;
@@ -104,9 +119,10 @@
   const condemned = new Set<string>();
   const daemons: readonly CrashEvidence[] = Array.from(
     { length: daemonCount },
-    () =>
+    (_, daemon) =>
       createCrashEvidence({
-        ...{ clock, random },
+        clock,
+        hasTurn: (turn, share) => hasTurn(daemon, daemonCount, turn, share),
         onCondemned: ({ suspect }) => condemned.add(suspect),
       }),
   );
@@ -129,10 +145,10 @@
     if (evidence.check(parts) !== undefined) return;
     if (attempt > 1 && evidence.isSuspect(parts)) return;
     const up = replicas.filter(({ upAt }) => upAt <= now());
-    const place = day.isAffine === true ? 0 : random();
+    const isDeadly = parts.includes(DEADLY);
+    const place = isDeadly && day.isDeadlyAffine === true ? 0 : random();
     const replica = up[Math.floor(place * up.length)];
     if (replica === undefined) return;
-    const isDeadly = parts.includes(DEADLY);
     if (isDeadly) deadlySends.push(now());
     const beginsAt = now() + PREFILL;
     const crashesAt = isDeadly ? beginsAt + crashDelay : Infinity;
