Tell the companions of a deadly part apart

Callers of review/12 got 503 for all sound requests with two parts, because the first requests with them also held a part that crashes replicas: none of 46 began while deadly requests came.

Cause: the three parts stand in the same three crash records and none was ever answered, so none explains the crashes of another and all are condemned. No request with one of them could then run and prove it sound.

A request that lacks one of such companions tells them apart, and is now let through, one at a time at each daemon. Its answer proves the parts that it has; a crash clears those that it lacks, as another has more crashes now, and their verdicts are lifted at once. Companions are recognized by the known crashes and the times of their verdicts, so a daemon that has just started, which knows the verdicts only, judges alike. A suspect that has crashed two replicas since its verdict is let through no more, which bounds the requests with a deadly part.

--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -5,6 +5,7 @@
  * forgets it when it lapsed long ago.
  */
 import type { Milliseconds } from "@peridotvalve/types";
+import { canTellApart } from "./companions.ts";
 import {
   countedRecords,
   CRASHES_TO_CONDEMN,
@@ -101,6 +102,8 @@
   since: Milliseconds;
   until: Milliseconds;
   strikes: number;
+  /** Time at which this daemon got to know the verdict. */
+  readonly knownAt: Milliseconds;
   isTried: boolean;
   /** The verdict before its renewal, and the crash that renewed it. */
   renewal?: {
@@ -239,7 +242,8 @@
 
   function putVerdict(verdict: VerdictTerms): void {
     verdicts.delete(verdict.suspect);
-    verdicts.set(verdict.suspect, { ...verdict, isTried: false });
+    const knownAt = clock.monotonic();
+    verdicts.set(verdict.suspect, { ...verdict, knownAt, isTried: false });
     if (verdicts.size <= MAX_VERDICTS) return;
     const [first] = [...verdicts.values()].sort((a, b) => a.until - b.until);
     if (first !== undefined) verdicts.delete(first.suspect);
@@ -265,6 +269,13 @@
       isExplained(options, suspect, { counted, crashes, needed });
   }
 
+  function liftContradicted(verdict: ActiveVerdict): void {
+    if (!isContradicted(verdict)) return;
+    verdicts.delete(verdict.suspect);
+    staleness = "by records";
+    options.onLifted?.(verdict.suspect);
+  }
+
   /**
    * Returns true when an answer on the suspect began here after its crashes and
    * is not settled. The verdict is told again while it holds.
@@ -276,6 +287,13 @@
     return end - since > MAX_NEWS_DELAY && until - holdOf(strikes) > start;
   }
 
+  /** Time until a request with the suspect may be tried; 0 if one may be now. */
+  function remainingOf(verdict: ActiveVerdict): Milliseconds {
+    const left = verdict.until + SAME_TIME - clock.monotonic();
+    if (left > 0) return left;
+    return mayTry(verdict) ? 0 : TRIAL_WAIT;
+  }
+
   /** Returns true when a verdict has lapsed and this daemon may try its suspect. */
   function mayTry({ suspect, until, isTried }: ActiveVerdict): boolean {
     if (isTried) return false;
@@ -316,17 +334,16 @@
     override findCondemned(
       suspects: readonly string[],
     ): CondemnedSuspect | undefined {
-      const now = clock.monotonic();
       let worst: CondemnedSuspect | undefined;
       for (const suspect of suspects) {
         const verdict = verdicts.get(suspect);
-        if (verdict === undefined) continue;
-        const left = verdict.until + SAME_TIME - now;
-        const wait = mayTry(verdict) ? 0 : TRIAL_WAIT;
-        const remaining = left > 0 ? left : wait;
+        const remaining = verdict === undefined ? 0 : remainingOf(verdict);
         if (remaining > (worst?.remaining ?? 0)) worst = { suspect, remaining };
       }
-      return worst;
+      if (worst === undefined) return undefined;
+      const condemned = [...verdicts.values()]
+        .filter((verdict) => remainingOf(verdict) > 0);
+      return canTellApart(options, condemned, suspects) ? undefined : worst;
     }
 
     override judge(record: CrashRecord): void {
@@ -335,6 +352,9 @@
         renew(suspect, record);
         condemn(suspect);
       }
+      for (const verdict of verdicts.values()) {
+        if (!record.suspects.has(verdict.suspect)) liftContradicted(verdict);
+      }
     }
 
     override evaluate(): void {
@@ -377,10 +397,7 @@
         staleness = "by proofs";
       }
       const verdict = verdicts.get(suspect);
-      if (verdict === undefined || !isContradicted(verdict)) return;
-      verdicts.delete(suspect);
-      staleness = "by records";
-      options.onLifted?.(suspect);
+      if (verdict !== undefined) liftContradicted(verdict);
     }
 
     override dropExpired(): void {
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -50,6 +50,8 @@
   readonly endsAt: Milliseconds;
   /** Time at which the stream crashes its replica. */
   readonly crashesAt: Milliseconds;
+  /** Ends the admission of the request. */
+  readonly release: () => void;
   answer?: BegunAnswer;
 }
 
@@ -69,6 +71,15 @@
   readonly deadlyPeriod?: Milliseconds;
   /** Requests with the part that come together; one by default. */
   readonly deadlyGroup?: number;
+  /** Parts that requests with the part hold beside it. */
+  readonly companions?: readonly string[];
+  /** Number of them that each such request holds, drawn; all by default. */
+  readonly companionsHeld?: number;
+  /** Parts that sound requests share; `companions` by default. */
+  readonly soundParts?: readonly string[];
+  /** Time of the first sound request. */
+  readonly soundFrom?: Milliseconds;
+  readonly soundPeriod?: Milliseconds;
   /** Interval at which replicas end for another reason. */
   readonly endPeriod?: Milliseconds;
   /** Time from the first event to the last. */
@@ -85,6 +96,11 @@
   readonly crashes: number;
   /** Requests with the part that reached replicas later than allowed. */
   readonly late: number;
+  /**
+   * Share of the sound requests that could begin, of those sent later than twice
+   * the contact time after the last crash that the rule counts.
+   */
+  readonly soundShare: number;
   /** All parts that any daemon condemned, sorted. */
   readonly condemned: readonly string[];
   /** For each daemon, whether it refuses the part at the end. */
@@ -111,7 +127,8 @@
   const { endPeriod = Infinity, duration = 480 } = day;
   const { conversationLife = Infinity, length = 30_000 } = day;
   const { daemons: daemonCount = DAEMONS, deadlyGroup = 1 } = day;
-  const { conversations = CONVERSATIONS } = day;
+  const { conversations = CONVERSATIONS, companions = [POPULAR] } = day;
+  const { soundParts = companions, soundFrom = 0, soundPeriod = 100 } = day;
   const clock = createManualClock();
   const now = () => clock.monotonic();
   const generator = xoroshiro128plus(seed);
@@ -132,6 +149,7 @@
   );
   const crashes: Milliseconds[] = [];
   const deadlySends: Milliseconds[] = [];
+  const sound: { readonly at: Milliseconds; readonly hasBegun: boolean }[] = [];
   let sent = 0;
 
   function send(
@@ -139,23 +157,35 @@
     attempt: number,
     daemon: number,
     left = duration,
-  ): void {
+  ): boolean {
     const evidence = daemons[daemon];
-    if (evidence === undefined || attempt > MAX_ATTEMPTS) return;
-    if (evidence.check(parts) !== undefined) return;
-    if (attempt > 1 && evidence.isSuspect(parts)) return;
+    if (evidence === undefined || attempt > MAX_ATTEMPTS) return false;
+    if (attempt > 1 && evidence.isSuspect(parts)) return false;
+    const admission = evidence.admit(parts);
+    if (admission.kind === "condemned") return false;
     const up = replicas.filter(({ upAt }) => upAt <= now());
     const isDeadly = parts.includes(DEADLY);
     const place = isDeadly && day.isDeadlyAffine === true ? 0 : random();
     const replica = up[Math.floor(place * up.length)];
-    if (replica === undefined) return;
+    if (replica === undefined) {
+      admission.end();
+      return false;
+    }
     if (isDeadly) deadlySends.push(now());
     const beginsAt = now() + PREFILL;
     const crashesAt = isDeadly ? beginsAt + crashDelay : Infinity;
     const endsAt = isDeadly ? Infinity : beginsAt + left;
     replica.streams.push({
       ...{ parts, daemon, attempt, beginsAt, endsAt, crashesAt },
+      release: admission.end,
     });
+    return true;
+  }
+
+  function draw(parts: readonly string[], count = parts.length) {
+    const order = new Map(parts.map((part) => [part, random()]));
+    return parts.toSorted((a, b) => order.get(a)! - order.get(b)!)
+      .slice(0, count);
   }
 
   function end(replica: SimulatedReplica): void {
@@ -164,9 +194,10 @@
     const broken = replica.streams.splice(0);
     replica.upAt = now() + RESTART;
     replica.incarnation += 1;
-    for (const { daemon, parts, answer } of broken) {
+    for (const { daemon, parts, answer, release } of broken) {
       const suspects = answer?.breakOff() ?? { suspects: parts };
       daemons[daemon]?.recordLoss({ replica: key, ...suspects });
+      release();
     }
     for (const { parts, attempt, daemon, endsAt, beginsAt } of broken) {
       const left = endsAt - Math.max(now(), beginsAt);
@@ -183,7 +214,9 @@
       stream.answer ??= evidence.recordBegin(key, stream.parts);
       const age = now() - stream.beginsAt;
       if (age % EVENT_PERIOD === 0) evidence.recordReceived(key);
-      if (stream.endsAt <= now()) stream.answer.complete();
+      if (stream.endsAt > now()) continue;
+      stream.answer.complete();
+      stream.release();
     }
     const isEnding = replica.streams.some(({ crashesAt }) =>
       crashesAt <= now()
@@ -215,23 +248,29 @@
       const beat = Math.floor((at + phase) / TICK) % (HEARTBEAT / TICK);
       if (beat === 0 || isAfterCrash) tell(from);
     }
-    if (at % 100 === 0) {
+    if (at >= soundFrom && at % soundPeriod === 0) {
       sent += 1;
       const generation = Math.floor(at / conversationLife);
       const own = `conversation${sent % conversations}.${generation}`;
-      send([POPULAR, own], 1, sent % daemonCount);
+      const hasBegun = send([...soundParts, own], 1, sent % daemonCount);
+      sound.push({ at, hasBegun });
     }
     if (at > 4_000 && at % deadlyPeriod === 0) {
       for (let count = 0; count < deadlyGroup; count += 1) {
         sent += 1;
-        send([POPULAR, DEADLY], 1, sent % daemonCount);
+        const held = draw(companions, day.companionsHeld);
+        send([...held, DEADLY], 1, sent % daemonCount);
       }
     }
   }
   const counted = crashes[CRASHES_IN_RULE - 1] ?? Infinity;
+  const lastCounted = crashes.slice(0, CRASHES_IN_RULE).at(-1) ?? -Infinity;
+  const judged = sound.filter(({ at }) => at > lastCounted + 2 * CONTACT);
   return {
     crashes: crashes.length,
     late: deadlySends.filter((at) => at > counted + CONTACT).length,
+    soundShare: judged.filter(({ hasBegun }) => hasBegun).length /
+      Math.max(1, judged.length),
     condemned: [...condemned].sort(),
     views: daemons.map((evidence) => evidence.check([DEADLY]) !== undefined),
   };
