The end of an idle replica counts against the answers just before it

Cause: a crash record is made only of an attempt that is broken off. The answer is complete by then, and a replica that runs nothing else leaves none. Other hypotheses are out: the answers proved nothing, as closed connections had unsettled them.

Closed connections alone are no evidence, as replicas also close those that were idle for long. When a replica closes one just after complete answers, its daemon now opens a connection to it, once. A replica that was about to leave or is no longer listed counts for nothing, as before, and data of the replica settles its answers.

--- a/packages/gateway/src/crash_guard.test.ts
+++ b/packages/gateway/src/crash_guard.test.ts
@@ -1,6 +1,7 @@
 /**
  * Which ends of attempts count as crashes, and what is logged and refused.
  */
+import { incarnationKey } from "@peridotvalve/backpressure";
 import { createManualClock } from "@peridotvalve/clock";
 import {
   createReplicaTable,
@@ -98,6 +99,7 @@
   });
   for (let number = 0; number < 9; number += 1) replicas.put(entryOf(number));
   let announced = 0;
+  let isDown = false;
   const crashes = createCrashEvidence({
     clock,
     onCondemned: (verdict) => guard.recordVerdict(verdict),
@@ -106,6 +108,7 @@
   });
   const guard = createCrashGuard({
     ...{ clock, logger, crashes, replicas, stopped: stopped.signal },
+    refuses: () => Promise.resolve(isDown),
     announce: () => announced += 1,
   });
 
@@ -140,6 +143,7 @@
   return {
     ...{ clock, replicas, guard, crashes, logged, stopped, entryOf, end },
     announced: () => announced,
+    setDown: (down: boolean) => isDown = down,
     check: (hasCrashed: boolean, ...parts: readonly string[]) =>
       guard.check(createRequest(...parts), hasCrashed)?.reason,
   };
@@ -553,3 +557,29 @@
   }
   expect(await answer(createPrompt("sound", "{}"), 5)).toEqual(undefined);
 });
+
+// Guards against a replica that ends with no request on it and counts for nothing
+// (its part was never refused), and against closes that count although the
+// replica lives or was about to leave.
+test("a replica that closes idle connections counts once it has ended", async () => {
+  const kinds = ["refused", "restarted", "alive", "leaving"] as const;
+  for (const kind of kinds) {
+    const { clock, replicas, guard, crashes, entryOf, ...setup } =
+      createSetup();
+    const entry = { ...entryOf(0), address: "own:80" };
+    replicas.put(entry);
+    const admission = guard.admit(createRequest("deadly"), entry);
+    if (admission.kind === "refused") throw new Error(admission.reason);
+    admission.attempt.recordEnd(ANSWERED, false);
+    setup.setDown(kind === "refused");
+    if (kind === "leaving") replicas.put({ ...entry, state: "leaving" });
+    guard.recordDisconnect("own:80");
+    await clock.advance(GAP);
+    if (kind === "restarted") replicas.put({ ...entry, born: 6 });
+    await clock.advance(2 * GAP);
+    const isEnd = kind === "refused" || kind === "restarted";
+    expect(crashes.hasRecord(incarnationKey(entry))).toEqual(isEnd);
+    const lines = setup.logged.filter(([name]) => name === "replica_ended");
+    expect(lines.length).toEqual(isEnd ? 1 : 0);
+  }
+});
--- a/packages/gateway/src/crash_guard.ts
+++ b/packages/gateway/src/crash_guard.ts
@@ -24,6 +24,7 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import { hash } from "node:crypto";
 import type { AttemptOutcome } from "./attempt_watch.ts";
+import { hasEnded } from "./end_watch.ts";
 
 /** One attempt at a replica with the suspects of its request. */
 export interface GuardedAttempt {
@@ -80,6 +81,8 @@
   readonly logger: EventLogger;
   readonly crashes: CrashEvidence;
   readonly replicas: Pick<ReplicaTable, "all" | "find" | "isLeaving">;
+  /** Resolves to true when nothing listens at an address. */
+  readonly refuses: (address: string) => Promise<boolean>;
   /** Sends news to the other daemons without waiting for the next round. */
   readonly announce: () => void;
   /** Aborts when the daemon ends. */
@@ -115,6 +118,8 @@
   const { clock, logger, crashes, replicas, stopped } = options;
   /** Replicas that broke off attempts and have not been logged yet. */
   const ended = new Map<string, EndedReplica>();
+  /** Keys of replicas that may have ended while no request was on them. */
+  const watched = new Set<string>();
   let isAnnouncing = false;
 
   async function announceSoon(): Promise<void> {
@@ -192,6 +197,16 @@
     if (isCrash) options.announce();
   }
 
+  /** Records the end of a replica that closed connections, if it has ended. */
+  async function watchEnd(entry: ReplicaEntry, key: string): Promise<void> {
+    if (watched.has(key) || isPlannedEnd(entry)) return;
+    watched.add(key);
+    const isEnded = await hasEnded(options, entry, key);
+    watched.delete(key);
+    if (!isEnded || isPlannedEnd(entry) || !crashes.recordEnd(key)) return;
+    void reportLoss(entry.id, key, { beforeEvent: 0, afterEvent: 0 });
+  }
+
   /**
    * Returns true for a replica that is leaving or no longer listed, whose end
    * says nothing about the requests on it.
@@ -255,7 +270,9 @@
     override recordDisconnect(address: string): void {
       for (const { entry } of replicas.all()) {
         if (entry.address !== address) continue;
-        crashes.recordDisconnect(incarnationKey(entry));
+        const key = incarnationKey(entry);
+        crashes.recordDisconnect(key);
+        if (crashes.mayHaveCrashed(key)) void watchEnd(entry, key);
       }
     }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -56,6 +56,7 @@
   DAEMONS_PER_COLLECTOR,
   type PeerMesh,
 } from "./peer_mesh.ts";
+import { refusesConnections } from "./refusal.ts";
 import { createRegistration } from "./registration.ts";
 import type { ColdTimeRecorder } from "./replica_control.ts";
 import { createReplicaPace } from "./replica_pace.ts";
@@ -330,7 +331,7 @@
     onLifted: (key) => crashGuard.recordRelease(key),
   });
   const crashGuard = createCrashGuard({
-    ...{ clock, logger, crashes, replicas },
+    ...{ clock, logger, crashes, replicas, refuses: refusesConnections },
     announce: () => mesh?.announce(),
     stopped: stopController.signal,
   });
--- a/packages/retries/src/begun_answers.test.ts
+++ b/packages/retries/src/begun_answers.test.ts
@@ -112,11 +112,44 @@
     await answer(replica, 100, DEADLY);
     await clock.advance(100);
     evidence.recordDisconnect(replica);
+    expect(evidence.recordEnd(replica)).toEqual(true);
     await clock.advance(GAP);
   }
   expect(isCondemned(evidence, DEADLY)).toEqual(true);
 });
 
+// Guards against refusals of sound parts because replicas close connections that
+// were idle for long, just after an answer on another.
+test("closed connections alone are no evidence", async () => {
+  const { clock, evidence, answer } = createDaemon();
+  for (let close = 0; close < 9; close += 1) {
+    const replica = `s${close}`;
+    await answer(replica, 100, "sound");
+    await clock.advance(100);
+    evidence.recordDisconnect(replica);
+    await clock.advance(GAP);
+  }
+  expect(isCondemned(evidence, "sound")).toEqual(false);
+  expect(evidence.hasRecord("s8")).toEqual(false);
+});
+
+// Guards against an end that counts although the replica has lived on, or twice.
+test("the end of a replica counts once, and only for answers it did not outlive", async () => {
+  const { clock, evidence, answer } = createDaemon();
+  await answer("r", 100, "p");
+  evidence.recordDisconnect("r");
+  expect(evidence.mayHaveCrashed("r")).toEqual(true);
+  await clock.advance(SETTLING_TIME);
+  evidence.recordReceived("r");
+  expect(evidence.mayHaveCrashed("r")).toEqual(false);
+  expect(evidence.recordEnd("r")).toEqual(false);
+  await answer("s", 100, "p");
+  evidence.recordDisconnect("s");
+  expect(evidence.recordEnd("s")).toEqual(true);
+  expect(evidence.mayHaveCrashed("s")).toEqual(false);
+  expect(evidence.recordEnd("s")).toEqual(false);
+});
+
 // Guards against a sound part whose answers were on replicas that ended at any
 // time after their begins.
 test("crashes at different times after the begin do not add up", async () => {
--- a/packages/retries/src/begun_answers.ts
+++ b/packages/retries/src/begun_answers.ts
@@ -42,6 +42,11 @@
   abstract settleQuiet(): void;
   /** Records that a replica closed a connection, and so may have crashed. */
   abstract recordDisconnect(replica: string): void;
+  /**
+   * Time at which a replica closed connections just after complete answers, none
+   * of which is evidence yet; undefined if it did not.
+   */
+  abstract closedAt(replica: string): Milliseconds | undefined;
   /** Returns the suspects of complete answers that a crash can be due to. */
   abstract implicate(crash: CrashRecord): readonly RecordedSuspects[];
 }
@@ -104,6 +109,10 @@
     override recordDisconnect(replica: string): void {
       settle(unsettled.takeCompleteUntil(replica, clock.monotonic()));
     }
+
+    override closedAt(replica: string): Milliseconds | undefined {
+      return unsettled.closedAt(replica);
+    }
   })();
 }
 
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -9,6 +9,8 @@
  *   suspects of these requests. Data from the same incarnation soon afterwards
  *   shows that only connections were reset, and voids it. So does a later loss:
  *   an incarnation crashes at most once.
+ * - A replica that ends while no request is on it crashed as well, if it ended
+ *   just after complete answers. These are then its suspects.
  * - An answer proves the parts of its request sound as of its first event: only
  *   crashes after it count against them. It does so once its replica has
  *   outlived the first event for some time, as a part can crash a replica a
@@ -156,6 +158,17 @@
   abstract recordReceived(replica: string): void;
   /** Records that a replica's incarnation closed a connection. */
   abstract recordDisconnect(replica: string): void;
+  /**
+   * Returns true when a replica's incarnation closed connections just after
+   * complete answers. If it has ended, these are evidence.
+   */
+  abstract mayHaveCrashed(replica: string): boolean;
+  /**
+   * Records that a replica's incarnation, which closed connections, has ended.
+   * Not to be called for replicas that were about to leave. Returns true when
+   * that is the first evidence of a crash.
+   */
+  abstract recordEnd(replica: string): boolean;
   /** Returns the suspect for which a request must not be sent now. */
   abstract check(suspects: readonly string[]): CondemnedSuspect | undefined;
   /**
@@ -257,6 +270,19 @@
     }
   }
 
+  /** Records a crash; returns true when nothing was known of it. */
+  function recordCrash(
+    replica: string,
+    at: Milliseconds,
+    suspects: RecordedSuspects,
+  ): boolean {
+    const { record, isNew, isChanged } = records.add(replica, at, suspects);
+    implicateComplete(record);
+    if (isChanged) verdicts.noteRecords();
+    verdicts.judge(record);
+    return isNew;
+  }
+
   function prove(suspect: string, at: Milliseconds): void {
     const disproved = countedRecords(observations, suspect)
       .filter((record) => record.at <= at).length;
@@ -275,12 +301,7 @@
   return new (class extends CrashEvidence {
     override recordLoss({ replica, ...suspects }: Loss): boolean {
       dropExpired();
-      const now = clock.monotonic();
-      const { record, isNew, isChanged } = records.add(replica, now, suspects);
-      implicateComplete(record);
-      if (isChanged) verdicts.noteRecords();
-      verdicts.judge(record);
-      return isNew;
+      return recordCrash(replica, clock.monotonic(), suspects);
     }
 
     override recordBegin(
@@ -308,6 +329,16 @@
       answers.recordDisconnect(replica);
     }
 
+    override mayHaveCrashed(replica: string): boolean {
+      return answers.closedAt(replica) !== undefined;
+    }
+
+    override recordEnd(replica: string): boolean {
+      dropExpired();
+      const at = answers.closedAt(replica);
+      return at !== undefined && recordCrash(replica, at, { suspects: [] });
+    }
+
     override check(suspects: readonly string[]): CondemnedSuspect | undefined {
       return check(suspects);
     }
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -27,6 +27,9 @@
 const EVENT_PERIOD: Milliseconds = 40;
 const MAX_ATTEMPTS = 3;
 
+/** Time until a daemon knows that a replica which closed connections has ended. */
+const NOTICE_TIME: Milliseconds = 100;
+
 /** Conversations that ask in turn. */
 const CONVERSATIONS = 7;
 
@@ -48,8 +51,6 @@
   readonly attempt: number;
   readonly beginsAt: Milliseconds;
   readonly endsAt: Milliseconds;
-  /** Time at which the stream crashes its replica. */
-  readonly crashesAt: Milliseconds;
   /** Ends the admission of the request. */
   readonly release: () => void;
   answer?: BegunAnswer;
@@ -59,6 +60,8 @@
   readonly index: number;
   incarnation: number;
   upAt: Milliseconds;
+  /** Time at which a request on it, or an answer of it, makes it crash. */
+  crashesAt: Milliseconds;
   streams: Stream[];
 }
 
@@ -68,6 +71,8 @@
   readonly length?: Milliseconds;
   /** Time from the first event of an answer on the part to the crash. */
   readonly crashDelay?: Milliseconds;
+  /** Time from the first event of such an answer to the last; it is cut before. */
+  readonly deadlyDuration?: Milliseconds;
   readonly deadlyPeriod?: Milliseconds;
   /** Requests with the part that come together; one by default. */
   readonly deadlyGroup?: number;
@@ -125,6 +130,7 @@
 export async function playFleet(seed: number, day: Day): Promise<Play> {
   const { crashDelay = Infinity, deadlyPeriod = Infinity } = day;
   const { endPeriod = Infinity, duration = 480 } = day;
+  const { deadlyDuration = Infinity } = day;
   const { conversationLife = Infinity, length = 30_000 } = day;
   const { daemons: daemonCount = DAEMONS, deadlyGroup = 1 } = day;
   const { conversations = CONVERSATIONS, companions = [POPULAR] } = day;
@@ -145,9 +151,17 @@
   );
   const replicas: readonly SimulatedReplica[] = Array.from(
     { length: REPLICAS },
-    (_, index) => ({ index, incarnation: 0, upAt: 0, streams: [] }),
+    (_, index) => ({
+      index,
+      incarnation: 0,
+      upAt: 0,
+      crashesAt: Infinity,
+      streams: [],
+    }),
   );
   const crashes: Milliseconds[] = [];
+  /** Replicas whose ends the daemons are about to notice. */
+  let ended: { readonly key: string; readonly at: Milliseconds }[] = [];
   const deadlySends: Milliseconds[] = [];
   const sound: { readonly at: Milliseconds; readonly hasBegun: boolean }[] = [];
   let sent = 0;
@@ -173,10 +187,12 @@
     }
     if (isDeadly) deadlySends.push(now());
     const beginsAt = now() + PREFILL;
-    const crashesAt = isDeadly ? beginsAt + crashDelay : Infinity;
-    const endsAt = isDeadly ? Infinity : beginsAt + left;
+    const endsAt = beginsAt + (isDeadly ? deadlyDuration : left);
+    if (isDeadly) {
+      replica.crashesAt = Math.min(replica.crashesAt, beginsAt + crashDelay);
+    }
     replica.streams.push({
-      ...{ parts, daemon, attempt, beginsAt, endsAt, crashesAt },
+      ...{ parts, daemon, attempt, beginsAt, endsAt },
       release: admission.end,
     });
     return true;
@@ -194,6 +210,9 @@
     const broken = replica.streams.splice(0);
     replica.upAt = now() + RESTART;
     replica.incarnation += 1;
+    replica.crashesAt = Infinity;
+    for (const evidence of daemons) evidence.recordDisconnect(key);
+    ended.push({ key, at: now() });
     for (const { daemon, parts, answer, release } of broken) {
       const suspects = answer?.breakOff() ?? { suspects: parts };
       daemons[daemon]?.recordLoss({ replica: key, ...suspects });
@@ -218,11 +237,8 @@
       stream.answer.complete();
       stream.release();
     }
-    const isEnding = replica.streams.some(({ crashesAt }) =>
-      crashesAt <= now()
-    );
     replica.streams = replica.streams.filter(({ endsAt }) => endsAt > now());
-    if (isEnding) end(replica);
+    if (replica.crashesAt <= now()) end(replica);
   }
 
   function tell(from: number): void {
@@ -237,6 +253,11 @@
   for (let at = 0; at < length; at += TICK) {
     await clock.advance(TICK);
     for (const replica of replicas) run(replica);
+    const noticed = ended.filter((one) => now() - one.at >= NOTICE_TIME);
+    ended = ended.filter((one) => !noticed.includes(one));
+    for (const { key } of noticed) {
+      for (const evidence of daemons) evidence.recordEnd(key);
+    }
     const [oldest] = replicas.filter(({ upAt }) => upAt <= at)
       .sort(() => random() - 0.5);
     if (at > 4_000 && at % endPeriod === 0 && oldest) end(oldest);
--- a/packages/retries/src/unsettled_answers.ts
+++ b/packages/retries/src/unsettled_answers.ts
@@ -70,8 +70,9 @@
   /** Removes and returns the complete answers that no news has unsettled. */
   abstract takeQuiet(): readonly Answer[];
   /**
-   * Removes and returns the complete answers that a replica has outlived, if it
-   * lived until a time. From now on only data settles its other complete ones.
+   * Removes and returns the complete answers that a replica has outlived, if its
+   * connections ended at a time. From now on only data settles its other complete
+   * ones.
    */
   abstract takeCompleteUntil(
     replica: string,
@@ -82,6 +83,12 @@
    * that were returned before.
    */
   abstract implicate(replica: string): readonly Answer[];
+  /**
+   * Time at which the connections of a replica ended after answers that are
+   * complete and neither settled nor returned by `implicate`; undefined if there
+   * are none.
+   */
+  abstract closedAt(replica: string): Milliseconds | undefined;
   /**
    * Time of the last begin of a kept answer on the suspect, also if its replica
    * has crashed since; `-Infinity` if there is none.
@@ -99,7 +106,8 @@
 
 interface AnswerState {
   isComplete: boolean;
-  needsData: boolean;
+  /** Time at which a connection of the replica ended; only data settles it then. */
+  closedAt?: Milliseconds;
   isImplicated: boolean;
 }
 
@@ -132,21 +140,6 @@
     }
   }
 
-  /** Removes and returns the answers of a replica that meet the condition. */
-  function take(
-    replica: string,
-    isMet: (answer: Answer, state: AnswerState) => boolean,
-  ): readonly Answer[] {
-    const taken: Answer[] = [];
-    for (const answer of byReplica.get(replica) ?? []) {
-      if (ageOf(answer) < COMPLETE_SETTLING_TIME) break;
-      const state = answers.get(answer);
-      if (state !== undefined && isMet(answer, state)) taken.push(answer);
-    }
-    for (const answer of taken) remove(answer);
-    return taken;
-  }
-
   /** Time of the last begin of such an answer on the suspect. */
   function findLastBegin(
     suspect: string,
@@ -166,9 +159,7 @@
       const answer = { replica, suspects, beganAt: clock.monotonic() };
       if (suspects.length === 0) return answer;
       suspectCount += suspects.length;
-      answers.set(answer, {
-        ...{ isComplete: false, needsData: false, isImplicated: false },
-      });
+      answers.set(answer, { isComplete: false, isImplicated: false });
       const own = byReplica.get(replica) ?? new Set();
       byReplica.set(replica, own.add(answer));
       dropOldest();
@@ -189,18 +180,22 @@
     }
 
     override takeOutlived(replica: string): readonly Answer[] {
-      return take(
-        replica,
-        (answer, { isComplete }) =>
-          isComplete || ageOf(answer) >= SETTLING_TIME,
-      );
+      const taken: Answer[] = [];
+      for (const answer of byReplica.get(replica) ?? []) {
+        const age = ageOf(answer);
+        if (age < COMPLETE_SETTLING_TIME) break;
+        const isComplete = answers.get(answer)?.isComplete === true;
+        if (isComplete || age >= SETTLING_TIME) taken.push(answer);
+      }
+      for (const answer of taken) remove(answer);
+      return taken;
     }
 
     override takeQuiet(): readonly Answer[] {
       const taken: Answer[] = [];
-      for (const [answer, { isComplete, needsData }] of answers) {
+      for (const [answer, { isComplete, closedAt }] of answers) {
         if (ageOf(answer) < QUIET_SETTLING_TIME) break;
-        if (isComplete && !needsData) taken.push(answer);
+        if (isComplete && closedAt === undefined) taken.push(answer);
       }
       for (const answer of taken) remove(answer);
       return taken;
@@ -215,8 +210,8 @@
         const state = answers.get(answer);
         if (state?.isComplete !== true) continue;
         const isOutlived = time - answer.beganAt >= COMPLETE_SETTLING_TIME;
-        if (isOutlived && !state.needsData) taken.push(answer);
-        else state.needsData = true;
+        if (isOutlived && state.closedAt === undefined) taken.push(answer);
+        else state.closedAt ??= time;
       }
       for (const answer of taken) remove(answer);
       return taken;
@@ -233,6 +228,16 @@
       return listed;
     }
 
+    override closedAt(replica: string): Milliseconds | undefined {
+      let first: Milliseconds | undefined;
+      for (const answer of byReplica.get(replica) ?? []) {
+        const { closedAt, isImplicated = true } = answers.get(answer) ?? {};
+        if (closedAt === undefined || isImplicated) continue;
+        first = Math.min(first ?? Infinity, closedAt);
+      }
+      return first;
+    }
+
     override lastBegin(suspect: string): Milliseconds {
       return findLastBegin(suspect, () => true);
     }
