A replica without requests lives while its connections do

Cause: crashes after complete answers condemn a part only if answers on others lived longer at two replicas, and life was counted up to the last data. Beside two sound requests a second of 30 ms, replicas that live send none for longer than that, and looked like those of an outage.

An answer's life now ends with the last data only if the replica has closed a connection since; otherwise it goes on. A replica that ends closes them.

Test: outage_detection.test.ts, fails before.

--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -301,6 +301,7 @@
   return new (class extends CrashEvidence {
     override recordLoss({ replica, ...suspects }: Loss): boolean {
       dropExpired();
+      outlived.recordDisconnect(replica);
       return recordCrash(replica, clock.monotonic(), suspects);
     }
 
@@ -326,6 +327,7 @@
     }
 
     override recordDisconnect(replica: string): void {
+      outlived.recordDisconnect(replica);
       answers.recordDisconnect(replica);
     }
 
--- a/packages/retries/src/outage_detection.test.ts
+++ b/packages/retries/src/outage_detection.test.ts
@@ -157,3 +157,22 @@
   expect(hasOther(MAX_COMMON - 1)).toEqual(false);
   expect(hasOther(MAX_COMMON)).toEqual(true);
 });
+
+// Guards against a part that crashes replicas beside few other requests and seems
+// to end them in an outage, as no data tells that the other replicas live.
+test("a replica without requests lives while its connections do", async () => {
+  for (const isClosed of [false, true]) {
+    const clock = createManualClock();
+    const evidence = createCrashEvidence({ clock });
+    for (let crash = 0; crash < 5; crash += 1) {
+      evidence.recordBegin(`other${crash}`, [`part${crash}`]).complete();
+      if (isClosed) evidence.recordDisconnect(`other${crash}`);
+      evidence.recordBegin(`r${crash}`, ["deadly"]).complete();
+      await clock.advance(100);
+      evidence.recordDisconnect(`r${crash}`);
+      evidence.recordEnd(`r${crash}`);
+      await clock.advance(600);
+    }
+    expect(evidence.check(["deadly"]) !== undefined).toEqual(!isClosed);
+  }
+});
--- a/packages/retries/src/outlived_answers.ts
+++ b/packages/retries/src/outlived_answers.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps for how long replicas outlived the begins of answers, by the data that
- * they sent afterwards on any request.
+ * Keeps for how long replicas outlived the begins of answers: until now, or, once
+ * one has closed a connection, until its last data on any request.
  *
  * Of the answers of a replica, one is kept in each `SAMPLE_INTERVAL`, for
  * `DETAIL_EXPIRY`; of all, at most `MAX_SAMPLES` with `MAX_SAMPLED_SUSPECTS`, the
@@ -28,7 +28,7 @@
   /** Key of the replica's incarnation. */
   readonly replica: string;
   readonly beganAt: Milliseconds;
-  /** Time from the begin to the last data of the replica. */
+  /** Time from the begin for which the replica certainly lived. */
   readonly life: Milliseconds;
 }
 
@@ -45,6 +45,8 @@
   lastSampleAt: Milliseconds;
   /** Time of the last data. */
   aliveAt: Milliseconds;
+  /** True from the close of a connection up to the next data. */
+  isClosed: boolean;
 }
 
 export abstract class OutlivedAnswers {
@@ -52,6 +54,8 @@
   abstract recordBegin(replica: string, suspects: readonly string[]): void;
   /** Records data of a replica. */
   abstract recordReceived(replica: string): void;
+  /** Records that a replica closed a connection, and so may have ended. */
+  abstract recordDisconnect(replica: string): void;
   /** Lists answers that began in a time on others of the suspect's group. */
   abstract listOthers(
     suspect: string,
@@ -84,11 +88,15 @@
       if (suspects.length === 0) return;
       const at = clock.monotonic();
       const replica = replicas.get(key) ??
-        { key, sampleCount: 0, lastSampleAt: -Infinity, aliveAt: at };
+        {
+          ...{ key, sampleCount: 0, lastSampleAt: -Infinity },
+          ...{ aliveAt: at, isClosed: false },
+        };
       if (at - replica.lastSampleAt < SAMPLE_INTERVAL) return;
       replica.sampleCount += 1;
       replica.lastSampleAt = at;
       replica.aliveAt = at;
+      replica.isClosed = false;
       replicas.set(key, replica);
       suspectCount += suspects.length;
       samples.add({ at, suspects, replica });
@@ -97,19 +105,27 @@
 
     override recordReceived(key: string): void {
       const replica = replicas.get(key);
-      if (replica !== undefined) replica.aliveAt = clock.monotonic();
+      if (replica === undefined) return;
+      replica.aliveAt = clock.monotonic();
+      replica.isClosed = false;
+    }
+
+    override recordDisconnect(key: string): void {
+      const replica = replicas.get(key);
+      if (replica !== undefined) replica.isClosed = true;
     }
 
     override listOthers(
       suspect: string,
       { start, end }: TimeRange,
     ): readonly OutlivedAnswer[] {
+      const now = clock.monotonic();
       const group = groupOf(suspect);
       const listed: OutlivedAnswer[] = [];
       for (const { at, suspects, replica } of samples) {
         if (at < start || at > end || suspects.includes(suspect)) continue;
         if (!suspects.some((one) => groupOf(one) === group)) continue;
-        const life = replica.aliveAt - at;
+        const life = (replica.isClosed ? replica.aliveAt : now) - at;
         listed.push({ replica: replica.key, beganAt: at, life });
       }
       return listed;
