Play a part that crashes idle replicas with real daemons

The stand-in replica can crash some time after its answer; the test of the platform sends such requests to two daemons beside sound ones.

--- a/packages/retries/src/idle_crashes.test.ts
+++ b/packages/retries/src/idle_crashes.test.ts
@@ -10,6 +10,7 @@
   "many sound requests": {},
   "sound streams on every replica": { duration: 20_000, soundPeriod: 500 },
   "a crash a quarter of a second later": { soundPeriod: 500, crashDelay: 280 },
+  "a crash 0.7 s after the answer": { soundPeriod: 500, crashDelay: 730 },
   "an answer without events": { soundPeriod: 500, crashDelay: 40 },
   "one deadly request each 8 s": { soundPeriod: 500, deadlyPeriod: 8_000 },
 };
--- a/packages/standins/src/fleet/replica.ts
+++ b/packages/standins/src/fleet/replica.ts
@@ -40,6 +40,11 @@
   readonly crashOnPart: string;
   /** Number of events that the engine sends before the crash on a part. */
   readonly crashAfterEvents: number;
+  /**
+   * Time in milliseconds from the end of an answer on the part to the crash, in
+   * place of one within the answer.
+   */
+  readonly crashAfterAnswer: number | undefined;
   /** Path and body of the plain request on which the replica crashes. */
   readonly crashOnRequest:
     | { readonly path: string; readonly body: string }
@@ -144,6 +149,7 @@
   loseOrderAnswers: false,
   crashOnPart: "",
   crashAfterEvents: 0,
+  crashAfterAnswer: undefined,
   crashOnRequest: undefined,
   limit: 0,
   leaving: false,
@@ -237,8 +243,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
-    const { crashOnPart, crashAfterEvents } = faults;
+    const { crashOnPart, crashAfterAnswer } = faults;
     const isDeadly = listParts(request).includes(crashOnPart);
+    const crashAfterEvents = crashAfterAnswer === undefined
+      ? faults.crashAfterEvents
+      : Infinity;
     if (crashOnPart !== "") {
       await new Promise((resolve) => setTimeout(resolve, PREFILL_MILLISECONDS));
     }
@@ -260,6 +269,9 @@
       if (isDeadly && number - first + 1 === crashAfterEvents) return crash();
     }
     response.end();
+    if (!isDeadly || crashAfterAnswer === undefined) return;
+    await new Promise((resolve) => setTimeout(resolve, crashAfterAnswer));
+    crash();
   }
 
   async function sendInHalves(response: ServerResponse): Promise<void> {
