Crashes that chance cannot bring are no outage

Cause: five crashes after begun answers count as an outage unless answers on others lived longer at two replicas, as one replica lives on by chance. Cached prompts go where their blocks are, so that often only one other is in use. A debug build of the daemon showed all five crashes counted and only that check in the way.

Crashes are now compared with the time in which they could have come by chance: the crash rate of that time, as if it were that of one replica, times the longest life of an answer on the part. Up to 0.2 crashes in that life, five in a row are no outage, whoever lived on. Crashes in quick succession are judged as before.

--- a/packages/retries/src/idle_crashes.test.ts
+++ b/packages/retries/src/idle_crashes.test.ts
@@ -12,6 +12,10 @@
   "a crash a quarter of a second later": { soundPeriod: 500, crashDelay: 280 },
   "a crash 0.7 s after the answer": { soundPeriod: 500, crashDelay: 730 },
   "an answer without events": { soundPeriod: 500, crashDelay: 40 },
+  "sound requests on one other replica": {
+    ...{ deadlyPeriod: 8_000, isDeadlyAffine: true, isSoundAffine: true },
+    ...{ soundPeriod: 500, duration: 30 },
+  },
   "one deadly request each 8 s": { soundPeriod: 500, deadlyPeriod: 8_000 },
 };
 
--- a/packages/retries/src/outage_detection.test.ts
+++ b/packages/retries/src/outage_detection.test.ts
@@ -168,7 +168,7 @@
       evidence.recordBegin(`other${crash}`, [`part${crash}`]).complete();
       if (isClosed) evidence.recordDisconnect(`other${crash}`);
       evidence.recordBegin(`r${crash}`, ["deadly"]).complete();
-      await clock.advance(100);
+      await clock.advance(200);
       evidence.recordDisconnect(`r${crash}`);
       evidence.recordEnd(`r${crash}`);
       await clock.advance(600);
--- a/packages/retries/src/outage_detection.ts
+++ b/packages/retries/src/outage_detection.ts
@@ -1,7 +1,8 @@
 /**
  * Tells a suspect that crashes replicas from an outage, in which replicas end
  * under whatever they run. In an outage, answers on all suspects end with their
- * replicas. While a part crashes replicas some time after its answers begin,
+ * replicas, whenever these began. While a part crashes replicas some time after
+ * its answers begin, all crashes come in the short time of such answers, and
  * answers without it live longer than that, on the same replicas and on others.
  */
 import type { Milliseconds } from "@peridotvalve/types";
@@ -18,6 +19,12 @@
 /** Parts of one request have begun at the same time, but for this. */
 const SAME_BEGIN: Milliseconds = 10;
 
+/**
+ * Crashes on a replica in the time in which one answer on the suspect lives, if
+ * all crashes had come there by chance: up to so many, five in a row are none.
+ */
+const MAX_CHANCE = 0.2;
+
 /** Time by which other answers must live longer than those on the suspect. */
 const LONGER_LIFE: Milliseconds = 50;
 
@@ -58,6 +65,7 @@
     ...records.filter(({ at }) => at >= start)
       .map(({ begun }) => begun.get(suspect) ?? 0),
   );
+  if (longest * crashes.length <= MAX_CHANCE * (end - start)) return false;
   // Replicas live long enough that complete answers prove others sound.
   if (longest >= COMPLETE_SETTLING_TIME) return false;
   const replicas = new Set(
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -95,6 +95,8 @@
   readonly conversationLife?: Milliseconds;
   /** True if requests with the part go to the first replica that is up. */
   readonly isDeadlyAffine?: boolean;
+  /** True if all others go to the last replica that is up. */
+  readonly isSoundAffine?: boolean;
 }
 
 export interface Play {
@@ -179,8 +181,9 @@
     if (admission.kind === "condemned") return false;
     const up = replicas.filter(({ upAt }) => upAt <= now());
     const isDeadly = parts.includes(DEADLY);
-    const place = isDeadly && day.isDeadlyAffine === true ? 0 : random();
-    const replica = up[Math.floor(place * up.length)];
+    const drawn = up[Math.floor(random() * up.length)];
+    const isAffine = isDeadly ? day.isDeadlyAffine : day.isSoundAffine;
+    const replica = isAffine === true ? up.at(isDeadly ? 0 : -1) : drawn;
     if (replica === undefined) {
       admission.end();
       return false;
