Trials of condemned suspects are a module; evaluate only suspects with enough crashes

Crash records are kept for longer now, so the evaluation after each answer looks at suspects of three records or more, not at all of them.

--- a/packages/retries/src/companions.ts
+++ b/packages/retries/src/companions.ts
@@ -7,6 +7,7 @@
  */
 import type { Milliseconds } from "@peridotvalve/types";
 import { countedRecords, type Observations } from "./crash_attribution.ts";
+import { SAME_TIME } from "./trials.ts";
 
 /**
  * Crashes after its verdict at which a suspect is no longer let through. Each
@@ -17,12 +18,6 @@
 /** Time in which requests that were sent before a verdict can crash replicas. */
 const IN_FLIGHT: Milliseconds = 1_000;
 
-/**
- * Times of verdicts on companions differ by less. A daemon that has started
- * since knows the verdicts of others, but not their crashes.
- */
-const SAME_TIME: Milliseconds = 500;
-
 /** A verdict for which requests are refused now. */
 export interface CompanionVerdict {
   readonly suspect: string;
@@ -35,7 +30,8 @@
 
 /**
  * Returns true when a request tells each of its condemned suspects from a
- * companion, and no other request does so now.
+ * companion, and no other request does so now. The times of the verdicts count
+ * beside the crashes, as a daemon that started since knows these only.
  */
 export function canTellApart(
   observations: Observations,
--- a/packages/retries/src/crash_digest.ts
+++ b/packages/retries/src/crash_digest.ts
@@ -93,7 +93,7 @@
   function listProofs(audience: Audience): CrashNews["proofs"] {
     const now = clock.monotonic();
     const condemned = verdicts.list().map(({ suspect }) => suspect);
-    const named = new Set([...condemned, ...records.listSuspects()]);
+    const named = new Set([...condemned, ...records.listSuspects(1)]);
     const isCondemned = (suspect: string) =>
       verdicts.find(suspect) !== undefined;
     const due: (readonly [string, Proof])[] = [];
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -55,8 +55,9 @@
  * what was observed, `begun_answers.ts` turns answers into proofs or evidence,
  * `crash_attribution.ts` decides which crashes count against a suspect,
  * `outage_detection.ts` whether these can be those of an outage,
- * `suspect_verdicts.ts` holds the verdicts, and `crash_digest.ts` exchanges
- * what daemons must know of each other.
+ * `suspect_verdicts.ts` holds the verdicts, `trials.ts` and `companions.ts` let
+ * requests through in spite of one, and `crash_digest.ts` exchanges what daemons
+ * must know of each other.
  */
 import type { Clock } from "@peridotvalve/clock";
 import type { Bytes, Milliseconds } from "@peridotvalve/types";
--- a/packages/retries/src/crash_records.ts
+++ b/packages/retries/src/crash_records.ts
@@ -102,8 +102,8 @@
 export abstract class CrashRecords {
   /** Ordered by time; void ones are kept until their reports stop. */
   abstract list(): readonly CrashRecord[];
-  /** Suspects of all records, with repetitions. */
-  abstract listSuspects(): Iterable<string>;
+  /** Suspects with at least a number of records, each once. */
+  abstract listSuspects(least: number): Iterable<string>;
   /** Number of records with a suspect, also of those before its last proof. */
   abstract count(suspect: string): number;
   /**
@@ -212,6 +212,18 @@
     return known === undefined || age - known > AGE_STEP;
   }
 
+  function countRecords(): ReadonlyMap<string, number> {
+    if (recordCounts !== undefined) return recordCounts;
+    recordCounts = new Map();
+    for (const { suspects, voidedAt } of records) {
+      if (voidedAt !== undefined) continue;
+      for (const one of suspects) {
+        recordCounts.set(one, (recordCounts.get(one) ?? 0) + 1);
+      }
+    }
+    return recordCounts;
+  }
+
   /** Adds a suspect to a record or removes it, and counts it. */
   function changeSuspects(
     { suspects, voidedAt }: CrashRecord,
@@ -230,21 +242,14 @@
       return records;
     }
 
-    override *listSuspects(): Iterable<string> {
-      for (const { suspects } of records) yield* suspects;
+    override *listSuspects(least: number): Iterable<string> {
+      for (const [suspect, count] of countRecords()) {
+        if (count >= least) yield suspect;
+      }
     }
 
     override count(suspect: string): number {
-      if (recordCounts === undefined) {
-        recordCounts = new Map();
-        for (const { suspects, voidedAt } of records) {
-          if (voidedAt !== undefined) continue;
-          for (const one of suspects) {
-            recordCounts.set(one, (recordCounts.get(one) ?? 0) + 1);
-          }
-        }
-      }
-      return recordCounts.get(suspect) ?? 0;
+      return countRecords().get(suspect) ?? 0;
     }
 
     override add(
--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -14,11 +14,11 @@
   isDisputed,
   isExplained,
   listCrashes,
-  type Observations,
 } from "./crash_attribution.ts";
 import type { CrashRecord } from "./crash_records.ts";
 import { canBeOutage } from "./outage_detection.ts";
 import { isRequest } from "./suspects.ts";
+import { hasTrialTurn, SAME_TIME, type TrialOptions } from "./trials.ts";
 
 /** First duration of a verdict; it doubles with each renewal. */
 export const INITIAL_HOLD: Milliseconds = 30_000;
@@ -39,20 +39,6 @@
 /** Time after its end at which a verdict is forgotten that no trial renewed. */
 const FORGET_AFTER: Milliseconds = 15 * 60_000;
 
-/**
- * Duration of a turn, in which one daemon of many may try a suspect after its
- * verdict. Within it, a trial is placed, crashes a replica and is told of.
- */
-export const TURN: Milliseconds = 4_000;
-
-/**
- * Multiple of the longest interval between the crashes of a suspect, and the
- * least time, after which all daemons may try it at once. Requests with it that
- * come together should have met a daemon that had the turn before.
- */
-const OPEN_INTERVALS = 16;
-const MIN_OPEN_TIME: Milliseconds = 16_000;
-
 /**
  * Minimum interval between evaluations of all suspects because of proofs.
  * Answers begin all the time on suspects that many requests share.
@@ -62,13 +48,6 @@
 /** Wait stated for a suspect while another request tries it. */
 const TRIAL_WAIT: Milliseconds = 1_000;
 
-/**
- * Times of one verdict differ by less between daemons. Without this tolerance,
- * the delays of datagrams would add up while daemons adopt it from each other.
- * No trial begins this close to the end of a turn.
- */
-const SAME_TIME: Milliseconds = 500;
-
 /**
  * Delay by which the reported proof of a peer appears later than it was. A
  * suspect that was sound just before its first crash would otherwise seem sound
@@ -118,9 +97,7 @@
   "suspect" | "since" | "until" | "strikes"
 >;
 
-export interface SuspectVerdictsOptions extends Observations {
-  /** As in `CrashEvidenceOptions`. */
-  readonly hasTurn: (turn: string, share: number) => boolean;
+export interface SuspectVerdictsOptions extends TrialOptions {
   readonly onCondemned?: (verdict: Verdict) => void;
   readonly onLifted?: (suspect: string) => void;
 }
@@ -159,7 +136,7 @@
 export function createSuspectVerdicts(
   options: SuspectVerdictsOptions,
 ): SuspectVerdicts {
-  const { clock, hasTurn, records, proofs, unsettled } = options;
+  const { clock, records, proofs, unsettled } = options;
   const verdicts = new Map<string, ActiveVerdict>();
   /** Changes since the last evaluation of all suspects. */
   let staleness: "none" | "by proofs" | "by records" = "none";
@@ -291,31 +268,8 @@
   function remainingOf(verdict: ActiveVerdict): Milliseconds {
     const left = verdict.until + SAME_TIME - clock.monotonic();
     if (left > 0) return left;
-    return mayTry(verdict) ? 0 : TRIAL_WAIT;
-  }
-
-  /** Returns true when a verdict has lapsed and this daemon may try its suspect. */
-  function mayTry({ suspect, until, isTried }: ActiveVerdict): boolean {
-    if (isTried) return false;
-    const lapsedFor = clock.monotonic() - until;
-    const isWithin = lapsedFor % TURN >= SAME_TIME &&
-      lapsedFor % TURN < TURN - SAME_TIME;
-    if (!isWithin) return false;
-    const share = Math.min(1, lapsedFor / openTime(suspect));
-    return hasTurn(`${Math.floor(lapsedFor / TURN)} ${suspect}`, share);
-  }
-
-  /**
-   * Time after a verdict in which ever more daemons have the turn. The more
-   * seldom a suspect crashes replicas, the longer are requests with it awaited.
-   */
-  function openTime(suspect: string): Milliseconds {
-    const crashes = listCrashes(suspect, countedRecords(options, suspect));
-    const intervals = crashes.slice(1).map((at, one) =>
-      at - (crashes[one] ?? at)
-    );
-    if (intervals.length === 0) return Infinity;
-    return Math.max(MIN_OPEN_TIME, Math.max(...intervals) * OPEN_INTERVALS);
+    const mayTry = !verdict.isTried && hasTrialTurn(options, verdict);
+    return mayTry ? 0 : TRIAL_WAIT;
   }
 
   return new (class extends SuspectVerdicts {
@@ -365,7 +319,8 @@
       if (staleness === "by proofs") evaluatedAt = now;
       staleness = "none";
       if (records.list().length < CRASHES_TO_CONDEMN) return;
-      for (const suspect of new Set(records.listSuspects())) condemn(suspect);
+      const suspects = [...records.listSuspects(CRASHES_TO_CONDEMN)];
+      for (const suspect of suspects) condemn(suspect);
     }
 
     override merge(offered: VerdictTerms): void {
