Five crashes at two times condemn a part

Cause: crashes within 0.1 s count once, so that a part that ends three replicas at a time needs as many groups as one that ends a single replica.

Five crashes now condemn a part if they came at two times or more. One outage of any number of replicas counts once, as before; sound parts would have to be on replicas that end in a second one, with no answer between.

Test: crash_evidence.test.ts, fails before.

--- a/packages/retries/src/crash_attribution.ts
+++ b/packages/retries/src/crash_attribution.ts
@@ -41,6 +41,12 @@
 const AGE_FACTOR = 1.25;
 const AGE_MARGIN: Milliseconds = 100;
 
+/**
+ * Crashes that condemn a part if they came at two times or more, however many of
+ * them coincided: an outage hardly ends all replicas with one part twice.
+ */
+const COINCIDENT_CRASHES_TO_CONDEMN = 5;
+
 /** In an outage, few crashes follow each other this often before an answer. */
 export const CRASHES_DESPITE_PROOF = 5;
 
@@ -118,10 +124,12 @@
   );
   const isProven = last - proof < PROOF_VALIDITY;
   if (isProven && crashes.length < CRASHES_DESPITE_PROOF) return undefined;
-  const needsBegun = listEarly(suspect, counted).length < needed;
+  const early = listEarly(suspect, counted);
+  const needsBegun = countCrashes(suspect, early) < needed;
   const found = { times: crashes, records: counted, needsBegun };
   if (!isCommon(observations, suspect, found, needed)) return undefined;
-  const explained = { counted, crashes: crashes.length, needed };
+  const number = countCrashes(suspect, counted);
+  const explained = { counted, crashes: number, needed };
   return isExplained(observations, suspect, explained) ? undefined : found;
 }
 
@@ -184,6 +192,17 @@
   return crashes;
 }
 
+/** Number of a suspect's crashes, of which those at one time are mostly one. */
+export function countCrashes(
+  suspect: string,
+  counted: readonly CrashRecord[],
+): number {
+  const times = listCrashes(suspect, counted).length;
+  const isRepeated = times >= CRASHES_TO_SUSPECT &&
+    counted.length >= COINCIDENT_CRASHES_TO_CONDEMN;
+  return isRepeated ? Math.max(times, CRASHES_TO_CONDEMN) : times;
+}
+
 /**
  * Drops the crashes that an answer on the suspect outlived at another replica
  * afterwards, even if a later crash ended it.
@@ -203,8 +222,8 @@
 
 /** Number of crashes that count against a suspect, by their weights. */
 function weigh(suspect: string, counted: readonly CrashRecord[]): number {
-  const all = listCrashes(suspect, counted).length;
-  const early = listEarly(suspect, counted).length;
+  const all = countCrashes(suspect, counted);
+  const early = countCrashes(suspect, listEarly(suspect, counted));
   return early + (all - early) * BEGUN_WEIGHT;
 }
 
@@ -212,11 +231,8 @@
 function listEarly(
   suspect: string,
   counted: readonly CrashRecord[],
-): readonly Milliseconds[] {
-  return listCrashes(
-    suspect,
-    counted.filter(({ begun }) => !begun.has(suspect)),
-  );
+): readonly CrashRecord[] {
+  return counted.filter(({ begun }) => !begun.has(suspect));
 }
 
 /** Crashes for which another explanation is sought. */
@@ -250,7 +266,7 @@
     const otherProof = proofs.lastProof(other);
     const isCandidate = otherProof <= proof && records.count(other) >= needed;
     const otherCrashes = isCandidate
-      ? listCrashes(other, countedRecords(observations, other, since)).length
+      ? countCrashes(other, countedRecords(observations, other, since))
       : 0;
     // A part with the same crashes may be sound in other requests.
     const isNarrower = isRequest(other) && !isRequest(suspect);
--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -207,6 +207,23 @@
   expect(condemned).toEqual([]);
 });
 
+// Guards against a part that crashes several replicas each time: its groups would
+// count as few crashes as single ones do (review/11 in one of six runs).
+test("five crashes at two times condemn a part, four do not", async () => {
+  for (const second of [1, 2]) {
+    const { clock, evidence } = createDaemon();
+    for (const [time, count] of [3, second].entries()) {
+      for (let replica = 0; replica < count; replica += 1) {
+        const suspects = [DEADLY, `own${time}${replica}`];
+        evidence.recordLoss({ replica: `r${time}${replica}`, suspects });
+        await clock.advance(10);
+      }
+      await clock.advance(16_000);
+    }
+    expect(isCondemned(evidence, DEADLY)).toEqual(second === 2);
+  }
+});
+
 // Guards against verdicts on parts in use when replicas fail one after the other
 // within a short time, however long no answers begin afterwards, and against a
 // deadly part that is never condemned because it was sound just before. Answers
--- a/packages/retries/src/suspect_verdicts.ts
+++ b/packages/retries/src/suspect_verdicts.ts
@@ -7,13 +7,13 @@
 import type { Milliseconds } from "@peridotvalve/types";
 import { canTellApart } from "./companions.ts";
 import {
+  countCrashes,
   countedRecords,
   CRASHES_TO_CONDEMN,
   CRASHES_TO_SUSPECT,
   findCrashes,
   isDisputed,
   isExplained,
-  listCrashes,
 } from "./crash_attribution.ts";
 import type { CrashRecord } from "./crash_records.ts";
 import { canBeOutage } from "./outage_detection.ts";
@@ -161,7 +161,8 @@
     }
     const { times } = crashes;
     // With an answer after this crash, too few would be left.
-    const since = times.at(-CRASHES_TO_CONDEMN) ?? clock.monotonic();
+    const since = times.at(-CRASHES_TO_CONDEMN) ?? times[0] ??
+      clock.monotonic();
     const last = times.at(-1) ?? since;
     const isProven = proofs.lastProof(suspect) > -Infinity;
     const isUnanswered = isRequest(suspect) && !isProven;
@@ -213,7 +214,7 @@
     const tried = countedRecords(options, suspect, since);
     return isExplained(options, suspect, {
       ...{ counted: [record], since, needed: CRASHES_TO_SUSPECT },
-      crashes: listCrashes(suspect, tried).length,
+      crashes: countCrashes(suspect, tried),
     });
   }
 
@@ -240,7 +241,7 @@
     if (proofs.lastProof(suspect) - since > MAX_NEWS_DELAY) return true;
     if (strikes > 1) return false;
     const counted = countedRecords(options, suspect);
-    const crashes = listCrashes(suspect, counted).length;
+    const crashes = countCrashes(suspect, counted);
     const needed = CRASHES_TO_CONDEMN;
     return crashes >= needed &&
       isExplained(options, suspect, { counted, crashes, needed });
