--- a/packages/retries/src/companions.test.ts
+++ b/packages/retries/src/companions.test.ts
@@ -4,7 +4,7 @@
  */
 import { expect } from "earl";
 import { test } from "node:test";
-import { ALLOWED_LATE, type Day, DEADLY, playFleet } from "./testing.ts";
+import { ALLOWED_LATE, type Day, playFleet } from "./testing.ts";
 
 const COMPANIONS = ["one", "two", "three", "four"];
 
--- a/packages/retries/src/crashing_requests.test.ts
+++ b/packages/retries/src/crashing_requests.test.ts
@@ -264,7 +264,8 @@
     (_, from) =>
       createCrashEvidence({
         clock,
-        hasTurn: (turn, share) => hasTurn(from, DAEMONS, turn, share),
+        hasTurn: (turn, share) =>
+          hasTurn(turn, share, { daemon: from, daemons: DAEMONS }),
         onCondemned: ({ crashes }) => {
           if (crashes > 0) announcements.push({ at: now() + 100, from });
         },
--- a/packages/retries/src/testing.ts
+++ b/packages/retries/src/testing.ts
@@ -116,10 +116,9 @@
 
 /** Returns true when one of some daemons has a turn to try what was condemned. */
 export function hasTurn(
-  daemon: number,
-  daemons: number,
   turn: string,
   share: number,
+  { daemon, daemons }: { readonly daemon: number; readonly daemons: number },
 ): boolean {
   const orderOf = (one: number) => hash("sha256", `${turn} ${one}`);
   const own = orderOf(daemon);
@@ -147,7 +146,8 @@
     (_, daemon) =>
       createCrashEvidence({
         clock,
-        hasTurn: (turn, share) => hasTurn(daemon, daemonCount, turn, share),
+        hasTurn: (turn, share) =>
+          hasTurn(turn, share, { daemon, daemons: daemonCount }),
         onCondemned: ({ suspect }) => condemned.add(suspect),
       }),
   );
