--- a/packages/retries/src/crash_evidence.test.ts
+++ b/packages/retries/src/crash_evidence.test.ts
@@ -208,7 +208,7 @@
 });
 
 // Guards against a part that crashes several replicas each time: its groups would
-// count as few crashes as single ones do (review/11 in one of six runs).
+// count as few crashes as single ones do (review/11 in one of two plays).
 test("five crashes at two times condemn a part, four do not", async () => {
   for (const second of [1, 2]) {
     const { clock, evidence } = createDaemon();
--- a/packages/retries/src/crash_evidence.ts
+++ b/packages/retries/src/crash_evidence.ts
@@ -28,6 +28,8 @@
  *   others lived longer, at several replicas, as they do not in an outage.
  * - Crashes count for `RECORD_EXPIRY`, however far apart they are. Those of long
  *   ago alone condemn nothing that was answered since.
+ * - Crashes of a part that coincide count once, but five at two times condemn it.
+ * - Suspects of the same crashes are told apart by a request that lacks some.
  * - Requests are judged by the crashes and answers of their service alone. One
  *   that was never answered is refused for longer, because each trial can crash
  *   one more replica.
